--- /dev/null
+++ b/loop/loop.go
@@ -0,0 +1,89 @@
+// Package loop drives a reducer: it feeds events to it one at a time and
+// carries out the effects that it returns. It is the only place where a
+// reducer meets a clock.
+package loop
+
+import (
+	"context"
+	"time"
+)
+
+// eventBacklog is how many events may wait before posters block.
+const eventBacklog = 4096
+
+// Reducer is a state machine without I/O. Step appends the effects of an event
+// to out and returns it. Now is the time since the process started.
+type Reducer[Ev, Eff any] interface {
+	Step(now time.Duration, ev Ev, out []Eff) []Eff
+	// Next returns when the reducer wants a tick; ok is false for never.
+	Next() (at time.Duration, ok bool)
+}
+
+// Loop runs one reducer on one goroutine.
+type Loop[Ev, Eff any] struct {
+	red    Reducer[Ev, Eff]
+	tick   Ev
+	exec   func(Eff)
+	events chan Ev
+	start  time.Time
+	done   chan struct{}
+}
+
+// New returns a loop over red. Tick is the event posted when Next is due; exec
+// carries out one effect and must not block.
+func New[Ev, Eff any](red Reducer[Ev, Eff], tick Ev, exec func(Eff)) *Loop[Ev, Eff] {
+	return &Loop[Ev, Eff]{
+		red:    red,
+		tick:   tick,
+		exec:   exec,
+		events: make(chan Ev, eventBacklog),
+		start:  time.Now(),
+		done:   make(chan struct{}),
+	}
+}
+
+// Now returns the time since the loop was made, by the monotonic clock.
+func (l *Loop[Ev, Eff]) Now() time.Duration { return time.Since(l.start) }
+
+// Post hands an event to the reducer. It returns false once the loop has ended.
+func (l *Loop[Ev, Eff]) Post(ev Ev) bool {
+	select {
+	case l.events <- ev:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// Run steps the reducer until ctx ends.
+func (l *Loop[Ev, Eff]) Run(ctx context.Context) {
+	defer close(l.done)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	var out []Eff
+	for {
+		l.arm(timer)
+		var ev Ev
+		select {
+		case <-ctx.Done():
+			return
+		case ev = <-l.events:
+		case <-timer.C:
+			ev = l.tick
+		}
+		out = l.red.Step(l.Now(), ev, out[:0])
+		for _, eff := range out {
+			l.exec(eff)
+		}
+		clear(out)
+	}
+}
+
+func (l *Loop[Ev, Eff]) arm(timer *time.Timer) {
+	at, ok := l.red.Next()
+	if !ok {
+		timer.Reset(time.Hour)
+		return
+	}
+	timer.Reset(max(0, at-l.Now()))
+}
--- /dev/null
+++ b/task/submission.go
@@ -0,0 +1,44 @@
+package task
+
+import "time"
+
+// Submission is what a caller asks for: one request, or a job of many tasks.
+type Submission struct {
+	Service string
+	Team    string
+	// Job is set for a job; a request has exactly one task.
+	Job   bool
+	Tasks []Spec
+	// Idempotent allows a request that may have run to be sent again. Tasks of
+	// a job start at most once whatever this says.
+	Idempotent bool
+	// Key is the caller's idempotency key; empty for none.
+	Key string
+	// Deadline bounds the time to the answer; zero takes the service's.
+	Deadline time.Duration
+}
+
+// Answer is the one final answer to a submission.
+type Answer struct {
+	ID SubmissionID
+	// State is Complete only if every task completed. NotRun means that no
+	// task started.
+	State  State
+	Reason Reason
+	// Detail is one sentence for people.
+	Detail string
+	// RetryAfter says when to come back; zero if coming back won't help.
+	RetryAfter time.Duration
+	// Outcomes has one entry a task, in the caller's order, if State is
+	// Complete; it is empty otherwise, so that no answer is partial.
+	Outcomes []Outcome
+	// Longest is the longest run time among the tasks.
+	Longest time.Duration
+	// Messages counts the messages between processes spent on the submission;
+	// Wasted counts those of them that brought no task nearer its outcome.
+	Messages uint32
+	Wasted   uint32
+	// Replayed is set if the outcome is that of an earlier submission with the
+	// same idempotency key.
+	Replayed bool
+}
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,18 @@
+package wire
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Every kind has a message, and the message names that kind.
+func TestNewCoversEveryKind(t *testing.T) {
+	for k := KindHello; k <= KindPong; k++ {
+		m, err := New(k)
+		require.NoError(t, err)
+		require.Equal(t, k, m.Kind())
+	}
+	_, err := New(KindPong + 1)
+	require.Error(t, err)
+}
