Add keys and transport, thin

Cause: every process needs authenticated links before anything else can be wired. Ruled out: session resumption and 0-RTT (a renewed certificate must be checked at each handshake); InsecureSkipVerify with an own check (a DNS name per role lets crypto/tls do it). Change: ECDSA certificate authority, identities by role, QUIC connections with frames, stamps and a progress deadline.

--- /dev/null
+++ b/keys/identity.go
@@ -0,0 +1,153 @@
+package keys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// Identity is a process's certificate and key, with the authority that it
+// trusts. It is safe for concurrent use.
+type Identity struct {
+	dir     string
+	current atomic.Pointer[material]
+}
+
+// material is one loaded state of an identity.
+type material struct {
+	name Name
+	pair *tls.Certificate
+	pool *x509.CertPool
+}
+
+// Load reads the identity in a process's folder.
+func Load(dir string) (*Identity, error) {
+	m, err := loadMaterial(dir)
+	if err != nil {
+		return nil, err
+	}
+	id := &Identity{dir: dir}
+	id.current.Store(m)
+	return id, nil
+}
+
+func newIdentity(dir string, pair *tls.Certificate, pool *x509.CertPool) (*Identity, error) {
+	m, err := newMaterial(pair, pool)
+	if err != nil {
+		return nil, err
+	}
+	id := &Identity{dir: dir}
+	id.current.Store(m)
+	return id, nil
+}
+
+func loadMaterial(dir string) (*material, error) {
+	pair, err := loadProcess(dir)
+	if err != nil {
+		return nil, err
+	}
+	pool, err := loadPool(dir)
+	if err != nil {
+		return nil, err
+	}
+	return newMaterial(pair, pool)
+}
+
+func newMaterial(pair *tls.Certificate, pool *x509.CertPool) (*material, error) {
+	n, err := NameOf(pair.Leaf)
+	if err != nil {
+		return nil, err
+	}
+	opts := x509.VerifyOptions{Roots: pool, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}}
+	if _, err := pair.Leaf.Verify(opts); err != nil {
+		return nil, fmt.Errorf("keys: verify own certificate %s: %w", n, err)
+	}
+	return &material{name: n, pair: pair, pool: pool}, nil
+}
+
+// Name returns whom the identity names.
+func (id *Identity) Name() Name { return id.current.Load().name }
+
+// Expires returns when the certificate in use ends.
+func (id *Identity) Expires() time.Time { return id.current.Load().pair.Leaf.NotAfter }
+
+// Reload reads the folder again. New handshakes use what it found; on an
+// error the identity stays as it was. An identity in memory has no folder and
+// stays as it is.
+func (id *Identity) Reload() error {
+	if id.dir == "" {
+		return nil
+	}
+	m, err := loadMaterial(id.dir)
+	if err != nil {
+		return err
+	}
+	if old := id.Name(); m.name != old {
+		return fmt.Errorf("keys: reload %s: certificate names %s, want %s", id.dir, m.name, old)
+	}
+	id.current.Store(m)
+	return nil
+}
+
+// ServerTLS returns a configuration for listening. It demands a certificate of
+// the authority that names one of the accepted roles.
+func (id *Identity) ServerTLS(accept ...wire.Role) *tls.Config {
+	conf := id.serverConfig(accept)
+	conf.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		fresh := id.serverConfig(accept)
+		fresh.NextProtos = conf.NextProtos
+		return fresh, nil
+	}
+	return conf
+}
+
+func (id *Identity) serverConfig(accept []wire.Role) *tls.Config {
+	m := id.current.Load()
+	return &tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		Certificates:           []tls.Certificate{*m.pair},
+		ClientAuth:             tls.RequireAndVerifyClientCert,
+		ClientCAs:              m.pool,
+		SessionTicketsDisabled: true,
+		VerifyConnection:       verifyRole(accept),
+	}
+}
+
+// ClientTLS returns a configuration for one dial to a peer of role want.
+func (id *Identity) ClientTLS(want wire.Role) *tls.Config {
+	m := id.current.Load()
+	return &tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		Certificates:           []tls.Certificate{*m.pair},
+		RootCAs:                m.pool,
+		ServerName:             serverName(want),
+		SessionTicketsDisabled: true,
+		VerifyConnection:       verifyRole([]wire.Role{want}),
+	}
+}
+
+func verifyRole(accept []wire.Role) func(tls.ConnectionState) error {
+	return func(state tls.ConnectionState) error {
+		n, err := PeerName(state)
+		if err != nil {
+			return err
+		}
+		if !slices.Contains(accept, n.Role) {
+			return fmt.Errorf("keys: peer %s: %w, want one of %v", n, ErrRole, accept)
+		}
+		return nil
+	}
+}
+
+// PeerName returns whom the peer's verified certificate names.
+func PeerName(state tls.ConnectionState) (Name, error) {
+	if len(state.VerifiedChains) == 0 || len(state.PeerCertificates) == 0 {
+		return Name{}, fmt.Errorf("keys: peer has no verified certificate")
+	}
+	return NameOf(state.PeerCertificates[0])
+}
--- /dev/null
+++ b/transport/conn.go
@@ -0,0 +1,259 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/fireflytray/fireflytray/keys"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+const (
+	// receiveQueue is how many decoded messages may wait for Recv.
+	receiveQueue = 256
+	readBuffer   = 4 << 10
+	closeCode    = quic.ApplicationErrorCode(0)
+	// retainPending is the largest write buffer kept between writes.
+	retainPending = 64 << 10
+)
+
+// Conn is a connection to one peer. It is safe for concurrent use.
+type Conn struct {
+	opts   Options
+	meter  *meter
+	qc     *quic.Conn
+	stream *quic.Stream
+	peer   Peer
+	dialed bool
+
+	mu      sync.Mutex
+	pending []byte
+	wake    chan struct{}
+
+	in    chan frame
+	probe *prober
+
+	err  atomic.Pointer[error]
+	done chan struct{}
+	once sync.Once
+}
+
+func newConn(qc *quic.Conn, stream *quic.Stream, o Options, m *meter, dialed bool) (*Conn, error) {
+	name, err := keys.PeerName(qc.ConnectionState().TLS)
+	if err != nil {
+		return nil, err
+	}
+	c := &Conn{
+		opts:   o,
+		meter:  m,
+		qc:     qc,
+		stream: stream,
+		peer:   Peer{Name: name, Addr: qc.RemoteAddr().String()},
+		dialed: dialed,
+		wake:   make(chan struct{}, 1),
+		in:     make(chan frame, receiveQueue),
+		done:   make(chan struct{}),
+	}
+	c.probe = newProber(c)
+	go c.readLoop()
+	go c.writeLoop()
+	return c, nil
+}
+
+// Peer returns the other end as its certificate names it.
+func (c *Conn) Peer() Peer { return c.peer }
+
+// RemoteAddr returns the other end's host:port.
+func (c *Conn) RemoteAddr() string { return c.peer.Addr }
+
+// LocalAddr returns this end's host:port.
+func (c *Conn) LocalAddr() string { return c.qc.LocalAddr().String() }
+
+// Done is closed once the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.done }
+
+// Err returns why the connection ended, or nil while it has not.
+func (c *Conn) Err() error {
+	if p := c.err.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// Send encodes m and queues it; it never blocks. M may be reused afterwards.
+// An error means that m was not queued.
+func (c *Conn) Send(m wire.Message) error {
+	if err := c.enqueue(m); err != nil {
+		return err
+	}
+	c.probe.sent()
+	return nil
+}
+
+func (c *Conn) enqueue(m wire.Message) error {
+	if err := c.Err(); err != nil {
+		return fmt.Errorf("transport: send %T to %s: %w", m, c.peer, err)
+	}
+	stamp := c.opts.Stamp()
+	c.mu.Lock()
+	size, err := c.appendLocked(m, stamp)
+	c.mu.Unlock()
+	if err != nil {
+		return fmt.Errorf("transport: send to %s: %w", c.peer, err)
+	}
+	c.meter.sent[m.Kind()].add(size)
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+func (c *Conn) appendLocked(m wire.Message, s wire.Stamp) (int, error) {
+	before := len(c.pending)
+	out, err := appendFrame(c.pending, m, s, c.opts.MaxFrame)
+	if err != nil {
+		c.pending = out
+		return 0, err
+	}
+	if before > 0 && len(out) > c.opts.SendQueue {
+		c.pending = out[:before]
+		return 0, fmt.Errorf("%T with %d bytes waiting, limit %d: %w", m, before, c.opts.SendQueue, ErrQueueFull)
+	}
+	c.pending = out
+	return len(out) - before, nil
+}
+
+// Recv returns the next message in the order of sending. What had arrived
+// before the connection ended is returned before the error.
+func (c *Conn) Recv(ctx context.Context) (wire.Message, wire.Stamp, error) {
+	select {
+	case f, ok := <-c.in:
+		if !ok {
+			<-c.done
+			return nil, wire.Stamp{}, fmt.Errorf("transport: receive from %s: %w", c.peer, c.Err())
+		}
+		return f.msg, f.stamp, nil
+	case <-ctx.Done():
+		return nil, wire.Stamp{}, fmt.Errorf("transport: receive from %s: %w", c.peer, ctx.Err())
+	}
+}
+
+// Expect says whether the caller awaits something of the peer. While it does,
+// a quiet connection is probed often enough to be found silent in time.
+func (c *Conn) Expect(on bool) { c.probe.expect(on) }
+
+// Close ends the connection and tells the peer the reason. Messages that are
+// still queued are lost.
+func (c *Conn) Close(reason string) {
+	c.fail(fmt.Errorf("%s: %w", reason, ErrClosed))
+}
+
+// fail ends the connection; the first error wins.
+func (c *Conn) fail(err error) {
+	c.once.Do(func() {
+		c.err.Store(&err)
+		c.probe.stop()
+		close(c.done)
+		c.qc.CloseWithError(closeCode, err.Error())
+	})
+}
+
+func (c *Conn) readLoop() {
+	defer close(c.in)
+	d := &decoder{r: bufio.NewReaderSize(c.stream, readBuffer), maxFrame: c.opts.MaxFrame}
+	var last wire.Stamp
+	first := true
+	for {
+		f, err := d.next()
+		if err != nil {
+			c.fail(c.readError(err))
+			return
+		}
+		c.meter.received[f.msg.Kind()].add(f.size)
+		if first || f.stamp != last {
+			first, last = false, f.stamp
+			c.opts.OnStamp(c.peer, f.stamp)
+		}
+		if !c.handle(f) {
+			return
+		}
+	}
+}
+
+// handle answers a ping, notes a pong, and hands anything else to Recv. It
+// returns false once the connection has ended.
+func (c *Conn) handle(f frame) bool {
+	c.probe.received()
+	switch m := f.msg.(type) {
+	case *wire.Ping:
+		if err := c.enqueue(&wire.Pong{Nonce: m.Nonce, SentAt: m.SentAt}); errors.Is(err, ErrQueueFull) {
+			c.fail(err)
+		}
+		return true
+	case *wire.Pong:
+		return true
+	}
+	select {
+	case c.in <- f:
+		return true
+	default:
+	}
+	c.probe.blocked(true)
+	defer c.probe.blocked(false)
+	select {
+	case c.in <- f:
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
+func (c *Conn) readError(err error) error {
+	var app *quic.ApplicationError
+	var idle *quic.IdleTimeoutError
+	switch {
+	case errors.As(err, &app) && app.Remote:
+		return fmt.Errorf("closed by peer (%s): %w", app.ErrorMessage, ErrClosed)
+	case errors.As(err, &idle):
+		return fmt.Errorf("%w: %w", ErrSilent, err)
+	case errors.Is(err, io.EOF):
+		return fmt.Errorf("stream ended by peer: %w", ErrClosed)
+	}
+	return err
+}
+
+// writeLoop writes everything queued since the last write in one go.
+func (c *Conn) writeLoop() {
+	var spare []byte
+	for {
+		select {
+		case <-c.wake:
+		case <-c.done:
+			return
+		}
+		c.mu.Lock()
+		batch := c.pending
+		c.pending = spare[:0]
+		c.mu.Unlock()
+		if len(batch) == 0 {
+			spare = batch
+			continue
+		}
+		if _, err := c.stream.Write(batch); err != nil {
+			c.fail(c.readError(err))
+			return
+		}
+		spare = batch
+		if cap(spare) > retainPending {
+			spare = nil
+		}
+	}
+}
--- /dev/null
+++ b/transport/endpoint.go
@@ -0,0 +1,193 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+const (
+	// acceptBacklog is how many new connections may wait for Accept.
+	acceptBacklog = 64
+	// openPing is the nonce of the ping that opens a stream.
+	openPing = 0
+)
+
+// Listener accepts connections on one UDP port.
+type Listener struct {
+	opts  Options
+	meter *meter
+	ql    *quic.Listener
+	conns chan *Conn
+	ctx   context.Context
+	stop  context.CancelFunc
+	wg    sync.WaitGroup
+}
+
+// Listen opens a UDP host:port and accepts peers of the roles in o.Accept.
+func Listen(addr string, o Options) (*Listener, error) {
+	o = o.withDefaults()
+	conf := o.Identity.ServerTLS(o.Accept...)
+	conf.NextProtos = []string{protocol}
+	ql, err := quic.ListenAddr(addr, conf, o.quicConfig())
+	if err != nil {
+		return nil, fmt.Errorf("transport: listen %s: %w", addr, err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	l := &Listener{
+		opts:  o,
+		meter: newMeter(o.Scope),
+		ql:    ql,
+		conns: make(chan *Conn, acceptBacklog),
+		ctx:   ctx,
+		stop:  stop,
+	}
+	l.wg.Add(1)
+	go l.run()
+	return l, nil
+}
+
+// Addr returns the listener's host:port.
+func (l *Listener) Addr() string { return l.ql.Addr().String() }
+
+// Accept returns the next connection whose peer has proved its role.
+func (l *Listener) Accept(ctx context.Context) (*Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-ctx.Done():
+		return nil, fmt.Errorf("transport: accept %s: %w", l.Addr(), ctx.Err())
+	case <-l.ctx.Done():
+		return nil, fmt.Errorf("transport: accept %s: %w", l.Addr(), ErrClosed)
+	}
+}
+
+// Close stops listening and ends every connection accepted.
+func (l *Listener) Close() error {
+	l.stop()
+	err := l.ql.Close()
+	l.wg.Wait()
+	return err
+}
+
+func (l *Listener) run() {
+	defer l.wg.Done()
+	for {
+		qc, err := l.ql.Accept(l.ctx)
+		if err != nil {
+			return
+		}
+		l.wg.Add(1)
+		go l.open(qc)
+	}
+}
+
+// open waits for the peer's stream and hands the connection to Accept.
+func (l *Listener) open(qc *quic.Conn) {
+	defer l.wg.Done()
+	ctx, cancel := context.WithTimeout(l.ctx, l.opts.Silence)
+	defer cancel()
+	stream, err := qc.AcceptStream(ctx)
+	if err != nil {
+		qc.CloseWithError(closeCode, "no stream opened")
+		return
+	}
+	c, err := newConn(qc, stream, l.opts, l.meter, false)
+	if err != nil {
+		qc.CloseWithError(closeCode, err.Error())
+		return
+	}
+	select {
+	case l.conns <- c:
+	case <-l.ctx.Done():
+		c.Close("listener closed")
+	}
+}
+
+// Dial connects to a peer of role want from a new local port. It returns once
+// the peer has accepted this side's certificate too.
+func Dial(ctx context.Context, addr string, want wire.Role, o Options) (*Conn, error) {
+	o = o.withDefaults()
+	c, err := dial(ctx, addr, want, o)
+	if err != nil {
+		return nil, fmt.Errorf("transport: dial %s %s: %w", want, addr, err)
+	}
+	return c, nil
+}
+
+func dial(ctx context.Context, addr string, want wire.Role, o Options) (*Conn, error) {
+	conf := o.Identity.ClientTLS(want)
+	conf.NextProtos = []string{protocol}
+	qc, err := quic.DialAddr(ctx, addr, conf, o.quicConfig())
+	if err != nil {
+		return nil, dialError(err)
+	}
+	stream, err := qc.OpenStreamSync(ctx)
+	if err != nil {
+		qc.CloseWithError(closeCode, "no stream")
+		return nil, dialError(err)
+	}
+	c, err := newConn(qc, stream, o, newMeter(o.Scope), true)
+	if err != nil {
+		qc.CloseWithError(closeCode, err.Error())
+		return nil, err
+	}
+	if err := c.confirm(ctx); err != nil {
+		c.Close("not confirmed")
+		return nil, dialError(err)
+	}
+	return c, nil
+}
+
+// confirm waits for the first answer, which proves that the peer accepted
+// this side's certificate.
+func (c *Conn) confirm(ctx context.Context) error {
+	if err := c.enqueue(&wire.Ping{Nonce: openPing}); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Silence)
+	defer cancel()
+	select {
+	case <-c.probe.first:
+		return nil
+	case <-c.done:
+		return c.Err()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// dialError marks time-outs as silence.
+func dialError(err error) error {
+	var timeout net.Error
+	if errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout() {
+		return fmt.Errorf("%w: %w", ErrSilent, err)
+	}
+	return err
+}
+
+// Redial delays.
+const (
+	redialMin = 50 * time.Millisecond
+	redialMax = 2 * time.Second
+)
+
+// RedialDelay returns how long to wait before dial attempt n (from 0) of a
+// peer that could not be reached. Jitter is from 0 to 1.
+func RedialDelay(n int, jitter float64) time.Duration {
+	if n <= 0 {
+		return 0
+	}
+	d := redialMax
+	if n < 7 {
+		d = min(redialMax, redialMin<<(n-1))
+	}
+	return d/2 + time.Duration(jitter*float64(d/2))
+}
--- /dev/null
+++ b/transport/frame.go
@@ -0,0 +1,141 @@
+package transport
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// A frame is a u32 length of what follows, a u8 version, a u8 kind, the stamp
+// (two u64) and the body. Integers are big-endian.
+const (
+	lengthSize  = 4
+	versionAt   = 4
+	kindAt      = 5
+	indexAt     = 6
+	digestAt    = 14
+	headerSize  = 22
+	minLength   = headerSize - lengthSize
+	eagerBytes  = 64 << 10
+	retainBytes = 256 << 10
+)
+
+// frame is a decoded message with its stamp and its size on the wire.
+type frame struct {
+	msg   wire.Message
+	stamp wire.Stamp
+	size  int
+}
+
+// appendFrame encodes m and appends it to buf. On an error buf is unchanged.
+func appendFrame(buf []byte, m wire.Message, s wire.Stamp, maxFrame int) ([]byte, error) {
+	start := len(buf)
+	buf = append(buf, make([]byte, headerSize)...)
+	out, err := m.MarshalMsg(buf)
+	if err != nil {
+		return buf[:start], fmt.Errorf("encode %T: %w", m, err)
+	}
+	size := len(out) - start
+	if size > maxFrame {
+		return out[:start], fmt.Errorf("encode %T of %d bytes, limit %d: %w", m, size, maxFrame, ErrFrameSize)
+	}
+	head := out[start:]
+	binary.BigEndian.PutUint32(head, uint32(size-lengthSize))
+	head[versionAt] = wire.Version
+	head[kindAt] = byte(m.Kind())
+	binary.BigEndian.PutUint64(head[indexAt:], s.Index)
+	binary.BigEndian.PutUint64(head[digestAt:], s.Digest)
+	return out, nil
+}
+
+// decoder reads frames from one stream.
+type decoder struct {
+	r        io.Reader
+	maxFrame int
+	head     [headerSize]byte
+	body     bytes.Buffer
+}
+
+// next reads one frame. It returns io.EOF only between frames.
+func (d *decoder) next() (frame, error) {
+	if _, err := io.ReadFull(d.r, d.head[:lengthSize]); err != nil {
+		return frame{}, err
+	}
+	length := int64(binary.BigEndian.Uint32(d.head[:]))
+	if length < minLength || length+lengthSize > int64(d.maxFrame) {
+		return frame{}, fmt.Errorf("frame of %d bytes, want %d to %d: %w",
+			length+lengthSize, headerSize, d.maxFrame, ErrFrameSize)
+	}
+	if _, err := io.ReadFull(d.r, d.head[lengthSize:]); err != nil {
+		return frame{}, truncated(err)
+	}
+	m, err := d.message()
+	if err != nil {
+		return frame{}, err
+	}
+	if err := d.readBody(length - minLength); err != nil {
+		return frame{}, err
+	}
+	if err := decodeBody(m, d.body.Bytes()); err != nil {
+		return frame{}, err
+	}
+	stamp := wire.Stamp{
+		Index:  binary.BigEndian.Uint64(d.head[indexAt:]),
+		Digest: binary.BigEndian.Uint64(d.head[digestAt:]),
+	}
+	return frame{msg: m, stamp: stamp, size: int(length) + lengthSize}, nil
+}
+
+// message returns the empty message that the header announces.
+func (d *decoder) message() (wire.Message, error) {
+	if v := d.head[versionAt]; v != wire.Version {
+		return nil, fmt.Errorf("frame of version %d, want %d: %w", v, wire.Version, ErrVersion)
+	}
+	m, err := wire.New(wire.Kind(d.head[kindAt]))
+	if err != nil {
+		return nil, fmt.Errorf("frame of kind %d: %w", d.head[kindAt], ErrKind)
+	}
+	return m, nil
+}
+
+// readBody fills d.body. Memory grows with what has arrived, so that a length
+// alone reserves little.
+func (d *decoder) readBody(n int64) error {
+	if d.body.Cap() > retainBytes {
+		d.body = bytes.Buffer{}
+	}
+	d.body.Reset()
+	d.body.Grow(int(min(n, eagerBytes)))
+	if _, err := io.CopyN(&d.body, d.r, n); err != nil {
+		return truncated(err)
+	}
+	return nil
+}
+
+func truncated(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// decodeBody checks the structure of body before it decodes, so that a
+// container's claimed size is never allocated without its elements.
+func decodeBody(m wire.Message, body []byte) error {
+	rest, err := msgp.Skip(body)
+	if err != nil {
+		return fmt.Errorf("decode %T: %w: %w", m, ErrBody, err)
+	}
+	if len(rest) != 0 {
+		return fmt.Errorf("decode %T: %w: %d bytes follow it", m, ErrBody, len(rest))
+	}
+	if _, err := m.UnmarshalMsg(body); err != nil {
+		return fmt.Errorf("decode %T: %w: %w", m, ErrBody, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/transport/options.go
@@ -0,0 +1,117 @@
+// Package transport carries wire messages between the system's own processes:
+// one QUIC stream a connection, mutual TLS 1.3, length-prefixed frames of
+// limited size, and a progress deadline that ends a connection which has gone
+// silent.
+package transport
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/fireflytray/fireflytray/keys"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// protocol is the ALPN protocol; its number is the wire version.
+var protocol = fmt.Sprintf("fireflytray/%d", wire.Version)
+
+// Defaults of Options.
+const (
+	DefaultMaxFrame    = 8 << 20
+	DefaultSendQueue   = 16 << 20
+	DefaultKeepAlive   = 5 * time.Second
+	DefaultIdleTimeout = 30 * time.Second
+	DefaultSilence     = 2 * time.Second
+)
+
+// Errors that callers tell apart; every returned error wraps at most one.
+var (
+	// ErrSilent means that the connection stopped carrying answers. The peer
+	// may be well: dial again before judging it.
+	ErrSilent = errors.New("connection is silent")
+	// ErrQueueFull means that the message was not queued.
+	ErrQueueFull = errors.New("send queue is full")
+	// ErrClosed means that the connection or listener was closed.
+	ErrClosed = errors.New("closed")
+	// ErrFrameSize means that a frame is larger than allowed or too short.
+	ErrFrameSize = errors.New("frame size out of bounds")
+	// ErrVersion means that a frame has another protocol version.
+	ErrVersion = errors.New("unknown protocol version")
+	// ErrKind means that a frame has an unknown message kind.
+	ErrKind = errors.New("unknown message kind")
+	// ErrBody means that a frame's body can't be decoded.
+	ErrBody = errors.New("malformed message")
+)
+
+// Peer is the other end of a connection, as its certificate names it.
+type Peer struct {
+	keys.Name
+	// Addr is the remote host:port.
+	Addr string
+}
+
+// String returns the peer's role, id and address.
+func (p Peer) String() string { return fmt.Sprintf("%s %s %s", p.Role, p.ID, p.Addr) }
+
+// Options configures listeners and connections. Identity is required.
+type Options struct {
+	Identity *keys.Identity
+	// Accept lists the roles that may dial a listener.
+	Accept []wire.Role
+	// Stamp returns the configuration in force; nil sends zero stamps.
+	Stamp func() wire.Stamp
+	// OnStamp is told of a connection's first stamp and of each change.
+	OnStamp func(peer Peer, s wire.Stamp)
+	// MaxFrame bounds a frame, in bytes.
+	MaxFrame int
+	// SendQueue bounds the bytes that wait to be written on a connection.
+	SendQueue int
+	// KeepAlive is how long a dialled connection may be quiet before it is
+	// probed.
+	KeepAlive time.Duration
+	// IdleTimeout ends a connection without any incoming packet.
+	IdleTimeout time.Duration
+	// Silence is how long an expected answer may take before the connection
+	// is judged silent. It also bounds a handshake.
+	Silence time.Duration
+	// Scope counts messages and bytes by kind; nil counts nothing.
+	Scope tally.Scope
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.MaxFrame, DefaultMaxFrame)
+	setDefault(&o.SendQueue, DefaultSendQueue)
+	setDefault(&o.KeepAlive, DefaultKeepAlive)
+	setDefault(&o.IdleTimeout, max(DefaultIdleTimeout, 2*o.KeepAlive))
+	setDefault(&o.Silence, DefaultSilence)
+	if o.Stamp == nil {
+		o.Stamp = func() wire.Stamp { return wire.Stamp{} }
+	}
+	if o.OnStamp == nil {
+		o.OnStamp = func(Peer, wire.Stamp) {}
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (o Options) quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:  o.Silence,
+		MaxIdleTimeout:        o.IdleTimeout,
+		MaxIncomingStreams:    1,
+		MaxIncomingUniStreams: -1,
+	}
+}
