Add settings, logging, metrics, command line and daemons, thin

Cause: the four programs need one way to read settings, log, count and take signals. Ruled out: line numbers from gopkg.in/ini.v1 (it keeps none), so package inifile finds statements line by line and leaves the values to the library; tally's default tag sanitizer, which wrote id entry-1 as entry_1 (TestPageNamesMetrics failed on it first). Change: inifile, settings, logging, metrics, daemon, command with version, settings, completion and keys; mains with stubs for the roles.

--- /dev/null
+++ b/cmd/fireflytray/main.go
@@ -0,0 +1,12 @@
+// Command fireflytray is the operators' command line.
+package main
+
+import (
+	"os"
+
+	"github.com/fireflytray/fireflytray/command"
+)
+
+func main() {
+	os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,218 @@
+// Package daemon is what the thin mains share: the command line of a daemon,
+// its settings, identity, logs and metrics, and its signals.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fireflytray/fireflytray/keys"
+	"github.com/fireflytray/fireflytray/logging"
+	"github.com/fireflytray/fireflytray/metrics"
+	"github.com/fireflytray/fireflytray/settings"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// The exit codes of a daemon.
+const (
+	ExitOK = 0
+	// ExitFailed means that the daemon could not start, or ended by itself.
+	ExitFailed = 1
+	// ExitUsage means that the command line or the settings are wrong.
+	ExitUsage = 2
+	// ExitCut means that a second signal, or the end of the drain time-out,
+	// cut off work in flight.
+	ExitCut = 3
+)
+
+// drainGrace is how long a program may take beyond its drain time-out.
+const drainGrace = 2 * time.Second
+
+// Runtime is what a daemon gives its program.
+type Runtime struct {
+	Identity *keys.Identity
+	Logs     *logging.Root
+	Metrics  *metrics.Root
+}
+
+// Program is one daemon.
+type Program[S any] struct {
+	// Name is the name of the executable.
+	Name string
+	Role wire.Role
+	// Load reads the settings file.
+	Load func(path string) (*S, error)
+	// Process returns the common part of the settings.
+	Process func(*S) *settings.Process
+	// Run works until ctx ends, then drains: it returns once no work is in
+	// flight, or after Process.DrainTimeout.
+	Run func(ctx context.Context, rt Runtime, s *S) error
+}
+
+// options is the command line.
+type options struct {
+	Config string `long:"config" required:"yes" value-name:"FILE" description:"Settings file of this process"`
+	Check  bool   `long:"check" description:"Read the settings file, print every error and exit"`
+}
+
+// Main runs a daemon and returns its exit code. Args lack the program's name.
+func Main[S any](p Program[S], args []string, stdout, stderr io.Writer) int {
+	var opts options
+	parser := flags.NewNamedParser(p.Name, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", p.Name, err)
+		return ExitFailed
+	}
+	rest, err := parser.ParseArgs(args)
+	if err == nil && len(rest) > 0 {
+		err = fmt.Errorf("unexpected argument %q", rest[0])
+	}
+	if err != nil {
+		return usage(p.Name, err, stdout, stderr)
+	}
+	s, err := p.Load(opts.Config)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitUsage
+	}
+	if opts.Check {
+		fmt.Fprintf(stdout, "%s: no errors\n", opts.Config)
+		return ExitOK
+	}
+	d := &daemon[S]{program: p, path: opts.Config, settings: s}
+	return d.run(stderr)
+}
+
+func usage(name string, err error, stdout, stderr io.Writer) int {
+	var f *flags.Error
+	if errors.As(err, &f) && f.Type == flags.ErrHelp {
+		fmt.Fprintln(stdout, f.Message)
+		return ExitOK
+	}
+	fmt.Fprintf(stderr, "%s: %v\n", name, err)
+	return ExitUsage
+}
+
+// daemon is a running program.
+type daemon[S any] struct {
+	program  Program[S]
+	path     string
+	settings *S
+	rt       Runtime
+}
+
+func (d *daemon[S]) run(stderr io.Writer) int {
+	if err := d.prepare(stderr); err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", d.program.Name, err)
+		return ExitFailed
+	}
+	defer d.rt.Metrics.Close()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ctx, drain := context.WithCancel(context.Background())
+	defer drain()
+	ended := make(chan error, 1)
+	go func() { ended <- d.work(ctx) }()
+	return d.wait(ended, signals, drain)
+}
+
+func (d *daemon[S]) prepare(stderr io.Writer) error {
+	p := d.program.Process(d.settings)
+	logs, err := logging.New(stderr, p.LogLevel, p.LogFormat)
+	if err != nil {
+		return err
+	}
+	id, err := keys.Load(p.Keys)
+	if err != nil {
+		return err
+	}
+	want := keys.Name{Role: d.program.Role, ID: p.ID, Domain: p.Domain}
+	if id.Name() != want {
+		return fmt.Errorf("keys: certificate in %s names %s, settings name %s", p.Keys, id.Name(), want)
+	}
+	onError := func(err error) {
+		logs.For(logging.PartDaemon).Error("a metric was not registered", "err", err)
+	}
+	m := metrics.New(string(d.program.Role), p.ID, p.Domain, onError)
+	d.rt = Runtime{Identity: id, Logs: logs, Metrics: m}
+	return nil
+}
+
+// work runs the program and the metrics page until the program ends.
+func (d *daemon[S]) work(ctx context.Context) error {
+	pageCtx, stopPage := context.WithCancel(context.Background())
+	group, runCtx := errgroup.WithContext(ctx)
+	if addr := d.program.Process(d.settings).Metrics; addr != "" {
+		group.Go(func() error { return d.rt.Metrics.Serve(pageCtx, addr) })
+	}
+	group.Go(func() error {
+		defer stopPage()
+		return d.program.Run(runCtx, d.rt, d.settings)
+	})
+	return group.Wait()
+}
+
+// wait turns signals into reloads and the drain, and returns the exit code.
+func (d *daemon[S]) wait(ended <-chan error, signals <-chan os.Signal, drain func()) int {
+	log := d.rt.Logs.For(logging.PartDaemon)
+	p := d.program.Process(d.settings)
+	log.Info("started", "program", d.program.Name, "id", p.ID, "domain", p.Domain, "site", p.Site)
+	var cut <-chan time.Time
+	for {
+		select {
+		case err := <-ended:
+			if err != nil {
+				log.Error("ended", "err", err)
+				return ExitFailed
+			}
+			log.Info("ended")
+			return ExitOK
+		case <-cut:
+			log.Error("drain timed out, work in flight is cut off", "timeout", p.DrainTimeout)
+			return ExitCut
+		case s := <-signals:
+			switch {
+			case s == syscall.SIGHUP:
+				d.reload()
+			case cut != nil:
+				log.Error("second signal, work in flight is cut off", "signal", s)
+				return ExitCut
+			default:
+				log.Info("draining", "signal", s, "timeout", p.DrainTimeout)
+				cut = time.After(p.DrainTimeout + drainGrace)
+				drain()
+			}
+		}
+	}
+}
+
+// reload reads the keys and the log level again.
+func (d *daemon[S]) reload() {
+	log := d.rt.Logs.For(logging.PartDaemon)
+	if err := d.rt.Identity.Reload(); err != nil {
+		log.Error("keys not reloaded, the old ones stay", "err", err)
+	} else {
+		log.Info("keys reloaded", "expires", d.rt.Identity.Expires().UTC().Format(time.RFC3339))
+	}
+	s, err := d.program.Load(d.path)
+	if err != nil {
+		log.Error("settings not reloaded, the old ones stay", "err", err)
+		return
+	}
+	level := d.program.Process(s).LogLevel
+	if err := d.rt.Logs.SetLevel(level); err != nil {
+		log.Error("log level not changed", "err", err)
+		return
+	}
+	log.Info("log level reloaded, other settings need a restart", "level", level)
+}
--- /dev/null
+++ b/inifile/inifile.go
@@ -0,0 +1,203 @@
+// Package inifile reads INI text and keeps the line of every section and key,
+// so that a checker can name the place of each error. It accepts a strict
+// subset of INI: one statement a line, no key or section twice, no
+// continuations.
+package inifile
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// MaxBytes bounds the text of one file.
+const MaxBytes = 4 << 20
+
+// Problem is one error in a file.
+type Problem struct {
+	File string
+	// Line counts from 1; zero stands for the whole file.
+	Line    int
+	Section string
+	Key     string
+	// Text says what is wrong and what would be valid.
+	Text string
+}
+
+// Error returns file, line, section, key and text.
+func (p Problem) Error() string {
+	var b strings.Builder
+	b.WriteString(p.File)
+	if p.Line > 0 {
+		fmt.Fprintf(&b, ":%d", p.Line)
+	}
+	b.WriteString(": ")
+	if p.Section != "" {
+		fmt.Fprintf(&b, "[%s] ", p.Section)
+	}
+	if p.Key != "" {
+		b.WriteString(p.Key)
+		b.WriteString(": ")
+	}
+	b.WriteString(p.Text)
+	return b.String()
+}
+
+// Problems is every error of a file, in the order of lines.
+type Problems []Problem
+
+// Error returns one line a problem.
+func (ps Problems) Error() string {
+	lines := make([]string, len(ps))
+	for i, p := range ps {
+		lines[i] = p.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns ps sorted by line, or nil if there is none.
+func (ps Problems) Err() error {
+	if len(ps) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(ps, func(a, b Problem) int { return cmp.Compare(a.Line, b.Line) })
+	return ps
+}
+
+// Key is one key and its value.
+type Key struct {
+	Name, Value string
+	Line        int
+}
+
+// Section is one section, with its keys in the order of the file.
+type Section struct {
+	Name string
+	Line int
+	Keys []Key
+}
+
+// Lookup returns the key of that name.
+func (s *Section) Lookup(name string) (Key, bool) {
+	for _, k := range s.Keys {
+		if k.Name == name {
+			return k, true
+		}
+	}
+	return Key{}, false
+}
+
+// File is a parsed file, with its sections in the order of the file.
+type File struct {
+	Name     string
+	Sections []*Section
+}
+
+// Lookup returns the section of that name, or nil.
+func (f *File) Lookup(name string) *Section {
+	for _, s := range f.Sections {
+		if s.Name == name {
+			return s
+		}
+	}
+	return nil
+}
+
+// Parse reads text; name stands for the file in problems. It returns every
+// problem of the syntax, and what could be read in spite of them.
+func Parse(name string, text []byte) (*File, Problems) {
+	sc := scanner{file: &File{Name: name}}
+	if len(text) > MaxBytes {
+		sc.report(0, "", fmt.Sprintf("file of %d bytes, want at most %d", len(text), MaxBytes))
+		return sc.file, sc.problems
+	}
+	for i, line := range bytes.Split(text, []byte("\n")) {
+		sc.line(i+1, string(bytes.TrimSpace(line)))
+	}
+	return sc.file, sc.problems
+}
+
+// scanner collects the sections and problems of one file.
+type scanner struct {
+	file     *File
+	current  *Section
+	problems Problems
+}
+
+func (sc *scanner) report(line int, key, text string) {
+	p := Problem{File: sc.file.Name, Line: line, Key: key, Text: text}
+	if sc.current != nil {
+		p.Section = sc.current.Name
+	}
+	sc.problems = append(sc.problems, p)
+}
+
+func (sc *scanner) line(n int, text string) {
+	switch {
+	case text == "" || text[0] == '#' || text[0] == ';':
+	case text[0] == '[':
+		sc.section(n, text)
+	default:
+		sc.key(n, text)
+	}
+}
+
+func (sc *scanner) section(n int, text string) {
+	name, ok := strings.CutSuffix(text[1:], "]")
+	name = strings.TrimSpace(name)
+	sc.current = &Section{Name: name, Line: n}
+	if !ok || name == "" || strings.ContainsAny(name, "[]") {
+		sc.report(n, "", fmt.Sprintf("section header %q: want [name]", text))
+		return
+	}
+	if old := sc.file.Lookup(name); old != nil {
+		sc.report(n, "", fmt.Sprintf("section appears twice, first on line %d", old.Line))
+		return
+	}
+	sc.file.Sections = append(sc.file.Sections, sc.current)
+}
+
+func (sc *scanner) key(n int, text string) {
+	name, _, ok := strings.Cut(text, "=")
+	name = strings.TrimSpace(name)
+	switch {
+	case !ok || name == "" || strings.ContainsAny(name, "\"`:"):
+		sc.report(n, "", fmt.Sprintf("line %q: want key = value", text))
+		return
+	case sc.current == nil:
+		sc.report(n, name, "key before the first [section]")
+		return
+	}
+	if old, ok := sc.current.Lookup(name); ok {
+		sc.report(n, name, fmt.Sprintf("key appears twice, first on line %d", old.Line))
+		return
+	}
+	value, err := parseValue(text)
+	if err != nil {
+		sc.report(n, name, fmt.Sprintf("value can't be read: %v", err))
+		return
+	}
+	sc.current.Keys = append(sc.current.Keys, Key{Name: name, Value: value, Line: n})
+}
+
+// parseValue reads the value of one key = value line, without quotes and
+// trailing comment.
+func parseValue(text string) (string, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{
+		IgnoreContinuation:       true,
+		SpaceBeforeInlineComment: true,
+		KeyValueDelimiters:       "=",
+	}, []byte(text))
+	if err != nil {
+		return "", err
+	}
+	keys := f.Section(ini.DefaultSection).Keys()
+	if len(keys) != 1 {
+		return "", fmt.Errorf("%d keys in one line", len(keys))
+	}
+	return keys[0].Value(), nil
+}
--- /dev/null
+++ b/metrics/metrics_test.go
@@ -0,0 +1,48 @@
+package metrics
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/task"
+)
+
+// The page names every metric that operators are promised.
+func TestPageNamesMetrics(t *testing.T) {
+	root := New("entry", "entry-1", "regina", func(err error) { t.Errorf("register: %v", err) })
+	entry := NewEntry(root.Scope())
+	entry.OverIdeal.RecordValue(1.2)
+	entry.Messages.Inc(4)
+	entry.WastedMessages.Inc(2)
+	entry.Retries.Inc(1)
+	entry.Queue.Update(5)
+	entry.Slots.Update(8)
+	entry.Answered(task.Complete, task.ReasonNone)
+	entry.Answered(task.NotRun, task.ReasonQuota)
+	entry.Answered(task.NotRun, task.ReasonOverload)
+	entry.Answered(task.Failed, task.ReasonAgentGone)
+	agent := NewAgent(root.Scope())
+	agent.Slots.Update(8)
+	agent.Refused(task.ReasonBusy)
+	require.NoError(t, root.Close())
+	w := httptest.NewRecorder()
+	root.Handler().ServeHTTP(w, httptest.NewRequest("GET", Path, nil))
+	const tags = `domain="regina",id="entry-1"`
+	for _, line := range []string{
+		`fireflytray_entry_response_over_ideal_bucket{` + tags,
+		`fireflytray_entry_messages{` + tags + `,role="entry"} 4`,
+		`fireflytray_entry_wasted_messages{` + tags + `,role="entry"} 2`,
+		`fireflytray_entry_retries{` + tags + `,role="entry"} 1`,
+		`fireflytray_entry_queue{` + tags + `,role="entry"} 5`,
+		`fireflytray_entry_slots{` + tags + `,role="entry"} 8`,
+		`fireflytray_entry_refused{` + tags + `,reason="quota",role="entry"} 1`,
+		`fireflytray_entry_refused{` + tags + `,reason="overload",role="entry"} 1`,
+		`fireflytray_entry_failed{` + tags + `,reason="agent_gone",role="entry"} 1`,
+		`fireflytray_agent_slots{` + tags + `,role="entry"} 8`,
+		`fireflytray_agent_refused{` + tags + `,reason="busy",role="entry"} 1`,
+	} {
+		require.Contains(t, w.Body.String(), line)
+	}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,203 @@
+// Package settings reads the static settings of one process from an INI file:
+// its addresses, failure domain, folders and limits. The configuration of the
+// whole fleet is apart from it, in package fleet.
+package settings
+
+import (
+	"time"
+)
+
+// Process is what every process of the fleet has.
+type Process struct {
+	ID     string
+	Domain string
+	Site   string
+	// LogLevel is debug, info, warn or error.
+	LogLevel string
+	// LogFormat is text or json.
+	LogFormat string
+	// DrainTimeout bounds how long a shutdown waits for work in flight.
+	DrainTimeout time.Duration
+	// Keys is the folder of the process's certificate and key.
+	Keys string
+	// Metrics is the host:port of the metrics page; empty for none.
+	Metrics string
+}
+
+// Control is the settings of a control host.
+type Control struct {
+	Process
+	// Peers is the UDP host:port for the system's own processes.
+	Peers string
+	// Admin is the HTTPS host:port for operators.
+	Admin string
+	// Data is the folder of the replicated log; one process locks it.
+	Data string
+	// Initial lists the peer addresses of the first control hosts.
+	Initial []string
+	// Join makes an empty data folder join a running cluster as a learner
+	// rather than start one with Initial.
+	Join bool
+}
+
+// Entry is the settings of an entry.
+type Entry struct {
+	Process
+	// Callers is the HTTP host:port for callers.
+	Callers string
+	// Control lists the peer addresses of control hosts.
+	Control []string
+	// MaxBody bounds a caller's request body, in bytes.
+	MaxBody int
+	// MaxConnections bounds callers' open connections.
+	MaxConnections uint32
+	// MaxSubmissions bounds the submissions in flight.
+	MaxSubmissions uint32
+	// Placement is the placement policy.
+	Placement string
+}
+
+// Agent is the settings of an agent.
+type Agent struct {
+	Process
+	// Peers is the UDP host:port for entries.
+	Peers string
+	// Upstream is the loopback HTTP host:port for announcements.
+	Upstream string
+	// Control lists the peer addresses of control hosts.
+	Control []string
+	// Rack names the worker's rack.
+	Rack string
+	// Processors is the worker's count of cores.
+	Processors uint32
+	// MemoryMB is the worker's memory in units of 1,000,000 bytes.
+	MemoryMB uint32
+	// Accelerators is the worker's count of accelerators.
+	Accelerators uint32
+}
+
+// Upstream is the settings of the stand-in upstream.
+type Upstream struct {
+	ID string
+	// LogLevel and LogFormat are as in Process.
+	LogLevel  string
+	LogFormat string
+	// Tasks is the HTTP host:port for tasks.
+	Tasks string
+	// Agent is the agent's host:port for announcements.
+	Agent string
+	// Service is what the upstream offers.
+	Service string
+	// Slots is how many tasks run at a time.
+	Slots uint32
+	// Connections is how many connections the upstream accepts.
+	Connections uint32
+	// Lease is how long an announcement holds without renewal.
+	Lease time.Duration
+	// Work is sleep or cpu.
+	Work string
+	// Slowdown multiplies every run time.
+	Slowdown float64
+	// FailShare is the share of tasks that fail at once.
+	FailShare float64
+	// Seed seeds the choice of failing tasks.
+	Seed uint32
+}
+
+// The placement policies.
+const (
+	PlacementCredits          = "credits"
+	PlacementLeastOutstanding = "least-outstanding"
+	PlacementTwoChoices       = "two-choices"
+	PlacementRandom           = "random"
+)
+
+// The kinds of work of the stand-in upstream.
+const (
+	WorkSleep = "sleep"
+	WorkCPU   = "cpu"
+)
+
+const (
+	maxDrain       = 10 * time.Minute
+	maxBodyLimit   = 7 << 20
+	maxConnections = 1 << 20
+	maxSubmissions = 1 << 24
+	maxSlots       = 1 << 12
+	maxCores       = 1 << 12
+	maxMemoryMB    = 1 << 26
+	maxDevices     = 1 << 10
+	minLease       = 200 * time.Millisecond
+	maxLease       = time.Minute
+	maxSlowdown    = 1000
+	maxSeed        = 1<<32 - 1
+)
+
+func logKeys(level, format *string) []key {
+	return []key{
+		oneOf(level, "process", "log-level", "Lowest level that is logged; read again on SIGHUP.", "debug", "info", "warn", "error").or("info"),
+		oneOf(format, "process", "log-format", "Form of log lines.", "text", "json").or("text"),
+	}
+}
+
+func (p *Process) keys(base string) []key {
+	list := []key{
+		label(&p.ID, "process", "id", "Name of the process, unique within the fleet; its certificate names it too.").require(),
+		label(&p.Domain, "process", "domain", "Failure domain; the certificate names it too.").require(),
+		label(&p.Site, "process", "site", "Site whose overlay of the fleet's configuration applies.").require(),
+		duration(&p.DrainTimeout, "process", "drain-timeout", "How long a shutdown waits for work in flight.", 0, maxDrain).or("30s"),
+		folder(&p.Keys, base, "keys", "folder", "Folder with ca.crt and process.pem, as written by fireflytray keys issue.").or("keys"),
+		optionalHostPort(&p.Metrics, "listen", "metrics", "HTTP address of the metrics page.").or(""),
+	}
+	return append(list, logKeys(&p.LogLevel, &p.LogFormat)...)
+}
+
+func (c *Control) keys(base string) []key {
+	return append(c.Process.keys(base),
+		hostPort(&c.Peers, "listen", "peers", "UDP address for the system's own processes.").require(),
+		hostPort(&c.Admin, "listen", "admin", "HTTPS address for operators.").require(),
+		folder(&c.Data, base, "data", "folder", "Folder of the replicated log; one process at a time.").or("data"),
+		hostPorts(&c.Initial, "cluster", "initial", "Peer addresses of the first control hosts, this one included unless it joins.").require(),
+		boolean(&c.Join, "cluster", "join", "Whether an empty data folder joins a running cluster as a learner.").or("false"),
+	)
+}
+
+func (e *Entry) keys(base string) []key {
+	return append(e.Process.keys(base),
+		hostPort(&e.Callers, "listen", "callers", "HTTP address for callers.").require(),
+		hostPorts(&e.Control, "control", "addresses", "Peer addresses of control hosts.").require(),
+		size(&e.MaxBody, "limits", "max-body", "Largest body of a caller's request.", 1, maxBodyLimit).or("4MiB"),
+		count(&e.MaxConnections, "limits", "max-connections", "Callers' open connections.", 1, maxConnections).or("10000"),
+		count(&e.MaxSubmissions, "limits", "max-submissions", "Requests and jobs in flight.", 1, maxSubmissions).or("100000"),
+		oneOf(&e.Placement, "placement", "policy", "How tasks are placed on agents.",
+			PlacementCredits, PlacementLeastOutstanding, PlacementTwoChoices, PlacementRandom).or(PlacementCredits),
+	)
+}
+
+func (a *Agent) keys(base string) []key {
+	return append(a.Process.keys(base),
+		hostPort(&a.Peers, "listen", "peers", "UDP address for entries.").require(),
+		loopback(&a.Upstream, "listen", "upstream", "HTTP address at which the upstream announces itself.").require(),
+		hostPorts(&a.Control, "control", "addresses", "Peer addresses of control hosts.").require(),
+		label(&a.Rack, "worker", "rack", "Rack of the worker.").require(),
+		count(&a.Processors, "worker", "processors", "Cores of the worker.", 1, maxCores).require(),
+		count(&a.MemoryMB, "worker", "memory-mb", "Memory of the worker, in units of 1,000,000 bytes.", 1, maxMemoryMB).require(),
+		count(&a.Accelerators, "worker", "accelerators", "Accelerators of the worker.", 0, maxDevices).or("0"),
+	)
+}
+
+func (u *Upstream) keys(string) []key {
+	return append(logKeys(&u.LogLevel, &u.LogFormat),
+		label(&u.ID, "process", "id", "Name of the upstream.").require(),
+		hostPort(&u.Tasks, "listen", "tasks", "HTTP address for tasks.").require(),
+		loopback(&u.Agent, "agent", "address", "The agent's address for announcements.").require(),
+		label(&u.Service, "service", "name", "Service that the upstream offers.").require(),
+		count(&u.Slots, "service", "slots", "Tasks that run at a time.", 1, maxSlots).or("8"),
+		count(&u.Connections, "service", "connections", "Connections that the upstream accepts.", 1, maxConnections).or("64"),
+		duration(&u.Lease, "service", "lease", "How long an announcement holds without renewal.", minLease, maxLease).or("3s"),
+		oneOf(&u.Work, "behaviour", "work", "What a task does for its run time.", WorkSleep, WorkCPU).or(WorkSleep),
+		number(&u.Slowdown, "behaviour", "slowdown", "Factor on every run time.", 0, maxSlowdown).or("1"),
+		number(&u.FailShare, "behaviour", "fail-share", "Share of tasks that fail at once.", 0, 1).or("0"),
+		count(&u.Seed, "behaviour", "seed", "Seed of the choice of failing tasks.", 0, maxSeed).or("1"),
+	)
+}
