wire: say when a directory is complete, and order members by Seq

Cause: a control host that has just started knows only the processes that announced themselves since; its full list must not empty an entry's view. Change: Directory.Complete and Member.Seq; generated code refreshed. Conclusion: additive fields; old fields keep their names.

--- a/wire/wire.go
+++ b/wire/wire.go
@@ -205,15 +205,22 @@
 type Member struct {
 	Peer   Peer    `msg:"p"`
 	Worker *Worker `msg:"w"`
-	// Stamp is the configuration index in force there.
+	// ConfigIndex is the configuration index in force there.
 	ConfigIndex uint64 `msg:"c"`
+	// Seq is the Announce.Seq that last changed Worker or Peer; of two members
+	// of one incarnation, the one with the higher Seq is newer.
+	Seq uint64 `msg:"q"`
 }
 
 // Directory is a difference of the list of members, or all of it.
 type Directory struct {
 	// Full says that Upserts is the whole list as this control host knows it.
-	Full    bool     `msg:"f"`
-	Upserts []Member `msg:"u"`
+	Full bool `msg:"f"`
+	// Complete says that the control host has been up for longer than a lease,
+	// so that every live process has had time to announce itself. While it is
+	// false, a member that is missing from a Full list may well be alive.
+	Complete bool     `msg:"k"`
+	Upserts  []Member `msg:"u"`
 	Removed []Peer   `msg:"r"`
 	// Left lists those of Removed that said goodbye; the others' leases ran out.
 	Left []Peer `msg:"l"`
--- a/wire/wire_gen.go
+++ b/wire/wire_gen.go
@@ -1000,10 +1000,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Directory) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "f"
-	o = append(o, 0x84, 0xa1, 0x66)
+	o = append(o, 0x85, 0xa1, 0x66)
 	o = msgp.AppendBool(o, z.Full)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendBool(o, z.Complete)
 	// string "u"
 	o = append(o, 0xa1, 0x75)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Upserts)))
@@ -1061,6 +1064,12 @@
 				err = msgp.WrapError(err, "Full")
 				return
 			}
+		case "k":
+			z.Complete, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Complete")
+				return
+			}
 		case "u":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -1132,7 +1141,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Directory) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Upserts {
 		s += z.Upserts[za0001].Msgsize()
 	}
@@ -1293,9 +1302,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "p"
-	o = append(o, 0x83, 0xa1, 0x70)
+	o = append(o, 0x84, 0xa1, 0x70)
 	o, err = z.Peer.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Peer")
@@ -1315,6 +1324,9 @@
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendUint64(o, z.ConfigIndex)
+	// string "q"
+	o = append(o, 0xa1, 0x71)
+	o = msgp.AppendUint64(o, z.Seq)
 	return
 }
 
@@ -1365,6 +1377,12 @@
 				err = msgp.WrapError(err, "ConfigIndex")
 				return
 			}
+		case "q":
+			z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Seq")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1385,7 +1403,7 @@
 	} else {
 		s += z.Worker.Msgsize()
 	}
-	s += 2 + msgp.Uint64Size
+	s += 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
 	return
 }
 
