--- a/fleet/config.go
+++ b/fleet/config.go
@@ -46,6 +46,8 @@
 	Burst float64
 	// MaxRunning bounds the tasks in flight at one entry; zero means no bound.
 	MaxRunning uint32
+	// MaxKeys bounds the idempotency keys remembered for the team at a time.
+	MaxKeys uint32
 	// Services lists what the team may call; empty means all.
 	Services []string
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -221,7 +221,7 @@
 	// false, a member that is missing from a Full list may well be alive.
 	Complete bool     `msg:"k"`
 	Upserts  []Member `msg:"u"`
-	Removed []Peer   `msg:"r"`
+	Removed  []Peer   `msg:"r"`
 	// Left lists those of Removed that said goodbye; the others' leases ran out.
 	Left []Peer `msg:"l"`
 }
