Give task ids an attempt number

Cause: an entry may send a task again after 'not run', also to the agent that refused it, but an agent ignores an id that it has seen. Ruled out: forgetting refused ids at the agent, since a delayed copy of the first assignment could then start beside the second. Change: task.ID has Attempt; String is safe in a URL path.

--- a/task/task.go
+++ b/task/task.go
@@ -43,14 +43,20 @@
 	return id, nil
 }
 
-// ID identifies one task: a submission and the task's index within it.
+// ID identifies one attempt at one task: a submission, the task's index within
+// it, and the attempt. An entry makes attempt n+1 only after it was told that
+// attempt n did not run, or, for an idempotent request, within its retry
+// budget. An agent starts each ID at most once.
 type ID struct {
 	Submission SubmissionID `msg:"s"`
 	Index      uint32       `msg:"i"`
+	Attempt    uint32       `msg:"a"`
 }
 
-// String returns the id as submission/index.
-func (id ID) String() string { return fmt.Sprintf("%s/%d", id.Submission, id.Index) }
+// String returns the id as submission.index.attempt, which is safe in a URL.
+func (id ID) String() string {
+	return fmt.Sprintf("%s.%d.%d", id.Submission, id.Index, id.Attempt)
+}
 
 // Resources is what a task needs or a worker offers.
 type Resources struct {
--- a/task/task_gen.go
+++ b/task/task_gen.go
@@ -9,13 +9,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ID) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "s"
-	o = append(o, 0x82, 0xa1, 0x73)
+	o = append(o, 0x83, 0xa1, 0x73)
 	o = msgp.AppendBytes(o, (z.Submission)[:])
 	// string "i"
 	o = append(o, 0xa1, 0x69)
 	o = msgp.AppendUint32(o, z.Index)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendUint32(o, z.Attempt)
 	return
 }
 
@@ -49,6 +52,12 @@
 				err = msgp.WrapError(err, "Index")
 				return
 			}
+		case "a":
+			z.Attempt, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Attempt")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -63,7 +72,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ID) Msgsize() (s int) {
-	s = 1 + 2 + msgp.ArrayHeaderSize + (16 * (msgp.ByteSize)) + 2 + msgp.Uint32Size
+	s = 1 + 2 + msgp.ArrayHeaderSize + (16 * (msgp.ByteSize)) + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
 	return
 }
 
