fleet: parse, check, diff and digest the configuration

Ruled out: the INI library alone, as it knows no lines and reads quotes and continuation lines that would let two texts differ in lines and agree in keys. Conclusion: unit, property and fuzz tests pass.

--- /dev/null
+++ b/fleet/diff.go
@@ -0,0 +1,99 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// Change is the difference between two documents, by section.
+type Change struct {
+	// Sections are new or differ.
+	Sections []wire.ConfigSection
+	// Removed names sections that are gone, as SectionRef writes them.
+	Removed []string
+}
+
+// Empty reports whether the change changes nothing.
+func (c Change) Empty() bool { return len(c.Sections) == 0 && len(c.Removed) == 0 }
+
+// SectionRef names a section of a site ("" for the base).
+func SectionRef(site, name string) string { return site + "/" + name }
+
+// Diff returns the change that turns from into to.
+func Diff(from, to *Document) Change {
+	var c Change
+	for _, s := range to.sections {
+		old := from.section(s.Site, s.Name)
+		if old == nil || !slices.Equal(old.Keys, s.Keys) {
+			c.Sections = append(c.Sections, s)
+		}
+	}
+	for _, s := range from.sections {
+		if to.section(s.Site, s.Name) == nil {
+			c.Removed = append(c.Removed, SectionRef(s.Site, s.Name))
+		}
+	}
+	return c
+}
+
+// Apply returns the document after a change, checked whole. It is an error to
+// remove a section that is not there.
+func (d *Document) Apply(c Change) (*Document, error) {
+	next := make([]wire.ConfigSection, 0, len(d.sections)+len(c.Sections))
+	gone := make(map[string]bool, len(c.Removed)+len(c.Sections))
+	for _, ref := range c.Removed {
+		site, name, _ := strings.Cut(ref, "/")
+		if d.section(site, name) == nil {
+			return nil, fmt.Errorf("fleet: apply change: there is no section %q to remove", ref)
+		}
+		gone[ref] = true
+	}
+	for _, s := range c.Sections {
+		gone[SectionRef(s.Site, s.Name)] = true
+	}
+	for _, s := range d.sections {
+		if !gone[SectionRef(s.Site, s.Name)] {
+			next = append(next, s)
+		}
+	}
+	return FromSections(append(next, c.Sections...))
+}
+
+// Push returns the message that brings a holder of from, at index base, to d
+// at an index. A nil from makes a push of the whole document.
+func (d *Document) Push(index uint64, from *Document, base uint64) *wire.ConfigPush {
+	msg := &wire.ConfigPush{Index: index, Digest: d.digest}
+	if from == nil || base == 0 {
+		msg.Sections = d.sections
+		return msg
+	}
+	c := Diff(from, d)
+	msg.Base, msg.Sections, msg.Removed = base, c.Sections, c.Removed
+	return msg
+}
+
+// Receive returns the document that a push makes of d, which the holder has at
+// an index. The result's digest is the push's, or it is an error.
+func (d *Document) Receive(index uint64, msg *wire.ConfigPush) (*Document, error) {
+	next, err := d.receive(index, msg)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: receive configuration %d: %w", msg.Index, err)
+	}
+	if next.digest != msg.Digest {
+		return nil, fmt.Errorf("fleet: receive configuration %d: digest %x, want %x", msg.Index, next.digest, msg.Digest)
+	}
+	return next, nil
+}
+
+func (d *Document) receive(index uint64, msg *wire.ConfigPush) (*Document, error) {
+	if msg.Base == 0 {
+		return FromSections(msg.Sections)
+	}
+	if msg.Base != index {
+		return nil, fmt.Errorf("difference from %d, but %d is in force", msg.Base, index)
+	}
+	return d.Apply(Change{msg.Sections, msg.Removed})
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,205 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+const base = `# alert dispatch
+[service alert-core]
+deadline = 2s
+max_deadline = 5s ; longest
+[team night-nurses]
+weight = 10
+services = alert-core
+[retry]
+budget = 0.2
+`
+
+const overlaySvB = `[service alert-core]
+deadline = 1s
+[retry]
+max_attempts = 1
+`
+
+func sources() []Source {
+	return []Source{{File: "base.ini", Text: []byte(base)}, {Site: "sv-b", File: "sv-b.ini", Text: []byte(overlaySvB)}}
+}
+
+func parse(t *testing.T) *Document {
+	doc, err := Parse(sources())
+	require.NoError(t, err)
+	return doc
+}
+
+// An overlay wins over the base, the base over the defaults.
+func TestEffective(t *testing.T) {
+	doc := parse(t)
+	at := doc.Effective("sv-a")
+	require.Equal(t, 2*time.Second, at.Services["alert-core"].Deadline)
+	require.Equal(t, 5*time.Second, at.Services["alert-core"].MaxDeadline)
+	require.Equal(t, uint32(1000), at.Services["alert-core"].MaxTasks)
+	require.Equal(t, []string{"alert-core"}, at.Teams["night-nurses"].Services)
+	require.Equal(t, Retry{Budget: 0.2, MaxAttempts: 3}, at.Retry)
+	at = doc.Effective("sv-b")
+	require.Equal(t, time.Second, at.Services["alert-core"].Deadline)
+	require.Equal(t, Retry{Budget: 0.2, MaxAttempts: 1}, at.Retry)
+}
+
+// Each error names file, line, section and key, and what would be valid.
+func TestProblems(t *testing.T) {
+	tests := []struct {
+		name, base, overlay string
+		want                string
+	}{
+		{"unknown section", "[servise a]\n", "", "base.ini:1: [servise a]: unknown section; valid: [service NAME]"},
+		{"unknown key", "[service a]\n\ndedline = 1s\n", "", "base.ini:3: [service a] dedline: unknown key; valid: one of max_tasks"},
+		{"not a duration", "[service a]\ndeadline = 5\n", "", `base.ini:2: [service a] deadline: "5" is not a duration; valid: a duration from 1ms`},
+		{"out of range", "[retry]\nbudget = 1.5\n", "", "base.ini:2: [retry] budget: 1.5 is outside 0 to 1; valid: a number from 0 to 1"},
+		{"key twice", "[retry]\nbudget=0\nbudget=1\n", "", "base.ini:3: [retry] budget: the key stands already at line 2"},
+		{"section twice", "[retry]\n[retry]\n", "", "base.ini:2: [retry]: the section stands already at line 1"},
+		{"key outside", "budget = 1\n", "", "base.ini:1: budget: the key stands outside any section"},
+		{"quotes", "[team a]\nservices = \"\"\"\nx\n", "", "base.ini:2: [team a] services: the value is in quotes"},
+		{"no such service", "[team a]\nweight = 2\nservices = b\n", "", "base.ini:3: [team a] services: there is no service b"},
+		{"deadlines cross", "[service a]\ndeadline = 2m\n", "", "base.ini:2: [service a] deadline: deadline 2m0s is above max_deadline 1m0s"},
+		{"deadlines cross in overlay", "[service a]\n", "[service a]\nmax_deadline = 1s\n", "sv-b.ini:2: [service a] max_deadline: deadline 10s is above"},
+		{"overlay adds", "[service a]\n", "[service b]\n", "sv-b.ini:1: [service b]: the base has no service b, and an overlay only changes what exists; valid: sections of the base: service a"},
+		{"not a header", "[service a\n", "", "base.ini:1: [service a]: this is not a section header"},
+		{"NaN", "[retry]\nbudget = nan\n", "", `"nan" is not a number`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := Parse([]Source{{File: "base.ini", Text: []byte(tt.base)}, {Site: "sv-b", File: "sv-b.ini", Text: []byte(tt.overlay)}})
+			require.ErrorContains(t, err, tt.want)
+			require.NotEmpty(t, Problems(err))
+		})
+	}
+}
+
+// All problems of all files are told at once.
+func TestProblemsAllAtOnce(t *testing.T) {
+	_, err := Parse([]Source{
+		{File: "base.ini", Text: []byte("[service a]\ndeadline = x\nmax_tasks = 0\n")},
+		{Site: "sv-b", File: "sv-b.ini", Text: []byte("[service a]\nnope = 1\n")},
+	})
+	require.Len(t, Problems(err), 3)
+}
+
+// Every default is itself valid.
+func TestDefaultsAreValid(t *testing.T) {
+	for _, kind := range []string{kindService, kindTeam, kindRetry} {
+		for _, k := range Keys(kind) {
+			require.NoError(t, checkValue(kind, k.Name, k.Default), "%s %s", kind, k.Name)
+		}
+	}
+}
+
+func drawDocument(t *rapid.T, label string) *Document {
+	var sections []wire.ConfigSection
+	for _, site := range []string{"", "sv-a", "sv-b"} {
+		for _, name := range []string{"service a", "service b", "team x", "retry"} {
+			// An overlay needs its section in the base.
+			if site != "" && !slices.ContainsFunc(sections, func(s wire.ConfigSection) bool { return s.Site == "" && s.Name == name }) {
+				continue
+			}
+			if rapid.Bool().Draw(t, label+site+name) {
+				sections = append(sections, drawSection(t, site, name))
+			}
+		}
+	}
+	doc, err := FromSections(sections)
+	if err != nil {
+		t.Fatalf("sections drawn are not valid: %v", err)
+	}
+	return doc
+}
+
+func drawSection(t *rapid.T, site, name string) wire.ConfigSection {
+	s := wire.ConfigSection{Site: site, Name: name}
+	kind, _, _ := splitSection(name)
+	values := map[string][]string{
+		kindService: {"max_tasks", "max_waiting"},
+		kindTeam:    {"weight", "max_running"},
+		kindRetry:   {"max_attempts"},
+	}
+	for _, key := range values[kind] {
+		if n := rapid.IntRange(0, 3).Draw(t, key); n > 0 {
+			s.Keys = append(s.Keys, wire.ConfigPair{Key: key, Value: fmt.Sprint(n)})
+		}
+	}
+	return s
+}
+
+// A difference applied to what it starts from gives the other document, and
+// over the wire too; applied to any third document it is refused or harmless.
+func TestDiffApply(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := drawDocument(t, "from"), drawDocument(t, "to")
+		push := to.Push(9, from, 4)
+		raw, err := push.MarshalMsg(nil)
+		require.NoError(t, err)
+		var got wire.ConfigPush
+		_, err = got.UnmarshalMsg(raw)
+		require.NoError(t, err)
+		next, err := from.Receive(4, &got)
+		require.NoError(t, err)
+		require.Equal(t, to.Digest(), next.Digest())
+		require.True(t, Diff(next, to).Empty())
+		require.Equal(t, Diff(from, to).Empty(), from.Digest() == to.Digest())
+
+		_, err = from.Receive(3, &got)
+		require.Error(t, err, "a difference from another index must be refused")
+		if other := drawDocument(t, "other"); other.Digest() != from.Digest() {
+			if wrong, err := other.Receive(4, &got); err == nil {
+				require.Equal(t, to.Digest(), wrong.Digest())
+			}
+		}
+	})
+}
+
+// What Format writes is what Parse reads.
+func TestFormatParses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		doc := drawDocument(t, "doc")
+		src := []Source{{File: "base.ini", Text: doc.Format("")}}
+		for _, site := range doc.Sites() {
+			src = append(src, Source{Site: site, File: site, Text: doc.Format(site)})
+		}
+		again, err := Parse(src)
+		require.NoError(t, err)
+		require.Equal(t, doc.Digest(), again.Digest())
+	})
+}
+
+// Whatever the text, Parse neither panics nor accepts what it can't write back,
+// and it knows the line of every key that the library found.
+func FuzzParse(f *testing.F) {
+	f.Add(base)
+	f.Add(overlaySvB)
+	f.Add("[retry]\nbudget = `1`\n")
+	f.Add("[service a]\n; x\nmax_tasks = 7 # y\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		doc, err := Parse([]Source{{File: "f", Text: []byte(text)}})
+		if err != nil {
+			require.NotEmpty(t, Problems(err))
+			return
+		}
+		scan := scanLines(Source{Text: []byte(text)})
+		for _, s := range doc.Sections() {
+			for _, p := range s.Keys {
+				require.Contains(t, scan.lines, place{"", s.Name, p.Key})
+			}
+		}
+		again, err := Parse([]Source{{File: "g", Text: doc.Format("")}})
+		require.NoError(t, err, strings.TrimSpace(text))
+		require.Equal(t, doc.Digest(), again.Digest())
+	})
+}
--- /dev/null
+++ b/fleet/parse.go
@@ -0,0 +1,303 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// maxSource bounds the text of one file, in bytes.
+const maxSource = 4 << 20
+
+// Source is one INI file: the base (Site "") or the overlay of a site.
+type Source struct {
+	Site string
+	// File names the file in errors.
+	File string
+	Text []byte
+}
+
+// Problem is one error in a configuration.
+type Problem struct {
+	File    string
+	Line    int
+	Section string
+	Key     string
+	// Reason says what is wrong.
+	Reason string
+	// Valid says what would be accepted.
+	Valid string
+}
+
+// String returns the problem as one line: file:line: [section] key: reason.
+func (p Problem) String() string {
+	var b strings.Builder
+	b.WriteString(p.File)
+	if p.Line > 0 {
+		fmt.Fprintf(&b, ":%d", p.Line)
+	}
+	b.WriteString(":")
+	if p.Section != "" {
+		fmt.Fprintf(&b, " [%s]", p.Section)
+	}
+	if p.Key != "" {
+		fmt.Fprintf(&b, " %s", p.Key)
+	}
+	if p.Section != "" || p.Key != "" {
+		b.WriteString(":")
+	}
+	fmt.Fprintf(&b, " %s", p.Reason)
+	if p.Valid != "" {
+		fmt.Fprintf(&b, "; valid: %s", p.Valid)
+	}
+	return b.String()
+}
+
+// CheckError lists every problem of a configuration.
+type CheckError struct{ Problems []Problem }
+
+// Error returns one line a problem.
+func (e *CheckError) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = p.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Parse reads the base and the overlays and checks them whole. The error is a
+// *CheckError with every problem found.
+func Parse(sources []Source) (*Document, error) {
+	var c checker
+	c.checkSources(sources)
+	for _, src := range sources {
+		c.parse(src)
+	}
+	return c.finish()
+}
+
+// FromSections checks sections that did not come from files. The error is a
+// *CheckError.
+func FromSections(sections []wire.ConfigSection) (*Document, error) {
+	c := checker{sections: sections}
+	return c.finish()
+}
+
+// checker collects sections and problems.
+type checker struct {
+	sections []wire.ConfigSection
+	problems []Problem
+	// where maps a place in the sections to its file and line.
+	where map[place]position
+}
+
+type place struct{ site, section, key string }
+
+type position struct {
+	file string
+	line int
+}
+
+func (c *checker) finish() (*Document, error) {
+	if len(c.problems) > 0 {
+		return nil, &CheckError{c.problems}
+	}
+	doc := newDocument(c.sections)
+	if c.check(doc); len(c.problems) > 0 {
+		return nil, &CheckError{c.problems}
+	}
+	return doc, nil
+}
+
+// problem adds a problem at a place; an unknown place falls back to its
+// section, then to the site's name.
+func (c *checker) problem(at place, reason, valid string) {
+	pos, ok := c.where[at]
+	if !ok {
+		pos, ok = c.where[place{at.site, at.section, ""}]
+	}
+	if !ok {
+		pos.file = "base"
+		if at.site != "" {
+			pos.file = "site " + at.site
+		}
+	}
+	c.problems = append(c.problems, Problem{pos.file, pos.line, at.section, at.key, reason, valid})
+}
+
+func (c *checker) checkSources(sources []Source) {
+	seen := map[string]string{}
+	for _, src := range sources {
+		if src.Site != "" && !validName(src.Site) {
+			c.problems = append(c.problems, Problem{File: src.File,
+				Reason: fmt.Sprintf("%q can't name a site", src.Site), Valid: validNames})
+		}
+		if first, ok := seen[src.Site]; ok {
+			c.problems = append(c.problems, Problem{File: src.File,
+				Reason: fmt.Sprintf("the site %q has a file already: %s", src.Site, first),
+				Valid:  "one base file and at most one overlay for each site"})
+		}
+		seen[src.Site] = src.File
+	}
+	if _, ok := seen[""]; !ok {
+		c.problems = append(c.problems, Problem{File: "base", Reason: "there is no base file"})
+	}
+}
+
+// parse reads one file. The line scan comes first: it accepts a subset of INI
+// in which the library can't see more than the scan does.
+func (c *checker) parse(src Source) {
+	if len(src.Text) > maxSource {
+		c.problems = append(c.problems, Problem{File: src.File, Reason: "the file is too large",
+			Valid: fmt.Sprintf("at most %d bytes", maxSource)})
+		return
+	}
+	scan := scanLines(src)
+	if len(scan.problems) > 0 {
+		c.problems = append(c.problems, scan.problems...)
+		return
+	}
+	file, err := ini.LoadSources(loadOptions, src.Text)
+	if err != nil {
+		c.problems = append(c.problems, Problem{File: src.File, Reason: err.Error()})
+		return
+	}
+	if c.where == nil {
+		c.where = map[place]position{}
+	}
+	for at, line := range scan.lines {
+		c.where[at] = position{src.File, line}
+	}
+	for _, sec := range file.Sections() {
+		if sec.Name() == ini.DefaultSection {
+			continue
+		}
+		out := wire.ConfigSection{Site: src.Site, Name: sec.Name()}
+		for _, key := range sec.Keys() {
+			out.Keys = append(out.Keys, wire.ConfigPair{Key: key.Name(), Value: key.Value()})
+		}
+		c.sections = append(c.sections, out)
+	}
+}
+
+// loadOptions turn off what spans lines or refers to other keys.
+var loadOptions = ini.LoadOptions{
+	IgnoreContinuation:      true,
+	KeyValueDelimiters:      "=",
+	ChildSectionDelimiter:   "\x00",
+	PreserveSurroundedQuote: true,
+	SkipUnrecognizableLines: false,
+}
+
+// check verifies names, keys, values and references of a whole document.
+func (c *checker) check(doc *Document) {
+	for i, s := range doc.sections {
+		if i > 0 && compareSections(doc.sections[i-1], s) == 0 {
+			c.problem(place{s.Site, s.Name, ""}, "the section stands twice", "each section once")
+		}
+		c.checkSection(doc, s)
+	}
+	if len(c.problems) > 0 {
+		return
+	}
+	for _, site := range append([]string{""}, doc.Sites()...) {
+		c.checkEffective(doc, site)
+	}
+}
+
+func (c *checker) checkSection(doc *Document, s wire.ConfigSection) {
+	at := place{s.Site, s.Name, ""}
+	kind, name, ok := splitSection(s.Name)
+	if !ok {
+		c.problem(at, "unknown section", validSections+"; NAME: "+validNames)
+		return
+	}
+	if s.Site != "" && !validName(s.Site) {
+		c.problem(at, fmt.Sprintf("%q can't name a site", s.Site), validNames)
+	}
+	if s.Site != "" && doc.section("", s.Name) == nil && kind != kindRetry {
+		c.problem(at, fmt.Sprintf("the base has no %s %s, and an overlay only changes what exists", kind, name),
+			"sections of the base: "+strings.Join(doc.names(""), ", "))
+	}
+	for i, pair := range s.Keys {
+		at.key = pair.Key
+		if i > 0 && s.Keys[i-1].Key == pair.Key {
+			c.problem(at, "the key stands twice", "each key once a section")
+		}
+		c.checkPair(at, kind, pair)
+	}
+}
+
+func (c *checker) checkPair(at place, kind string, pair wire.ConfigPair) {
+	keys := Keys(kind)
+	i := slices.IndexFunc(keys, func(k Key) bool { return k.Name == pair.Key })
+	if i < 0 {
+		c.problem(at, "unknown key", "one of "+keyNames(keys))
+		return
+	}
+	if err := checkValue(kind, pair.Key, pair.Value); err != nil {
+		c.problem(at, err.Error(), keys[i].Valid)
+	}
+}
+
+// checkEffective verifies what holds between values, at one site.
+func (c *checker) checkEffective(doc *Document, site string) {
+	conf := doc.Effective(site)
+	for _, name := range sortedKeys(conf.Services) {
+		s := conf.Services[name]
+		section := kindService + " " + name
+		if s.Deadline > s.MaxDeadline {
+			c.problem(doc.origin(site, section, "deadline", "max_deadline"),
+				fmt.Sprintf("deadline %s is above max_deadline %s", s.Deadline, s.MaxDeadline), "deadline up to max_deadline")
+		}
+		if s.KeyKeep < s.MaxDeadline {
+			c.problem(doc.origin(site, section, "key_keep", "max_deadline"),
+				fmt.Sprintf("key_keep %s is below max_deadline %s", s.KeyKeep, s.MaxDeadline), "key_keep from max_deadline up")
+		}
+	}
+	for _, name := range sortedKeys(conf.Teams) {
+		for _, service := range conf.Teams[name].Services {
+			if _, ok := conf.Services[service]; !ok {
+				c.problem(doc.origin(site, kindTeam+" "+name, "services"),
+					fmt.Sprintf("there is no service %s", service), "services: "+strings.Join(sortedKeys(conf.Services), ", "))
+			}
+		}
+	}
+}
+
+// validNames says what may name a service, team or site.
+const validNames = "lower-case letters, digits, - and _, at most 64"
+
+// splitSection returns the kind and the name in a section header.
+func splitSection(header string) (kind, name string, ok bool) {
+	if header == kindRetry {
+		return kindRetry, "", true
+	}
+	kind, name, found := strings.Cut(header, " ")
+	if !found || !validName(name) {
+		return "", "", false
+	}
+	return kind, name, kind == kindService || kind == kindTeam
+}
+
+func keyNames(keys []Key) string {
+	names := make([]string, len(keys))
+	for i, k := range keys {
+		names[i] = k.Name
+	}
+	return strings.Join(names, ", ")
+}
+
+// Problems returns the problems in err, which may be nil or of another type.
+func Problems(err error) []Problem {
+	var check *CheckError
+	if errors.As(err, &check) {
+		return check.Problems
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/schema.go
@@ -0,0 +1,213 @@
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Bounds of the values; each key's Valid text names them.
+const (
+	maxTasksLimit    = 100_000
+	maxBodyLimit     = 16 << 20 // bytes
+	maxWaitingLimit  = 10_000_000
+	maxDeadlineLimit = time.Hour
+	maxKeyKeep       = 7 * 24 * time.Hour
+	maxWeight        = 1000
+	maxRate          = 10_000_000 // tasks a second
+	maxRunningLimit  = 1_000_000
+	maxKeysLimit     = 1_000_000
+	maxAttemptsLimit = 10
+)
+
+// Key describes one configuration key. The tables below are the one place
+// where keys, their defaults and their valid values are written down.
+type Key struct {
+	Name    string
+	Default string
+	// Valid says in words which values are accepted.
+	Valid string
+	// Help is one sentence for operators.
+	Help string
+}
+
+// field is a key together with the code that stores its value in a T.
+type field[T any] struct {
+	Key
+	set func(*T, string) error
+}
+
+var serviceFields = []field[Service]{
+	{Key{"max_tasks", "1000", "a whole number from 1 to 100000", "Most tasks of one job."},
+		func(s *Service, v string) error { return setUint(&s.MaxTasks, v, 1, maxTasksLimit) }},
+	{Key{"max_body", "1048576", "a whole number of bytes from 1 to 16777216", "Largest request body or task payload."},
+		func(s *Service, v string) error { return setUint(&s.MaxBody, v, 1, maxBodyLimit) }},
+	{Key{"deadline", "10s", "a duration from 1ms to 1h, such as 750ms or 10s", "Deadline of a request or job whose caller names none."},
+		func(s *Service, v string) error {
+			return setDuration(&s.Deadline, v, time.Millisecond, maxDeadlineLimit)
+		}},
+	{Key{"max_deadline", "60s", "a duration from 1ms to 1h, not below deadline", "Longest deadline that a caller may name."},
+		func(s *Service, v string) error {
+			return setDuration(&s.MaxDeadline, v, time.Millisecond, maxDeadlineLimit)
+		}},
+	{Key{"max_waiting", "10000", "a whole number from 1 to 10000000", "Most tasks that wait at one entry."},
+		func(s *Service, v string) error { return setUint(&s.MaxWaiting, v, 1, maxWaitingLimit) }},
+	{Key{"key_keep", "24h", "a duration from 1m to 168h, not below max_deadline", "How long an idempotency key is remembered."},
+		func(s *Service, v string) error { return setDuration(&s.KeyKeep, v, time.Minute, maxKeyKeep) }},
+}
+
+var teamFields = []field[Team]{
+	{Key{"weight", "1", "a whole number from 1 to 1000", "Share of the team where teams compete."},
+		func(t *Team, v string) error { return setUint(&t.Weight, v, 1, maxWeight) }},
+	{Key{"rate", "0", "a number from 0 to 10000000; 0 means no bound", "Tasks a second of the whole team."},
+		func(t *Team, v string) error { return setFloat(&t.Rate, v, 0, maxRate) }},
+	{Key{"burst", "0", "a number from 0 to 10000000", "Tasks that may come at once above rate."},
+		func(t *Team, v string) error { return setFloat(&t.Burst, v, 0, maxRate) }},
+	{Key{"max_running", "0", "a whole number from 0 to 1000000; 0 means no bound", "Tasks of the team in flight at one entry."},
+		func(t *Team, v string) error { return setUint(&t.MaxRunning, v, 0, maxRunningLimit) }},
+	{Key{"max_keys", "10000", "a whole number from 0 to 1000000", "Idempotency keys remembered for the team at a time."},
+		func(t *Team, v string) error { return setUint(&t.MaxKeys, v, 0, maxKeysLimit) }},
+	{Key{"services", "", "names of services of this configuration, separated by commas; empty means all", "What the team may call."},
+		func(t *Team, v string) error { return setNames(&t.Services, v) }},
+}
+
+var retryFields = []field[Retry]{
+	{Key{"budget", "0.1", "a number from 0 to 1", "Share of recent successes that may be retried."},
+		func(r *Retry, v string) error { return setFloat(&r.Budget, v, 0, 1) }},
+	{Key{"max_attempts", "3", "a whole number from 1 to 10", "Most sends of one idempotent request."},
+		func(r *Retry, v string) error { return setUint(&r.MaxAttempts, v, 1, maxAttemptsLimit) }},
+}
+
+// The kinds of sections.
+const (
+	kindService = "service"
+	kindTeam    = "team"
+	kindRetry   = "retry"
+)
+
+// validSections says which section headers are accepted.
+const validSections = "[service NAME], [team NAME] and [retry]"
+
+// Keys returns the documented keys of a kind of section: service, team or
+// retry. It returns nil for any other kind.
+func Keys(kind string) []Key {
+	switch kind {
+	case kindService:
+		return keysOf(serviceFields)
+	case kindTeam:
+		return keysOf(teamFields)
+	case kindRetry:
+		return keysOf(retryFields)
+	}
+	return nil
+}
+
+func keysOf[T any](fields []field[T]) []Key {
+	out := make([]Key, len(fields))
+	for i, f := range fields {
+		out[i] = f.Key
+	}
+	return out
+}
+
+// checkValue reports why a value is not valid for a key of a kind of section.
+func checkValue(kind, key, value string) error {
+	switch kind {
+	case kindService:
+		return setField(new(Service), serviceFields, key, value)
+	case kindTeam:
+		return setField(new(Team), teamFields, key, value)
+	case kindRetry:
+		return setField(new(Retry), retryFields, key, value)
+	}
+	return fmt.Errorf("unknown section")
+}
+
+func setField[T any](dst *T, fields []field[T], key, value string) error {
+	for _, f := range fields {
+		if f.Name == key {
+			return f.set(dst, value)
+		}
+	}
+	return fmt.Errorf("unknown key")
+}
+
+func setDefaults[T any](dst *T, fields []field[T]) {
+	for _, f := range fields {
+		if err := f.set(dst, f.Default); err != nil {
+			panic(fmt.Sprintf("fleet: default of %s: %v", f.Name, err))
+		}
+	}
+}
+
+func setUint(dst *uint32, v string, low, high uint32) error {
+	n, err := strconv.ParseUint(v, 10, 32)
+	if err != nil {
+		return fmt.Errorf("%q is not a whole number", v)
+	}
+	if uint32(n) < low || uint32(n) > high {
+		return fmt.Errorf("%s is outside %d to %d", v, low, high)
+	}
+	*dst = uint32(n)
+	return nil
+}
+
+func setFloat(dst *float64, v string, low, high float64) error {
+	f, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(f) {
+		return fmt.Errorf("%q is not a number", v)
+	}
+	if f < low || f > high {
+		return fmt.Errorf("%s is outside %g to %g", v, low, high)
+	}
+	*dst = f
+	return nil
+}
+
+func setDuration(dst *time.Duration, v string, low, high time.Duration) error {
+	d, err := time.ParseDuration(v)
+	if err != nil {
+		return fmt.Errorf("%q is not a duration", v)
+	}
+	if d < low || d > high {
+		return fmt.Errorf("%s is outside %s to %s", v, low, high)
+	}
+	*dst = d
+	return nil
+}
+
+func setNames(dst *[]string, v string) error {
+	*dst = nil
+	if v == "" {
+		return nil
+	}
+	for name := range strings.SplitSeq(v, ",") {
+		name = strings.TrimSpace(name)
+		if !validName(name) {
+			return fmt.Errorf("%q is not a name", name)
+		}
+		*dst = append(*dst, name)
+	}
+	return nil
+}
+
+// maxName bounds the length of names of services, teams and sites.
+const maxName = 64
+
+// validName reports whether s can name a service, team or site: lower-case
+// letters, digits, '-' and '_'.
+func validName(s string) bool {
+	if s == "" || len(s) > maxName {
+		return false
+	}
+	for _, c := range []byte(s) {
+		switch {
+		case c >= 'a' && c <= 'z', c >= '0' && c <= '9', c == '-', c == '_':
+		default:
+			return false
+		}
+	}
+	return true
+}
