--- /dev/null
+++ b/control/machine.go
@@ -0,0 +1,184 @@
+package control
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+
+	"github.com/fireflytray/fireflytray/fleet"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// snapshotFormat is the format version of a snapshot.
+const snapshotFormat = 1
+
+// Machine is the replicated state of control. Apply, Snapshot and Restore are
+// called by the replica in the order of the log; the other methods may be
+// called at any time from anywhere.
+type Machine struct {
+	mu      sync.RWMutex
+	now     int64
+	index   uint64
+	configs *configs
+	claims  *claims
+	trail   *trail
+	onIndex func(index uint64)
+}
+
+// NewMachine returns an empty machine. Whenever the version in force changes,
+// it calls onConfig, which may be nil, with the new index; the call must not
+// block.
+func NewMachine(onConfig func(index uint64)) *Machine {
+	if onConfig == nil {
+		onConfig = func(uint64) {}
+	}
+	return &Machine{configs: newConfigs(), claims: newClaims(), trail: &trail{}, onIndex: onConfig}
+}
+
+// Apply carries out one command of the log. A command that can't be decoded
+// changes nothing and gets a Reply that says so: every replica must agree, so
+// it is no error.
+func (m *Machine) Apply(index uint64, command []byte) ([]byte, error) {
+	m.mu.Lock()
+	before := m.configs.current().Index
+	reply := m.apply(index, command)
+	after := m.configs.current().Index
+	m.mu.Unlock()
+	if after != before {
+		m.onIndex(after)
+	}
+	b, err := reply.MarshalMsg(nil)
+	if err != nil {
+		return nil, fmt.Errorf("control: apply %d: encode reply: %w", index, err)
+	}
+	return b, nil
+}
+
+func (m *Machine) apply(index uint64, command []byte) *Reply {
+	m.index = index
+	cmd, err := decodeCommand(command)
+	if err != nil {
+		return &Reply{Refusal: err.Error()}
+	}
+	m.now = max(m.now, cmd.At)
+	switch {
+	case cmd.Apply != nil:
+		return m.change(index, m.configs.applyRequest(cmd.Apply))
+	case cmd.Rollback != nil:
+		return m.change(index, m.configs.rollbackRequest(cmd.Rollback))
+	case cmd.Claim != nil:
+		return &Reply{Claim: m.claims.claim(m.now, cmd.Claim, m.claimLimit(cmd.Claim.Team))}
+	case cmd.Resolve != nil:
+		m.claims.resolve(m.now, cmd.Resolve)
+		return &Reply{}
+	}
+	m.note(index, cmd.Note)
+	return &Reply{}
+}
+
+func (m *Machine) change(index uint64, req request) *Reply {
+	reply, first := m.configs.change(index, m.now, req)
+	if first {
+		m.auditChange(index, req, reply)
+	}
+	return &Reply{Change: &reply}
+}
+
+func (m *Machine) auditChange(index uint64, req request, reply ChangeReply) {
+	e := AuditEntry{
+		Index: index, At: m.now, By: req.by, Action: "config " + strings.Fields(req.action)[0], Op: req.op,
+		Accepted: reply.Accepted, Digest: m.configs.doc.Digest(),
+	}
+	if reply.Accepted {
+		e.Detail = fmt.Sprintf("%s: version %d replaces %d; %s", req.action, reply.Index, req.base,
+			strings.Join(m.configs.current().Changed, " "))
+	} else {
+		e.Detail = fmt.Sprintf("%s over version %d", req.action, req.base)
+		e.Reason = string(reply.Refusal) + ": " + reply.Detail
+	}
+	m.trail.add(e)
+}
+
+func (m *Machine) note(index uint64, n *Note) {
+	m.trail.add(AuditEntry{
+		Index: index, At: m.now, By: n.By, Action: n.Action, Detail: n.Detail,
+		Accepted: n.Accepted, Reason: n.Reason, Digest: m.configs.doc.Digest(),
+	})
+}
+
+// claimLimit is the number of keys that a team may hold. A team without a
+// section has none.
+func (m *Machine) claimLimit(team string) int {
+	return int(m.configs.limits()[team])
+}
+
+// Index returns the position of the last command applied.
+func (m *Machine) Index() uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.index
+}
+
+// Stamp returns index and digest of the configuration in force.
+func (m *Machine) Stamp() wire.Stamp {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	cur := m.configs.current()
+	return wire.Stamp{Index: cur.Index, Digest: cur.Digest}
+}
+
+// Current returns the version in force and its document.
+func (m *Machine) Current() (VersionInfo, *fleet.Document) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.configs.current(), m.configs.doc
+}
+
+// At returns the document of a version, or nil if the history does not reach
+// it.
+func (m *Machine) At(index uint64) *fleet.Document {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.configs.at(index)
+}
+
+// Push returns the message that brings a process from version have to the one
+// in force, as a difference where the history reaches back to have.
+func (m *Machine) Push(have uint64) *wire.ConfigPush {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var from *fleet.Document
+	if have != 0 {
+		from = m.configs.at(have)
+	}
+	return m.configs.doc.Push(m.configs.current().Index, from, have)
+}
+
+// History returns the newest versions, newest first; limit 0 means all.
+func (m *Machine) History(limit int) []VersionInfo {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	n := len(m.configs.history)
+	if limit <= 0 || limit > n {
+		limit = n
+	}
+	out := make([]VersionInfo, limit)
+	for i := range out {
+		out[i] = m.configs.history[n-1-i].Info
+	}
+	return out
+}
+
+// Audit returns the entries that match, oldest first.
+func (m *Machine) Audit(f AuditFilter) []AuditEntry {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.trail.selectEntries(f)
+}
+
+// VerifyAudit checks the hash chain of all entries kept.
+func (m *Machine) VerifyAudit() error {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return VerifyAudit(m.trail.anchor, m.trail.entries)
+}
--- /dev/null
+++ b/control/snapshot.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"fmt"
+
+	"github.com/fireflytray/fireflytray/fleet"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// State is the whole of a Machine in canonical order.
+type State struct {
+	Format   uint32               `msg:"f"`
+	Now      int64                `msg:"t"`
+	Index    uint64               `msg:"i"`
+	Sections []wire.ConfigSection `msg:"s"`
+	History  []Version            `msg:"h"`
+	Ops      []OpRecord           `msg:"o"`
+	Claims   []ClaimRecord        `msg:"c"`
+	Audit    []AuditEntry         `msg:"a"`
+	Anchor   Hash                 `msg:"n"`
+	AuditSeq uint64               `msg:"q"`
+}
+
+// Snapshot returns the state. Machines that applied the same commands return
+// the same bytes.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	s := State{
+		Format: snapshotFormat, Now: m.now, Index: m.index,
+		Sections: m.configs.doc.Sections(), History: m.configs.history, Ops: m.configs.ops,
+		Claims: m.claims.records(),
+		Audit:  m.trail.entries, Anchor: m.trail.anchor, AuditSeq: m.trail.seq,
+	}
+	b, err := s.MarshalMsg(nil)
+	if err != nil {
+		return nil, fmt.Errorf("control: encode snapshot: %w", err)
+	}
+	return b, nil
+}
+
+// Restore replaces the state by a snapshot's. After an error the state is as
+// it was.
+func (m *Machine) Restore(index uint64, snapshot []byte) error {
+	var s State
+	if _, err := s.UnmarshalMsg(snapshot); err != nil {
+		return fmt.Errorf("control: restore snapshot %d: %w", index, err)
+	}
+	if s.Format != snapshotFormat {
+		return fmt.Errorf("control: restore snapshot %d: format %d, want %d", index, s.Format, snapshotFormat)
+	}
+	configs, err := s.configs()
+	if err != nil {
+		return fmt.Errorf("control: restore snapshot %d: %w", index, err)
+	}
+	if err := VerifyAudit(s.Anchor, s.Audit); err != nil {
+		return fmt.Errorf("control: restore snapshot %d: %w", index, err)
+	}
+	m.install(index, &s, configs)
+	return nil
+}
+
+func (s *State) configs() (*configs, error) {
+	doc, err := fleet.FromSections(s.Sections)
+	if err != nil {
+		return nil, err
+	}
+	c := newConfigs()
+	c.doc, c.history = doc, s.History
+	if got := c.current().Digest; got != doc.Digest() {
+		return nil, fmt.Errorf("configuration has digest %x, want %x", doc.Digest(), got)
+	}
+	for _, r := range s.Ops {
+		c.remember(r)
+	}
+	return c, nil
+}
+
+func (m *Machine) install(index uint64, s *State, c *configs) {
+	m.mu.Lock()
+	before := m.configs.current().Index
+	m.now, m.index, m.configs = s.Now, max(index, s.Index), c
+	m.trail = &trail{entries: s.Audit, anchor: s.Anchor, seq: s.AuditSeq}
+	m.claims = newClaims()
+	for i := range s.Claims {
+		m.claims.insert(&s.Claims[i])
+	}
+	after := c.current().Index
+	m.mu.Unlock()
+	if after != before {
+		m.onIndex(after)
+	}
+}
