--- /dev/null
+++ b/entry/claim.go
@@ -0,0 +1,135 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// claimStage is how far a submission with an idempotency key has come.
+type claimStage uint8
+
+const (
+	claimNone claimStage = iota
+	claimAsked
+	claimHeld
+)
+
+// defaultKeyKeep is how long a key is remembered where the service names none.
+const defaultKeyKeep = 24 * time.Hour
+
+// claim asks control for the submission's key; nothing runs before it is
+// granted.
+func (e *Entry) claim(s *submission) {
+	e.nextReq++
+	s.claimReq = e.nextReq
+	s.claim = claimAsked
+	e.claims[s.claimReq] = s
+	keep := s.svc.cfg.KeyKeep
+	if keep <= 0 {
+		keep = defaultKeyKeep
+	}
+	e.emit(SendClaim{wire.Claim{
+		Request:    s.claimReq,
+		Team:       s.sub.Team,
+		Service:    s.sub.Service,
+		Key:        s.sub.Key,
+		BodyDigest: xxhash.Sum64(s.sub.Tasks[0].Payload),
+		Owner:      s.id,
+		Keep:       keep,
+	}})
+	e.arm(timer{at: s.deadline, kind: timerDeadline, sub: s})
+}
+
+// claimReplied lets the owner of a key run and tells everybody else what
+// became of it.
+func (e *Entry) claimReplied(r wire.ClaimReply) {
+	s := e.claims[r.Request]
+	if s == nil {
+		return
+	}
+	delete(e.claims, r.Request)
+	if s.answered {
+		e.releaseLate(s, r)
+		return
+	}
+	switch r.State {
+	case wire.ClaimGranted:
+		s.claim = claimHeld
+		e.enqueue(s)
+	case wire.ClaimDone:
+		e.replay(s, r)
+	case wire.ClaimPending:
+		e.answerClaim(s, task.Unknown, task.ReasonClaimed, max(r.RetryAfter, claimsRetry))
+	case wire.ClaimMismatch:
+		e.answerClaim(s, task.NotRun, task.ReasonClaimMismatch, 0)
+	default:
+		e.answerClaim(s, task.NotRun, task.ReasonClaimsDown, max(r.RetryAfter, claimsRetry))
+	}
+}
+
+// releaseLate frees a key that was granted after its submission was answered
+// as not run.
+func (e *Entry) releaseLate(s *submission, r wire.ClaimReply) {
+	if r.State != wire.ClaimGranted {
+		return
+	}
+	e.emit(SendResolve{wire.Resolve{
+		Request: r.Request,
+		Team:    s.sub.Team,
+		Service: s.sub.Service,
+		Key:     s.sub.Key,
+		Owner:   s.id,
+		Outcome: task.Outcome{State: task.NotRun, Reason: task.ReasonDeadline},
+	}})
+}
+
+// replay answers with the outcome of the first submission of the key.
+func (e *Entry) replay(s *submission, r wire.ClaimReply) {
+	s.claim = claimNone
+	if r.Outcome == nil {
+		e.answerClaim(s, task.Unknown, task.ReasonClaimed, claimsRetry)
+		return
+	}
+	a := task.Answer{State: r.Outcome.State, Reason: r.Outcome.Reason, Replayed: true}
+	if a.State == task.Complete {
+		a.Outcomes = []task.Outcome{*r.Outcome}
+	} else {
+		a.Detail = describe(*r.Outcome)
+	}
+	e.answer(s, a)
+}
+
+func (e *Entry) answerClaim(s *submission, st task.State, why task.Reason, after time.Duration) {
+	s.claim = claimNone
+	e.answer(s, task.Answer{
+		State:      st,
+		Reason:     why,
+		Detail:     describe(task.Outcome{State: st, Reason: why}),
+		RetryAfter: after,
+	})
+}
+
+// resolveClaim records the outcome of a granted key. An outcome that is not
+// run frees the key. If the record is lost, the key stays held: a resend is
+// then told that the outcome is unknown, and nothing runs twice.
+func (e *Entry) resolveClaim(s *submission, a task.Answer) {
+	if s.claim != claimHeld {
+		return
+	}
+	o := task.Outcome{State: a.State, Reason: a.Reason}
+	if len(a.Outcomes) > 0 {
+		o = a.Outcomes[0]
+	}
+	e.nextReq++
+	e.emit(SendResolve{wire.Resolve{
+		Request: e.nextReq,
+		Team:    s.sub.Team,
+		Service: s.sub.Service,
+		Key:     s.sub.Key,
+		Owner:   s.id,
+		Outcome: o,
+	}})
+}
--- /dev/null
+++ b/entry/dispatch.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"github.com/fireflytray/fireflytray/entry/placement"
+	"github.com/fireflytray/fireflytray/entry/queue"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// dispatchActive places waiting tasks of the services that changed.
+func (e *Entry) dispatchActive() {
+	for _, s := range e.active {
+		s.active = false
+		e.dispatch(s)
+	}
+	e.active = e.active[:0]
+}
+
+// dispatch places tasks until no agent takes one or nothing waits. A job whose
+// next task fits no agent now steps aside, so that it holds up nobody else.
+func (e *Entry) dispatch(s *service) {
+	s.unblockAll()
+	for {
+		j, rank := s.q.Head(e.now)
+		if j == nil {
+			break
+		}
+		if e.opts.Policy.Late() && s.pool.Free() == 0 {
+			break
+		}
+		sub := j.Owner.(*submission)
+		i := sub.ready[len(sub.ready)-1]
+		need := sub.sub.Tasks[i].Need
+		pick := e.opts.Policy.Pick(s.pool, need)
+		if pick == nil {
+			if s.pool.Len() == 0 {
+				break
+			}
+			s.block(j)
+			continue
+		}
+		e.place(sub, i, rank, pick)
+	}
+	e.poke(s)
+}
+
+// place sends task i of a submission to an agent with the next flush.
+func (e *Entry) place(s *submission, i uint32, rank float64, pick *placement.Agent) {
+	a := e.agents[pick.ID]
+	s.ready = s.ready[:len(s.ready)-1]
+	s.svc.q.Take(&s.job)
+	rec := &s.tasks[i]
+	rec.state = taskSent
+	rec.ag = a
+	s.inFlight++
+	s.messages++
+	spec := &s.sub.Tasks[i]
+	a.sent[s.taskID(i)] = sentRec{sub: s, index: i, at: e.now, declared: spec.Declared, need: spec.Need}
+	a.tasks = append(a.tasks, e.assignment(s, i, rank))
+	a.Outstanding++
+	a.Credit--
+	a.Used = a.Used.Add(spec.Need)
+	a.svc.pool.Changed(&a.Agent)
+	e.stats.Placed++
+	e.markDirty(a)
+}
+
+// block sets a job aside until something changes at an agent.
+func (s *service) block(j *queue.Job) {
+	s.blocked = append(s.blocked, j)
+	s.q.Remove(j)
+}
+
+func (s *service) unblockAll() {
+	for _, j := range s.blocked {
+		s.q.Add(j, uint32(len(j.Owner.(*submission).ready)))
+	}
+	s.blocked = s.blocked[:0]
+}
+
+func (s *service) unblock(j *queue.Job) {
+	for i, b := range s.blocked {
+		if b == j {
+			s.blocked = append(s.blocked[:i], s.blocked[i+1:]...)
+			return
+		}
+	}
+}
+
+// waiting is how many tasks wait, those set aside too.
+func (s *service) waiting() int {
+	n := s.q.Len()
+	for _, j := range s.blocked {
+		n += len(j.Owner.(*submission).ready)
+	}
+	return n
+}
+
+// poke tells a few agents of waiting tasks, once for each spell of waiting: of
+// those that hold none of this entry's tasks, no report is on its way that
+// could bring credit.
+func (e *Entry) poke(s *service) {
+	if s.q.Len() == 0 {
+		s.poked = false
+		return
+	}
+	if s.poked || !e.opts.Policy.Late() {
+		return
+	}
+	s.poked = true
+	left := e.opts.Poke
+	for _, p := range s.pool.Shuffled() {
+		if left == 0 {
+			return
+		}
+		a := e.agents[p.ID]
+		if a.link == linkOpen && a.Outstanding == 0 && a.wanted == 0 && a.Slots > 0 {
+			e.markDirty(a)
+			left--
+		}
+	}
+}
+
+// flush sends one update to each agent that has something to get.
+func (e *Entry) flush() {
+	for _, a := range e.dirty {
+		a.dirty = false
+		if a.link == linkOpen {
+			e.sendUpdate(a)
+		}
+		a.tasks, a.cancel = nil, nil
+	}
+	e.dirty = e.dirty[:0]
+}
+
+func (e *Entry) sendUpdate(a *agent) {
+	a.seq++
+	u := &wire.Update{
+		Seq:    a.seq,
+		Seen:   a.seen,
+		SentAt: e.now,
+		Demand: e.demand(a.svc),
+		Tasks:  a.tasks,
+		Cancel: a.cancel,
+	}
+	if len(a.tasks) > 0 {
+		a.unseen = append(a.unseen, unseen{a.seq, len(a.tasks)})
+	} else {
+		e.stats.Wasted++
+	}
+	a.told = a.seen
+	a.wanted = u.Demand.Waiting
+	e.stats.Sent++
+	e.emit(Send{Agent: a.ID, Session: a.session, Update: u})
+}
+
+// demand is what agents are told of the tasks that wait here.
+func (e *Entry) demand(s *service) wire.Demand {
+	j, rank := s.q.Head(e.now)
+	if j == nil {
+		return wire.Demand{}
+	}
+	return wire.Demand{Waiting: uint32(s.q.Len()), Rank: rank}
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,190 @@
+// Package entry is the state machine of an entry host: it admits submissions,
+// orders their waiting tasks across jobs and teams, places each task on an
+// agent, gathers the outcomes and answers each submission exactly once.
+//
+// An Entry takes events through Step and hands out effects as data; it reaches
+// no clock, socket, file or goroutine, and its random choices are seeded.
+//
+// A task is sent again, as a new attempt, only after its agent has said that
+// the attempt did not run; silence is never taken for that. The one exception
+// is a request that its caller marked idempotent, within the retry budget.
+package entry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fireflytray/fireflytray/entry/placement"
+	"github.com/fireflytray/fireflytray/entry/queue"
+	"github.com/fireflytray/fireflytray/fleet"
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// Options are the settings of an entry.
+type Options struct {
+	Self   wire.Peer
+	Policy placement.Policy
+	Order  queue.Order
+	Seed   uint64
+	Config *fleet.Config
+	// Poke is how many agents are told of waiting tasks when no credit is
+	// left, beyond those that are told on messages sent anyway.
+	Poke int
+}
+
+const (
+	// ackDelay is how long an acknowledgement waits for a message to ride on.
+	ackDelay = 2 * time.Second
+	// dialWithin bounds a dial up to the welcome.
+	dialWithin = 1500 * time.Millisecond
+	// redialDelay is the least time between two dials of an agent.
+	redialDelay = 200 * time.Millisecond
+	// maxRedialDelay is the most time between two dials of an agent.
+	maxRedialDelay = 3 * time.Second
+	// goneAfter is how long an agent may be without a session before the
+	// outcomes of its tasks are given up as unknown.
+	goneAfter = 4 * time.Second
+	// reviewEvery is the time between looks for slow agents.
+	reviewEvery = 250 * time.Millisecond
+	// startMargin is kept from a task's time to start, for its way back.
+	startMargin = 5 * time.Millisecond
+)
+
+// Entry is the state of an entry. It is not safe for concurrent use.
+type Entry struct {
+	opts     Options
+	now      time.Duration
+	out      []Effect
+	cfg      *fleet.Config
+	services map[string]*service
+	agents   map[string]*agent
+	entries  map[string]bool // other live entries, by id
+	subs     map[task.SubmissionID]*submission
+	claims   map[uint64]*submission
+	teams    map[string]*teamState
+	nextReq  uint64
+	timers   timers
+	dirty    []*agent // agents to flush at the end of the step
+	active   []*service
+	rng      *rand.Rand
+	draining bool
+	drained  bool
+	stats    Stats
+}
+
+// service is the state of one service.
+type service struct {
+	name string
+	cfg  fleet.Service
+	q    *queue.Queue
+	pool *placement.Pool
+	// blocked holds jobs whose next task fits no open agent now.
+	blocked []*queue.Job
+	active  bool
+	poked   bool
+	speed   speed
+	rate    rate
+	budget  float64 // retries that may be made now
+}
+
+// New returns an entry with the configuration in o.
+func New(o Options) *Entry {
+	e := &Entry{
+		opts:     o,
+		services: make(map[string]*service),
+		agents:   make(map[string]*agent),
+		entries:  make(map[string]bool),
+		subs:     make(map[task.SubmissionID]*submission),
+		claims:   make(map[uint64]*submission),
+		teams:    make(map[string]*teamState),
+		rng:      rand.New(rand.NewPCG(o.Seed, o.Self.Incarnation)),
+	}
+	if e.opts.Policy == nil {
+		e.opts.Policy = placement.Credits{}
+	}
+	e.configure(o.Config)
+	e.arm(timer{at: reviewEvery, kind: timerReview})
+	return e
+}
+
+// Step handles one event, appends its effects to out and returns it.
+func (e *Entry) Step(now time.Duration, ev Event, out []Effect) []Effect {
+	e.now = max(e.now, now)
+	e.out = out
+	switch ev := ev.(type) {
+	case Submit:
+		e.submit(ev)
+	case Cancel:
+		e.cancel(ev.IDs)
+	case DirectoryChanged:
+		e.directory(ev.Directory)
+	case ConfigChanged:
+		e.configure(ev.Config)
+	case Connected:
+		e.connected(ev)
+	case Received:
+		e.received(ev)
+	case Disconnected:
+		e.disconnected(ev)
+	case ClaimReplied:
+		e.claimReplied(ev.Reply)
+	case Drain:
+		e.draining = true
+	case Tick:
+	}
+	e.fire()
+	e.dispatchActive()
+	e.flush()
+	e.checkDrained()
+	out, e.out = e.out, nil
+	return out
+}
+
+func (e *Entry) emit(eff Effect) { e.out = append(e.out, eff) }
+
+// configure puts a configuration in force; an older one is ignored.
+func (e *Entry) configure(cfg *fleet.Config) {
+	if cfg == nil || e.cfg != nil && cfg.Index < e.cfg.Index {
+		return
+	}
+	e.cfg = cfg
+	for name, sc := range cfg.Services {
+		s := e.service(name)
+		s.cfg = sc
+		for _, t := range cfg.Teams {
+			s.q.SetTeam(t.Name, t.Weight, t.MaxRunning)
+		}
+	}
+	e.configureTeams()
+}
+
+func (e *Entry) service(name string) *service {
+	s := e.services[name]
+	if s == nil {
+		s = &service{
+			name: name,
+			q:    queue.New(e.opts.Order),
+			pool: placement.NewPool(e.opts.Seed ^ uint64(len(e.services)+1)),
+
+			budget: budgetStart,
+		}
+		e.services[name] = s
+	}
+	return s
+}
+
+// touch marks a service for dispatch at the end of the step.
+func (e *Entry) touch(s *service) {
+	if !s.active {
+		s.active = true
+		e.active = append(e.active, s)
+	}
+}
+
+func (e *Entry) checkDrained() {
+	if e.draining && !e.drained && len(e.subs) == 0 {
+		e.drained = true
+		e.emit(Drained{})
+	}
+}
--- /dev/null
+++ b/entry/placement/placement.go
@@ -0,0 +1,146 @@
+// Package placement chooses the agent for a task. A Pool holds what an entry
+// knows of the agents of one service; a Policy picks from it.
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/fireflytray/fireflytray/task"
+)
+
+// Agent is what an entry knows of one agent. Credit, Slots and Slow change
+// through the Pool only.
+type Agent struct {
+	ID string
+	// Credit is how many more tasks the agent said it would take.
+	Credit int
+	// Outstanding counts this entry's tasks at the agent.
+	Outstanding int
+	// Slots is how many tasks run there at a time.
+	Slots int
+	// Others counts the tasks of other entries there, as last reported.
+	Others int
+	// Slow marks an agent whose tasks take far longer than elsewhere; it is
+	// given one task at a time.
+	Slow    bool
+	Offered task.Resources
+	// Used is what this entry's tasks at the agent declared.
+	Used task.Resources
+
+	pos     int
+	freePos int
+}
+
+func (a *Agent) fits(need task.Resources) bool {
+	return need.Fits(a.Offered.Sub(a.Used))
+}
+
+// load is the share of the agent's slots that is spoken for.
+func (a *Agent) load() float64 {
+	return float64(a.Outstanding+a.Others) / float64(max(1, a.Slots))
+}
+
+// open reports whether the agent may be sent a task on its credit.
+func (a *Agent) open() bool {
+	return a.Credit > 0 && (!a.Slow || a.Outstanding == 0)
+}
+
+// Pool is the set of agents of one service that are connected.
+type Pool struct {
+	agents []*Agent
+	free   []*Agent // agents that are open
+	rng    *rand.Rand
+	next   int
+}
+
+// NewPool returns an empty pool whose random choices follow the seed.
+func NewPool(seed uint64) *Pool {
+	return &Pool{rng: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// Len returns the number of agents.
+func (p *Pool) Len() int { return len(p.agents) }
+
+// Free returns the number of agents with credit.
+func (p *Pool) Free() int { return len(p.free) }
+
+// Add adds an agent.
+func (p *Pool) Add(a *Agent) {
+	a.pos = len(p.agents)
+	a.freePos = -1
+	p.agents = append(p.agents, a)
+	p.Changed(a)
+}
+
+// Remove removes an agent.
+func (p *Pool) Remove(a *Agent) {
+	last := len(p.agents) - 1
+	p.agents[a.pos] = p.agents[last]
+	p.agents[a.pos].pos = a.pos
+	p.agents = p.agents[:last]
+	p.setFree(a, false)
+}
+
+// Changed must be called after Credit, Outstanding or Slow of an agent in the
+// pool has changed.
+func (p *Pool) Changed(a *Agent) { p.setFree(a, a.open()) }
+
+func (p *Pool) setFree(a *Agent, free bool) {
+	if free == (a.freePos >= 0) {
+		return
+	}
+	if free {
+		a.freePos = len(p.free)
+		p.free = append(p.free, a)
+		return
+	}
+	last := len(p.free) - 1
+	p.free[a.freePos] = p.free[last]
+	p.free[a.freePos].freePos = a.freePos
+	p.free = p.free[:last]
+	a.freePos = -1
+}
+
+// Shuffled returns the agents in a random order.
+func (p *Pool) Shuffled() []*Agent {
+	s := slices.Clone(p.agents)
+	p.rng.Shuffle(len(s), func(i, k int) { s[i], s[k] = s[k], s[i] })
+	return s
+}
+
+// EverFits reports whether any agent in the pool could run the task when idle.
+func (p *Pool) EverFits(need task.Resources) bool {
+	for _, a := range p.agents {
+		if need.Fits(a.Offered) {
+			return true
+		}
+	}
+	return false
+}
+
+// Policy picks the agent for a task that needs some resources, or nil if the
+// task should wait at the entry.
+type Policy interface {
+	Pick(p *Pool, need task.Resources) *Agent
+	// Late reports whether the policy binds tasks only on credit.
+	Late() bool
+}
+
+// Parse returns the policy that a setting names.
+func Parse(name string) (Policy, error) {
+	switch name {
+	case "credits":
+		return Credits{}, nil
+	case "random":
+		return Random{}, nil
+	case "round-robin":
+		return RoundRobin{}, nil
+	case "least-outstanding":
+		return LeastOutstanding{}, nil
+	case "two-choices":
+		return TwoChoices{}, nil
+	}
+	return nil, fmt.Errorf("placement policy %q: valid are credits, random, round-robin, least-outstanding, two-choices", name)
+}
--- /dev/null
+++ b/entry/queue/order.go
@@ -0,0 +1,91 @@
+package queue
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Order ranks waiting jobs; the lowest rank is next.
+type Order uint8
+
+// The orders.
+const (
+	// FIFO ranks by arrival.
+	FIFO Order = iota
+	// FewestLeft ranks by the count of waiting tasks.
+	FewestLeft
+	// LeftOverAge ranks by waiting tasks over age, so that a large job can't
+	// wait for ever.
+	LeftOverAge
+	// LeftOverSlowdown ranks by waiting tasks over the job's slowdown so far:
+	// its age against the run time that it declared.
+	LeftOverSlowdown
+)
+
+const (
+	// ageOffset keeps new jobs comparable with each other.
+	ageOffset = 50 * time.Millisecond
+	// unknownRun stands for a run time that the caller did not declare.
+	unknownRun = 300 * time.Millisecond
+)
+
+// classesPerOctave is how finely LeftOverSlowdown tells sizes apart.
+const classesPerOctave = 8
+
+// orderNames are the names in settings and reports, by Order.
+var orderNames = [...]string{"fifo", "fewest-left", "left-over-age", "left-over-slowdown"}
+
+// String returns the order's name in settings.
+func (o Order) String() string {
+	if int(o) < len(orderNames) {
+		return orderNames[o]
+	}
+	return fmt.Sprintf("order(%d)", uint8(o))
+}
+
+// ParseOrder reads the form that String writes.
+func ParseOrder(s string) (Order, error) {
+	for i, name := range orderNames {
+		if name == s {
+			return Order(i), nil
+		}
+	}
+	return 0, fmt.Errorf("order %q: valid are %q", s, orderNames)
+}
+
+// class groups jobs among which the oldest ranks first.
+func (o Order) class(j *Job) int {
+	switch o {
+	case FIFO:
+		return 0
+	case LeftOverSlowdown:
+		octaves := math.Log2(max(1, float64(j.waiting)*j.run().Seconds()*1000))
+		return int(min(octaves*classesPerOctave, maxClass))
+	default:
+		return int(min(j.waiting, maxClass))
+	}
+}
+
+// run returns the job's longest declared run time, or a stand-in for it.
+func (j *Job) run() time.Duration {
+	if j.Longest <= 0 {
+		return unknownRun
+	}
+	return j.Longest
+}
+
+// Rank returns the rank of a job now.
+func (o Order) Rank(j *Job, now time.Duration) float64 {
+	age := (now - j.Arrived + ageOffset).Seconds()
+	switch o {
+	case FIFO:
+		return j.Arrived.Seconds()
+	case FewestLeft:
+		return float64(j.waiting)
+	case LeftOverSlowdown:
+		return float64(j.waiting) * j.run().Seconds() / age
+	default:
+		return float64(j.waiting) / age
+	}
+}
--- /dev/null
+++ b/entry/queue/queue.go
@@ -0,0 +1,236 @@
+// Package queue orders the jobs that wait at an entry: fairly among teams, and
+// within the teams that are due by an Order over each job's waiting tasks, age
+// and declared run time. It keeps no clock; the caller passes the time.
+package queue
+
+import (
+	"math"
+	"math/bits"
+	"time"
+)
+
+const (
+	// maxClass is the highest class of jobs told apart; see Order.class.
+	maxClass = 255
+	// fairWindow is how much service, in seconds of one slot by weight 1, a
+	// team may be ahead of the team that has had least before it must wait.
+	fairWindow = 4.0
+	// assumedRun is charged for a task until its real run time is known.
+	assumedRun = 300 * time.Millisecond
+	classWords = (maxClass + 64) / 64
+)
+
+// Job is a submission with tasks that wait. The queue owns the unexported
+// fields; the others must not change while the job is queued.
+type Job struct {
+	Team    string
+	Arrived time.Duration
+	// Longest is the longest declared run time of its tasks, zero if unknown.
+	Longest time.Duration
+	// Owner is the caller's own record of the job.
+	Owner any
+
+	waiting uint32
+	class   int
+	pos     int
+	team    *team
+}
+
+// Waiting returns how many of the job's tasks wait.
+func (j *Job) Waiting() uint32 { return j.waiting }
+
+type team struct {
+	name    string
+	weight  float64
+	service float64 // seconds of slot time received, over weight
+	waiting int
+	running int // tasks taken and not settled
+	limit   int // bound on running, 0 for none
+	pos     int // index in Queue.due, -1 if nothing waits
+	classes [maxClass + 1]classHeap
+	used    [classWords]uint64
+}
+
+// Queue holds waiting jobs. It is not safe for concurrent use.
+type Queue struct {
+	order   Order
+	teams   map[string]*team
+	due     []*team // teams with waiting tasks
+	waiting int
+	floor   float64 // least service among due teams, never falls
+}
+
+// New returns an empty queue with the given order.
+func New(o Order) *Queue {
+	return &Queue{order: o, teams: make(map[string]*team)}
+}
+
+// Len returns how many tasks wait in all.
+func (q *Queue) Len() int { return q.waiting }
+
+// Teams returns how many teams have waiting tasks.
+func (q *Queue) Teams() int { return len(q.due) }
+
+// SetTeam sets a team's share, 1 by default, and the bound on its tasks taken
+// and not settled, 0 for none.
+func (q *Queue) SetTeam(name string, weight, limit uint32) {
+	t := q.team(name)
+	t.weight = float64(max(1, weight))
+	t.limit = int(limit)
+}
+
+func (q *Queue) team(name string) *team {
+	t := q.teams[name]
+	if t == nil {
+		t = &team{name: name, weight: 1, pos: -1}
+		q.teams[name] = t
+	}
+	return t
+}
+
+// Add adds n waiting tasks to a job, which joins the queue if it is not in it.
+func (q *Queue) Add(j *Job, n uint32) {
+	if n == 0 {
+		return
+	}
+	if j.waiting == 0 {
+		j.team = q.team(j.Team)
+		q.join(j.team)
+	} else {
+		j.team.remove(j)
+	}
+	j.waiting += n
+	j.team.waiting += int(n)
+	q.waiting += int(n)
+	q.insert(j.team, j)
+}
+
+// Take removes one waiting task of a job and charges its team for it.
+func (q *Queue) Take(j *Job) {
+	t := j.team
+	t.remove(j)
+	j.waiting--
+	t.waiting--
+	q.waiting--
+	t.running++
+	t.service += assumedRun.Seconds() / t.weight
+	if j.waiting > 0 {
+		q.insert(t, j)
+	}
+	q.leaveIfEmpty(t)
+}
+
+// Settle ends what Take began, once for each task taken, and corrects its
+// charge by the real run time; zero for a task that did not run.
+func (q *Queue) Settle(name string, ran time.Duration) {
+	t := q.team(name)
+	t.running--
+	t.service += (ran - assumedRun).Seconds() / t.weight
+}
+
+// Remove takes all of a job's waiting tasks out.
+func (q *Queue) Remove(j *Job) {
+	if j.waiting == 0 {
+		return
+	}
+	t := j.team
+	t.remove(j)
+	t.waiting -= int(j.waiting)
+	q.waiting -= int(j.waiting)
+	j.waiting = 0
+	q.leaveIfEmpty(t)
+}
+
+// Head returns the job whose task is next and its rank, lowest first. It
+// returns nil if nothing may be taken now.
+func (q *Queue) Head(now time.Duration) (*Job, float64) {
+	if len(q.due) == 0 {
+		return nil, 0
+	}
+	limit := q.leastService() + fairWindow
+	var best *Job
+	rank := math.Inf(1)
+	for _, t := range q.due {
+		if t.service > limit || t.full() {
+			continue
+		}
+		if j, r := t.head(q.order, now); r < rank || best == nil {
+			best, rank = j, r
+		}
+	}
+	return best, rank
+}
+
+func (q *Queue) leastService() float64 {
+	least := math.Inf(1)
+	for _, t := range q.due {
+		if !t.full() {
+			least = min(least, t.service)
+		}
+	}
+	if math.IsInf(least, 1) {
+		return q.floor
+	}
+	q.floor = max(q.floor, least)
+	return least
+}
+
+// join makes a team due. A team that had nothing waiting does not save up
+// service for later.
+func (q *Queue) join(t *team) {
+	if t.pos >= 0 {
+		return
+	}
+	if len(q.due) > 0 {
+		t.service = max(t.service, q.leastService())
+	} else {
+		t.service = max(t.service, q.floor)
+	}
+	t.pos = len(q.due)
+	q.due = append(q.due, t)
+}
+
+func (q *Queue) leaveIfEmpty(t *team) {
+	if t.waiting > 0 {
+		return
+	}
+	last := len(q.due) - 1
+	q.due[t.pos] = q.due[last]
+	q.due[t.pos].pos = t.pos
+	q.due = q.due[:last]
+	t.pos = -1
+}
+
+func (t *team) full() bool { return t.limit > 0 && t.running >= t.limit }
+
+func (q *Queue) insert(t *team, j *Job) {
+	j.class = q.order.class(j)
+	t.classes[j.class].push(j)
+	t.used[j.class/64] |= 1 << (j.class % 64)
+}
+
+func (t *team) remove(j *Job) {
+	h := &t.classes[j.class]
+	h.remove(j)
+	if len(*h) == 0 {
+		t.used[j.class/64] &^= 1 << (j.class % 64)
+	}
+}
+
+// head returns the team's first job. Within a class the oldest job ranks first,
+// so only the head of each class is compared.
+func (t *team) head(o Order, now time.Duration) (*Job, float64) {
+	var best *Job
+	rank := math.Inf(1)
+	for w, word := range t.used {
+		for word != 0 {
+			c := w*64 + bits.TrailingZeros64(word)
+			word &= word - 1
+			j := t.classes[c][0]
+			if r := o.Rank(j, now); r < rank || best == nil {
+				best, rank = j, r
+			}
+		}
+	}
+	return best, rank
+}
--- /dev/null
+++ b/entry/report.go
@@ -0,0 +1,135 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// received handles a report, if it comes on the session in force.
+func (e *Entry) received(ev Received) {
+	a := e.agents[ev.Agent]
+	if a == nil || a.session != ev.Session || a.link != linkOpen {
+		return
+	}
+	e.report(a, ev.Report)
+}
+
+// report takes in outcomes and credit. Reports of a session come in order, so
+// one that is not above the last has been handled already.
+func (e *Entry) report(a *agent, r *wire.Report) {
+	e.stats.Received++
+	if r.Seq <= a.seen {
+		e.stats.Wasted++
+		return
+	}
+	a.seen = r.Seq
+	news := 0
+	for i := range r.Outcomes {
+		if e.result(a, &r.Outcomes[i]) {
+			news++
+		}
+	}
+	hadNone := a.Credit <= 0
+	e.credit(a, r)
+	if news == 0 && !(hadNone && a.Credit > 0 && a.svc.q.Len() > 0) {
+		e.stats.Wasted++
+	}
+	if len(r.Outcomes) > 0 && !a.ackArmed {
+		a.ackArmed = true
+		e.arm(timer{at: e.now + ackDelay, kind: timerAck, ag: a})
+	}
+	e.touch(a.svc)
+}
+
+// credit replaces the agent's credit by what a report says, less the tasks
+// sent since the state that the report describes.
+func (e *Entry) credit(a *agent, r *wire.Report) {
+	n := 0
+	later := a.unseen[:0]
+	for _, u := range a.unseen {
+		if u.seq > r.Seen {
+			n += u.tasks
+			later = append(later, u)
+		}
+	}
+	a.unseen = later
+	a.Credit = int(r.Credit) - n
+	a.Slots = int(r.Slots)
+	a.Others = max(0, int(r.Running+r.Queued)-len(a.sent))
+	if a.pooled {
+		a.svc.pool.Changed(&a.Agent)
+	}
+}
+
+// result takes in the outcome of one task and reports whether it was news that
+// somebody awaited.
+func (e *Entry) result(a *agent, r *wire.Result) bool {
+	rec, ok := a.sent[r.ID]
+	if !ok {
+		e.stats.LateResults++
+		return false
+	}
+	awaited := !rec.sub.answered
+	if awaited {
+		rec.sub.messages++
+	}
+	if r.Outcome.State == task.Complete {
+		a.speed.observe(rec.declared, r.Outcome.Ran)
+		a.svc.speed.observeBy(serviceSpeedWeight, rec.declared, r.Outcome.Ran)
+		a.svc.rate.observe(e.now)
+	}
+	if r.Outcome.State == task.NotRun {
+		e.stats.Refused++
+		e.stats.Wasted++ // the assignment; the report is counted by the caller
+		rec.sub.wasted += 2
+	}
+	o := r.Outcome
+	if o.Where == "" {
+		o.Where = a.ID
+	}
+	e.settle(a, r.ID, rec, o)
+	return awaited && o.State != task.NotRun
+}
+
+// settle ends one attempt: the agent holds it no longer, the team's charge is
+// corrected, and the submission gets its outcome or another attempt.
+func (e *Entry) settle(a *agent, id task.ID, rec sentRec, o task.Outcome) {
+	delete(a.sent, id)
+	a.Outstanding--
+	a.Used = a.Used.Sub(rec.need)
+	s := rec.sub
+	s.svc.q.Settle(s.sub.Team, ranFor(o, e.now-rec.at))
+	if s.answered {
+		e.stats.Abandoned++
+		return
+	}
+	s.inFlight--
+	s.tasks[rec.index].ag = nil
+	if o.State != task.NotRun {
+		s.ran = true
+	}
+	if e.resend(s, rec.index, o) {
+		if o.State != task.NotRun {
+			e.stats.Retries++
+		}
+		e.putBack(s, rec.index)
+		return
+	}
+	if o.State == task.Complete {
+		e.budgetEarn(s.svc)
+	}
+	e.finish(s, rec.index, o)
+}
+
+// ranFor is the slot time to charge for an attempt.
+func ranFor(o task.Outcome, held time.Duration) time.Duration {
+	switch o.State {
+	case task.NotRun:
+		return 0
+	case task.Unknown:
+		return held
+	}
+	return o.Ran
+}
--- /dev/null
+++ b/entry/speed.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// speedWeight is the share of a new observation in the mean.
+	speedWeight = 0.2
+	// serviceSpeedWeight is the same for a whole service.
+	serviceSpeedWeight = 0.02
+	// speedSamples is how many observations a judgement takes.
+	speedSamples = 4
+	// slowRatio is how many times longer than elsewhere tasks take at an agent
+	// that counts as slow.
+	slowRatio = 3.0
+	// overdueRatio is how many times its declared run time, itself off by up
+	// to declaredFactor, a task may take before it counts as overdue.
+	overdueRatio = 2 * declaredFactor
+	// overdueLeast is the least time after which a task counts as overdue.
+	overdueLeast = time.Second
+)
+
+// speed tracks the logarithm of real over declared run times.
+type speed struct {
+	mean float64
+	n    int
+}
+
+func (s *speed) observe(declared, ran time.Duration) { s.observeBy(speedWeight, declared, ran) }
+
+func (s *speed) observeBy(weight float64, declared, ran time.Duration) {
+	if declared <= 0 || ran <= 0 {
+		return
+	}
+	x := math.Log(ran.Seconds() / declared.Seconds())
+	s.n++
+	s.mean += max(weight, 1/float64(s.n)) * (x - s.mean)
+}
+
+// slower reports whether s is slower than the others by slowRatio.
+func (s *speed) slower(others *speed) bool {
+	return s.n >= speedSamples && s.mean-others.mean > math.Log(slowRatio)
+}
+
+// review looks for agents that are slow, by the tasks that have ended there
+// and by those that are overdue.
+func (e *Entry) review() {
+	e.arm(timer{at: e.now + reviewEvery, kind: timerReview})
+	for _, s := range e.services {
+		for _, p := range s.pool.Shuffled() {
+			e.reviewAgent(e.agents[p.ID])
+		}
+		if s.q.Len() > 0 {
+			e.touch(s)
+		}
+	}
+}
+
+func (e *Entry) reviewAgent(a *agent) {
+	slow := a.speed.slower(&a.svc.speed) || e.overdue(a)
+	if slow == a.Slow {
+		return
+	}
+	a.Slow = slow
+	a.svc.pool.Changed(&a.Agent)
+}
+
+// overdue reports whether half or more of the tasks at an agent are overdue.
+func (e *Entry) overdue(a *agent) bool {
+	n := 0
+	for _, rec := range a.sent {
+		if e.now-rec.at > max(overdueRatio*rec.declared, overdueLeast) {
+			n++
+		}
+	}
+	return n > 0 && 2*n >= len(a.sent)
+}
--- /dev/null
+++ b/entry/stats.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"fmt"
+	"maps"
+	"time"
+
+	"github.com/fireflytray/fireflytray/task"
+)
+
+// Stats counts what an entry has done since its start.
+type Stats struct {
+	Submitted uint64
+	Answered  map[task.State]uint64
+	Reasons   map[task.Reason]uint64
+	// Placed counts assignments, Refused those that came back as not run.
+	Placed  uint64
+	Refused uint64
+	// Retries counts further attempts at requests that may have run.
+	Retries uint64
+	// Sent and Received count messages to and from agents; Wasted those of
+	// them that brought no task nearer its outcome.
+	Sent     uint64
+	Received uint64
+	Wasted   uint64
+	// LateResults came for attempts already given up; Abandoned for
+	// submissions already answered.
+	LateResults uint64
+	Abandoned   uint64
+}
+
+func (s *Stats) answered(a task.Answer) {
+	if s.Answered == nil {
+		s.Answered = make(map[task.State]uint64)
+		s.Reasons = make(map[task.Reason]uint64)
+	}
+	s.Answered[a.State]++
+	if a.Reason != task.ReasonNone {
+		s.Reasons[a.Reason]++
+	}
+}
+
+// AgentView is what the entry knows of an agent, for people.
+type AgentView struct {
+	ID          string
+	Domain      string
+	Service     string
+	Connected   bool
+	Slow        bool
+	Slots       int
+	Credit      int
+	Outstanding int
+	Others      int
+}
+
+// View is a copy of the parts of the state that status pages show.
+type View struct {
+	Stats       Stats
+	ConfigIndex uint64
+	InFlight    int
+	Waiting     map[string]int
+	Agents      []AgentView
+	Draining    bool
+}
+
+// View returns a copy of what status pages show.
+func (e *Entry) View() View {
+	v := View{
+		Stats:    e.stats,
+		InFlight: len(e.subs),
+		Waiting:  make(map[string]int),
+		Draining: e.draining,
+	}
+	v.Stats.Answered = maps.Clone(e.stats.Answered)
+	v.Stats.Reasons = maps.Clone(e.stats.Reasons)
+	if e.cfg != nil {
+		v.ConfigIndex = e.cfg.Index
+	}
+	for name, s := range e.services {
+		v.Waiting[name] = s.waiting()
+	}
+	for _, a := range e.agents {
+		v.Agents = append(v.Agents, a.view())
+	}
+	return v
+}
+
+func (a *agent) view() AgentView {
+	return AgentView{
+		ID:          a.ID,
+		Domain:      a.peer.Domain,
+		Service:     a.worker.Service,
+		Connected:   a.link == linkOpen,
+		Slow:        a.Slow,
+		Slots:       a.Slots,
+		Credit:      a.Credit,
+		Outstanding: a.Outstanding,
+		Others:      a.Others,
+	}
+}
+
+// details says in one sentence what a reason means.
+var details = map[task.Reason]string{
+	task.ReasonUpstreamError:  "the upstream answered with an error",
+	task.ReasonUpstreamGone:   "the upstream was lost while it held the task",
+	task.ReasonAgentGone:      "the agent was lost while it held the task",
+	task.ReasonAgentRestarted: "the agent restarted while it held the task",
+	task.ReasonDeadline:       "the deadline can't be kept",
+	task.ReasonCancelled:      "cancelled by the caller",
+	task.ReasonNeverFits:      "no worker offers what the task needs",
+	task.ReasonClaimed:        "the idempotency key is held by a submission without an outcome yet",
+	task.ReasonClaimMismatch:  "the idempotency key was used for a different request",
+	task.ReasonClaimsDown:     "idempotency keys can't be claimed now",
+}
+
+// describe says in one sentence how a task ended.
+func describe(o task.Outcome) string {
+	text := details[o.Reason]
+	if text == "" {
+		text = string(o.Reason)
+	}
+	if o.Where != "" {
+		return fmt.Sprintf("%s: %s at %s", o.State, text, o.Where)
+	}
+	return fmt.Sprintf("%s: %s", o.State, text)
+}
+
+// retryAfter says when coming back may help, zero if it won't.
+func (e *Entry) retryAfter(s *submission, why task.Reason) time.Duration {
+	switch why {
+	case task.ReasonDeadline, task.ReasonOverload, task.ReasonBusy, task.ReasonStartExpired:
+		return s.svc.rate.timeFor(s.svc.waiting()+1, e.now)
+	case task.ReasonUpstreamGone, task.ReasonAgentGone, task.ReasonAgentRestarted,
+		task.ReasonDraining, task.ReasonSuspended, task.ReasonNeverReceived:
+		return lostRetry
+	}
+	return 0
+}
--- /dev/null
+++ b/entry/submission.go
@@ -0,0 +1,277 @@
+package entry
+
+import (
+	"sort"
+	"time"
+
+	"github.com/fireflytray/fireflytray/entry/queue"
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// taskState is where a task of a submission is.
+type taskState uint8
+
+const (
+	taskWaiting taskState = iota
+	taskSent
+	taskDone
+)
+
+// taskRec is one task of a submission in flight.
+type taskRec struct {
+	state   taskState
+	attempt uint32
+	ag      *agent // holds the task while it is sent
+	outcome task.Outcome
+}
+
+// submission is one submission from its admission to its answer.
+type submission struct {
+	id       task.SubmissionID
+	sub      task.Submission
+	svc      *service
+	job      queue.Job
+	tasks    []taskRec
+	ready    []uint32 // waiting tasks, the next one last
+	left     int      // tasks not done
+	arrived  time.Duration
+	deadline time.Duration
+	ran      bool // some attempt had an outcome other than not run
+	inFlight int  // tasks sent without an outcome
+	answered bool
+	claim    claimStage
+	claimReq uint64
+	messages uint32
+	wasted   uint32
+	longest  time.Duration
+}
+
+// id of attempt n at task i.
+func (s *submission) taskID(i uint32) task.ID {
+	return task.ID{Submission: s.id, Index: i, Attempt: s.tasks[i].attempt}
+}
+
+// newSubmission makes the record; the longest declared tasks come first, since
+// they decide when a job ends.
+func (e *Entry) newSubmission(ev Submit, svc *service, deadline time.Duration) *submission {
+	n := len(ev.Sub.Tasks)
+	s := &submission{
+		id:       ev.ID,
+		sub:      ev.Sub,
+		svc:      svc,
+		tasks:    make([]taskRec, n),
+		ready:    make([]uint32, n),
+		left:     n,
+		arrived:  e.now,
+		deadline: e.now + deadline,
+	}
+	for i := range s.ready {
+		s.ready[i] = uint32(n - 1 - i)
+	}
+	specs := s.sub.Tasks
+	sort.SliceStable(s.ready, func(a, b int) bool {
+		return specs[s.ready[a]].Declared < specs[s.ready[b]].Declared
+	})
+	s.job = queue.Job{
+		Team:    s.sub.Team,
+		Arrived: e.now,
+		Longest: specs[s.ready[n-1]].Declared,
+		Owner:   s,
+	}
+	return s
+}
+
+// enqueue lets the submission's tasks wait for placement.
+func (e *Entry) enqueue(s *submission) {
+	s.svc.q.Add(&s.job, uint32(len(s.ready)))
+	e.arm(timer{at: s.deadline, kind: timerDeadline, sub: s})
+	if at := s.deadline - s.job.Longest/declaredFactor; s.job.Longest > 0 && at > e.now {
+		e.arm(timer{at: at, kind: timerHopeless, sub: s})
+	}
+	e.touch(s.svc)
+}
+
+// putBack lets a task that did not run wait again, as its next attempt.
+func (e *Entry) putBack(s *submission, i uint32) {
+	s.tasks[i].state = taskWaiting
+	s.tasks[i].attempt++
+	s.ready = append(s.ready, i)
+	s.svc.q.Add(&s.job, 1)
+	e.touch(s.svc)
+}
+
+// finish records the outcome of a task and answers the submission if it was
+// the last one, or if the submission can't complete any more.
+func (e *Entry) finish(s *submission, i uint32, o task.Outcome) {
+	s.tasks[i].state = taskDone
+	s.tasks[i].outcome = o
+	s.left--
+	s.longest = max(s.longest, o.Ran)
+	if o.State != task.Complete {
+		e.answerFailed(s, o)
+		return
+	}
+	if s.left == 0 {
+		e.answerComplete(s)
+	}
+}
+
+func (e *Entry) answerComplete(s *submission) {
+	outs := make([]task.Outcome, len(s.tasks))
+	for i := range s.tasks {
+		outs[i] = s.tasks[i].outcome
+	}
+	e.answer(s, task.Answer{State: task.Complete, Outcomes: outs})
+}
+
+// answerFailed answers for a task that did not complete. A job of several
+// tasks fails whatever became of the task; for a single task the answer says
+// exactly that.
+func (e *Entry) answerFailed(s *submission, o task.Outcome) {
+	state := o.State
+	switch {
+	case state == task.NotRun && s.started():
+		state = task.Failed
+	case s.sub.Job && state == task.Unknown:
+		state = task.Failed
+	}
+	e.answer(s, task.Answer{
+		State:      state,
+		Reason:     o.Reason,
+		Detail:     describe(o),
+		RetryAfter: e.retryAfter(s, o.Reason),
+	})
+}
+
+// started reports whether any task may have started.
+func (s *submission) started() bool { return s.ran || s.inFlight > 0 }
+
+// answer gives the one final answer and drops what is left of the submission:
+// waiting tasks leave the queue, sent ones are cancelled at their agents.
+func (e *Entry) answer(s *submission, a task.Answer) {
+	if s.answered {
+		return
+	}
+	s.answered = true
+	a.ID = s.id
+	a.Longest = s.longest
+	a.Messages = s.messages
+	a.Wasted = s.wasted
+	delete(e.subs, s.id)
+	s.svc.q.Remove(&s.job)
+	s.svc.unblock(&s.job)
+	e.teamDone(s.sub.Team, len(s.tasks))
+	if s.inFlight > 0 {
+		e.cancelSent(s)
+	}
+	e.resolveClaim(s, a)
+	e.stats.answered(a)
+	e.emit(Answer{a})
+	s.sub.Tasks = nil
+	s.tasks = nil
+	s.ready = nil
+}
+
+// cancelSent asks each agent that holds a task of the submission to drop it,
+// with one message an agent.
+func (e *Entry) cancelSent(s *submission) {
+	for i := range s.tasks {
+		if s.tasks[i].state != taskSent {
+			continue
+		}
+		a := s.tasks[i].ag
+		a.cancel = append(a.cancel, s.taskID(uint32(i)))
+		e.markDirty(a)
+	}
+}
+
+// cancel ends submissions on their callers' wish.
+func (e *Entry) cancel(ids []task.SubmissionID) {
+	for _, id := range ids {
+		s := e.subs[id]
+		if s == nil {
+			continue
+		}
+		e.answerGivenUp(s, task.ReasonCancelled)
+	}
+}
+
+// answerGivenUp answers at once for a submission that won't be waited for any
+// longer: not run if nothing can have started.
+func (e *Entry) answerGivenUp(s *submission, why task.Reason) {
+	state := task.NotRun
+	if s.started() {
+		state = task.Failed
+		if !s.sub.Job {
+			state = task.Unknown
+		}
+	}
+	e.answer(s, task.Answer{
+		State:      state,
+		Reason:     why,
+		Detail:     describe(task.Outcome{State: state, Reason: why}),
+		RetryAfter: e.retryAfter(s, why),
+	})
+}
+
+func (e *Entry) deadlinePassed(s *submission) {
+	if !s.answered {
+		e.answerGivenUp(s, task.ReasonDeadline)
+	}
+}
+
+// dropHopeless gives up a submission that has tasks waiting and less time than
+// its longest waiting task needs even if its declared run time is too high by
+// declaredFactor.
+func (e *Entry) dropHopeless(s *submission) {
+	if s.answered || len(s.ready) == 0 {
+		return
+	}
+	var longest time.Duration
+	for _, i := range s.ready {
+		longest = max(longest, s.sub.Tasks[i].Declared)
+	}
+	if e.now+longest/declaredFactor >= s.deadline {
+		e.answerGivenUp(s, task.ReasonDeadline)
+	}
+}
+
+// resend reports whether an attempt that ended like this may be followed by
+// another one.
+func (e *Entry) resend(s *submission, i uint32, o task.Outcome) bool {
+	if s.answered || e.now >= s.deadline {
+		return false
+	}
+	switch o.State {
+	case task.NotRun:
+		return o.Reason != task.ReasonCancelled && o.Reason != task.ReasonNeverFits
+	case task.Unknown, task.Failed:
+		return !s.sub.Job && s.sub.Idempotent && s.sub.Key == "" &&
+			retryable(o.Reason) &&
+			s.tasks[i].attempt+1 < e.cfg.Retry.MaxAttempts &&
+			e.budgetTake(s.svc)
+	}
+	return false
+}
+
+func retryable(r task.Reason) bool {
+	switch r {
+	case task.ReasonUpstreamError, task.ReasonUpstreamGone, task.ReasonAgentGone, task.ReasonAgentRestarted:
+		return true
+	}
+	return false
+}
+
+// assignment is task i of the submission as its agent gets it.
+func (e *Entry) assignment(s *submission, i uint32, rank float64) wire.Assignment {
+	left := s.deadline - e.now
+	return wire.Assignment{
+		ID:          s.taskID(i),
+		Team:        s.sub.Team,
+		Spec:        s.sub.Tasks[i],
+		Rank:        rank,
+		StartWithin: max(left-startMargin, 0),
+		RunWithin:   left,
+	}
+}
--- /dev/null
+++ b/entry/submit.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fireflytray/fireflytray/task"
+)
+
+const (
+	// declaredFactor is by how much declared run times may be off either way.
+	declaredFactor = 4
+	// defaultDeadline bounds a submission where neither caller nor service does.
+	defaultDeadline = 30 * time.Second
+)
+
+// refusal says why a submission is not admitted.
+type refusal struct {
+	reason task.Reason
+	detail string
+	after  time.Duration
+}
+
+// submit admits a submission or answers at once that it was not run, and why.
+func (e *Entry) submit(ev Submit) {
+	e.stats.Submitted++
+	if _, dup := e.subs[ev.ID]; dup {
+		return
+	}
+	svc, r := e.admit(ev)
+	if r != nil {
+		a := task.Answer{ID: ev.ID, State: task.NotRun, Reason: r.reason, Detail: r.detail, RetryAfter: r.after}
+		e.stats.answered(a)
+		e.emit(Answer{a})
+		return
+	}
+	s := e.newSubmission(ev, svc, e.deadlineFor(svc, ev.Sub.Deadline))
+	e.subs[s.id] = s
+	e.teamAdmitted(s.sub.Team, len(s.tasks))
+	if s.sub.Key != "" {
+		e.claim(s)
+		return
+	}
+	e.enqueue(s)
+}
+
+// admit checks a submission against the configuration, the announced workers
+// and the load.
+func (e *Entry) admit(ev Submit) (*service, *refusal) {
+	sub := &ev.Sub
+	if e.draining {
+		return nil, &refusal{task.ReasonDraining, "this entry is shutting down", drainRetry}
+	}
+	sc, ok := e.cfg.Services[sub.Service]
+	if !ok {
+		return nil, &refusal{reason: task.ReasonUnknownService, detail: fmt.Sprintf("service %q is not configured", sub.Service)}
+	}
+	svc := e.service(sub.Service)
+	if r := e.checkTeam(sub); r != nil {
+		return nil, r
+	}
+	if r := checkSize(sub, sc.MaxTasks, sc.MaxBody); r != nil {
+		return nil, r
+	}
+	if r := checkFit(svc, sub); r != nil {
+		return nil, r
+	}
+	if r := e.checkLoad(svc, sub); r != nil {
+		return nil, r
+	}
+	return svc, e.checkQuota(sub)
+}
+
+func checkSize(sub *task.Submission, maxTasks, maxBody uint32) *refusal {
+	switch n := len(sub.Tasks); {
+	case n == 0:
+		return &refusal{reason: task.ReasonTooLarge, detail: "a submission needs at least one task"}
+	case !sub.Job && n != 1:
+		return &refusal{reason: task.ReasonTooLarge, detail: fmt.Sprintf("a request has one task, this one has %d", n)}
+	case maxTasks > 0 && n > int(maxTasks):
+		return &refusal{reason: task.ReasonTooLarge, detail: fmt.Sprintf("%d tasks, at most %d are allowed", n, maxTasks)}
+	}
+	for i := range sub.Tasks {
+		if n := len(sub.Tasks[i].Payload); maxBody > 0 && n > int(maxBody) {
+			return &refusal{reason: task.ReasonTooLarge, detail: fmt.Sprintf("payload of task %d has %d bytes, at most %d are allowed", i, n, maxBody)}
+		}
+	}
+	return nil
+}
+
+// checkFit refuses a submission that no announced worker could ever run.
+func checkFit(svc *service, sub *task.Submission) *refusal {
+	if svc.pool.Len() == 0 {
+		return &refusal{task.ReasonNoUpstream, fmt.Sprintf("no upstream of service %q is announced", svc.name), noUpstreamRetry}
+	}
+	for i := range sub.Tasks {
+		need := sub.Tasks[i].Need
+		if need != (task.Resources{}) && !svc.pool.EverFits(need) {
+			return &refusal{reason: task.ReasonNeverFits, detail: fmt.Sprintf("task %d needs %d mCPU, %d MB and %d accelerators; no announced worker offers that", i, need.MilliCPU, need.MemoryMB, need.Accelerators)}
+		}
+	}
+	return nil
+}
+
+// checkLoad refuses what the queue has no room for, and says when it will.
+func (e *Entry) checkLoad(svc *service, sub *task.Submission) *refusal {
+	room := int(svc.cfg.MaxWaiting)
+	over := svc.waiting() + len(sub.Tasks) - room
+	if room == 0 || over <= 0 {
+		return nil
+	}
+	return &refusal{
+		reason: task.ReasonOverload,
+		detail: fmt.Sprintf("%d tasks wait for service %q, at most %d may", svc.waiting(), svc.name, room),
+		after:  svc.rate.timeFor(over, e.now),
+	}
+}
+
+// deadlineFor returns the time that a submission has.
+func (e *Entry) deadlineFor(svc *service, asked time.Duration) time.Duration {
+	d := asked
+	if d <= 0 {
+		d = svc.cfg.Deadline
+	}
+	if d <= 0 {
+		d = defaultDeadline
+	}
+	if m := svc.cfg.MaxDeadline; m > 0 {
+		d = min(d, m)
+	}
+	return d
+}
--- /dev/null
+++ b/entry/timers.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"container/heap"
+	"time"
+)
+
+// timerKind says what a timer is for.
+type timerKind uint8
+
+const (
+	timerDeadline timerKind = iota
+	timerHopeless
+	timerAck
+	timerDial
+	timerGone
+	timerReview
+)
+
+// timer is due once; whether it still matters is checked when it fires.
+type timer struct {
+	at   time.Duration
+	kind timerKind
+	sub  *submission
+	ag   *agent
+}
+
+// timers is a heap of timers by time.
+type timers []timer
+
+// Len is part of heap.Interface.
+func (h timers) Len() int { return len(h) }
+
+// Less is part of heap.Interface.
+func (h timers) Less(i, k int) bool { return h[i].at < h[k].at }
+
+// Swap is part of heap.Interface.
+func (h timers) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
+
+// Push is part of heap.Interface.
+func (h *timers) Push(x any) { *h = append(*h, x.(timer)) }
+
+// Pop is part of heap.Interface.
+func (h *timers) Pop() any {
+	old := *h
+	last := len(old) - 1
+	t := old[last]
+	old[last] = timer{}
+	*h = old[:last]
+	return t
+}
+
+func (e *Entry) arm(t timer) { heap.Push(&e.timers, t) }
+
+// Next returns when the entry wants a Tick.
+func (e *Entry) Next() (time.Duration, bool) {
+	if len(e.timers) == 0 {
+		return 0, false
+	}
+	return e.timers[0].at, true
+}
+
+// fire handles every timer that is due.
+func (e *Entry) fire() {
+	for len(e.timers) > 0 && e.timers[0].at <= e.now {
+		t := heap.Pop(&e.timers).(timer)
+		switch t.kind {
+		case timerDeadline:
+			e.deadlinePassed(t.sub)
+		case timerHopeless:
+			e.dropHopeless(t.sub)
+		case timerAck:
+			e.ackDue(t.ag)
+		case timerDial:
+			e.dialDue(t.ag)
+		case timerGone:
+			e.goneDue(t.ag, t.at)
+		case timerReview:
+			e.review()
+		}
+	}
+}
