Add the callers' HTTP interface

Ruled out: net/http (the house style names fasthttp); keeping the answers of waited-for jobs (their caller is still connected). Change: package httpapi over a Backend; problem details with state, reason and Retry-After from one table; jobs collected later, bounded in number, bytes and time; a drain that withdraws readiness first and cuts off nothing.

--- /dev/null
+++ b/httpapi/fake_test.go
@@ -0,0 +1,151 @@
+package httpapi
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/task"
+)
+
+// fakeBackend answers by a function, or holds submissions until told.
+type fakeBackend struct {
+	answer func(task.SubmissionID, task.Submission) task.Answer
+
+	mu        sync.Mutex
+	n         uint64
+	seen      []task.Submission
+	held      map[task.SubmissionID]func(task.Answer)
+	cancelled []task.SubmissionID
+	notReady  string
+}
+
+func (f *fakeBackend) Submit(s task.Submission, done func(task.Answer)) task.SubmissionID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.n++
+	id := task.NewSubmissionID(7, f.n)
+	f.seen = append(f.seen, s)
+	if f.answer != nil {
+		go done(f.answer(id, s))
+		return id
+	}
+	if f.held == nil {
+		f.held = map[task.SubmissionID]func(task.Answer){}
+	}
+	f.held[id] = done
+	return id
+}
+
+// Cancel answers held submissions as not run.
+func (f *fakeBackend) Cancel(ids []task.SubmissionID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelled = append(f.cancelled, ids...)
+	for _, id := range ids {
+		if done := f.held[id]; done != nil {
+			delete(f.held, id)
+			go done(task.Answer{ID: id, State: task.NotRun, Reason: task.ReasonCancelled})
+		}
+	}
+}
+
+func (f *fakeBackend) Ready() (bool, string) { return f.notReady == "", f.notReady }
+
+// release answers every held submission, the latest first.
+func (f *fakeBackend) release(answer func(task.SubmissionID, task.Submission) task.Answer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for n := f.n; n > 0; n-- {
+		id := task.NewSubmissionID(7, n)
+		if done := f.held[id]; done != nil {
+			delete(f.held, id)
+			done(answer(id, f.seen[n-1]))
+		}
+	}
+}
+
+func (f *fakeBackend) holding() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.held)
+}
+
+func (f *fakeBackend) cancels() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.cancelled)
+}
+
+// echo completes every task with its own payload.
+func echo(id task.SubmissionID, s task.Submission) task.Answer {
+	a := task.Answer{ID: id, State: task.Complete, Messages: 2, Longest: time.Millisecond}
+	for _, spec := range s.Tasks {
+		a.Outcomes = append(a.Outcomes, task.Outcome{
+			State: task.Complete, Body: spec.Payload, Ran: time.Millisecond, Where: "w1",
+		})
+	}
+	return a
+}
+
+// start serves a backend on loopback and returns the base URL.
+func start(t *testing.T, b Backend, cfg Config) (*Server, string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	if cfg.DrainNotice == 0 {
+		cfg.DrainNotice = time.Millisecond
+	}
+	s := New(b, cfg)
+	go func() { _ = s.Serve(ln) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		_ = s.Shutdown(ctx)
+	})
+	return s, "http://" + ln.Addr().String()
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// call makes one request over a connection of its own.
+func call(t *testing.T, method, url string, body []byte, headers ...string) reply {
+	t.Helper()
+	r, err := try(method, url, body, headers...)
+	require.NoError(t, err)
+	return r
+}
+
+func try(method, url string, body []byte, headers ...string) (reply, error) {
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return reply{}, err
+	}
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, b}, err
+}
+
+func eventually(t *testing.T, cond func() bool) {
+	t.Helper()
+	require.Eventually(t, cond, 10*time.Second, time.Millisecond)
+}
--- /dev/null
+++ b/httpapi/job.go
@@ -0,0 +1,189 @@
+package httpapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"time"
+
+	"github.com/fireflytray/fireflytray/task"
+)
+
+// JobRequest is the body of POST /v1/services/{service}/jobs.
+type JobRequest struct {
+	Team string `json:"team"`
+	// DeadlineMS bounds the time to the answer; absent takes the service's.
+	DeadlineMS int64     `json:"deadline_ms,omitempty"`
+	Tasks      []JobTask `json:"tasks"`
+	// Wait asks for the answer in the response; otherwise the job is collected
+	// later. Absent means true.
+	Wait *bool `json:"wait,omitempty"`
+}
+
+// JobTask is one task of a JobRequest.
+type JobTask struct {
+	// Payload is any JSON value; the upstream gets its text as it stands.
+	Payload json.RawMessage `json:"payload,omitempty"`
+	// PayloadBase64 is the payload where it is not JSON.
+	PayloadBase64 []byte  `json:"payload_base64,omitempty"`
+	DeclaredMS    float64 `json:"declared_ms,omitempty"`
+	Need          *Need   `json:"need,omitempty"`
+}
+
+// Need is task.Resources in JSON.
+type Need struct {
+	// CPU is a number of cores.
+	CPU          float64 `json:"cpu,omitempty"`
+	MemoryMB     uint32  `json:"memory_mb,omitempty"`
+	Accelerators uint32  `json:"accelerators,omitempty"`
+}
+
+// CancelRequest is the body of POST /v1/cancel.
+type CancelRequest struct {
+	IDs []string `json:"ids"`
+}
+
+// errTooManyTasks is the one decoding error that is too_large.
+type errTooManyTasks struct{ got, limit int }
+
+func (e errTooManyTasks) Error() string {
+	return fmt.Sprintf("the job has %d tasks; at most %d are accepted", e.got, e.limit)
+}
+
+// decodeJob reads a job. Header is the team of the request's header, if any.
+func decodeJob(service, header string, body []byte, maxTasks int) (s task.Submission, wait bool, err error) {
+	var req JobRequest
+	if err := decodeJSON(body, &req); err != nil {
+		return s, false, err
+	}
+	s = task.Submission{Service: service, Job: true}
+	if s.Team, err = jobTeam(header, req.Team); err != nil {
+		return s, false, err
+	}
+	if s.Deadline, err = millis("deadline_ms", float64(req.DeadlineMS)); err != nil {
+		return s, false, err
+	}
+	if s.Tasks, err = jobSpecs(req.Tasks, maxTasks); err != nil {
+		return s, false, err
+	}
+	return s, req.Wait == nil || *req.Wait, nil
+}
+
+func jobTeam(header, body string) (string, error) {
+	if body == "" {
+		body = header
+	}
+	if body == "" {
+		return "", errors.New(`team is missing: name it in "team" or ` + HeaderTeam)
+	}
+	if header != "" && header != body {
+		return "", fmt.Errorf("team %q differs from %s %q", body, HeaderTeam, header)
+	}
+	return body, checkName("team", body)
+}
+
+func jobSpecs(tasks []JobTask, limit int) ([]task.Spec, error) {
+	if len(tasks) == 0 {
+		return nil, errors.New("tasks: a job has at least one task")
+	}
+	if len(tasks) > limit {
+		return nil, errTooManyTasks{len(tasks), limit}
+	}
+	specs := make([]task.Spec, len(tasks))
+	for i := range tasks {
+		spec, err := tasks[i].spec()
+		if err != nil {
+			return nil, fmt.Errorf("tasks[%d]: %w", i, err)
+		}
+		specs[i] = spec
+	}
+	return specs, nil
+}
+
+func (t *JobTask) spec() (spec task.Spec, err error) {
+	if t.Payload != nil && t.PayloadBase64 != nil {
+		return spec, errors.New("both payload and payload_base64 are given")
+	}
+	spec.Payload = t.PayloadBase64
+	if t.Payload != nil {
+		spec.Payload = t.Payload
+	}
+	if spec.Declared, err = millis("declared_ms", t.DeclaredMS); err != nil {
+		return spec, err
+	}
+	if t.Need == nil {
+		return spec, nil
+	}
+	spec.Need.MemoryMB = t.Need.MemoryMB
+	spec.Need.Accelerators = t.Need.Accelerators
+	if spec.Need.MilliCPU, err = milliCPU(t.Need.CPU); err != nil {
+		return spec, fmt.Errorf("need.cpu: %w", err)
+	}
+	return spec, nil
+}
+
+func millis(name string, ms float64) (time.Duration, error) {
+	d := ms * float64(time.Millisecond)
+	if d < 0 || d >= math.MaxInt64 {
+		return 0, fmt.Errorf("%s: %v is out of range", name, ms)
+	}
+	return time.Duration(d), nil
+}
+
+// bodyError is a JSON error with its place in the body.
+type bodyError struct {
+	pos Position
+	err error
+}
+
+func (e *bodyError) Error() string {
+	return fmt.Sprintf("body, line %d, column %d: %v", e.pos.Line, e.pos.Column, e.err)
+}
+
+func (e *bodyError) Unwrap() error { return e.err }
+
+func positionOf(err error) (Position, bool) {
+	var be *bodyError
+	if errors.As(err, &be) {
+		return be.pos, true
+	}
+	return Position{}, false
+}
+
+// decodeJSON reads exactly one JSON value; unknown fields are errors.
+func decodeJSON(body []byte, into any) error {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return newBodyError(body, offsetOf(dec, err, len(body)), err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return newBodyError(body, dec.InputOffset(), errors.New("want the end of the body"))
+	}
+	return nil
+}
+
+func offsetOf(dec *json.Decoder, err error, size int) int64 {
+	var syntax *json.SyntaxError
+	var typed *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		return syntax.Offset
+	case errors.As(err, &typed):
+		return typed.Offset
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
+		return int64(size)
+	}
+	return dec.InputOffset()
+}
+
+func newBodyError(body []byte, offset int64, err error) error {
+	offset = min(max(offset, 0), int64(len(body)))
+	before := body[:offset]
+	line := 1 + bytes.Count(before, []byte{'\n'})
+	column := max(1, int(offset)-bytes.LastIndexByte(before, '\n')-1)
+	return &bodyError{Position{Line: line, Column: column}, err}
+}
--- /dev/null
+++ b/httpapi/server.go
@@ -0,0 +1,227 @@
+package httpapi
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/fireflytray/fireflytray/task"
+)
+
+// drainPoll is how often a drain looks whether it is done.
+const drainPoll = 20 * time.Millisecond
+
+// Server is the callers' interface of one entry.
+type Server struct {
+	cfg     Config
+	backend Backend
+	jobs    *registry
+	http    *fasthttp.Server
+	// leaving withdraws readiness; refusing refuses new submissions.
+	leaving  atomic.Bool
+	refusing atomic.Bool
+	// inFlight counts submissions whose answer has not been written.
+	inFlight atomic.Int64
+}
+
+// New returns a server over a backend.
+func New(backend Backend, cfg Config) *Server {
+	cfg = cfg.withDefaults()
+	s := &Server{cfg: cfg, backend: backend, jobs: newRegistry(cfg, time.Now)}
+	s.http = &fasthttp.Server{
+		Handler:                       s.handle,
+		ErrorHandler:                  s.handleReadError,
+		Name:                          "fireflytray",
+		MaxRequestBodySize:            cfg.MaxBody,
+		ReadTimeout:                   cfg.ReadTimeout,
+		IdleTimeout:                   cfg.IdleTimeout,
+		DisablePreParseMultipartForm:  true,
+		NoDefaultContentType:          true,
+		CloseOnShutdown:               true,
+		TCPKeepalive:                  true,
+		DisableHeaderNamesNormalizing: false,
+		Logger:                        discard{},
+	}
+	return s
+}
+
+// discard drops the HTTP library's own log lines.
+type discard struct{}
+
+// Printf does nothing.
+func (discard) Printf(string, ...any) {}
+
+// Serve answers requests on ln until Shutdown or an error of ln.
+func (s *Server) Serve(ln net.Listener) error {
+	if err := s.http.Serve(ln); err != nil {
+		return fmt.Errorf("http: serve %s: %w", ln.Addr(), err)
+	}
+	return nil
+}
+
+// Shutdown drains the server: it withdraws readiness, then refuses new
+// submissions while those in flight get their answers and kept jobs are
+// collected, then closes the listener and the connections. It returns early
+// only if ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.leaving.Store(true)
+	pause(ctx, s.cfg.DrainNotice)
+	s.refusing.Store(true)
+	if err := s.awaitAnswers(ctx); err != nil {
+		return err
+	}
+	if err := s.http.ShutdownWithContext(ctx); err != nil {
+		return fmt.Errorf("http: shut down: %w", err)
+	}
+	return nil
+}
+
+func (s *Server) awaitAnswers(ctx context.Context) error {
+	var graceEnds time.Time
+	for {
+		all, pending := s.jobs.uncollected()
+		busy := s.inFlight.Load() > 0 || pending > 0
+		if busy {
+			graceEnds = time.Now().Add(s.cfg.CollectGrace)
+		}
+		if !busy && (all == 0 || time.Now().After(graceEnds)) {
+			return nil
+		}
+		if graceEnds.IsZero() {
+			graceEnds = time.Now().Add(s.cfg.CollectGrace)
+		}
+		if !pause(ctx, drainPoll) {
+			return fmt.Errorf("http: drain with %d requests and %d jobs in flight: %w",
+				s.inFlight.Load(), pending, ctx.Err())
+		}
+	}
+}
+
+// pause waits for d and returns false if ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if s.leaving.Load() {
+		ctx.SetConnectionClose()
+	}
+	path := string(ctx.Path())
+	switch {
+	case path == "/healthz":
+		s.only(ctx, fasthttp.MethodGet, s.handleHealth)
+	case path == "/readyz":
+		s.only(ctx, fasthttp.MethodGet, s.handleReady)
+	case path == "/v1/cancel":
+		s.only(ctx, fasthttp.MethodPost, s.handleCancel)
+	case strings.HasPrefix(path, "/v1/jobs/"):
+		s.routeJob(ctx, strings.TrimPrefix(path, "/v1/jobs/"))
+	case strings.HasPrefix(path, "/v1/services/"):
+		s.routeService(ctx, strings.TrimPrefix(path, "/v1/services/"))
+	default:
+		notFound("no such path: " + path).write(ctx)
+	}
+}
+
+func (s *Server) only(ctx *fasthttp.RequestCtx, method string, h func(*fasthttp.RequestCtx)) {
+	if string(ctx.Method()) != method {
+		badMethod(ctx, method)
+		return
+	}
+	h(ctx)
+}
+
+func (s *Server) routeJob(ctx *fasthttp.RequestCtx, id string) {
+	switch string(ctx.Method()) {
+	case fasthttp.MethodGet:
+		s.handleCollect(ctx, id)
+	case fasthttp.MethodDelete:
+		s.handleDelete(ctx, id)
+	default:
+		badMethod(ctx, fasthttp.MethodGet+", "+fasthttp.MethodDelete)
+	}
+}
+
+func (s *Server) routeService(ctx *fasthttp.RequestCtx, rest string) {
+	service, what, _ := strings.Cut(rest, "/")
+	var h func(*fasthttp.RequestCtx, string)
+	switch what {
+	case "requests":
+		h = s.handleRequest
+	case "jobs":
+		h = s.handleJob
+	default:
+		notFound("no such path: " + string(ctx.Path())).write(ctx)
+		return
+	}
+	if err := checkName("service", service); err != nil {
+		badRequest(err).write(ctx)
+		return
+	}
+	s.only(ctx, fasthttp.MethodPost, func(ctx *fasthttp.RequestCtx) { h(ctx, service) })
+}
+
+func (s *Server) handleHealth(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("text/plain")
+	ctx.SetBodyString("ok\n")
+}
+
+func (s *Server) handleReady(ctx *fasthttp.RequestCtx) {
+	if s.leaving.Load() {
+		newProblem(task.NotRun, task.ReasonDraining, "the entry is shutting down").write(ctx)
+		return
+	}
+	if ok, why := s.backend.Ready(); !ok {
+		newProblem(task.NotRun, task.ReasonBusy, why).write(ctx)
+		return
+	}
+	ctx.SetContentType("text/plain")
+	ctx.SetBodyString("ready\n")
+}
+
+// handleReadError answers a request that could not be read whole.
+func (s *Server) handleReadError(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	var netErr net.Error
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		skipInput(ctx.Conn())
+		tooLarge(fmt.Sprintf("the body is larger than %d bytes", s.cfg.MaxBody)).write(ctx)
+	case errors.As(err, &small):
+		p := tooLarge("the headers are too large")
+		p.Status = fasthttp.StatusRequestHeaderFieldsTooLarge
+		p.write(ctx)
+	case errors.As(err, &netErr) && netErr.Timeout():
+		p := badRequest(fmt.Errorf("the request did not arrive within %v", s.cfg.ReadTimeout))
+		p.Status = fasthttp.StatusRequestTimeout
+		p.write(ctx)
+	default:
+		badRequest(fmt.Errorf("read request: %w", err)).write(ctx)
+	}
+}
+
+func tooLarge(detail string) *Problem {
+	return newProblem(task.NotRun, task.ReasonTooLarge, detail)
+}
+
+func notFound(detail string) *Problem {
+	return newProblem(task.NotRun, ReasonNotFound, detail)
+}
+
+func badMethod(ctx *fasthttp.RequestCtx, allow string) {
+	ctx.Response.Header.Set(fasthttp.HeaderAllow, allow)
+	newProblem(task.NotRun, ReasonBadMethod, "allowed: "+allow).write(ctx)
+}
--- /dev/null
+++ b/httpapi/server_test.go
@@ -0,0 +1,263 @@
+package httpapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fireflytray/fireflytray/task"
+)
+
+const team = "prairie"
+
+func problem(t *testing.T, r reply) Problem {
+	t.Helper()
+	require.Equal(t, problemContentType, r.header.Get("Content-Type"), "%s", r.body)
+	var p Problem
+	require.NoError(t, json.Unmarshal(r.body, &p))
+	require.Equal(t, r.status, p.Status)
+	require.Equal(t, problemTypePrefix+string(p.Reason), p.Type)
+	return p
+}
+
+func TestRequestReachesBackendWhole(t *testing.T) {
+	b := &fakeBackend{answer: echo}
+	_, url := start(t, b, Config{})
+	r := call(t, "POST", url+"/v1/services/statements/requests", []byte("hello"),
+		HeaderTeam, team, HeaderKey, "k-1", HeaderIdempotent, "true", HeaderDeadline, "1500ms",
+		HeaderDeclared, "120ms", HeaderNeed, "cpu=0.5,memory=2GB,accelerators=1")
+	require.Equal(t, http.StatusOK, r.status, "%s", r.body)
+	require.Equal(t, "hello", string(r.body))
+	require.Equal(t, task.NewSubmissionID(7, 1).String(), r.header.Get(HeaderSubmission))
+	require.Equal(t, "complete", r.header.Get(HeaderState))
+	require.Equal(t, "2", r.header.Get(HeaderMessages))
+	require.Equal(t, task.Submission{
+		Service: "statements", Team: team, Key: "k-1", Idempotent: true, Deadline: 1500 * time.Millisecond,
+		Tasks: []task.Spec{{
+			Payload: []byte("hello"), Declared: 120 * time.Millisecond,
+			Need: task.Resources{MilliCPU: 500, MemoryMB: 2000, Accelerators: 1},
+		}},
+	}, b.seen[0])
+}
+
+func TestBadRequestsNameTheFault(t *testing.T) {
+	const req, job = "/v1/services/s/requests", "/v1/services/s/jobs"
+	cases := []struct {
+		name, method, path, body string
+		headers                  []string
+		status                   int
+		reason                   task.Reason
+		detail                   string
+		pos                      *Position
+	}{
+		{"no team", "POST", req, "", nil, 400, ReasonBadRequest, "team is missing", nil},
+		{"bad deadline", "POST", req, "", []string{HeaderTeam, team, HeaderDeadline, "soon"}, 400, ReasonBadRequest, HeaderDeadline, nil},
+		{"negative deadline", "POST", req, "", []string{HeaderTeam, team, HeaderDeadline, "-1s"}, 400, ReasonBadRequest, HeaderDeadline, nil},
+		{"bad mark", "POST", req, "", []string{HeaderTeam, team, HeaderIdempotent, "yes"}, 400, ReasonBadRequest, HeaderIdempotent, nil},
+		{"bad need", "POST", req, "", []string{HeaderTeam, team, HeaderNeed, "gpu=1"}, 400, ReasonBadRequest, "gpu=1", nil},
+		{"bad memory", "POST", req, "", []string{HeaderTeam, team, HeaderNeed, "memory=1"}, 400, ReasonBadRequest, "200MB", nil},
+		{"bad service", "POST", "/v1/services/a%20b/requests", "", []string{HeaderTeam, team}, 400, ReasonBadRequest, "service", nil},
+		{"method", "PUT", req, "", []string{HeaderTeam, team}, 405, ReasonBadMethod, "POST", nil},
+		{"path", "GET", "/v2", "", nil, 404, ReasonNotFound, "/v2", nil},
+		{"syntax", "POST", job, "{\n  \"team\": }", nil, 400, ReasonBadRequest, "line 2", &Position{2, 11}},
+		{"type", "POST", job, `{"team":1}`, nil, 400, ReasonBadRequest, "line 1", &Position{1, 9}},
+		{"cut off", "POST", job, `{"team":"a"`, nil, 400, ReasonBadRequest, "unexpected", &Position{1, 11}},
+		{"empty", "POST", job, ``, nil, 400, ReasonBadRequest, "EOF", &Position{1, 1}},
+		{"unknown field", "POST", job, `{"teem":"a"}`, nil, 400, ReasonBadRequest, "teem", &Position{1, 12}},
+		{"two values", "POST", job, `{"team":"a"} {}`, nil, 400, ReasonBadRequest, "end of the body", &Position{1, 14}},
+		{"no tasks", "POST", job, `{"team":"a","tasks":[]}`, nil, 400, ReasonBadRequest, "at least one", nil},
+		{"two payloads", "POST", job, `{"team":"a","tasks":[{"payload":1,"payload_base64":"aGk="}]}`, nil, 400, ReasonBadRequest, "tasks[0]", nil},
+		{"team twice", "POST", job, `{"team":"a","tasks":[{}]}`, []string{HeaderTeam, "b"}, 400, ReasonBadRequest, "differs", nil},
+		{"too many tasks", "POST", job, `{"team":"a","tasks":[{},{},{},{}]}`, nil, 413, task.ReasonTooLarge, "4 tasks", nil},
+		{"bad id", "GET", "/v1/jobs/xyz", "", []string{HeaderTeam, team}, 400, ReasonBadRequest, "submission id", nil},
+		{"no such job", "GET", "/v1/jobs/" + strings.Repeat("0", 32), "", []string{HeaderTeam, team}, 404, ReasonNotFound, "keeps no such job", nil},
+	}
+	b := &fakeBackend{answer: echo}
+	_, url := start(t, b, Config{MaxTasks: 3})
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := call(t, c.method, url+c.path, []byte(c.body), c.headers...)
+			require.Equal(t, c.status, r.status, "%s", r.body)
+			p := problem(t, r)
+			require.Equal(t, c.reason, p.Reason)
+			require.Contains(t, p.Detail, c.detail)
+			require.Equal(t, c.pos, p.Position)
+		})
+	}
+	require.Empty(t, b.seen, "a refused request reached the backend")
+}
+
+func TestOversizedBodyIsRefusedWithClearAnswer(t *testing.T) {
+	b := &fakeBackend{answer: echo}
+	_, url := start(t, b, Config{MaxBody: 1000})
+	// The second is larger than what the socket's buffers hold.
+	for _, size := range []int{1001, 20 << 20} {
+		r := call(t, "POST", url+"/v1/services/s/requests", make([]byte, size), HeaderTeam, team)
+		require.Equal(t, http.StatusRequestEntityTooLarge, r.status)
+		p := problem(t, r)
+		require.Equal(t, task.ReasonTooLarge, p.Reason)
+		require.Equal(t, "not_run", p.State)
+		require.Contains(t, p.Detail, "1000 bytes")
+	}
+	require.Empty(t, b.seen)
+	r := call(t, "POST", url+"/v1/services/s/requests", make([]byte, 1000), HeaderTeam, team)
+	require.Equal(t, http.StatusOK, r.status)
+}
+
+func TestEachCallerGetsItsOwnAnswer(t *testing.T) {
+	const callers, tasks = 40, 17
+	b := &fakeBackend{}
+	_, url := start(t, b, Config{})
+	var g errgroup.Group
+	for i := range callers {
+		g.Go(func() error { return checkEcho(url, i, tasks) })
+	}
+	eventually(t, func() bool { return b.holding() == 2*callers })
+	b.release(echo)
+	require.NoError(t, g.Wait())
+}
+
+// checkEcho runs a job and a request at once and checks their answers.
+func checkEcho(url string, caller, tasks int) error {
+	var g errgroup.Group
+	g.Go(func() error {
+		want := fmt.Sprintf("request-%d", caller)
+		r, err := try("POST", url+"/v1/services/s/requests", []byte(want), HeaderTeam, team)
+		if err == nil && string(r.body) != want {
+			err = fmt.Errorf("got %q, want %q", r.body, want)
+		}
+		return err
+	})
+	g.Go(func() error {
+		job := JobRequest{Team: team}
+		for i := range tasks {
+			job.Tasks = append(job.Tasks, JobTask{Payload: fmt.Appendf(nil, `"%d/%d"`, caller, i)})
+		}
+		body, err := json.Marshal(job)
+		if err != nil {
+			return err
+		}
+		r, err := try("POST", url+"/v1/services/s/jobs", body)
+		if err != nil {
+			return err
+		}
+		var a JobAnswer
+		if err := json.Unmarshal(r.body, &a); err != nil {
+			return err
+		}
+		if len(a.Outcomes) != tasks {
+			return fmt.Errorf("got %d outcomes", len(a.Outcomes))
+		}
+		for i, o := range a.Outcomes {
+			if want := job.Tasks[i].Payload; !bytes.Equal(o.Body, want) {
+				return fmt.Errorf("task %d: got %s, want %s", i, o.Body, want)
+			}
+		}
+		return nil
+	})
+	return g.Wait()
+}
+
+func TestProblemsCarryStateReasonAndRetryAfter(t *testing.T) {
+	cases := []struct {
+		state  task.State
+		reason task.Reason
+		status int
+	}{
+		{task.NotRun, task.ReasonQuota, 429},
+		{task.NotRun, task.ReasonOverload, 503},
+		{task.NotRun, task.ReasonNeverFits, 422},
+		{task.NotRun, task.ReasonClaimed, 409},
+		{task.Unknown, task.ReasonAgentGone, 502},
+		{task.Failed, task.ReasonUpstreamError, 502},
+		{task.NotRun, task.ReasonDeadline, 504},
+		{task.Unknown, task.ReasonDeadline, 504},
+	}
+	for _, c := range cases {
+		b := &fakeBackend{answer: func(id task.SubmissionID, _ task.Submission) task.Answer {
+			return task.Answer{ID: id, State: c.state, Reason: c.reason, RetryAfter: 1200*time.Millisecond + 1, Messages: 4, Wasted: 2}
+		}}
+		_, url := start(t, b, Config{})
+		for path, body := range map[string]string{"requests": "", "jobs": `{"tasks":[{}]}`} {
+			r := call(t, "POST", url+"/v1/services/s/"+path, []byte(body), HeaderTeam, team)
+			require.Equal(t, c.status, r.status)
+			require.Equal(t, "2", r.header.Get("Retry-After"), "whole seconds, rounded up")
+			p := problem(t, r)
+			require.Equal(t, c.state.String(), p.State)
+			require.Equal(t, c.reason, p.Reason)
+			require.EqualValues(t, 1201, p.RetryAfterMS)
+			require.EqualValues(t, 2, p.Wasted)
+		}
+	}
+}
+
+func TestShutdownCutsOffNoRequestInFlight(t *testing.T) {
+	b := &fakeBackend{}
+	s, url := start(t, b, Config{DrainNotice: 50 * time.Millisecond, CollectGrace: 10 * time.Second})
+	const callers = 10
+	var g errgroup.Group
+	for i := range callers {
+		g.Go(func() error { return checkEcho(url, i, 3) })
+	}
+	eventually(t, func() bool { return b.holding() == 2*callers })
+	r := call(t, "POST", url+"/v1/services/s/jobs", []byte(`{"team":"prairie","wait":false,"tasks":[{}]}`))
+	require.Equal(t, http.StatusAccepted, r.status)
+	location := r.header.Get("Location")
+
+	var down sync.WaitGroup
+	down.Go(func() { require.NoError(t, s.Shutdown(context.Background())) })
+	eventually(t, func() bool { return call(t, "GET", url+"/readyz", nil).status == 503 })
+	eventually(t, s.refusing.Load)
+	refused := call(t, "POST", url+"/v1/services/s/requests", nil, HeaderTeam, team)
+	require.Equal(t, 503, refused.status)
+	require.Equal(t, "not_run", problem(t, refused).State)
+	require.Equal(t, task.ReasonDraining, problem(t, refused).Reason)
+
+	b.release(echo)
+	require.NoError(t, g.Wait(), "a request in flight was cut off")
+	require.Equal(t, http.StatusOK, call(t, "GET", url+location+"?wait=10s", nil, HeaderTeam, team).status)
+	down.Wait()
+	_, err := try("GET", url+"/healthz", nil)
+	require.Error(t, err, "still listening")
+}
+
+func TestCallerThatDisconnectsCancels(t *testing.T) {
+	b := &fakeBackend{}
+	_, url := start(t, b, Config{})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	require.NoError(t, err)
+	_, err = fmt.Fprintf(conn, "POST /v1/services/s/requests HTTP/1.1\r\nHost: x\r\n%s: t\r\nContent-Length: 0\r\n\r\n", HeaderTeam)
+	require.NoError(t, err)
+	eventually(t, func() bool { return b.holding() == 1 })
+	require.Zero(t, b.cancels())
+	require.NoError(t, conn.Close())
+	eventually(t, func() bool { return b.cancels() == 1 })
+}
+
+func TestReadinessFollowsBackend(t *testing.T) {
+	b := &fakeBackend{notReady: "no agent yet"}
+	_, url := start(t, b, Config{})
+	require.Equal(t, 200, call(t, "GET", url+"/healthz", nil).status)
+	r := call(t, "GET", url+"/readyz", nil)
+	require.Equal(t, 503, r.status)
+	require.Equal(t, "no agent yet", problem(t, r).Detail)
+}
+
+// Every reason has a row of its own.
+func TestEveryReasonHasStatus(t *testing.T) {
+	for reason, row := range statuses {
+		require.GreaterOrEqual(t, row.code, 400, "%s", reason)
+		require.NotEmpty(t, row.title)
+	}
+	require.Equal(t, 500, StatusOf("no such reason"))
+}
