Add the entry's driver

Cause: the reducer needs callers, sessions with agents and control around it. Change: package entryd over httpapi, transport and loop; sessions dial from a new port, exchange hello and welcome, and end older ones.

--- a/entry/agent.go
+++ b/entry/agent.go
@@ -45,6 +45,8 @@
 	seen     uint64 // highest report handled
 	told     uint64 // highest report acknowledged
 	ackArmed bool
+	// expecting is what the driver was last told to expect of the session.
+	expecting bool
 	// wanted is the count of waiting tasks that the agent was last told.
 	wanted uint32
 	speed  speed
@@ -77,7 +79,7 @@
 			e.entries[m.Peer.ID] = true
 		}
 	}
-	if d.Full {
+	if d.Full && d.Complete {
 		e.dropUnnamed(named)
 	}
 	for _, p := range d.Removed {
@@ -179,6 +181,7 @@
 	a.seq = 0
 	a.unseen = a.unseen[:0]
 	a.wanted = 0
+	a.expecting = false
 	if w.Worker != nil {
 		e.workerChanged(a, *w.Worker)
 	}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -151,6 +151,17 @@
 	a.wanted = u.Demand.Waiting
 	e.stats.Sent++
 	e.emit(Send{Agent: a.ID, Session: a.session, Update: u})
+	e.expect(a)
+}
+
+// expect tells the driver when an agent begins or ceases to owe answers.
+func (e *Entry) expect(a *agent) {
+	owes := len(a.sent) > 0
+	if a.link != linkOpen || owes == a.expecting {
+		return
+	}
+	a.expecting = owes
+	e.emit(Expect{Agent: a.ID, Session: a.session, On: owes})
 }
 
 // demand is what agents are told of the tasks that wait here.
--- a/entry/event.go
+++ b/entry/event.go
@@ -88,6 +88,14 @@
 	Update  *wire.Update
 }
 
+// Expect says whether answers are awaited on a session, so that a silent
+// connection is found in time.
+type Expect struct {
+	Agent   string
+	Session uint64
+	On      bool
+}
+
 // Hangup closes a session.
 type Hangup struct {
 	Agent   string
@@ -107,6 +115,7 @@
 func (Answer) effect()      {}
 func (Dial) effect()        {}
 func (Send) effect()        {}
+func (Expect) effect()      {}
 func (Hangup) effect()      {}
 func (SendClaim) effect()   {}
 func (SendResolve) effect() {}
--- a/entry/report.go
+++ b/entry/report.go
@@ -40,6 +40,7 @@
 		a.ackArmed = true
 		e.arm(timer{at: e.now + ackDelay, kind: timerAck, ag: a})
 	}
+	e.expect(a)
 	e.touch(a.svc)
 }
 
--- /dev/null
+++ b/entryd/entryd.go
@@ -0,0 +1,276 @@
+// Package entryd runs an entry: it turns callers' requests, sessions with
+// agents and news from control into events of package entry, and carries out
+// the effects.
+package entryd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fireflytray/fireflytray/entry"
+	"github.com/fireflytray/fireflytray/entry/placement"
+	"github.com/fireflytray/fireflytray/entry/queue"
+	"github.com/fireflytray/fireflytray/fleet"
+	"github.com/fireflytray/fireflytray/httpapi"
+	"github.com/fireflytray/fireflytray/keys"
+	"github.com/fireflytray/fireflytray/loop"
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/transport"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+const (
+	// claimWithin bounds one claim or resolve at control.
+	claimWithin = 5 * time.Second
+	// viewWithin bounds the wait for a copy of the state.
+	viewWithin = time.Second
+	// drainWithin bounds a graceful shutdown.
+	drainWithin = 60 * time.Second
+)
+
+// Control is the entry's side of the control hosts.
+type Control interface {
+	// Run keeps sessions to the control hosts until ctx ends.
+	Run(ctx context.Context) error
+	// Stamp is the configuration in force here.
+	Stamp() wire.Stamp
+	Claim(ctx context.Context, c wire.Claim) (wire.ClaimReply, error)
+	Resolve(ctx context.Context, r wire.Resolve) error
+	// Leave says goodbye.
+	Leave(ctx context.Context)
+}
+
+// Options are the settings of an entry's daemon.
+type Options struct {
+	Self     wire.Peer
+	Identity *keys.Identity
+	// Callers is the host:port for callers; a listener given here is used
+	// instead if not nil.
+	Callers  string
+	Listener net.Listener
+	HTTP     httpapi.Config
+	Policy   placement.Policy
+	Order    queue.Order
+	Seed     uint64
+	Poke     int
+	Config   *fleet.Config
+	// NewControl connects the daemon to control; d takes its callbacks.
+	NewControl func(d *Daemon) Control
+	Transport  transport.Options
+	Log        *log.Logger
+}
+
+// Daemon is a running entry.
+type Daemon struct {
+	opts    Options
+	log     *log.Logger
+	loop    *loop.Loop[entry.Event, entry.Effect]
+	state   *entry.Entry
+	api     *httpapi.Server
+	control Control
+	counter atomic.Uint64
+	ready   atomic.Bool
+
+	mu    sync.Mutex
+	done  map[task.SubmissionID]func(task.Answer)
+	links map[string]*link
+
+	drained chan struct{}
+	dialCtx context.Context
+}
+
+// New returns a daemon; Run starts it.
+func New(o Options) *Daemon {
+	if o.Log == nil {
+		o.Log = log.Default()
+	}
+	d := &Daemon{
+		opts:    o,
+		log:     o.Log,
+		done:    make(map[task.SubmissionID]func(task.Answer)),
+		links:   make(map[string]*link),
+		drained: make(chan struct{}),
+	}
+	d.state = entry.New(entry.Options{
+		Self:   o.Self,
+		Policy: o.Policy,
+		Order:  o.Order,
+		Seed:   o.Seed,
+		Config: o.Config,
+		Poke:   o.Poke,
+	})
+	d.loop = loop.New[entry.Event, entry.Effect](&inspected{d.state}, entry.Tick{}, d.exec)
+	d.api = httpapi.New(d, o.HTTP)
+	d.control = o.NewControl(d)
+	return d
+}
+
+// Run serves until ctx ends, then drains: no request in flight is cut off
+// within drainWithin.
+func (d *Daemon) Run(ctx context.Context) error {
+	ln, err := d.listen()
+	if err != nil {
+		return err
+	}
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	d.dialCtx = inner
+	g, gctx := errgroup.WithContext(inner)
+	g.Go(func() error { d.loop.Run(gctx); return nil })
+	g.Go(func() error { return d.control.Run(gctx) })
+	g.Go(func() error { return d.api.Serve(ln) })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-gctx.Done():
+			return nil
+		}
+		err := d.drain()
+		stop()
+		return err
+	})
+	d.log.Info("serving callers", "addr", ln.Addr())
+	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return fmt.Errorf("entry %s: %w", d.opts.Self.ID, err)
+	}
+	return nil
+}
+
+func (d *Daemon) listen() (net.Listener, error) {
+	if d.opts.Listener != nil {
+		return d.opts.Listener, nil
+	}
+	ln, err := net.Listen("tcp", d.opts.Callers)
+	if err != nil {
+		return nil, fmt.Errorf("entry %s: listen for callers on %s: %w", d.opts.Self.ID, d.opts.Callers, err)
+	}
+	return ln, nil
+}
+
+// drain stops the intake, lets what is in flight end and says goodbye.
+func (d *Daemon) drain() error {
+	d.log.Info("draining")
+	ctx, cancel := context.WithTimeout(context.Background(), drainWithin)
+	defer cancel()
+	if err := d.api.Shutdown(ctx); err != nil {
+		return fmt.Errorf("drain: %w", err)
+	}
+	d.loop.Post(entry.Drain{})
+	select {
+	case <-d.drained:
+	case <-ctx.Done():
+		return fmt.Errorf("drain: %w", ctx.Err())
+	}
+	d.control.Leave(ctx)
+	d.closeLinks()
+	d.log.Info("drained")
+	return nil
+}
+
+// OnDirectory takes in a difference of the list of members.
+func (d *Daemon) OnDirectory(dir wire.Directory) {
+	d.loop.Post(entry.DirectoryChanged{Directory: dir})
+}
+
+// OnConfig puts a configuration in force.
+func (d *Daemon) OnConfig(cfg *fleet.Config) {
+	d.loop.Post(entry.ConfigChanged{Config: cfg})
+	d.ready.Store(true)
+	d.log.Info("configuration in force", "index", cfg.Index)
+}
+
+// Submit is part of httpapi.Backend.
+func (d *Daemon) Submit(s task.Submission, done func(task.Answer)) task.SubmissionID {
+	id := task.NewSubmissionID(d.opts.Self.Incarnation, d.counter.Add(1))
+	d.mu.Lock()
+	d.done[id] = done
+	d.mu.Unlock()
+	if !d.loop.Post(entry.Submit{ID: id, Sub: s}) {
+		d.answer(task.Answer{ID: id, State: task.NotRun, Reason: task.ReasonDraining, Detail: "this entry has shut down"})
+	}
+	return id
+}
+
+// Cancel is part of httpapi.Backend.
+func (d *Daemon) Cancel(ids []task.SubmissionID) { d.loop.Post(entry.Cancel{IDs: ids}) }
+
+// Ready is part of httpapi.Backend. An entry without a configuration knows no
+// service and is not ready.
+func (d *Daemon) Ready() (bool, string) {
+	if !d.ready.Load() && d.opts.Config == nil {
+		return false, "no configuration yet"
+	}
+	return true, ""
+}
+
+// View returns a copy of the state that status pages show.
+func (d *Daemon) View() (entry.View, error) {
+	got := make(chan entry.View, 1)
+	d.loop.Post(inspect{got: got})
+	select {
+	case v := <-got:
+		return v, nil
+	case <-time.After(viewWithin):
+		return entry.View{}, fmt.Errorf("entry %s: state not available within %s", d.opts.Self.ID, viewWithin)
+	}
+}
+
+func (d *Daemon) answer(a task.Answer) {
+	d.mu.Lock()
+	done := d.done[a.ID]
+	delete(d.done, a.ID)
+	d.mu.Unlock()
+	if done != nil {
+		done(a)
+	}
+}
+
+// exec carries out one effect; it runs on the loop's goroutine.
+func (d *Daemon) exec(eff entry.Effect) {
+	switch eff := eff.(type) {
+	case entry.Answer:
+		d.answer(eff.Answer)
+	case entry.Send:
+		d.send(eff)
+	case entry.Expect:
+		d.expect(eff)
+	case entry.Dial:
+		go d.dial(eff)
+	case entry.Hangup:
+		d.hangup(eff)
+	case entry.SendClaim:
+		go d.claim(eff.Claim)
+	case entry.SendResolve:
+		go d.resolve(eff.Resolve)
+	case entry.Drained:
+		close(d.drained)
+	}
+}
+
+func (d *Daemon) claim(c wire.Claim) {
+	ctx, cancel := context.WithTimeout(d.dialCtx, claimWithin)
+	defer cancel()
+	r, err := d.control.Claim(ctx, c)
+	if err != nil {
+		d.log.Warn("claim failed", "err", err)
+		r = wire.ClaimReply{State: wire.ClaimUnavailable}
+	}
+	r.Request = c.Request
+	d.loop.Post(entry.ClaimReplied{Reply: r})
+}
+
+func (d *Daemon) resolve(r wire.Resolve) {
+	ctx, cancel := context.WithTimeout(d.dialCtx, claimWithin)
+	defer cancel()
+	if err := d.control.Resolve(ctx, r); err != nil {
+		d.log.Warn("claim not resolved", "owner", r.Owner, "err", err)
+	}
+}
--- /dev/null
+++ b/entryd/link.go
@@ -0,0 +1,144 @@
+package entryd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/fireflytray/fireflytray/entry"
+	"github.com/fireflytray/fireflytray/transport"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// link is an open session with an agent.
+type link struct {
+	session uint64
+	conn    *transport.Conn
+}
+
+var errNotAgent = errors.New("unexpected message")
+
+// dial opens a session and posts what becomes of it until it ends.
+func (d *Daemon) dial(eff entry.Dial) {
+	agent, session := eff.Peer.ID, eff.Hello.Session
+	conn, welcome, err := d.open(eff)
+	if err != nil {
+		d.log.Debug("session not opened", "agent", agent, "err", err)
+		d.loop.Post(entry.Disconnected{Agent: agent, Session: session})
+		return
+	}
+	d.setLink(agent, &link{session, conn})
+	d.loop.Post(entry.Connected{Agent: agent, Session: session, Welcome: welcome})
+	err = d.receive(agent, session, conn)
+	conn.Close("session ended")
+	d.log.Info("session ended", "agent", agent, "err", err)
+	d.loop.Post(entry.Disconnected{Agent: agent, Session: session})
+}
+
+// open dials an agent and exchanges hello and welcome.
+func (d *Daemon) open(eff entry.Dial) (*transport.Conn, *wire.Welcome, error) {
+	ctx, cancel := context.WithTimeout(d.dialCtx, eff.Within)
+	defer cancel()
+	o := d.opts.Transport
+	o.Identity = d.opts.Identity
+	o.Stamp = d.control.Stamp
+	conn, err := transport.Dial(ctx, eff.Peer.Addr, wire.RoleAgent, o)
+	if err != nil {
+		return nil, nil, err
+	}
+	welcome, err := greet(ctx, conn, eff)
+	if err != nil {
+		conn.Close("no welcome")
+		return nil, nil, fmt.Errorf("greet agent %s at %s: %w", eff.Peer.ID, eff.Peer.Addr, err)
+	}
+	return conn, welcome, nil
+}
+
+func greet(ctx context.Context, conn *transport.Conn, eff entry.Dial) (*wire.Welcome, error) {
+	if id := conn.Peer().ID; id != eff.Peer.ID {
+		return nil, fmt.Errorf("certificate names agent %s", id)
+	}
+	if err := conn.Send(eff.Hello); err != nil {
+		return nil, err
+	}
+	m, _, err := conn.Recv(ctx)
+	if err != nil {
+		return nil, err
+	}
+	w, ok := m.(*wire.Welcome)
+	if !ok {
+		return nil, fmt.Errorf("%w %T, want a welcome", errNotAgent, m)
+	}
+	return w, nil
+}
+
+// receive posts the reports of a session until it ends.
+func (d *Daemon) receive(agent string, session uint64, conn *transport.Conn) error {
+	for {
+		m, _, err := conn.Recv(d.dialCtx)
+		if err != nil {
+			return err
+		}
+		r, ok := m.(*wire.Report)
+		if !ok {
+			return fmt.Errorf("%w %T, want a report", errNotAgent, m)
+		}
+		d.loop.Post(entry.Received{Agent: agent, Session: session, Report: r})
+	}
+}
+
+func (d *Daemon) setLink(agent string, l *link) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.links[agent]
+	if old != nil && old.session > l.session {
+		l.conn.Close("superseded session")
+		return
+	}
+	if old != nil {
+		old.conn.Close("newer session")
+	}
+	d.links[agent] = l
+}
+
+func (d *Daemon) link(agent string, session uint64) *link {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l := d.links[agent]; l != nil && l.session == session {
+		return l
+	}
+	return nil
+}
+
+// send hands an update to its session. A session that can't take it is closed;
+// the outcome of its tasks is then asked for on the next one.
+func (d *Daemon) send(eff entry.Send) {
+	l := d.link(eff.Agent, eff.Session)
+	if l == nil {
+		return
+	}
+	if err := l.conn.Send(eff.Update); err != nil {
+		d.log.Warn("update not sent", "agent", eff.Agent, "err", err)
+		l.conn.Close("update not sent")
+	}
+}
+
+func (d *Daemon) expect(eff entry.Expect) {
+	if l := d.link(eff.Agent, eff.Session); l != nil {
+		l.conn.Expect(eff.On)
+	}
+}
+
+func (d *Daemon) hangup(eff entry.Hangup) {
+	if l := d.link(eff.Agent, eff.Session); l != nil {
+		l.conn.Close(eff.Why)
+	}
+}
+
+func (d *Daemon) closeLinks() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, l := range d.links {
+		l.conn.Close("entry shuts down")
+	}
+}
