--- /dev/null
+++ b/agent/config.go
@@ -0,0 +1,115 @@
+package agent
+
+import "time"
+
+// Config tunes a State. Zero fields take the values of DefaultConfig.
+type Config struct {
+	// QueueShare is the length of the local queue as a share of the slots.
+	QueueShare float64
+	// QueueMin is the least length of the local queue, in tasks.
+	QueueMin int
+	// Policy decides how much credit an entry gets.
+	Policy Policy
+	// Prefetch is how many tasks above the free slots an entry with waiting
+	// tasks may send, so that a slot need not idle for a round trip.
+	Prefetch int
+	// GrantHold is how long a free slot stays reserved for an entry that was
+	// told of it.
+	GrantHold time.Duration
+	// DemandKeep is how long an entry's demand counts after its last update.
+	DemandKeep time.Duration
+	// TellEvery is the least time between two reports that only tell an entry
+	// without waiting tasks that slots are free again.
+	TellEvery time.Duration
+	// BypassAfter is how long the first queued task may be overtaken by tasks
+	// that need less.
+	BypassAfter time.Duration
+	// MaxRun bounds a run whose assignment names no bound.
+	MaxRun time.Duration
+	// StopGrace is how long a stopped run may take to end.
+	StopGrace time.Duration
+	// SilentAfter is how long a run may go without an answer before the
+	// upstream is asked about it on another connection; CheckEvery is the time
+	// between such questions.
+	SilentAfter time.Duration
+	CheckEvery  time.Duration
+	// ForgetEntry is how long an entry without a session is remembered.
+	ForgetEntry time.Duration
+	// MaxUnacked bounds the outcomes kept for one entry.
+	MaxUnacked int
+	// MaxReportBytes bounds the bodies in one report.
+	MaxReportBytes int
+	// PastIDs is how many ids of acknowledged tasks are remembered.
+	PastIDs int
+	// EjectAfter is how many distinct submissions must fail in a row before
+	// the upstream is suspended.
+	EjectAfter int
+	// SuspendFirst and SuspendMax bound the time of a suspension, which doubles
+	// with each failed probation.
+	SuspendFirst time.Duration
+	SuspendMax   time.Duration
+	// DrainWithin bounds a drain; AckWithin bounds the wait for the entries'
+	// acknowledgements once the last run has ended.
+	DrainWithin time.Duration
+	AckWithin   time.Duration
+}
+
+// DefaultConfig returns the configuration that applies to unset fields.
+func DefaultConfig() Config {
+	return Config{
+		QueueShare:     0.5,
+		QueueMin:       2,
+		Policy:         Sticky{Factor: 2},
+		GrantHold:      25 * time.Millisecond,
+		DemandKeep:     time.Second,
+		TellEvery:      time.Second,
+		BypassAfter:    200 * time.Millisecond,
+		MaxRun:         10 * time.Minute,
+		StopGrace:      time.Second,
+		SilentAfter:    2 * time.Second,
+		CheckEvery:     time.Second,
+		ForgetEntry:    10 * time.Minute,
+		MaxUnacked:     4096,
+		MaxReportBytes: 1 << 20,
+		PastIDs:        1 << 16,
+		EjectAfter:     5,
+		SuspendFirst:   time.Second,
+		SuspendMax:     time.Minute,
+		DrainWithin:    30 * time.Second,
+		AckWithin:      2 * time.Second,
+	}
+}
+
+func (c Config) withDefaults() Config {
+	d := DefaultConfig()
+	setDefault(&c.QueueShare, d.QueueShare)
+	setDefault(&c.QueueMin, d.QueueMin)
+	if c.Policy == nil {
+		c.Policy = d.Policy
+	}
+	setDefault(&c.GrantHold, d.GrantHold)
+	setDefault(&c.DemandKeep, d.DemandKeep)
+	setDefault(&c.TellEvery, d.TellEvery)
+	setDefault(&c.BypassAfter, d.BypassAfter)
+	setDefault(&c.MaxRun, d.MaxRun)
+	setDefault(&c.StopGrace, d.StopGrace)
+	setDefault(&c.SilentAfter, d.SilentAfter)
+	setDefault(&c.CheckEvery, d.CheckEvery)
+	setDefault(&c.ForgetEntry, d.ForgetEntry)
+	setDefault(&c.MaxUnacked, d.MaxUnacked)
+	setDefault(&c.MaxReportBytes, d.MaxReportBytes)
+	setDefault(&c.PastIDs, d.PastIDs)
+	setDefault(&c.EjectAfter, d.EjectAfter)
+	setDefault(&c.SuspendFirst, d.SuspendFirst)
+	setDefault(&c.SuspendMax, d.SuspendMax)
+	setDefault(&c.DrainWithin, d.DrainWithin)
+	setDefault(&c.AckWithin, d.AckWithin)
+	return c
+}
+
+func setDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
--- /dev/null
+++ b/agent/drain.go
@@ -0,0 +1,51 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/fireflytray/fireflytray/task"
+)
+
+// drain is the state of a graceful end.
+type drain struct {
+	on    bool
+	until time.Duration
+	// idleAt is when the last run ended; zero while runs remain.
+	idleAt time.Duration
+	done   bool
+}
+
+func (s *State) startDrain() {
+	if s.drain.on {
+		return
+	}
+	s.drain.on = true
+	s.drain.until = s.now + s.cfg.DrainWithin
+	s.refuseQueued(task.ReasonDraining)
+}
+
+// finishDrain ends the process once every run has ended and every outcome is
+// acknowledged, or the time for either is over.
+func (s *State) finishDrain() {
+	d := &s.drain
+	if !d.on || d.done {
+		return
+	}
+	if len(s.running) == 0 && d.idleAt == 0 {
+		d.idleAt = s.now
+	}
+	unacked := s.unacked()
+	idle := d.idleAt > 0 && (unacked == 0 || s.now >= d.idleAt+s.cfg.AckWithin)
+	if idle || s.now >= d.until {
+		d.done = true
+		s.emit(Drained{Unacked: unacked})
+	}
+}
+
+func (s *State) unacked() int {
+	n := 0
+	for _, e := range s.order {
+		n += len(e.ended)
+	}
+	return n
+}
--- /dev/null
+++ b/agent/record.go
@@ -0,0 +1,76 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+type phase uint8
+
+const (
+	phaseQueued phase = iota + 1
+	phaseRunning
+	phaseEnded
+)
+
+// record is a task that the agent holds, or whose outcome is unacknowledged.
+type record struct {
+	id      task.ID
+	entry   *entry
+	phase   phase
+	rank    float64
+	need    task.Resources
+	payload []byte
+	arrived time.Duration
+	startBy time.Duration
+	runBy   time.Duration
+
+	run     RunID
+	started time.Duration
+	// checkAt is when to ask the upstream about the run; zero while a question
+	// is open.
+	checkAt time.Duration
+	// stopWhy and stopAt are set once the run was told to stop.
+	stopWhy task.Reason
+	stopAt  time.Duration
+
+	result wire.Result
+	// reported is the sequence number of the last report with the result; zero
+	// if it must be sent.
+	reported uint64
+	// barred forbids the id to start later although it did not run.
+	barred bool
+}
+
+// past remembers the latest ids of tasks that must never start again, in a
+// ring of fixed size.
+type past struct {
+	ids  map[task.ID]struct{}
+	ring []task.ID
+	next int
+}
+
+func newPast(size int) past {
+	return past{ids: make(map[task.ID]struct{}), ring: make([]task.ID, 0, size)}
+}
+
+func (p *past) has(id task.ID) bool {
+	_, ok := p.ids[id]
+	return ok
+}
+
+func (p *past) add(id task.ID) {
+	if p.has(id) {
+		return
+	}
+	p.ids[id] = struct{}{}
+	if len(p.ring) < cap(p.ring) {
+		p.ring = append(p.ring, id)
+		return
+	}
+	delete(p.ids, p.ring[p.next])
+	p.ring[p.next] = id
+	p.next = (p.next + 1) % len(p.ring)
+}
--- /dev/null
+++ b/agent/run.go
@@ -0,0 +1,316 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// maxWait bounds the start deadline of an assignment.
+const maxWait = time.Hour
+
+// assign takes in one task, whose message was under way for lag.
+func (s *State) assign(e *entry, a *wire.Assignment, lag time.Duration) {
+	if s.seen(e, a.ID) {
+		s.stats.Duplicates++
+		return
+	}
+	s.stats.Received++
+	r := &record{
+		id:      a.ID,
+		entry:   e,
+		phase:   phaseQueued,
+		rank:    a.Rank,
+		need:    a.Spec.Need,
+		payload: a.Spec.Payload,
+		arrived: s.now,
+		startBy: s.now + min(a.StartWithin, maxWait) - lag,
+		runBy:   s.now + s.runWithin(a) - lag,
+	}
+	s.tasks[r.id] = r
+	e.held++
+	if why := s.refusal(r); why != task.ReasonNone {
+		s.refuse(r, why)
+		return
+	}
+	s.admit(r)
+}
+
+// seen reports whether id is held, unacknowledged or past. An outcome that is
+// not acknowledged is sent again.
+func (s *State) seen(e *entry, id task.ID) bool {
+	r, ok := s.tasks[id]
+	if !ok {
+		return s.past.has(id)
+	}
+	if r.phase == phaseEnded && r.entry == e && r.reported != 0 {
+		i := slices.Index(e.ended, r)
+		e.ended = append(slices.Delete(e.ended, i, i+1), r)
+		e.sent--
+		r.reported = 0
+	}
+	return true
+}
+
+func (s *State) runWithin(a *wire.Assignment) time.Duration {
+	if a.RunWithin <= 0 || a.RunWithin > s.cfg.MaxRun {
+		return s.cfg.MaxRun
+	}
+	return a.RunWithin
+}
+
+func (s *State) refusal(r *record) task.Reason {
+	switch {
+	case s.now >= r.startBy:
+		s.stats.Stale++
+		return task.ReasonStartExpired
+	case s.drain.on || s.up.leaving:
+		return task.ReasonDraining
+	case s.up.until == 0:
+		return task.ReasonNoUpstream
+	case s.up.unreachable:
+		return task.ReasonUpstreamGone
+	case s.health.suspended:
+		return task.ReasonSuspended
+	case !r.need.Fits(s.up.Offered):
+		return task.ReasonNeverFits
+	}
+	return task.ReasonNone
+}
+
+// admit queues a task; where the queue is full, the least urgent is refused.
+func (s *State) admit(r *record) {
+	s.queue.push(r)
+	if s.room() < 0 {
+		s.stats.Busy++
+		s.refuse(s.queue.last(), task.ReasonBusy)
+	}
+}
+
+func (s *State) refuse(r *record, why task.Reason) {
+	s.end(r, task.Outcome{State: task.NotRun, Reason: why})
+}
+
+func (s *State) cancel(e *entry, id task.ID) {
+	r, ok := s.tasks[id]
+	switch {
+	case !ok && s.past.has(id):
+	case !ok:
+		s.bar(e, id)
+	case r.entry != e:
+	case r.phase == phaseQueued:
+		r.barred = true
+		s.refuse(r, task.ReasonCancelled)
+	case r.phase == phaseRunning:
+		s.stop(r, task.ReasonCancelled)
+	case r.result.Outcome.State == task.NotRun:
+		r.barred = true
+	}
+}
+
+// bar refuses a task whose cancellation came before it.
+func (s *State) bar(e *entry, id task.ID) {
+	r := &record{id: id, entry: e, phase: phaseQueued, barred: true, arrived: s.now}
+	s.tasks[id] = r
+	e.held++
+	s.refuse(r, task.ReasonCancelled)
+}
+
+// dispatch starts queued tasks while slots and resources allow.
+func (s *State) dispatch() {
+	slots := s.slots()
+	for len(s.running) < slots {
+		r := s.nextFitting()
+		if r == nil {
+			return
+		}
+		s.start(r)
+	}
+}
+
+// nextFitting returns the most urgent queued task that fits. The first one
+// may be overtaken for a bounded time only.
+func (s *State) nextFitting() *record {
+	for i, r := range s.queue.recs {
+		if s.up.fits(r.need, s.running) {
+			return r
+		}
+		if i == 0 && s.now-r.arrived >= s.cfg.BypassAfter {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (s *State) start(r *record) {
+	s.queue.remove(r)
+	s.lastRun++
+	s.stats.Started++
+	r.phase, r.run, r.started = phaseRunning, s.lastRun, s.now
+	r.checkAt = s.now + s.cfg.SilentAfter
+	s.up.taken(r.need)
+	s.running = append(s.running, r)
+	s.emit(StartRun{Run: r.run, ID: r.id, Payload: r.payload, StartBy: r.startBy, RunBy: r.runBy})
+	r.payload = nil
+}
+
+// stop asks the upstream to stop a run, once, where it can.
+func (s *State) stop(r *record, why task.Reason) {
+	if r.stopWhy != task.ReasonNone || !s.up.CanStop {
+		return
+	}
+	r.stopWhy = why
+	r.stopAt = s.now
+	s.emit(StopRun{Run: r.run, ID: r.id})
+}
+
+func (s *State) findRun(id RunID) *record {
+	for _, r := range s.running {
+		if r.run == id {
+			return r
+		}
+	}
+	return nil
+}
+
+// runEnded takes the end of a run. The end of one given up is ignored.
+func (s *State) runEnded(ev RunEnded) {
+	r := s.findRun(ev.Run)
+	if r == nil {
+		return
+	}
+	if r.stopWhy == task.ReasonNone {
+		s.judge(r, ev.End)
+	}
+	s.end(r, outcome(r, ev))
+	if ev.End == EndRefused {
+		s.suspect()
+	}
+}
+
+// outcome translates the end of a run.
+func outcome(r *record, ev RunEnded) task.Outcome {
+	switch ev.End {
+	case EndComplete:
+		return task.Outcome{State: task.Complete, Body: ev.Body, Ran: ev.Ran}
+	case EndFailed:
+		return task.Outcome{State: task.Failed, Reason: failure(r), Body: ev.Body, Ran: ev.Ran}
+	case EndStopped:
+		return task.Outcome{State: task.Failed, Reason: failure(r), Ran: ev.Ran}
+	case EndRefused:
+		return task.Outcome{State: task.NotRun, Reason: task.ReasonUpstreamGone}
+	case EndBusy:
+		return task.Outcome{State: task.NotRun, Reason: task.ReasonBusy}
+	case EndExpired:
+		return task.Outcome{State: task.NotRun, Reason: task.ReasonStartExpired}
+	}
+	return task.Outcome{State: task.Unknown, Reason: task.ReasonUpstreamGone, Ran: ev.Ran}
+}
+
+// failure returns why a run that started did not complete.
+func failure(r *record) task.Reason {
+	if r.stopWhy != task.ReasonNone {
+		return r.stopWhy
+	}
+	return task.ReasonUpstreamError
+}
+
+// judge notes what a run's end says about the upstream's health.
+func (s *State) judge(r *record, end End) {
+	switch end {
+	case EndComplete:
+		s.health.succeeded()
+	case EndFailed, EndLost, EndRefused:
+		if s.health.failed(s.now, r.id.Submission) {
+			s.stats.Suspensions++
+			s.refuseQueued(task.ReasonSuspended)
+		}
+	}
+}
+
+func (s *State) runChecked(ev RunChecked) {
+	r := s.findRun(ev.Run)
+	if r == nil {
+		return
+	}
+	r.checkAt = s.now + s.cfg.CheckEvery
+	switch ev.Verdict {
+	case VerdictMissing:
+		s.abandon(r, task.Outcome{State: task.Unknown, Reason: task.ReasonUpstreamGone, Ran: s.now - r.started})
+	case VerdictUnreachable:
+		s.suspect()
+	}
+}
+
+// abandon gives a run up without knowing its end.
+func (s *State) abandon(r *record, out task.Outcome) {
+	s.emit(AbandonRun{Run: r.run, ID: r.id})
+	s.end(r, out)
+}
+
+// end settles a task's outcome, once, and frees what it held.
+func (s *State) end(r *record, out task.Outcome) {
+	switch r.phase {
+	case phaseQueued:
+		s.queue.remove(r)
+	case phaseRunning:
+		s.running = slices.DeleteFunc(s.running, func(o *record) bool { return o == r })
+		s.up.given(r.need)
+	}
+	waited := s.now - r.arrived
+	if r.run > 0 {
+		waited = r.started - r.arrived
+	}
+	out.Where = s.me.ID
+	r.phase, r.payload = phaseEnded, nil
+	r.result = wire.Result{ID: r.id, Outcome: out, Waited: waited}
+	r.entry.held--
+	if r.entry.forgotten {
+		s.release(r)
+		s.past.add(r.id)
+		return
+	}
+	r.entry.ended = append(r.entry.ended, r)
+}
+
+// expire acts on all deadlines that have passed.
+func (s *State) expire() {
+	s.health.tick(s.now)
+	s.expireUpstream()
+	s.expireEntries()
+	for i := 0; i < s.queue.len(); i++ {
+		if r := s.queue.recs[i]; s.now >= r.startBy {
+			s.stats.Stale++
+			s.refuse(r, task.ReasonStartExpired)
+			i--
+		}
+	}
+	for i := 0; i < len(s.running); i++ {
+		if r := s.running[i]; s.expireRun(r) {
+			i--
+		}
+	}
+}
+
+// expireRun acts on a run's deadlines and reports whether it was given up.
+func (s *State) expireRun(r *record) bool {
+	switch {
+	case r.stopWhy != task.ReasonNone:
+		if s.now < r.stopAt+s.cfg.StopGrace {
+			return false
+		}
+		s.abandon(r, task.Outcome{State: task.Unknown, Reason: r.stopWhy, Ran: s.now - r.started})
+		return true
+	case s.now >= r.runBy && !s.up.CanStop:
+		s.abandon(r, task.Outcome{State: task.Unknown, Reason: task.ReasonDeadline, Ran: s.now - r.started})
+		return true
+	case s.now >= r.runBy:
+		s.stop(r, task.ReasonDeadline)
+	case r.checkAt > 0 && s.now >= r.checkAt:
+		r.checkAt = 0
+		s.emit(CheckRun{Run: r.run, ID: r.id, Status: s.up.CanStatus})
+	}
+	return false
+}
--- /dev/null
+++ b/agent/session.go
@@ -0,0 +1,219 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// entry is one incarnation of an entry process, over all its sessions.
+type entry struct {
+	peer  wire.Peer
+	clock peerClock
+
+	// session is zero while no connection is open.
+	session   SessionID
+	sessionNo uint64
+	lastSeq   uint64
+	goneAt    time.Duration
+
+	// amnesic is set if this incarnation had sessions that are forgotten, so
+	// that an unknown task may still have run.
+	amnesic   bool
+	welcomeAt uint64
+
+	reportSeq uint64
+	// ended holds the unacknowledged outcomes: the first sent of them are in
+	// reports, in order of their sequence numbers.
+	ended []*record
+	sent  int
+	held  int
+
+	demand    wire.Demand
+	demandAt  time.Duration
+	told      int
+	toldAt    time.Duration
+	toldSlots uint32
+	tellAt    time.Duration
+	forgotten bool
+}
+
+func (s *State) open(id SessionID, h *wire.Hello) {
+	e, known := s.entries[h.From.Incarnation]
+	if known && h.Session <= e.sessionNo {
+		s.emit(CloseSession{Session: id, Why: CloseStale})
+		return
+	}
+	if !known {
+		e = s.addEntry(h)
+	}
+	if e.session != 0 {
+		s.endSession(e, CloseReplaced)
+	}
+	s.dropOlder(h.From)
+	e.peer, e.session, e.sessionNo, e.lastSeq = h.From, id, h.Session, 0
+	e.demand, e.told = wire.Demand{}, 0
+	s.sessions[id] = e
+	e.clock.lag(s.now, h.SentAt)
+	s.welcome(e, h)
+}
+
+func (s *State) addEntry(h *wire.Hello) *entry {
+	e := &entry{}
+	if h.Incarnation == s.me.Incarnation {
+		// Fewer than one report a microsecond is sent, so this is above every
+		// number used before.
+		e.amnesic = true
+		e.reportSeq = uint64(s.now / time.Microsecond)
+	}
+	s.entries[h.From.Incarnation] = e
+	s.order = append(s.order, e)
+	return e
+}
+
+// welcome sends every unacknowledged outcome and settles the pending tasks
+// that this incarnation does not hold.
+func (s *State) welcome(e *entry, h *wire.Hello) {
+	e.sent = 0
+	rep := s.report(e)
+	for _, id := range h.Pending {
+		if out, ok := s.settle(e, h, id); ok {
+			rep.Outcomes = append(rep.Outcomes, wire.Result{ID: id, Outcome: out})
+		}
+	}
+	e.welcomeAt = rep.Seq
+	w := s.worker()
+	s.emit(SendWelcome{
+		Session: e.session,
+		Welcome: &wire.Welcome{From: s.me, SentAt: s.now, Worker: &w, Report: rep},
+	})
+}
+
+// settle returns the outcome of a task that an entry waits for and this
+// incarnation does not hold. The older session is closed to updates, so a task
+// that never arrived never will.
+func (s *State) settle(e *entry, h *wire.Hello, id task.ID) (task.Outcome, bool) {
+	if h.Incarnation != s.me.Incarnation {
+		return task.Outcome{State: task.Unknown, Reason: task.ReasonAgentRestarted}, true
+	}
+	if _, held := s.tasks[id]; held {
+		return task.Outcome{}, false
+	}
+	if e.amnesic || s.past.has(id) {
+		return task.Outcome{State: task.Unknown, Reason: task.ReasonAgentRestarted}, true
+	}
+	return task.Outcome{State: task.NotRun, Reason: task.ReasonNeverReceived}, true
+}
+
+func (s *State) closed(id SessionID) {
+	if e := s.sessions[id]; e != nil {
+		s.detach(e)
+	}
+}
+
+func (s *State) endSession(e *entry, why CloseReason) {
+	s.emit(CloseSession{Session: e.session, Why: why})
+	s.detach(e)
+}
+
+func (s *State) detach(e *entry) {
+	delete(s.sessions, e.session)
+	e.session, e.goneAt = 0, s.now
+	e.demand, e.told = wire.Demand{}, 0
+}
+
+func (s *State) update(id SessionID, u *wire.Update) {
+	e := s.sessions[id]
+	if e == nil || u.Seq <= e.lastSeq {
+		s.stats.Duplicates++
+		return
+	}
+	lag := e.clock.lag(s.now, u.SentAt)
+	switch {
+	case u.Seq != e.lastSeq+1:
+		s.endSession(e, CloseGap)
+		return
+	case u.Seen > e.reportSeq:
+		s.endSession(e, CloseBadAck)
+		return
+	}
+	s.acknowledge(e, u.Seen)
+	if len(e.ended)+len(u.Tasks)+len(u.Cancel) > s.cfg.MaxUnacked {
+		s.endSession(e, CloseUnacked)
+		return
+	}
+	e.lastSeq = u.Seq
+	e.demand, e.demandAt = u.Demand, s.now
+	e.told = max(0, e.told-len(u.Tasks))
+	for i := range u.Tasks {
+		s.assign(e, &u.Tasks[i], lag)
+	}
+	for _, id := range u.Cancel {
+		s.cancel(e, id)
+	}
+}
+
+// acknowledge forgets the outcomes in reports up to seen. A task that did not
+// run may come again from now on; any other may not.
+func (s *State) acknowledge(e *entry, seen uint64) {
+	if seen >= e.welcomeAt {
+		e.amnesic = false
+	}
+	n := 0
+	for n < e.sent && e.ended[n].reported <= seen {
+		s.release(e.ended[n])
+		n++
+	}
+	e.ended = slices.Delete(e.ended, 0, n)
+	e.sent -= n
+}
+
+func (s *State) release(r *record) {
+	delete(s.tasks, r.id)
+	if r.barred || r.result.Outcome.State != task.NotRun {
+		s.past.add(r.id)
+	}
+}
+
+// dropOlder forgets the closed incarnations of a process that has restarted.
+func (s *State) dropOlder(p wire.Peer) {
+	for _, e := range slices.Clone(s.order) {
+		if e.session == 0 && e.peer.ID == p.ID && e.peer.Incarnation != p.Incarnation {
+			s.forget(e)
+		}
+	}
+}
+
+// forget drops all that is held for an entry that won't come back.
+func (s *State) forget(e *entry) {
+	e.forgotten = true
+	for _, r := range slices.Clone(s.queue.recs) {
+		if r.entry == e {
+			s.refuse(r, task.ReasonEntryRestarted)
+		}
+	}
+	for _, r := range s.running {
+		if r.entry == e {
+			s.stop(r, task.ReasonEntryRestarted)
+		}
+	}
+	for _, r := range e.ended {
+		s.release(r)
+		s.past.add(r.id)
+	}
+	e.ended, e.sent = nil, 0
+	delete(s.entries, e.peer.Incarnation)
+	s.order = slices.DeleteFunc(s.order, func(o *entry) bool { return o == e })
+}
+
+func (s *State) expireEntries() {
+	for i := 0; i < len(s.order); i++ {
+		e := s.order[i]
+		if e.session == 0 && s.now >= e.goneAt+s.cfg.ForgetEntry {
+			s.forget(e)
+			i--
+		}
+	}
+}
--- /dev/null
+++ b/agent/upstream.go
@@ -0,0 +1,149 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/fireflytray/fireflytray/task"
+)
+
+// upstream is what the agent knows of the process that it starts tasks at.
+type upstream struct {
+	Upstream
+	// until is when the lease runs out; zero while no lease is held.
+	until   time.Duration
+	leaving bool
+	// unreachable is set when no connection could be made or a probe failed,
+	// until a probe succeeds.
+	unreachable bool
+	probing     bool
+	probeAt     time.Duration
+	// spare is what the last measurement leaves free, less what was started
+	// since.
+	spare    task.Resources
+	measured bool
+}
+
+// open reports whether tasks may start.
+func (u *upstream) open() bool { return u.until > 0 && !u.leaving && !u.unreachable }
+
+// fits reports whether need is free now, beside the running tasks.
+func (u *upstream) fits(need task.Resources, running []*record) bool {
+	if need == (task.Resources{}) {
+		return true
+	}
+	free := u.Offered
+	for _, r := range running {
+		free = free.Sub(r.need)
+	}
+	return need.Fits(free) && (!u.measured || need.Fits(u.spare))
+}
+
+// usage takes a measurement of the time takenAt. Tasks started after that come
+// on top.
+func (u *upstream) usage(inUse task.Resources, takenAt time.Duration, running []*record) {
+	u.measured = true
+	u.spare = u.Offered.Sub(inUse)
+	for _, r := range running {
+		if r.started > takenAt {
+			u.spare = u.spare.Sub(r.need)
+		}
+	}
+}
+
+func (u *upstream) taken(need task.Resources) { u.spare = u.spare.Sub(need) }
+
+func (u *upstream) given(need task.Resources) {
+	sum := u.spare.Add(need)
+	u.spare = u.Offered.Sub(u.Offered.Sub(sum))
+}
+
+// announce takes an upstream's announcement: a new one, a renewal or a change.
+func (s *State) announce(a Upstream) {
+	u := &s.up
+	if u.until == 0 || a.Instance != u.Instance {
+		s.lose(task.ReasonUpstreamGone)
+		*u = upstream{Upstream: a}
+		s.health.failing = s.health.failing[:0]
+		s.emit(UseUpstream{Upstream: a})
+	}
+	if a.Addr != u.Addr || a.Connections != u.Connections {
+		s.emit(UseUpstream{Upstream: a})
+	}
+	u.Upstream = a
+	u.until = s.now + max(a.Lease, time.Millisecond)
+	if a.Draining {
+		s.leave(a.Instance)
+	}
+}
+
+// leave closes the upstream to new tasks; running ones end normally.
+func (s *State) leave(instance string) {
+	if s.up.until == 0 || s.up.Instance != instance || s.up.leaving {
+		return
+	}
+	s.up.leaving = true
+	s.refuseQueued(task.ReasonDraining)
+}
+
+// lose gives up the upstream: whether its running tasks ended is unknown.
+func (s *State) lose(why task.Reason) {
+	s.up.until = 0
+	s.refuseQueued(task.ReasonNoUpstream)
+	for len(s.running) > 0 {
+		r := s.running[len(s.running)-1]
+		s.emit(AbandonRun{Run: r.run, ID: r.id})
+		s.end(r, task.Outcome{State: task.Unknown, Reason: why, Ran: s.now - r.started})
+	}
+}
+
+// suspect closes the upstream to new tasks until a probe succeeds.
+func (s *State) suspect() {
+	if s.up.until == 0 || s.up.unreachable {
+		return
+	}
+	s.up.unreachable = true
+	s.refuseQueued(task.ReasonUpstreamGone)
+	s.probe()
+}
+
+func (s *State) probe() {
+	if s.up.probing {
+		return
+	}
+	s.up.probing = true
+	s.emit(ProbeUpstream{Instance: s.up.Instance})
+}
+
+func (s *State) probed(ev Probed) {
+	if s.up.until == 0 || ev.Instance != s.up.Instance {
+		return
+	}
+	s.up.probing = false
+	if ev.OK {
+		s.up.unreachable = false
+		return
+	}
+	s.suspect()
+	s.up.probeAt = s.now + s.cfg.CheckEvery
+}
+
+// expireUpstream acts on what has come due at the upstream.
+func (s *State) expireUpstream() {
+	u := &s.up
+	if u.until == 0 {
+		return
+	}
+	if s.now >= u.until && (!u.leaving || len(s.running) == 0) {
+		s.lose(task.ReasonUpstreamGone)
+		return
+	}
+	if u.unreachable && !u.probing && s.now >= u.probeAt {
+		s.probe()
+	}
+}
+
+func (s *State) refuseQueued(why task.Reason) {
+	for s.queue.len() > 0 {
+		s.refuse(s.queue.last(), why)
+	}
+}
