--- a/transport/meter.go
+++ b/transport/meter.go
@@ -9,12 +9,9 @@
 	"github.com/fireflytray/fireflytray/wire"
 )
 
-// kindLimit is one more than the highest kind.
-const kindLimit = int(wire.KindPong) + 1
-
 // meter counts messages and bytes by kind.
 type meter struct {
-	sent, received [kindLimit]kindCounters
+	sent, received []kindCounters
 }
 
 type kindCounters struct {
@@ -22,22 +19,26 @@
 }
 
 func newMeter(scope tally.Scope) *meter {
-	m := new(meter)
-	for k := 1; k < kindLimit; k++ {
-		tags := map[string]string{"kind": kindName(wire.Kind(k))}
-		tagged := scope.SubScope("transport").Tagged(tags)
-		m.sent[k] = kindCounters{tagged.Counter("sent_messages"), tagged.Counter("sent_bytes")}
-		m.received[k] = kindCounters{tagged.Counter("received_messages"), tagged.Counter("received_bytes")}
+	m := &meter{sent: make([]kindCounters, 1), received: make([]kindCounters, 1)}
+	for k := wire.Kind(1); k != 0; k++ {
+		name, ok := kindName(k)
+		if !ok {
+			break
+		}
+		tagged := scope.SubScope("transport").Tagged(map[string]string{"kind": name})
+		m.sent = append(m.sent, kindCounters{tagged.Counter("sent_messages"), tagged.Counter("sent_bytes")})
+		m.received = append(m.received, kindCounters{tagged.Counter("received_messages"), tagged.Counter("received_bytes")})
 	}
 	return m
 }
 
-func kindName(k wire.Kind) string {
+// kindName returns a kind's tag; ok is false for a kind that has no message.
+func kindName(k wire.Kind) (name string, ok bool) {
 	msg, err := wire.New(k)
 	if err != nil {
-		return "unknown"
+		return "", false
 	}
-	return strings.ToLower(strings.TrimPrefix(fmt.Sprintf("%T", msg), "*wire."))
+	return strings.ToLower(strings.TrimPrefix(fmt.Sprintf("%T", msg), "*wire.")), true
 }
 
 func (c kindCounters) add(bytes int) {
