transport: progress deadline, shutdown, and tests of failures

Cause: a connection must be judged apart from its peer; a slow receiver must not look like a silent one. Ruled out: judging by frames alone (a peer whose application is slow to receive would look silent after half a second); judging by packets alone (a path that drops one direction only would never end). Change: pings while nothing comes back; no packet after a ping ends the connection, answers missing for five times as long do too; a check that itself ran late starts anew; Shutdown delivers what is queued.

--- a/transport/conn.go
+++ b/transport/conn.go
@@ -19,11 +19,22 @@
 	// receiveQueue is how many decoded messages may wait for Recv.
 	receiveQueue = 256
 	readBuffer   = 4 << 10
-	closeCode    = quic.ApplicationErrorCode(0)
+	// closeCode ends a connection for the reason in its text; endCode answers
+	// the end of the peer's stream.
+	closeCode = quic.ApplicationErrorCode(0)
+	endCode   = quic.ApplicationErrorCode(1)
 	// retainPending is the largest write buffer kept between writes.
 	retainPending = 64 << 10
 )
 
+var (
+	// errEnded means that the peer has shut down the connection.
+	errEnded = fmt.Errorf("shut down by peer: %w", ErrClosed)
+	// errPeerEnded means that the peer has read all of a stream that this side
+	// shut down.
+	errPeerEnded = fmt.Errorf("shut down: %w", ErrClosed)
+)
+
 // Conn is a connection to one peer. It is safe for concurrent use.
 type Conn struct {
 	opts   Options
@@ -35,7 +46,9 @@
 
 	mu      sync.Mutex
 	pending []byte
-	wake    chan struct{}
+	// finishing is set by Shutdown: nothing more is queued.
+	finishing bool
+	wake      chan struct{}
 
 	in    chan frame
 	probe *prober
@@ -109,14 +122,21 @@
 		return fmt.Errorf("transport: send to %s: %w", c.peer, err)
 	}
 	c.meter.sent[m.Kind()].add(size)
+	c.wakeWriter()
+	return nil
+}
+
+func (c *Conn) wakeWriter() {
 	select {
 	case c.wake <- struct{}{}:
 	default:
 	}
-	return nil
 }
 
 func (c *Conn) appendLocked(m wire.Message, s wire.Stamp) (int, error) {
+	if c.finishing {
+		return 0, fmt.Errorf("%T after shutdown: %w", m, ErrClosed)
+	}
 	before := len(c.pending)
 	out, err := appendFrame(c.pending, m, s, c.opts.MaxFrame)
 	if err != nil {
@@ -150,8 +170,27 @@
 // a quiet connection is probed often enough to be found silent in time.
 func (c *Conn) Expect(on bool) { c.probe.expect(on) }
 
-// Close ends the connection and tells the peer the reason. Messages that are
-// still queued are lost.
+// Shutdown sends what is queued, then ends the connection. It returns nil once
+// the peer has read all of it. Messages from the peer may be lost.
+func (c *Conn) Shutdown(ctx context.Context) error {
+	c.mu.Lock()
+	c.finishing = true
+	c.mu.Unlock()
+	c.wakeWriter()
+	select {
+	case <-c.done:
+	case <-ctx.Done():
+		c.Close("shutdown timed out")
+		return fmt.Errorf("transport: shut down connection to %s: %w", c.peer, ctx.Err())
+	}
+	if err := c.Err(); !errors.Is(err, errPeerEnded) {
+		return fmt.Errorf("transport: shut down connection to %s: %w", c.peer, err)
+	}
+	return nil
+}
+
+// Close ends the connection at once and tells the peer the reason. Messages
+// that are still queued are lost.
 func (c *Conn) Close(reason string) {
 	c.fail(fmt.Errorf("%s: %w", reason, ErrClosed))
 }
@@ -162,7 +201,11 @@
 		c.err.Store(&err)
 		c.probe.stop()
 		close(c.done)
-		c.qc.CloseWithError(closeCode, err.Error())
+		code := closeCode
+		if errors.Is(err, errEnded) {
+			code = endCode
+		}
+		c.qc.CloseWithError(code, err.Error())
 	})
 }
 
@@ -220,12 +263,14 @@
 	var app *quic.ApplicationError
 	var idle *quic.IdleTimeoutError
 	switch {
+	case errors.As(err, &app) && app.Remote && app.ErrorCode == endCode:
+		return errPeerEnded
 	case errors.As(err, &app) && app.Remote:
 		return fmt.Errorf("closed by peer (%s): %w", app.ErrorMessage, ErrClosed)
 	case errors.As(err, &idle):
 		return fmt.Errorf("%w: %w", ErrSilent, err)
 	case errors.Is(err, io.EOF):
-		return fmt.Errorf("stream ended by peer: %w", ErrClosed)
+		return errEnded
 	}
 	return err
 }
@@ -239,15 +284,8 @@
 		case <-c.done:
 			return
 		}
-		c.mu.Lock()
-		batch := c.pending
-		c.pending = spare[:0]
-		c.mu.Unlock()
-		if len(batch) == 0 {
-			spare = batch
-			continue
-		}
-		if _, err := c.stream.Write(batch); err != nil {
+		batch, finishing := c.takePending(spare)
+		if err := c.write(batch, finishing); err != nil {
 			c.fail(c.readError(err))
 			return
 		}
@@ -257,3 +295,25 @@
 		}
 	}
 }
+
+// takePending returns what is queued and puts an empty buffer in its place.
+func (c *Conn) takePending(spare []byte) (batch []byte, finishing bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	batch = c.pending
+	c.pending = spare[:0]
+	return batch, c.finishing
+}
+
+// write sends a batch, and the end of the stream after the last one.
+func (c *Conn) write(batch []byte, last bool) error {
+	if len(batch) > 0 {
+		if _, err := c.stream.Write(batch); err != nil {
+			return err
+		}
+	}
+	if last {
+		return c.stream.Close()
+	}
+	return nil
+}
--- a/transport/endpoint.go
+++ b/transport/endpoint.go
@@ -69,12 +69,19 @@
 	}
 }
 
-// Close stops listening and ends every connection accepted.
+// Close stops listening. Connections that Accept has returned go on.
 func (l *Listener) Close() error {
 	l.stop()
 	err := l.ql.Close()
 	l.wg.Wait()
-	return err
+	for {
+		select {
+		case c := <-l.conns:
+			c.Close("listener closed")
+		default:
+			return err
+		}
+	}
 }
 
 func (l *Listener) run() {
--- a/transport/probe.go
+++ b/transport/probe.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -11,42 +12,62 @@
 const (
 	// probeSteps is how many checks fit into Options.Silence.
 	probeSteps = 4
+	// quietSteps is how many steps after a ping without any packet make a
+	// connection silent.
+	quietSteps = 2
 	// stallFactor times Options.Silence is how long an answer may take while
 	// packets still arrive.
 	stallFactor = 5
 )
 
-// prober enforces the progress deadline of a connection. It sends a ping when
-// something was sent, or is expected, and nothing has come back; a ping that
-// stays without an answer ends the connection.
+// prober enforces the progress deadline of a connection. It pings when
+// something was sent, or is expected, and nothing has come back. A connection
+// is silent when no packet at all follows a ping; one on which packets arrive
+// without answers gets more time, as its peer may only be slow.
 type prober struct {
 	c     *Conn
 	start time.Time
+	step  time.Duration
 	// first is closed when the first frame has come in.
 	first chan struct{}
 
 	mu    sync.Mutex
 	timer *time.Timer
 	// fast is set while the timer runs at the short interval.
-	fast     bool
-	stopped  bool
+	fast    bool
+	stopped bool
+	// expected is set while the caller awaits something.
 	expected bool
-	stuck    bool
-	nonce    uint64
+	// stuck is set while the reader waits for the caller of Recv.
+	stuck bool
+	nonce uint64
+
 	// Times since start; zero means unset.
+
+	// due is when the timer should fire.
+	due time.Duration
+	// unanswered is the first send since a frame came in.
 	unanswered time.Duration
-	pinged     time.Duration
-	heard      time.Duration
-	// packets is the count at the last check, and moved when it last grew.
-	packets uint64
+	// pinged is the first ping since a frame came in.
+	pinged time.Duration
+	// heard is when the last frame came in.
+	heard time.Duration
+	// moved is the check at which packets, the count received, had grown.
 	moved   time.Duration
+	packets uint64
 }
 
 func newProber(c *Conn) *prober {
-	p := &prober{c: c, start: time.Now(), first: make(chan struct{})}
+	p := &prober{
+		c:     c,
+		start: time.Now(),
+		step:  c.opts.Silence / probeSteps,
+		first: make(chan struct{}),
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.timer = time.AfterFunc(c.opts.KeepAlive, p.check)
+	p.due = c.opts.KeepAlive
+	p.timer = time.AfterFunc(p.due, p.check)
 	return p
 }
 
@@ -58,8 +79,8 @@
 	defer p.mu.Unlock()
 	if p.unanswered == 0 {
 		p.unanswered = p.now()
+		p.hurryLocked()
 	}
-	p.hurryLocked()
 }
 
 // expect notes whether the caller awaits something.
@@ -79,8 +100,7 @@
 	if p.heard == 0 {
 		close(p.first)
 	}
-	p.unanswered, p.pinged = 0, 0
-	p.heard = p.now()
+	p.progressLocked()
 }
 
 // blocked notes whether the reader waits for the caller of Recv; answers that
@@ -89,6 +109,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stuck = on
+	p.progressLocked()
+}
+
+func (p *prober) progressLocked() {
 	p.unanswered, p.pinged = 0, 0
 	p.heard = p.now()
 }
@@ -101,36 +125,66 @@
 }
 
 func (p *prober) hurryLocked() {
-	if p.fast || p.stopped {
-		return
+	if !p.fast && !p.stopped {
+		p.armLocked(true)
 	}
-	p.fast = true
-	p.timer.Reset(p.c.opts.Silence / probeSteps)
 }
 
+func (p *prober) armLocked(fast bool) {
+	p.fast = fast
+	interval := p.c.opts.KeepAlive
+	if fast {
+		interval = p.step
+	}
+	p.due = p.now() + interval
+	p.timer.Reset(interval)
+}
+
+// check runs when the timer fires.
 func (p *prober) check() {
 	packets := p.c.qc.ConnectionStats().PacketsReceived
+	ping, err := p.decide(packets)
+	if err == nil && ping != nil {
+		err = p.c.enqueue(ping)
+	}
+	switch {
+	case err == nil, errors.Is(err, ErrQueueFull):
+		p.rearm()
+	case !errors.Is(err, ErrClosed):
+		p.c.fail(err)
+	}
+}
+
+// decide returns the ping to send, if any, or why the connection has failed.
+func (p *prober) decide(packets uint64) (*wire.Ping, error) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	now := p.now()
 	if packets != p.packets {
 		p.packets, p.moved = packets, now
 	}
-	err := p.judgeLocked(now)
-	ping := err == nil && p.dueLocked(now)
-	if ping {
-		p.nonce++
-		p.pinged = now
+	if now-p.due > p.step {
+		p.forgiveLocked(now)
 	}
-	nonce := p.nonce
-	p.mu.Unlock()
-	if err == nil && ping {
-		err = p.c.enqueue(&wire.Ping{Nonce: nonce, SentAt: now})
+	if err := p.judgeLocked(now); err != nil {
+		return nil, err
 	}
-	if err != nil {
-		p.c.fail(err)
-		return
+	if !p.shouldPingLocked(now) {
+		return nil, nil
+	}
+	if p.pinged == 0 {
+		p.pinged = now
+	}
+	p.nonce++
+	return &wire.Ping{Nonce: p.nonce, SentAt: now}, nil
+}
+
+// forgiveLocked starts the deadline anew after this process was held up: what
+// came in meanwhile may not have been read yet.
+func (p *prober) forgiveLocked(now time.Duration) {
+	if p.pinged != 0 {
+		p.pinged = now
 	}
-	p.rearm()
 }
 
 // judgeLocked returns an error once the connection counts as silent.
@@ -138,27 +192,25 @@
 	if p.pinged == 0 || p.stuck {
 		return nil
 	}
-	step := p.c.opts.Silence / probeSteps
-	waited := now - p.pinged
 	quiet := now - max(p.pinged, p.moved)
-	if quiet >= p.c.opts.Silence-2*step || waited >= stallFactor*p.c.opts.Silence {
+	waited := now - p.pinged
+	if quiet >= quietSteps*p.step || waited >= stallFactor*p.c.opts.Silence {
 		return fmt.Errorf("no answer for %v: %w", waited.Round(time.Millisecond), ErrSilent)
 	}
 	return nil
 }
 
-// dueLocked reports whether to send a ping.
-func (p *prober) dueLocked(now time.Duration) bool {
-	if p.pinged != 0 || p.stuck {
-		return false
-	}
-	step := p.c.opts.Silence / probeSteps
-	if p.unanswered != 0 && now-p.unanswered >= step {
-		return true
-	}
+func (p *prober) shouldPingLocked(now time.Duration) bool {
 	quiet := now - p.heard
-	if p.expected && quiet >= step {
+	switch {
+	case p.stuck:
+		return false
+	case p.pinged != 0:
 		return true
+	case p.unanswered != 0:
+		return now-p.unanswered >= p.step
+	case p.expected:
+		return quiet >= p.step
 	}
 	return p.c.dialed && quiet >= p.c.opts.KeepAlive
 }
@@ -166,13 +218,7 @@
 func (p *prober) rearm() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.stopped {
-		return
-	}
-	p.fast = p.pinged != 0 || p.unanswered != 0 || p.expected
-	if p.fast {
-		p.timer.Reset(p.c.opts.Silence / probeSteps)
-		return
+	if !p.stopped {
+		p.armLocked(p.pinged != 0 || p.unanswered != 0 || p.expected)
 	}
-	p.timer.Reset(p.c.opts.KeepAlive)
 }
--- /dev/null
+++ b/transport/relay_test.go
@@ -0,0 +1,106 @@
+package transport
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// relay forwards UDP between dialling sides and one target, as a middlebox
+// that keeps state per flow does.
+type relay struct {
+	front  *net.UDPConn
+	target *net.UDPAddr
+	mu     sync.Mutex
+	flows  map[netip.AddrPort]*flow
+}
+
+// flow is one dialling side's port; a forgotten one passes nothing any more.
+type flow struct {
+	back      *net.UDPConn
+	forgotten bool
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	t.Helper()
+	addr, err := net.ResolveUDPAddr("udp", target)
+	require.NoError(t, err)
+	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	r := &relay{front: front, target: addr, flows: make(map[netip.AddrPort]*flow)}
+	t.Cleanup(r.close)
+	go r.run()
+	return r
+}
+
+func (r *relay) addr() string { return r.front.LocalAddr().String() }
+
+// forget drops the state of every flow; new ones work.
+func (r *relay) forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range r.flows {
+		f.forgotten = true
+	}
+}
+
+func (r *relay) close() {
+	r.front.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range r.flows {
+		f.back.Close()
+	}
+}
+
+func (r *relay) run() {
+	buf := make([]byte, 1<<16)
+	for {
+		n, from, err := r.front.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		if f := r.flow(from); f != nil {
+			f.back.Write(buf[:n])
+		}
+	}
+}
+
+// flow returns the flow to forward to, or nil to drop the packet.
+func (r *relay) flow(from netip.AddrPort) *flow {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f, ok := r.flows[from]
+	if !ok {
+		back, err := net.DialUDP("udp", nil, r.target)
+		if err != nil {
+			return nil
+		}
+		f = &flow{back: back}
+		r.flows[from] = f
+		go r.answer(f, from)
+	}
+	if f.forgotten {
+		return nil
+	}
+	return f
+}
+
+func (r *relay) answer(f *flow, to netip.AddrPort) {
+	buf := make([]byte, 1<<16)
+	for {
+		n, err := f.back.Read(buf)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		drop := f.forgotten
+		r.mu.Unlock()
+		if !drop {
+			r.front.WriteToUDPAddrPort(buf[:n], to)
+		}
+	}
+}
--- /dev/null
+++ b/transport/silent_test.go
@@ -0,0 +1,96 @@
+package transport
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+const (
+	testSilence = 400 * time.Millisecond
+	// never is a time-out that no test waits for.
+	never = time.Hour
+)
+
+// silentOptions leave only the progress deadline to find a silent connection.
+func silentOptions() Options {
+	return Options{Silence: testSilence, KeepAlive: never, IdleTimeout: never}
+}
+
+// A connection whose flow a middlebox has forgotten ends as silent on the side
+// that awaits something, and a new dial from a new port works.
+func TestForgottenFlowIsSilent(t *testing.T) {
+	for name, act := range map[string]func(*Conn) error{
+		"after a send":   func(c *Conn) error { return c.Send(&wire.Update{Seq: 1}) },
+		"while expected": func(c *Conn) error { c.Expect(true); return nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t, silentOptions())
+			r := newRelay(t, p.listener.Addr())
+			o := silentOptions()
+			o.Identity = identity(t, p.authority, wire.RoleEntry, "entry-1")
+			first, err := Dial(context.Background(), r.addr(), wire.RoleAgent, o)
+			require.NoError(t, err)
+			_, err = p.listener.Accept(context.Background())
+			require.NoError(t, err)
+			r.forget()
+			require.NoError(t, act(first))
+			<-first.Done()
+			require.ErrorIs(t, first.Err(), ErrSilent)
+			require.ErrorContains(t, first.Err(), "no answer")
+
+			second, err := Dial(context.Background(), r.addr(), wire.RoleAgent, o)
+			require.NoError(t, err)
+			defer second.Close("test over")
+			require.NotEqual(t, first.LocalAddr(), second.LocalAddr())
+			exchange(t, p, second)
+		})
+	}
+}
+
+// exchange passes one message from c to the listening side.
+func exchange(t *testing.T, p pair, c *Conn) {
+	t.Helper()
+	require.NoError(t, c.Send(&wire.Update{Seq: 42}))
+	agent, err := p.listener.Accept(context.Background())
+	require.NoError(t, err)
+	m, _, err := agent.Recv(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, uint64(42), m.(*wire.Update).Seq)
+}
+
+// A quiet connection from which nothing is expected, and a peer that is slow
+// to receive, are not silent.
+func TestSlowPeerIsNotSilent(t *testing.T) {
+	p := newPair(t, silentOptions())
+	entry, agent := p.connect(t, silentOptions())
+	const count = 4 * receiveQueue
+	for n := range uint64(count) {
+		require.NoError(t, entry.Send(&wire.Update{Seq: n}))
+	}
+	time.Sleep(2 * testSilence)
+	require.NoError(t, entry.Err())
+	for n := range uint64(count) {
+		m, _, err := agent.Recv(context.Background())
+		require.NoError(t, err)
+		require.Equal(t, n, m.(*wire.Update).Seq)
+	}
+	time.Sleep(2 * testSilence)
+	require.NoError(t, entry.Err())
+	require.NoError(t, agent.Err())
+}
+
+// A port at which nobody answers is a silent one.
+func TestDialNobody(t *testing.T) {
+	p := newPair(t, silentOptions())
+	r := newRelay(t, "127.0.0.1:9")
+	o := silentOptions()
+	o.Identity = identity(t, p.authority, wire.RoleEntry, "entry-1")
+	_, err := Dial(context.Background(), r.addr(), wire.RoleAgent, o)
+	require.ErrorIs(t, err, ErrSilent)
+	require.ErrorContains(t, err, "transport: dial agent "+r.addr())
+}
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -75,3 +76,81 @@
 	require.ErrorContains(t, err, "agent agent-1")
 	require.ErrorIs(t, entry.Send(&wire.Update{}), ErrClosed)
 }
+
+// Shutdown delivers what was queued before it ends the connection.
+func TestShutdownDelivers(t *testing.T) {
+	p := newPair(t, Options{})
+	entry, agent := p.connect(t, Options{})
+	const count = 500
+	for n := range uint64(count) {
+		require.NoError(t, entry.Send(&wire.Update{Seq: n}))
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- entry.Shutdown(context.Background()) }()
+	for n := range uint64(count) {
+		m, _, err := agent.Recv(context.Background())
+		require.NoError(t, err)
+		require.Equal(t, n, m.(*wire.Update).Seq)
+	}
+	require.NoError(t, <-ended)
+	_, _, err := agent.Recv(context.Background())
+	require.ErrorIs(t, err, ErrClosed)
+	require.ErrorIs(t, entry.Send(&wire.Update{}), ErrClosed)
+}
+
+// A frame above the limit, and one that finds the queue full, are refused with
+// the peer in the error and change nothing.
+func TestSendLimits(t *testing.T) {
+	p := newPair(t, Options{})
+	entry, agent := p.connect(t, Options{MaxFrame: 2000, SendQueue: 1000})
+	err := entry.Send(&wire.Raft{Body: make([]byte, 2000)})
+	require.ErrorIs(t, err, ErrFrameSize)
+	require.ErrorContains(t, err, "agent agent-1 "+p.listener.Addr())
+
+	entry.mu.Lock()
+	entry.pending, err = appendFrame(entry.pending, &wire.Update{Seq: 1}, wire.Stamp{}, 2000)
+	require.NoError(t, err)
+	_, err = entry.appendLocked(&wire.Raft{Body: make([]byte, 990)}, wire.Stamp{})
+	entry.mu.Unlock()
+	require.ErrorIs(t, err, ErrQueueFull)
+	require.NoError(t, entry.Send(&wire.Update{Seq: 2}))
+	for n := range uint64(2) {
+		m, _, err := agent.Recv(context.Background())
+		require.NoError(t, err)
+		require.Equal(t, n+1, m.(*wire.Update).Seq)
+	}
+}
+
+// A peer that sends a frame above the limit is cut off, and the others go on.
+func TestOversizedFrameEndsConnection(t *testing.T) {
+	p := newPair(t, Options{MaxFrame: 1000})
+	entry, agent := p.connect(t, Options{MaxFrame: 1 << 20})
+	require.NoError(t, entry.Send(&wire.Raft{Body: make([]byte, 1000)}))
+	_, _, err := agent.Recv(context.Background())
+	require.ErrorIs(t, err, ErrFrameSize)
+	require.ErrorContains(t, err, "entry entry-1")
+	<-entry.Done()
+	require.ErrorContains(t, entry.Err(), "closed by peer")
+	again, agent := p.connect(t, Options{})
+	require.NoError(t, again.Send(&wire.Update{Seq: 1}))
+	_, _, err = agent.Recv(context.Background())
+	require.NoError(t, err)
+}
+
+// The first stamp and each change of it are told, and nothing in between.
+func TestStampChangesAreTold(t *testing.T) {
+	seen := make(chan wire.Stamp, 16)
+	p := newPair(t, Options{OnStamp: func(peer Peer, s wire.Stamp) { seen <- s }})
+	var index atomic.Uint64
+	index.Store(1)
+	entry, agent := p.connect(t, Options{Stamp: func() wire.Stamp { return wire.Stamp{Index: index.Load(), Digest: 10} }})
+	for _, n := range []uint64{1, 1, 2, 2} {
+		index.Store(n)
+		require.NoError(t, entry.Send(&wire.Update{}))
+		_, _, err := agent.Recv(context.Background())
+		require.NoError(t, err)
+	}
+	require.Len(t, seen, 2)
+	require.Equal(t, wire.Stamp{Index: 1, Digest: 10}, <-seen)
+	require.Equal(t, wire.Stamp{Index: 2, Digest: 10}, <-seen)
+}
