--- a/inifile/inifile.go
+++ b/inifile/inifile.go
@@ -178,7 +178,7 @@
 	}
 	value, err := parseValue(text)
 	if err != nil {
-		sc.report(n, name, fmt.Sprintf("value can't be read: %v", err))
+		sc.report(n, name, "value can't be read, want plain text or text in closed quotes")
 		return
 	}
 	sc.current.Keys = append(sc.current.Keys, Key{Name: name, Value: value, Line: n})
