--- a/command/command.go
+++ b/command/command.go
@@ -101,6 +101,7 @@
 	parser.ShortDescription = "dispatcher for sub-second tasks"
 	parser.LongDescription = "Operates a fireflytray fleet. Exit codes: 0 done; 1 failed; 2 wrong command line or file; " +
 		"3 refused and not run; 4 outcome unknown; 5 no process answered."
+	parser.CommandHandler = execute
 	opts := &globals{JSON: func() { env.JSON = true }}
 	if _, err := parser.AddGroup("Global options", "", opts); err != nil {
 		return nil, fmt.Errorf("command: global options: %w", err)
@@ -114,6 +115,17 @@
 	return parser, nil
 }
 
+// execute runs a command; what it doesn't declare as an argument is an error.
+func execute(c flags.Commander, args []string) error {
+	if len(args) > 0 {
+		return Exit(ExitUsage, "unexpected argument %q", args[0])
+	}
+	if c == nil {
+		return nil
+	}
+	return c.Execute(args)
+}
+
 // report prints an error and returns its exit code.
 func report(err error, stdout, stderr io.Writer) int {
 	if err == nil {
--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,165 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/keys"
+	"github.com/fireflytray/fireflytray/settings"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// output is a buffer that a daemon and its test share. It sends each line on.
+type output struct {
+	mu    sync.Mutex
+	buf   bytes.Buffer
+	lines chan string
+}
+
+func newOutput() *output { return &output{lines: make(chan string, 64)} }
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lines <- string(p)
+	return o.buf.Write(p)
+}
+
+// await returns once a line contains text.
+func (o *output) await(t *testing.T, text string) {
+	t.Helper()
+	for line := range o.lines {
+		if strings.Contains(line, text) {
+			return
+		}
+	}
+}
+
+const agentText = `[process]
+id = %s
+domain = sv-a
+site = svealand
+drain-timeout = 0s
+[listen]
+peers = 127.0.0.1:7101
+upstream = 127.0.0.1:7201
+[control]
+addresses = 127.0.0.1:7001
+[worker]
+rack = rack-1
+processors = 32
+memory-mb = 128000
+`
+
+// host is a folder with an authority, an agent's keys and its settings.
+func host(t *testing.T, id string) (path string) {
+	t.Helper()
+	dir := t.TempDir()
+	require.NoError(t, keys.Init(dir+"/ca"))
+	name := keys.Name{Role: wire.RoleAgent, ID: "agent-1", Domain: "sv-a"}
+	require.NoError(t, keys.Issue(dir+"/ca", name, keys.DefaultValidity, dir+"/keys"))
+	path = filepath.Join(dir, "agent.ini")
+	require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, agentText, id), 0o600))
+	return path
+}
+
+func program(run func(context.Context, Runtime, *settings.Agent) error) Program[settings.Agent] {
+	return Program[settings.Agent]{
+		Name:    "fireflytray-agent",
+		Role:    wire.RoleAgent,
+		Load:    settings.LoadAgent,
+		Process: func(s *settings.Agent) *settings.Process { return &s.Process },
+		Run:     run,
+	}
+}
+
+func signalSelf(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	require.NoError(t, syscall.Kill(os.Getpid(), s))
+}
+
+// SIGHUP reloads, SIGTERM ends the program's context, and the daemon exits with
+// success only after the program has drained.
+func TestSignals(t *testing.T) {
+	out := newOutput()
+	drained := false
+	p := program(func(ctx context.Context, rt Runtime, s *settings.Agent) error {
+		<-ctx.Done()
+		drained = true
+		return nil
+	})
+	path := host(t, "agent-1")
+	code := make(chan int, 1)
+	go func() { code <- Main(p, []string{"--config", path}, out, out) }()
+	out.await(t, "started")
+	signalSelf(t, syscall.SIGHUP)
+	out.await(t, "keys reloaded")
+	out.await(t, "log level reloaded")
+	require.NoError(t, os.WriteFile(path, []byte("[process]\n"), 0o600))
+	signalSelf(t, syscall.SIGHUP)
+	out.await(t, "settings not reloaded")
+	signalSelf(t, syscall.SIGTERM)
+	require.Equal(t, ExitOK, <-code)
+	require.True(t, drained)
+}
+
+// A second signal cuts off a program that does not drain.
+func TestSecondSignalCuts(t *testing.T) {
+	out := newOutput()
+	release := make(chan struct{})
+	defer close(release)
+	p := program(func(context.Context, Runtime, *settings.Agent) error {
+		<-release
+		return nil
+	})
+	code := make(chan int, 1)
+	go func() { code <- Main(p, []string{"--config", host(t, "agent-1")}, out, out) }()
+	out.await(t, "started")
+	signalSelf(t, syscall.SIGTERM)
+	out.await(t, "draining")
+	signalSelf(t, syscall.SIGTERM)
+	require.Equal(t, ExitCut, <-code)
+}
+
+// What keeps a daemon from starting is said, with its exit code; --check never
+// starts one.
+func TestRefusals(t *testing.T) {
+	started := false
+	p := program(func(context.Context, Runtime, *settings.Agent) error {
+		started = true
+		return nil
+	})
+	bad := filepath.Join(t.TempDir(), "bad.ini")
+	require.NoError(t, os.WriteFile(bad, []byte("[process]\nid = a b\nname = x\n"), 0o600))
+	for name, c := range map[string]struct {
+		args []string
+		code int
+		want []string
+	}{
+		"no file named":      {nil, ExitUsage, []string{"--config' was not specified"}},
+		"no such file":       {[]string{"--config", bad + "x"}, ExitUsage, []string{"settings: read: open"}},
+		"argument too many":  {[]string{"--config", bad, "now"}, ExitUsage, []string{`unexpected argument "now"`}},
+		"check of a bad one": {[]string{"--config", bad, "--check"}, ExitUsage, []string{bad + ":2: [process] id", bad + ":3: [process] name"}},
+		"check of a good":    {[]string{"--config", host(t, "agent-1"), "--check"}, ExitOK, []string{"no errors"}},
+		"another's keys":     {[]string{"--config", host(t, "agent-2")}, ExitFailed, []string{"certificate in", "names agent agent-1 (sv-a), settings name agent agent-2 (sv-a)"}},
+		"help":               {[]string{"--help"}, ExitOK, []string{"--check"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			out := newOutput()
+			require.Equal(t, c.code, Main(p, c.args, out, out))
+			for _, want := range c.want {
+				require.Contains(t, out.buf.String(), want)
+			}
+		})
+	}
+	require.False(t, started)
+}
--- a/transport/bench_test.go
+++ b/transport/bench_test.go
@@ -109,6 +109,8 @@
 	b.ReportMetric(float64(memory)/float64(count)/1000, "kB/conn")
 	for _, c := range ends {
 		require.NoError(b, c.Err())
+	}
+	for _, c := range ends {
 		c.Close("measured")
 	}
 }
