transport: smaller queues for received messages

Cause: an idle connection held 11 kB for 256 messages that might wait for Recv. Change: 32 messages, and a read buffer of 2 kB.

--- a/transport/conn.go
+++ b/transport/conn.go
@@ -17,8 +17,8 @@
 
 const (
 	// receiveQueue is how many decoded messages may wait for Recv.
-	receiveQueue = 256
-	readBuffer   = 4 << 10
+	receiveQueue = 32
+	readBuffer   = 2 << 10
 	// closeCode ends a connection for the reason in its text; endCode answers
 	// the end of the peer's stream.
 	closeCode = quic.ApplicationErrorCode(0)
