transport: keep quiet connections alive in time

Cause: the check of a quiet connection came a whole period after the one before it, so that a ping could be almost two periods late; at a keepalive of 15 s connections ended by the idle time-out of 30 s (BenchmarkIdle failed on it first). Tests that mutations survived are stricter: a listener refuses foreign and missing certificates, ; and # inside a value stay, a second signal cuts a long drain, a share that rounds down.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -48,7 +48,7 @@
 id = %s
 domain = sv-a
 site = svealand
-drain-timeout = 0s
+drain-timeout = 10m
 [listen]
 peers = 127.0.0.1:7101
 upstream = 127.0.0.1:7201
--- a/inifile/inifile_test.go
+++ b/inifile/inifile_test.go
@@ -10,12 +10,12 @@
 // Every key keeps its line, and quotes and trailing comments are no part of a
 // value.
 func TestParse(t *testing.T) {
-	text := "# top\n[service alert-core]\nmax-tasks = 140 ; most\n\n[team night-nurses]\nname = \"a # b\"\nrange = 5:6\nempty =\n"
+	text := "# top\n[service alert-core]\nmax-tasks = 140 ; most\n\n[team night-nurses]\nname = \"a # b\"\nrange = 5:6;7#8\nempty =\n"
 	f, problems := Parse("base.ini", []byte(text))
 	require.NoError(t, problems.Err())
 	require.Equal(t, []*Section{
 		{Name: "service alert-core", Line: 2, Keys: []Key{{"max-tasks", "140", 3}}},
-		{Name: "team night-nurses", Line: 5, Keys: []Key{{"name", "a # b", 6}, {"range", "5:6", 7}, {"empty", "", 8}}},
+		{Name: "team night-nurses", Line: 5, Keys: []Key{{"name", "a # b", 6}, {"range", "5:6;7#8", 7}, {"empty", "", 8}}},
 	}, f.Sections)
 }
 
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -18,6 +18,7 @@
 		"a tenth":              {0.1, 0, 30, 3},
 		"the reserve alone":    {0.1, 2, 0, 2},
 		"share and reserve":    {0.2, 3, 100, 23},
+		"a share that rounds":  {0.29, 0, 100, 29},
 		"no share":             {0, 1, 1000, 1},
 		"negative counts as 0": {-1, -1, 1000, 0},
 	} {
--- a/transport/bench_test.go
+++ b/transport/bench_test.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// idlePeriods is how many keepalive periods BenchmarkIdle watches.
-const idlePeriods = 3
+// watchedPeriods is how many keepalive periods BenchmarkIdle watches.
+const watchedPeriods = 3
 
 // BenchmarkIdle holds quiet connections, both ends in this process, and
 // reports the processor time and memory of a connection's two ends. Run it
@@ -102,7 +102,7 @@
 	memory := heap() - before
 	for b.Loop() {
 		start, begin := processorTime(b), time.Now()
-		time.Sleep(idlePeriods * o.KeepAlive)
+		time.Sleep(watchedPeriods * o.KeepAlive)
 		used, elapsed := processorTime(b)-start, time.Since(begin)
 		b.ReportMetric(used.Seconds()/elapsed.Seconds()/float64(count)*1e6, "cpu-µs/s/conn")
 	}
--- a/transport/endpoint.go
+++ b/transport/endpoint.go
@@ -174,7 +174,7 @@
 // dialError marks time-outs as silence.
 func dialError(err error) error {
 	var timeout net.Error
-	if errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout() {
+	if errors.As(err, &timeout) && timeout.Timeout() {
 		return fmt.Errorf("%w: %w", ErrSilent, err)
 	}
 	return err
--- a/transport/probe.go
+++ b/transport/probe.go
@@ -38,6 +38,8 @@
 	stopped bool
 	// expected is set while the caller awaits something.
 	expected bool
+	// answered is set once a frame has come in.
+	answered bool
 	// stuck is set while the reader waits for the caller of Recv.
 	stuck bool
 	nonce uint64
@@ -50,7 +52,7 @@
 	unanswered time.Duration
 	// pinged is the first ping since a frame came in.
 	pinged time.Duration
-	// heard is when the last frame came in.
+	// heard is when the last frame came in, or the connection began.
 	heard time.Duration
 	// moved is the check at which packets, the count received, had grown.
 	moved   time.Duration
@@ -66,8 +68,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.due = c.opts.KeepAlive
-	p.timer = time.AfterFunc(p.due, p.check)
+	p.heard = p.now()
+	p.timer = time.AfterFunc(c.opts.KeepAlive, p.check)
+	p.armLocked(false)
 	return p
 }
 
@@ -97,7 +100,8 @@
 func (p *prober) received() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.heard == 0 {
+	if !p.answered {
+		p.answered = true
 		close(p.first)
 	}
 	p.progressLocked()
@@ -130,14 +134,21 @@
 	}
 }
 
+// armLocked sets the timer: a step ahead if fast, else to when a connection
+// that stays quiet has to be kept alive. Only the dialling side does that.
 func (p *prober) armLocked(fast bool) {
 	p.fast = fast
-	interval := p.c.opts.KeepAlive
-	if fast {
-		interval = p.step
-	}
-	p.due = p.now() + interval
-	p.timer.Reset(interval)
+	now := p.now()
+	switch {
+	case fast:
+		p.due = now + p.step
+	case p.c.dialed:
+		p.due = p.heard + p.c.opts.KeepAlive
+	default:
+		p.timer.Stop()
+		return
+	}
+	p.timer.Reset(max(0, p.due-now))
 }
 
 // check runs when the timer fires.
--- a/transport/roles_test.go
+++ b/transport/roles_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"testing"
 
+	"github.com/quic-go/quic-go"
 	"github.com/stretchr/testify/require"
 
 	"github.com/fireflytray/fireflytray/keys"
@@ -35,6 +37,29 @@
 	}
 }
 
+// The listener itself refuses a dialling side that checks nothing and has a
+// foreign certificate, or none.
+func TestListenerVerifiesCertificates(t *testing.T) {
+	p := newPair(t, Options{})
+	foreign, err := keys.Ephemeral()
+	require.NoError(t, err)
+	stranger := identity(t, foreign, wire.RoleEntry, "entry-1").ClientTLS(wire.RoleAgent)
+	for name, certificates := range map[string][]tls.Certificate{
+		"foreign": stranger.Certificates,
+		"none":    nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			conf := &tls.Config{InsecureSkipVerify: true, NextProtos: []string{protocol}, Certificates: certificates}
+			qc, err := quic.DialAddr(context.Background(), p.listener.Addr(), conf, nil)
+			if err == nil {
+				defer qc.CloseWithError(closeCode, "test over")
+				_, err = qc.AcceptStream(context.Background())
+			}
+			require.ErrorContains(t, err, "CRYPTO_ERROR")
+		})
+	}
+}
+
 // A renewed authority and certificate hold for the next handshake, without a
 // restart, and connections that are open go on.
 func TestReloadedCertificate(t *testing.T) {
--- a/transport/silent_test.go
+++ b/transport/silent_test.go
@@ -94,3 +94,17 @@
 	require.ErrorIs(t, err, ErrSilent)
 	require.ErrorContains(t, err, "transport: dial agent "+r.addr())
 }
+
+// A quiet connection is kept alive a full period after the last frame, however
+// late in the period the check before it ran.
+func TestKeepAliveFollowsLastFrame(t *testing.T) {
+	p := newPair(t, silentOptions())
+	entry, agent := p.connect(t, silentOptions())
+	require.NoError(t, agent.Send(&wire.Report{}))
+	_, _, err := entry.Recv(context.Background())
+	require.NoError(t, err)
+	entry.probe.check()
+	entry.probe.mu.Lock()
+	defer entry.probe.mu.Unlock()
+	require.Equal(t, entry.probe.heard+never, entry.probe.due)
+}
