--- a/transport/probe.go
+++ b/transport/probe.go
@@ -205,8 +205,11 @@
 	}
 	quiet := now - max(p.pinged, p.moved)
 	waited := now - p.pinged
-	if quiet >= quietSteps*p.step || waited >= stallFactor*p.c.opts.Silence {
-		return fmt.Errorf("no answer for %v: %w", waited.Round(time.Millisecond), ErrSilent)
+	switch {
+	case quiet >= quietSteps*p.step:
+		return fmt.Errorf("no packet for %v after a ping: %w", quiet.Round(time.Millisecond), ErrSilent)
+	case waited >= stallFactor*p.c.opts.Silence:
+		return fmt.Errorf("no answer for %v to a ping: %w", waited.Round(time.Millisecond), ErrSilent)
 	}
 	return nil
 }
--- a/transport/silent_test.go
+++ b/transport/silent_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/fireflytray/fireflytray/wire"
 )
@@ -41,7 +42,7 @@
 			require.NoError(t, act(first))
 			<-first.Done()
 			require.ErrorIs(t, first.Err(), ErrSilent)
-			require.ErrorContains(t, first.Err(), "no answer")
+			require.ErrorContains(t, first.Err(), "no packet for")
 
 			second, err := Dial(context.Background(), r.addr(), wire.RoleAgent, o)
 			require.NoError(t, err)
@@ -108,3 +109,16 @@
 	defer entry.probe.mu.Unlock()
 	require.Equal(t, entry.probe.heard+never, entry.probe.due)
 }
+
+// The dialling side pings a connection that stays quiet.
+func TestQuietConnectionIsPinged(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	p := newPair(t, Options{Scope: scope})
+	entry, _ := p.connect(t, Options{Silence: never, IdleTimeout: never, KeepAlive: 10 * time.Millisecond})
+	const opening = 1
+	pings := func() int64 {
+		return scope.Snapshot().Counters()["transport.received_messages+kind=ping"].Value()
+	}
+	require.Eventually(t, func() bool { return pings() > opening+2 }, time.Minute, time.Millisecond)
+	require.NoError(t, entry.Err())
+}
