--- a/entry/agent.go
+++ b/entry/agent.go
@@ -24,10 +24,12 @@
 // agent is what the entry knows of one agent and shares with it.
 type agent struct {
 	placement.Agent
-	peer    wire.Peer
-	worker  wire.Worker
-	svc     *service
-	link    linkState
+	peer   wire.Peer
+	worker wire.Worker
+	svc    *service
+	link   linkState
+	// met is the incarnation that sent the last welcome, zero before the first.
+	met     uint64
 	session uint64
 	// listed is set while the directory names the agent.
 	listed bool
@@ -159,7 +161,7 @@
 		From:        e.opts.Self,
 		Session:     a.session,
 		SentAt:      e.now,
-		Incarnation: a.peer.Incarnation,
+		Incarnation: a.met,
 	}
 	h.Pending = a.sentIDs()
 	e.emit(Dial{Peer: a.peer, Hello: h, Within: dialWithin})
@@ -173,7 +175,7 @@
 		return
 	}
 	w := ev.Welcome
-	if w.From.Incarnation != a.peer.Incarnation {
+	if w.From.Incarnation != a.met {
 		e.agentRestarted(a, w.From)
 	}
 	a.link = linkOpen
@@ -208,6 +210,7 @@
 // one numbers its reports afresh.
 func (e *Entry) agentRestarted(a *agent, p wire.Peer) {
 	a.peer = p
+	a.met = p.Incarnation
 	a.seen, a.told = 0, 0
 	e.settleAll(a, task.ReasonAgentRestarted)
 }
--- /dev/null
+++ b/proof/load_test.go
@@ -0,0 +1,210 @@
+package proof
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fireflytray/fireflytray/agent"
+	"github.com/fireflytray/fireflytray/entry/placement"
+	"github.com/fireflytray/fireflytray/entry/queue"
+	"github.com/fireflytray/fireflytray/task"
+)
+
+// jobSource draws jobs as the brief describes them.
+type jobSource struct{ rng *rand.Rand }
+
+func logUniform(r *rand.Rand, lo, hi float64) float64 {
+	return lo * math.Exp(r.Float64()*math.Log(hi/lo))
+}
+
+// runTime is 50 ms to 1 s, and a few seconds for one task in a hundred.
+func (s jobSource) runTime() time.Duration {
+	if s.rng.Float64() < 0.01 {
+		return time.Duration(logUniform(s.rng, 2, 5) * float64(time.Second))
+	}
+	return time.Duration(logUniform(s.rng, 0.05, 1) * float64(time.Second))
+}
+
+// job returns a submission and its longest run time.
+func (s jobSource) job(team string) (task.Submission, time.Duration) {
+	n := int(logUniform(s.rng, 1, 141))
+	sub := task.Submission{Service: "svc", Team: team, Job: true}
+	var longest time.Duration
+	for range n {
+		run := s.runTime()
+		longest = max(longest, run)
+		declared := time.Duration(float64(run) * logUniform(s.rng, 0.25, 4))
+		sub.Tasks = append(sub.Tasks, task.Spec{Payload: payload(run), Declared: declared})
+	}
+	return sub, longest
+}
+
+// meanWork is the mean slot time of a job, by a fixed seed.
+func meanWork() time.Duration {
+	s := jobSource{rand.New(rand.NewPCG(7, 7))}
+	var sum time.Duration
+	const n = 20000
+	for range n {
+		sub, _ := s.job("t0")
+		for i := range sub.Tasks {
+			sum += runOf(sub.Tasks[i].Payload)
+		}
+	}
+	return sum / n
+}
+
+// loadResult is what a run under load gave.
+type loadResult struct {
+	slowdown  []float64
+	failed    int
+	perTask   float64 // messages a task
+	wasted    float64 // share of messages that were wasted
+	refused   uint64
+	byTeam    map[string][]float64
+	submitted int
+}
+
+func (r loadResult) quantile(q float64) float64 { return quantile(r.slowdown, q) }
+
+func quantile(v []float64, q float64) float64 {
+	if len(v) == 0 {
+		return math.NaN()
+	}
+	s := slices.Clone(v)
+	slices.Sort(s)
+	return s[min(len(s)-1, int(q*float64(len(s))))]
+}
+
+type loadSpec struct {
+	world    worldOptions
+	load     float64
+	duration time.Duration
+	warm     time.Duration
+	faults   func(w *world)
+	// burst multiplies the rate of team t1 for the middle third.
+	burst float64
+}
+
+// runLoad drives the world with Poisson arrivals spread over its entries.
+func runLoad(s loadSpec) loadResult {
+	w := newWorld(s.world)
+	w.run(time.Second)
+	if s.faults != nil {
+		s.faults(w)
+	}
+	src := jobSource{rand.New(rand.NewPCG(s.world.seed, 99))}
+	slots := float64(s.world.agents) * float64(s.world.slots)
+	rate := s.load * slots / meanWork().Seconds()
+	type sent struct {
+		longest time.Duration
+		team    string
+		at      time.Duration
+	}
+	all := make(map[task.SubmissionID]sent)
+	tasks := 0
+	start, end := w.now, w.now+s.duration
+	var arrive func()
+	arrive = func() {
+		if w.now >= end {
+			return
+		}
+		team := "t0"
+		r := rate
+		if s.burst > 0 {
+			third := s.duration / 3
+			inBurst := w.now-start > third && w.now-start < 2*third
+			weight := 1.0
+			if inBurst {
+				weight = s.burst
+			}
+			r = rate / 2 * (1 + weight)
+			if src.rng.Float64() < weight/(1+weight) {
+				team = "t1"
+			}
+		}
+		sub, longest := src.job(team)
+		e := w.entries[src.rng.IntN(len(w.entries))]
+		id := w.submit(e, sub)
+		all[id] = sent{longest, team, w.now - start}
+		tasks += len(sub.Tasks)
+		w.at(w.now+time.Duration(src.rng.ExpFloat64()/r*float64(time.Second)), arrive)
+	}
+	before := w.messages
+	arrive()
+	w.run(end + 120*time.Second)
+	res := loadResult{byTeam: make(map[string][]float64), submitted: len(all)}
+	for id, j := range all {
+		a := w.answers[id]
+		if len(a) != 1 || a[0].State != task.Complete {
+			res.failed++
+			continue
+		}
+		if j.at < s.warm {
+			continue
+		}
+		x := w.latency[id].Seconds() / (j.longest + 2*s.world.hop).Seconds()
+		res.slowdown = append(res.slowdown, x)
+		res.byTeam[j.team] = append(res.byTeam[j.team], x)
+	}
+	var wasted uint64
+	for _, e := range w.entries {
+		st := e.e.View().Stats
+		wasted += st.Wasted
+		res.refused += st.Refused
+	}
+	res.perTask = float64(w.messages-before) / float64(tasks)
+	res.wasted = float64(wasted) / float64(w.messages-before)
+	return res
+}
+
+func sveaWorld(seed uint64) worldOptions {
+	return worldOptions{
+		seed: seed, entries: 2, agents: 11, slots: 8, hop: 500 * time.Microsecond,
+		policy: placement.Credits{}, order: queue.LeftOverAge,
+	}
+}
+
+// BenchmarkCandidates compares orders and placements under one load and seed,
+// in virtual time.
+func BenchmarkCandidates(b *testing.B) {
+	deep := agent.Config{QueueShare: 1e6}
+	cases := []struct {
+		name   string
+		policy placement.Policy
+		order  queue.Order
+		cfg    agent.Config
+	}{
+		{"random", placement.Random{}, queue.FIFO, deep},
+		{"two-choices", placement.TwoChoices{}, queue.FIFO, deep},
+		{"least-outstanding", placement.LeastOutstanding{}, queue.FIFO, deep},
+		{"credits/fifo", placement.Credits{}, queue.FIFO, agent.Config{}},
+		{"credits/fewest-left", placement.Credits{}, queue.FewestLeft, agent.Config{}},
+		{"credits/left-over-age", placement.Credits{}, queue.LeftOverAge, agent.Config{}},
+		{"credits/left-over-slowdown", placement.Credits{}, queue.LeftOverSlowdown, agent.Config{}},
+	}
+	for _, c := range cases {
+		for _, load := range []float64{0.6, 0.8, 0.9, 0.95} {
+			b.Run(fmt.Sprintf("%s/load=%.2f", c.name, load), func(b *testing.B) {
+				for range b.N {
+					o := sveaWorld(1)
+					o.policy, o.order, o.agentCfg = c.policy, c.order, c.cfg
+					report(b, runLoad(loadSpec{world: o, load: load, duration: 120 * time.Second, warm: 10 * time.Second}))
+				}
+			})
+		}
+	}
+}
+
+func report(b *testing.B, r loadResult) {
+	b.ReportMetric(r.quantile(0.5), "p50")
+	b.ReportMetric(r.quantile(0.99), "p99")
+	b.ReportMetric(r.quantile(0.999), "p99.9")
+	b.ReportMetric(r.perTask, "msg/task")
+	b.ReportMetric(100*r.wasted, "wasted%")
+	b.ReportMetric(float64(r.failed), "failed")
+	b.ReportMetric(float64(r.refused), "refused")
+}
