wire: let a control host hand a command to the leader

Cause: operators and entries reach any control host; only the leader can propose, and the wire had no message to forward a command. Change: Propose and Proposed; KindLimit, so that tables by kind and the test over all kinds grow with the list. The test is as strict: it covers each kind.

--- a/transport/meter.go
+++ b/transport/meter.go
@@ -10,7 +10,7 @@
 )
 
 // kindLimit is one more than the highest kind.
-const kindLimit = int(wire.KindPong) + 1
+const kindLimit = int(wire.KindLimit)
 
 // meter counts messages and bytes by kind.
 type meter struct {
--- a/wire/message.go
+++ b/wire/message.go
@@ -60,6 +60,12 @@
 // Kind returns KindPong.
 func (*Pong) Kind() Kind { return KindPong }
 
+// Kind returns KindPropose.
+func (*Propose) Kind() Kind { return KindPropose }
+
+// Kind returns KindProposed.
+func (*Proposed) Kind() Kind { return KindProposed }
+
 // New returns an empty message of a kind.
 func New(k Kind) (Message, error) {
 	switch k {
@@ -93,6 +99,10 @@
 		return new(Ping), nil
 	case KindPong:
 		return new(Pong), nil
+	case KindPropose:
+		return new(Propose), nil
+	case KindProposed:
+		return new(Proposed), nil
 	}
 	return nil, fmt.Errorf("wire: unknown message kind %d", k)
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -37,6 +37,11 @@
 	KindRaft
 	KindPing
 	KindPong
+	KindPropose
+	KindProposed
+
+	// KindLimit is one more than the highest kind.
+	KindLimit
 )
 
 // Role is what a process is; a certificate names exactly one.
@@ -316,6 +321,36 @@
 	Body []byte `msg:"b"`
 }
 
+// Propose carries a command of the replicated log from a control host to the
+// leader.
+type Propose struct {
+	// Request matches the reply.
+	Request uint64 `msg:"q"`
+	Command []byte `msg:"c"`
+}
+
+// ProposeStatus says what became of a proposal.
+type ProposeStatus uint8
+
+// The statuses.
+const (
+	// ProposeAccepted means that the command is committed and applied.
+	ProposeAccepted ProposeStatus = iota + 1
+	// ProposeNotLeader means that the command was not taken.
+	ProposeNotLeader
+	// ProposeUnknown means that the command may be committed or not.
+	ProposeUnknown
+)
+
+// Proposed answers a Propose.
+type Proposed struct {
+	Request uint64        `msg:"q"`
+	Status  ProposeStatus `msg:"s"`
+	Index   uint64        `msg:"i"`
+	Result  []byte        `msg:"r"`
+	Detail  string        `msg:"d"`
+}
+
 // Ping asks for a Pong with the same Nonce.
 type Ping struct {
 	Nonce  uint64        `msg:"n"`
--- a/wire/wire_gen.go
+++ b/wire/wire_gen.go
@@ -1621,6 +1621,187 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Propose) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "q"
+	o = append(o, 0x82, 0xa1, 0x71)
+	o = msgp.AppendUint64(o, z.Request)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendBytes(o, z.Command)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Propose) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "q":
+			z.Request, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		case "c":
+			z.Command, bts, err = msgp.ReadBytesBytes(bts, z.Command)
+			if err != nil {
+				err = msgp.WrapError(err, "Command")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Propose) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Command)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ProposeStatus) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendUint8(o, uint8(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ProposeStatus) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 uint8
+		zb0001, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = ProposeStatus(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ProposeStatus) Msgsize() (s int) {
+	s = msgp.Uint8Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Proposed) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "q"
+	o = append(o, 0x85, 0xa1, 0x71)
+	o = msgp.AppendUint64(o, z.Request)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint8(o, uint8(z.Status))
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.Index)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendBytes(o, z.Result)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendString(o, z.Detail)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Proposed) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "q":
+			z.Request, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		case "s":
+			{
+				var zb0002 uint8
+				zb0002, bts, err = msgp.ReadUint8Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Status")
+					return
+				}
+				z.Status = ProposeStatus(zb0002)
+			}
+		case "i":
+			z.Index, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Index")
+				return
+			}
+		case "r":
+			z.Result, bts, err = msgp.ReadBytesBytes(bts, z.Result)
+			if err != nil {
+				err = msgp.WrapError(err, "Result")
+				return
+			}
+		case "d":
+			z.Detail, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Detail")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Proposed) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint8Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Result) + 2 + msgp.StringPrefixSize + len(z.Detail)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Raft) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -8,11 +8,11 @@
 
 // Every kind has a message, and the message names that kind.
 func TestNewCoversEveryKind(t *testing.T) {
-	for k := KindHello; k <= KindPong; k++ {
+	for k := KindHello; k < KindLimit; k++ {
 		m, err := New(k)
 		require.NoError(t, err)
 		require.Equal(t, k, m.Kind())
 	}
-	_, err := New(KindPong + 1)
+	_, err := New(KindLimit)
 	require.Error(t, err)
 }
