controld, controlclient, directory: one control host serves announcements and configuration

Change: directory reducer with leases and merged sources; daemon with pushes, claims and forwarding to the leader; client with sessions to each host. The log is an interface; a single host in memory stands in until replica lands.

--- /dev/null
+++ b/controlclient/calls.go
@@ -0,0 +1,129 @@
+package controlclient
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+const (
+	// callTimeout bounds the wait for one control host's answer.
+	callTimeout = 1500 * time.Millisecond
+	// callPause is the wait after all control hosts were tried.
+	callPause = 100 * time.Millisecond
+	// releaseTime bounds the attempts to free a claim that got no answer.
+	releaseTime = 5 * time.Second
+)
+
+// calls pairs replies with the claims and resolutions that wait for them.
+type calls struct {
+	mu      sync.Mutex
+	last    uint64
+	waiting map[uint64]chan *wire.ClaimReply
+}
+
+func newCalls() *calls { return &calls{waiting: map[uint64]chan *wire.ClaimReply{}} }
+
+func (c *calls) open() (uint64, chan *wire.ClaimReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last++
+	ch := make(chan *wire.ClaimReply, 1)
+	c.waiting[c.last] = ch
+	return c.last, ch
+}
+
+func (c *calls) close(request uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waiting, request)
+}
+
+func (c *calls) deliver(m *wire.ClaimReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ch, ok := c.waiting[m.Request]; ok {
+		delete(c.waiting, m.Request)
+		ch <- m
+	}
+}
+
+// Claim reserves an idempotency key. It tries one control host after another
+// until one has an answer or ctx ends. After an error the key may be reserved
+// for the owner; the client then tries to free it, so the owner must not run.
+func (c *Client) Claim(ctx context.Context, m wire.Claim) (wire.ClaimReply, error) {
+	request := m.Request
+	reply, err := c.call(ctx, func(id uint64) wire.Message { m.Request = id; return &m })
+	if err != nil {
+		go c.release(m)
+		return wire.ClaimReply{}, fmt.Errorf("controlclient: claim key of team %s: %w", m.Team, err)
+	}
+	reply.Request = request
+	return *reply, nil
+}
+
+// release frees a claim whose owner will not run.
+func (c *Client) release(m wire.Claim) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
+	defer cancel()
+	r := wire.Resolve{Team: m.Team, Service: m.Service, Key: m.Key, Owner: m.Owner, Outcome: task.Outcome{State: task.NotRun, Reason: task.ReasonClaimsDown}}
+	if err := c.Resolve(ctx, r); err != nil {
+		c.log.Warn("claim not freed", "team", m.Team, "err", err)
+	}
+}
+
+// Resolve records the outcome of a granted claim. It tries one control host
+// after another until one confirms or ctx ends.
+func (c *Client) Resolve(ctx context.Context, m wire.Resolve) error {
+	if _, err := c.call(ctx, func(id uint64) wire.Message { m.Request = id; return &m }); err != nil {
+		return fmt.Errorf("controlclient: resolve key of team %s: %w", m.Team, err)
+	}
+	return nil
+}
+
+// call sends a request to one control host after another until one answers
+// other than that it can't say.
+func (c *Client) call(ctx context.Context, build func(id uint64) wire.Message) (*wire.ClaimReply, error) {
+	for {
+		for _, s := range c.sessions {
+			reply := c.try(ctx, s, build)
+			if reply != nil && !undecided(reply) {
+				return reply, nil
+			}
+			if ctx.Err() != nil {
+				return nil, fmt.Errorf("%w: %w", ErrNoControl, ctx.Err())
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(callPause):
+		}
+	}
+}
+
+// undecided reports whether a control host could not reach the leader. An
+// answer of the replicated state names a time to come back.
+func undecided(r *wire.ClaimReply) bool {
+	return r.State == wire.ClaimUnavailable && r.RetryAfter == 0
+}
+
+func (c *Client) try(ctx context.Context, s *session, build func(id uint64) wire.Message) *wire.ClaimReply {
+	id, ch := c.calls.open()
+	defer c.calls.close(id)
+	if !s.send(build(id)) {
+		return nil
+	}
+	timer := time.NewTimer(callTimeout)
+	defer timer.Stop()
+	select {
+	case reply := <-ch:
+		return reply
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return nil
+}
--- /dev/null
+++ b/controlclient/session.go
@@ -0,0 +1,175 @@
+package controlclient
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fireflytray/fireflytray/transport"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+const (
+	// dialTimeout bounds one dial.
+	dialTimeout = 2 * time.Second
+	// minBackoff and maxBackoff bound the wait between dials.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 2 * time.Second
+)
+
+// session is the link to one control host over its connections.
+type session struct {
+	client *Client
+	addr   string
+
+	mu   sync.Mutex
+	conn *transport.Conn
+	// left gets the answer to a goodbye.
+	left chan struct{}
+	bye  uint64
+}
+
+func newSession(c *Client, addr string) *session {
+	return &session{client: c, addr: addr, left: make(chan struct{})}
+}
+
+// run dials again whenever the connection ends, until ctx ends.
+func (s *session) run(ctx context.Context) {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		started := time.Now()
+		err := s.serve(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if time.Since(started) > maxBackoff {
+			backoff = minBackoff
+		}
+		s.client.log.Debug("no session", "control", s.addr, "err", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(backoff/2 + rand.N(backoff)):
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// serve keeps one connection.
+func (s *session) serve(ctx context.Context) error {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	conn, err := transport.Dial(dialCtx, s.addr, wire.RoleControl, s.client.opts.Transport)
+	cancel()
+	if err != nil {
+		return fmt.Errorf("controlclient: %w", err)
+	}
+	s.set(conn)
+	defer s.set(nil)
+	defer conn.Close("session ended")
+	if !s.client.leaving.Load() {
+		s.announce(s.client.announcement())
+	}
+	for {
+		m, stamp, err := conn.Recv(ctx)
+		if err != nil {
+			return fmt.Errorf("controlclient: session with %s: %w", s.addr, err)
+		}
+		s.handle(conn, m, stamp)
+	}
+}
+
+func (s *session) set(conn *transport.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conn = conn
+}
+
+func (s *session) handle(conn *transport.Conn, m wire.Message, stamp wire.Stamp) {
+	switch m := m.(type) {
+	case *wire.Announced:
+		conn.Expect(false)
+		s.answered(m.Seq)
+	case *wire.Directory:
+		s.client.merge(s.addr, m)
+	case *wire.ConfigPush:
+		s.push(m)
+		return
+	case *wire.ClaimReply:
+		s.client.calls.deliver(m)
+	}
+	s.client.config.seen(stamp.Index)
+	if have := s.client.Stamp().Index; have < stamp.Index {
+		s.send(&wire.ConfigFetch{Have: have})
+	}
+}
+
+// push takes a configuration. If it can't be used as a difference, the whole
+// is fetched.
+func (s *session) push(m *wire.ConfigPush) {
+	if err := s.client.config.push(m); err != nil {
+		s.client.log.Warn("configuration not taken", "control", s.addr, "err", err)
+		if m.Base != 0 {
+			s.send(&wire.ConfigFetch{})
+		}
+	}
+}
+
+// send queues a message if there is a connection.
+func (s *session) send(m wire.Message) bool {
+	s.mu.Lock()
+	conn := s.conn
+	s.mu.Unlock()
+	if conn == nil {
+		return false
+	}
+	if err := conn.Send(m); err != nil {
+		conn.Close("can't send")
+		return false
+	}
+	return true
+}
+
+// announce sends an announcement and has the connection probed until it is
+// answered.
+func (s *session) announce(m *wire.Announce) {
+	if !s.send(m) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil {
+		s.conn.Expect(true)
+	}
+}
+
+// leave says goodbye and waits for the answer.
+func (s *session) leave(ctx context.Context, m *wire.Announce) {
+	s.mu.Lock()
+	s.bye = m.Seq
+	conn := s.conn
+	s.mu.Unlock()
+	if conn == nil {
+		return
+	}
+	s.announce(m)
+	select {
+	case <-s.left:
+	case <-conn.Done():
+	case <-ctx.Done():
+	}
+}
+
+// answered notes the answer to an announcement.
+func (s *session) answered(seq uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.bye == 0 || seq < s.bye {
+		return
+	}
+	select {
+	case <-s.left:
+	default:
+		close(s.left)
+	}
+}
--- /dev/null
+++ b/controld/controld_test.go
@@ -0,0 +1,230 @@
+package controld
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/control"
+	"github.com/fireflytray/fireflytray/controlclient"
+	"github.com/fireflytray/fireflytray/fleet"
+	"github.com/fireflytray/fireflytray/keys"
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/transport"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// patience bounds how long a test waits for what must come; no test measures
+// time.
+const patience = 30 * time.Second
+
+var quiet = log.New(io.Discard)
+
+func newAuthority(t *testing.T) *keys.Authority {
+	t.Helper()
+	a, err := keys.Ephemeral()
+	require.NoError(t, err)
+	return a
+}
+
+func identity(t *testing.T, a *keys.Authority, role wire.Role, id string) *keys.Identity {
+	t.Helper()
+	i, err := a.Identity(role, id, "sv-a")
+	require.NoError(t, err)
+	return i
+}
+
+// running is a control host that a test can stop.
+type running struct {
+	*Host
+	stop context.CancelFunc
+	done chan error
+}
+
+func start(t *testing.T, o Options) *running {
+	t.Helper()
+	o.Log = quiet
+	h, err := New(o)
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{h, stop, make(chan error, 1)}
+	go func() { r.done <- h.Run(ctx) }()
+	t.Cleanup(r.halt)
+	return r
+}
+
+func (r *running) halt() {
+	r.stop()
+	err := <-r.done
+	r.done <- err
+}
+
+func startHost(t *testing.T, a *keys.Authority, id, addr string) *running {
+	return start(t, Options{
+		Self:     wire.Peer{Role: wire.RoleControl, ID: id, Incarnation: uint64(time.Now().UnixNano()), Domain: "sv-a", Addr: addr},
+		Identity: identity(t, a, wire.RoleControl, id),
+		Listen:   addr,
+	})
+}
+
+// process is an entry or agent with a client, recording what it is told.
+type process struct {
+	*controlclient.Client
+	stop context.CancelFunc
+
+	mu      sync.Mutex
+	indices []uint64
+	configs []*fleet.Config
+	live    map[string]wire.Member
+}
+
+func startProcess(t *testing.T, a *keys.Authority, role wire.Role, id string, controls ...string) *process {
+	t.Helper()
+	p := &process{live: map[string]wire.Member{}}
+	self := wire.Announce{
+		From:  wire.Peer{Role: role, ID: id, Incarnation: uint64(time.Now().UnixNano()), Domain: "sv-a", Addr: "127.0.0.1:1"},
+		Watch: role == wire.RoleEntry,
+	}
+	p.Client = controlclient.New(controlclient.Options{
+		Controls: controls, Transport: transport.Options{Identity: identity(t, a, role, id)},
+		Self: func() wire.Announce { return self }, Site: "sv-a",
+		OnConfig: p.config, OnDirectory: p.directory, Log: quiet,
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	p.stop = stop
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = p.Run(ctx)
+	}()
+	t.Cleanup(func() { stop(); <-done })
+	return p
+}
+
+func (p *process) config(c *fleet.Config) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.indices = append(p.indices, c.Index)
+	p.configs = append(p.configs, c)
+}
+
+func (p *process) directory(d wire.Directory) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range d.Upserts {
+		p.live[m.Peer.ID] = m
+	}
+	for _, peer := range d.Removed {
+		delete(p.live, peer.ID)
+	}
+}
+
+func (p *process) sees(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.live[id]
+	return ok
+}
+
+// index returns the index of the last configuration handed over.
+func (p *process) index() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.indices) == 0 {
+		return 0
+	}
+	return p.indices[len(p.indices)-1]
+}
+
+// handedOver returns the indices and configurations handed over so far.
+func (p *process) handedOver() ([]uint64, []*fleet.Config) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.indices), slices.Clone(p.configs)
+}
+
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	require.Eventually(t, cond, patience, 5*time.Millisecond, what)
+}
+
+func sections(maxTasks int) []wire.ConfigSection {
+	return []wire.ConfigSection{
+		{Name: "service alert-core", Keys: []wire.ConfigPair{{Key: "max_tasks", Value: fmt.Sprint(maxTasks)}}},
+		{Name: "team night-nurses"},
+	}
+}
+
+func apply(t *testing.T, h *Host, op string, base uint64, maxTasks int) *control.ChangeReply {
+	t.Helper()
+	reply, err := h.propose(context.Background(), &control.Command{Apply: &control.Apply{Op: op, Base: base, Sections: sections(maxTasks)}})
+	require.NoError(t, err)
+	require.NotNil(t, reply.Change)
+	return reply.Change
+}
+
+// One control host, an agent and an entry over real sockets: the entry sees the
+// agent come and go, and both get each configuration.
+func TestOneHost(t *testing.T) {
+	a := newAuthority(t)
+	h := startHost(t, a, "control-1", "127.0.0.1:0")
+	entry := startProcess(t, a, wire.RoleEntry, "entry-1", h.Addr())
+	agent := startProcess(t, a, wire.RoleAgent, "agent-1", h.Addr())
+	eventually(t, "the entry sees the agent", func() bool { return entry.sees("agent-1") })
+	eventually(t, "quorum", func() bool { return h.fresh.Load() })
+
+	var base uint64
+	for n := 1; n <= 5; n++ {
+		reply := apply(t, h.Host, fmt.Sprint("op-", n), base, n)
+		require.True(t, reply.Accepted, reply.Detail)
+		base = reply.Index
+		eventually(t, "in force", func() bool { return entry.index() == base && agent.index() == base })
+		require.Equal(t, reply.Digest, entry.Stamp().Digest)
+	}
+	indices, configs := entry.handedOver()
+	require.Equal(t, uint32(5), configs[len(configs)-1].Services["alert-core"].MaxTasks)
+	require.IsIncreasing(t, indices)
+
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	agent.Leave(ctx)
+	eventually(t, "the entry sees the agent leave", func() bool { return !entry.sees("agent-1") })
+}
+
+// Two submissions with one idempotency key: the first is granted, the second
+// waits and then gets the first one's outcome.
+func TestClaims(t *testing.T) {
+	a := newAuthority(t)
+	h := startHost(t, a, "control-1", "127.0.0.1:0")
+	eventually(t, "quorum", func() bool { return h.fresh.Load() })
+	apply(t, h.Host, "op", 0, 1)
+	one := startProcess(t, a, wire.RoleEntry, "entry-1", h.Addr())
+	two := startProcess(t, a, wire.RoleEntry, "entry-2", h.Addr())
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	claim := wire.Claim{Request: 7, Team: "night-nurses", Service: "alert-core", Key: "k", BodyDigest: 1, Owner: task.NewSubmissionID(1, 1), Keep: time.Hour}
+	reply, err := one.Claim(ctx, claim)
+	require.NoError(t, err)
+	require.Equal(t, wire.ClaimGranted, reply.State)
+	require.Equal(t, uint64(7), reply.Request)
+
+	other := claim
+	other.Owner = task.NewSubmissionID(2, 1)
+	reply, err = two.Claim(ctx, other)
+	require.NoError(t, err)
+	require.Equal(t, wire.ClaimPending, reply.State)
+
+	done := task.Outcome{State: task.Complete, Body: []byte("dispatched")}
+	require.NoError(t, one.Resolve(ctx, wire.Resolve{Team: claim.Team, Service: claim.Service, Key: claim.Key, Owner: claim.Owner, Outcome: done}))
+	reply, err = two.Claim(ctx, other)
+	require.NoError(t, err)
+	require.Equal(t, wire.ClaimDone, reply.State)
+	require.Equal(t, &done, reply.Outcome)
+}
--- /dev/null
+++ b/controld/links.go
@@ -0,0 +1,214 @@
+package controld
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fireflytray/fireflytray/directory"
+	"github.com/fireflytray/fireflytray/transport"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+const (
+	dialTimeout = time.Second
+	minBackoff  = 50 * time.Millisecond
+	maxBackoff  = time.Second
+)
+
+// links are the connections that this host dials to the other control hosts:
+// for messages of the replicated log, proposals to the leader, and the leases
+// that the others hold.
+type links struct {
+	host *Host
+
+	mu     sync.Mutex
+	byAddr map[string]*link
+	// request numbers proposals; waiting pairs them with their answers.
+	request uint64
+	waiting map[uint64]chan *wire.Proposed
+}
+
+// link is the connection to one control host.
+type link struct {
+	addr string
+	stop context.CancelFunc
+
+	mu   sync.Mutex
+	conn *transport.Conn
+}
+
+func newLinks(h *Host) *links {
+	return &links{host: h, byAddr: map[string]*link{}, waiting: map[uint64]chan *wire.Proposed{}}
+}
+
+// follow starts links to new addresses and stops those to removed ones.
+func (t *links) follow(ctx context.Context, addrs []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	want := map[string]bool{}
+	for _, addr := range addrs {
+		want[addr] = true
+		if t.byAddr[addr] != nil || ctx.Err() != nil {
+			continue
+		}
+		linkCtx, stop := context.WithCancel(ctx)
+		l := &link{addr: addr, stop: stop}
+		t.byAddr[addr] = l
+		t.host.group.Go(func() error { t.run(linkCtx, l); return nil })
+	}
+	for addr, l := range t.byAddr {
+		if !want[addr] {
+			l.stop()
+			delete(t.byAddr, addr)
+		}
+	}
+}
+
+// run dials again whenever the connection ends, until ctx ends.
+func (t *links) run(ctx context.Context, l *link) {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		started := time.Now()
+		err := t.serve(ctx, l)
+		t.host.loop.Post(directory.Event{Lost: &directory.Lost{Source: directory.Source(l.addr)}})
+		if time.Since(started) > maxBackoff {
+			backoff = minBackoff
+		}
+		t.host.log.Debug("no link", "control", l.addr, "err", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(backoff/2 + rand.N(backoff)):
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func (t *links) serve(ctx context.Context, l *link) error {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	conn, err := transport.Dial(dialCtx, l.addr, wire.RoleControl, t.host.opts.Transport)
+	cancel()
+	if err != nil {
+		return fmt.Errorf("controld: %w", err)
+	}
+	l.set(conn)
+	defer l.set(nil)
+	defer conn.Close("link ended")
+	linkCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	go t.announce(linkCtx, conn)
+	for {
+		m, _, err := conn.Recv(ctx)
+		if err != nil {
+			return fmt.Errorf("controld: link to %s: %w", l.addr, err)
+		}
+		t.handle(l, conn, m)
+	}
+}
+
+// announce registers this host with the other one and watches its leases.
+func (t *links) announce(ctx context.Context, conn *transport.Conn) {
+	ticker := time.NewTicker(lease / renewals)
+	defer ticker.Stop()
+	for {
+		msg := &wire.Announce{From: t.host.opts.Self, Seq: t.host.seq.Add(1), Lease: lease, Watch: true}
+		if err := conn.Send(msg); err != nil {
+			return
+		}
+		conn.Expect(true)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (t *links) handle(l *link, conn *transport.Conn, m wire.Message) {
+	switch m := m.(type) {
+	case *wire.Announced:
+		conn.Expect(false)
+	case *wire.Directory:
+		t.host.loop.Post(directory.Event{Merge: &directory.Merged{Source: directory.Source(l.addr), Msg: m}})
+	case *wire.Proposed:
+		t.deliver(m)
+	}
+}
+
+func (l *link) set(conn *transport.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn = conn
+}
+
+// errNoLink means that there is no connection to a control host.
+var errNoLink = errors.New("not connected")
+
+func (t *links) send(addr string, m wire.Message) error {
+	t.mu.Lock()
+	l := t.byAddr[addr]
+	t.mu.Unlock()
+	if l == nil {
+		return errNoLink
+	}
+	l.mu.Lock()
+	conn := l.conn
+	l.mu.Unlock()
+	if conn == nil {
+		return errNoLink
+	}
+	return conn.Send(m)
+}
+
+// sendRaft hands over a message of the replicated log; it may be lost.
+func (t *links) sendRaft(addr string, body []byte) {
+	_ = t.send(addr, &wire.Raft{Body: body})
+}
+
+// propose hands a command to the leader.
+func (t *links) propose(ctx context.Context, addr string, command []byte) ([]byte, error) {
+	id, ch := t.open()
+	defer t.close(id)
+	if err := t.send(addr, &wire.Propose{Request: id, Command: command}); err != nil {
+		return nil, fmt.Errorf("leader %s: %w", addr, err)
+	}
+	select {
+	case <-ctx.Done():
+		return nil, fmt.Errorf("leader %s: %w: %w", addr, ErrUnknownOutcome, ctx.Err())
+	case m := <-ch:
+		switch m.Status {
+		case wire.ProposeAccepted:
+			return m.Result, nil
+		case wire.ProposeNotLeader:
+			return nil, fmt.Errorf("leader %s: %w", addr, &NotLeaderError{})
+		}
+		return nil, fmt.Errorf("leader %s: %w: %s", addr, ErrUnknownOutcome, m.Detail)
+	}
+}
+
+func (t *links) open() (uint64, chan *wire.Proposed) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.request++
+	ch := make(chan *wire.Proposed, 1)
+	t.waiting[t.request] = ch
+	return t.request, ch
+}
+
+func (t *links) close(id uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.waiting, id)
+}
+
+func (t *links) deliver(m *wire.Proposed) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if ch, ok := t.waiting[m.Request]; ok {
+		delete(t.waiting, m.Request)
+		ch <- m
+	}
+}
--- /dev/null
+++ b/controld/session.go
@@ -0,0 +1,198 @@
+package controld
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fireflytray/fireflytray/directory"
+	"github.com/fireflytray/fireflytray/transport"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// pushAgain is how long a push may take to show in the peer's stamp before it
+// is sent again.
+const pushAgain = time.Second
+
+// session is one accepted connection.
+type session struct {
+	id   directory.ConnID
+	conn *transport.Conn
+
+	mu sync.Mutex
+	// have is the configuration index of the peer's last stamp.
+	have uint64
+	// pushed is the index last sent, at pushedAt.
+	pushed   uint64
+	pushedAt time.Time
+}
+
+// send queues a message; a peer that does not read is cut off.
+func (s *session) send(m wire.Message) {
+	if err := s.conn.Send(m); err != nil {
+		s.conn.Close("can't send")
+	}
+}
+
+// due reports whether the peer is to be pushed an index, and from which one.
+func (s *session) due(index uint64, now time.Time) (have uint64, due bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.have >= index || s.pushed == index && now.Sub(s.pushedAt) < pushAgain {
+		return 0, false
+	}
+	s.pushed, s.pushedAt = index, now
+	return s.have, true
+}
+
+// stamped notes a stamp. A stamp never takes back an index.
+func (s *session) stamped(index uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.have = max(s.have, index)
+}
+
+// sessions is the set of accepted connections.
+type sessions struct {
+	mu   sync.Mutex
+	last directory.ConnID
+	byID map[directory.ConnID]*session
+}
+
+func newSessions() *sessions { return &sessions{byID: map[directory.ConnID]*session{}} }
+
+func (t *sessions) add(conn *transport.Conn) *session {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.last++
+	s := &session{id: t.last, conn: conn}
+	t.byID[s.id] = s
+	return s
+}
+
+func (t *sessions) remove(s *session) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.byID, s.id)
+}
+
+func (t *sessions) get(id directory.ConnID) *session {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.byID[id]
+}
+
+func (t *sessions) all() []*session {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]*session, 0, len(t.byID))
+	for _, s := range t.byID {
+		out = append(out, s)
+	}
+	return out
+}
+
+// accept serves each connection until ctx ends.
+func (h *Host) accept(ctx context.Context) {
+	for {
+		conn, err := h.listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		s := h.sessions.add(conn)
+		h.group.Go(func() error {
+			h.serve(ctx, s)
+			return nil
+		})
+	}
+}
+
+func (h *Host) serve(ctx context.Context, s *session) {
+	defer func() {
+		h.sessions.remove(s)
+		h.loop.Post(directory.Event{Closed: &directory.Closed{Conn: s.id}})
+		s.conn.Close("session ended")
+	}()
+	for {
+		m, stamp, err := s.conn.Recv(ctx)
+		if err != nil {
+			h.log.Debug("session ended", "peer", s.conn.Peer(), "err", err)
+			return
+		}
+		s.stamped(stamp.Index)
+		if !h.handle(ctx, s, m, stamp) {
+			h.log.Warn("message refused", "peer", s.conn.Peer(), "kind", m.Kind())
+			return
+		}
+	}
+}
+
+// handle takes one message. It returns false for one that the peer's role or
+// name does not allow.
+func (h *Host) handle(ctx context.Context, s *session, m wire.Message, stamp wire.Stamp) bool {
+	role := s.conn.Peer().Role
+	switch m := m.(type) {
+	case *wire.Announce:
+		if m.From.Role != role || m.From.ID != s.conn.Peer().ID {
+			return false
+		}
+		h.loop.Post(directory.Event{Announce: &directory.Announced{Conn: s.id, Msg: m, Index: stamp.Index}})
+		if role != wire.RoleControl {
+			h.push(s)
+		}
+	case *wire.ConfigFetch:
+		s.send(h.pushFrom(m.Have))
+	case *wire.Claim:
+		if role != wire.RoleEntry {
+			return false
+		}
+		h.request(func() { s.send(h.claim(ctx, m)) }, func() { s.send(unavailable(m.Request)) })
+	case *wire.Resolve:
+		if role != wire.RoleEntry {
+			return false
+		}
+		h.request(func() { s.send(h.resolve(ctx, m)) }, func() { s.send(unavailable(m.Request)) })
+	case *wire.Propose:
+		if role != wire.RoleControl {
+			return false
+		}
+		h.request(func() { s.send(h.proposeHere(ctx, m)) }, func() { s.send(notTaken(m.Request, "too many requests")) })
+	case *wire.Raft:
+		if role != wire.RoleControl {
+			return false
+		}
+		h.replica.Receive(m.Body)
+	default:
+		return false
+	}
+	return true
+}
+
+// push sends the configuration in force to a peer that is behind.
+func (h *Host) push(s *session) {
+	if have, due := s.due(h.machine.Stamp().Index, time.Now()); due {
+		s.send(h.pushFrom(have))
+	}
+}
+
+func (h *Host) pushFrom(have uint64) *wire.ConfigPush {
+	msg := h.machine.Push(have)
+	msg.Fresh = h.fresh.Load()
+	return msg
+}
+
+// pushChanges sends each new configuration to every entry and agent.
+func (h *Host) pushChanges(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.changed:
+		}
+		for _, s := range h.sessions.all() {
+			if s.conn.Peer().Role != wire.RoleControl {
+				h.push(s)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/directory/reducer.go
@@ -0,0 +1,290 @@
+package directory
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+const (
+	// MaxLease bounds the lease that an announcement may ask for.
+	MaxLease = 10 * time.Second
+	// MinLease is the shortest lease that is granted.
+	MinLease = time.Second
+	// completeAfter is how long after its start a control host's list may lack
+	// live processes.
+	completeAfter = MaxLease
+	// sourceGrace is how long what another control host said outlives the
+	// connection to it.
+	sourceGrace = MaxLease
+	// upsertDelay gathers announcements into one message to each watcher.
+	upsertDelay = 100 * time.Millisecond
+	// quietDelay gathers changes of configuration indices.
+	quietDelay = time.Second
+	never      = time.Duration(1<<63 - 1)
+)
+
+// ConnID names a connection to this control host. It is never reused.
+type ConnID uint64
+
+// Event is an input of the Reducer. Exactly one pointer is set; an empty Event
+// is a tick.
+type Event struct {
+	Announce *Announced
+	Closed   *Closed
+	Merge    *Merged
+	Lost     *Lost
+	Quorum   *Quorum
+	Watch    *Watched
+}
+
+// Announced is an announcement that arrived on a connection.
+type Announced struct {
+	Conn ConnID
+	Msg  *wire.Announce
+	// Index is the configuration index of the frame's stamp.
+	Index uint64
+}
+
+// Closed says that a connection has ended. Leases outlive it.
+type Closed struct{ Conn ConnID }
+
+// Merged is a Directory message from another control host.
+type Merged struct {
+	Source Source
+	Msg    *wire.Directory
+}
+
+// Lost says that the connection to another control host has ended.
+type Lost struct{ Source Source }
+
+// Quorum says whether this control host has heard from a quorum lately.
+type Quorum struct{ Fresh bool }
+
+// Watched asks for a function to be called with all members, on the loop.
+type Watched struct{ Reply func([]wire.Member) }
+
+// Effect is an output of the Reducer: a message for a connection.
+type Effect struct {
+	Conn ConnID
+	Msg  wire.Message
+}
+
+// lease is an announcement in force at this control host.
+type lease struct {
+	peer    wire.Peer
+	worker  *wire.Worker
+	seq     uint64
+	changed uint64
+	expires time.Duration
+}
+
+// watcher is a connection that gets differences.
+type watcher struct {
+	conn ConnID
+	// local is set for control hosts: they get the leases held here only, so
+	// that no control host vouches for what it has from another.
+	local bool
+}
+
+// Reducer is the directory of one control host.
+type Reducer struct {
+	table *Table
+	// leases is what is announced here; local mirrors it for other control
+	// hosts.
+	leases   map[processKey]*lease
+	local    *Table
+	watchers []watcher
+	lost     map[Source]time.Duration
+	fresh    bool
+	complete bool
+	start    time.Duration
+	flushAt  time.Duration
+	// wakeAt is no later than the first expiry of a lease or a lost source.
+	wakeAt time.Duration
+}
+
+// NewReducer returns the directory of a control host that starts now.
+func NewReducer(now time.Duration) *Reducer {
+	return &Reducer{
+		table: NewTable(), leases: map[processKey]*lease{}, local: NewTable(),
+		lost: map[Source]time.Duration{}, start: now, flushAt: never, wakeAt: never,
+	}
+}
+
+// Next returns when a tick is due.
+func (r *Reducer) Next() (time.Duration, bool) {
+	at := min(r.flushAt, r.wakeAt)
+	if !r.complete {
+		at = min(at, r.start+completeAfter)
+	}
+	return at, at != never
+}
+
+// Step takes one event.
+func (r *Reducer) Step(now time.Duration, ev Event, out []Effect) []Effect {
+	switch {
+	case ev.Announce != nil:
+		out = r.announce(now, ev.Announce, out)
+	case ev.Closed != nil:
+		r.watchers = slices.DeleteFunc(r.watchers, func(w watcher) bool { return w.conn == ev.Closed.Conn })
+	case ev.Merge != nil:
+		delete(r.lost, ev.Merge.Source)
+		r.table.Merge(now, ev.Merge.Source, ev.Merge.Msg)
+	case ev.Lost != nil:
+		r.lost[ev.Lost.Source] = now + sourceGrace
+		r.wakeAt = min(r.wakeAt, now+sourceGrace)
+	case ev.Quorum != nil:
+		r.fresh = ev.Quorum.Fresh
+	case ev.Watch != nil:
+		ev.Watch.Reply(r.table.Members())
+	}
+	r.expire(now)
+	out = r.becomeComplete(now, out)
+	return r.flush(now, out)
+}
+
+func (r *Reducer) announce(now time.Duration, a *Announced, out []Effect) []Effect {
+	key, known := keyOf(a.Msg.From), r.leases[keyOf(a.Msg.From)]
+	if known != nil && stale(known, a.Msg) {
+		return out
+	}
+	if a.Msg.Leaving {
+		delete(r.leases, key)
+		r.table.Leave(now, a.Msg.From)
+		r.local.Leave(now, a.Msg.From)
+		return append(out, Effect{a.Conn, &wire.Announced{Seq: a.Msg.Seq, Fresh: r.fresh}})
+	}
+	l := renew(known, a.Msg)
+	l.expires = now + min(max(a.Msg.Lease, MinLease), MaxLease)
+	r.wakeAt = min(r.wakeAt, l.expires)
+	r.leases[key] = l
+	m := wire.Member{Peer: l.peer, Worker: l.worker, ConfigIndex: a.Index, Seq: l.changed}
+	r.table.Upsert(Local, m)
+	r.local.Upsert(Local, m)
+	out = append(out, Effect{a.Conn, &wire.Announced{Seq: a.Msg.Seq, Fresh: r.fresh}})
+	if a.Msg.Watch {
+		out = r.watch(a, out)
+	}
+	return out
+}
+
+// stale reports whether an announcement was overtaken by the lease's last one.
+func stale(l *lease, m *wire.Announce) bool {
+	if m.From.Incarnation != l.peer.Incarnation {
+		return m.From.Incarnation < l.peer.Incarnation
+	}
+	return m.Seq <= l.seq
+}
+
+// renew returns the lease after an announcement.
+func renew(old *lease, m *wire.Announce) *lease {
+	l := &lease{peer: m.From, worker: m.Worker, seq: m.Seq, changed: m.Seq}
+	if old != nil && old.peer == m.From && sameWorker(old.worker, m.Worker) {
+		l.changed = old.changed
+	}
+	return l
+}
+
+func sameWorker(a, b *wire.Worker) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
+}
+
+// watch adds a watcher and sends it the whole list.
+func (r *Reducer) watch(a *Announced, out []Effect) []Effect {
+	if slices.ContainsFunc(r.watchers, func(w watcher) bool { return w.conn == a.Conn }) {
+		return out
+	}
+	w := watcher{a.Conn, a.Msg.From.Role == wire.RoleControl}
+	r.watchers = append(r.watchers, w)
+	return append(out, Effect{w.conn, r.full(w)})
+}
+
+func (r *Reducer) full(w watcher) *wire.Directory {
+	members := r.table.Members()
+	if w.local {
+		members = r.local.Members()
+	}
+	return &wire.Directory{Full: true, Complete: r.complete, Upserts: members}
+}
+
+// expire ends leases that ran out and sources that stayed away. It looks at
+// all of them, but only once the first of them may be due.
+func (r *Reducer) expire(now time.Duration) {
+	if now < r.wakeAt {
+		return
+	}
+	r.wakeAt = never
+	for key, l := range r.leases {
+		if l.expires > now {
+			r.wakeAt = min(r.wakeAt, l.expires)
+			continue
+		}
+		delete(r.leases, key)
+		r.table.Expire(Local, l.peer)
+		r.local.Expire(Local, l.peer)
+	}
+	for src, at := range r.lost {
+		if at > now {
+			r.wakeAt = min(r.wakeAt, at)
+			continue
+		}
+		delete(r.lost, src)
+		r.table.Drop(src)
+	}
+	r.table.Clean(now)
+	r.local.Clean(now)
+}
+
+// becomeComplete sends all watchers the whole list again once every live
+// process has had the time to announce itself.
+func (r *Reducer) becomeComplete(now time.Duration, out []Effect) []Effect {
+	if r.complete || now < r.start+completeAfter {
+		return out
+	}
+	r.complete = true
+	for _, w := range r.watchers {
+		out = append(out, Effect{w.conn, r.full(w)})
+	}
+	return out
+}
+
+// flush sends differences: removals at once, upserts after a delay that
+// gathers more of them.
+func (r *Reducer) flush(now time.Duration, out []Effect) []Effect {
+	r.flushAt = min(r.flushAt, flushTime(now, &r.table.diff), flushTime(now, &r.local.diff))
+	if r.flushAt > now {
+		return out
+	}
+	r.flushAt = never
+	merged, local := r.table.Take(), r.local.Take()
+	forEntries, forControls := merged.Message(false), local.Message(true)
+	for _, w := range r.watchers {
+		msg := forEntries
+		if w.local {
+			msg = forControls
+		}
+		if len(msg.Upserts)+len(msg.Removed) > 0 {
+			out = append(out, Effect{w.conn, msg})
+		}
+	}
+	return out
+}
+
+func flushTime(now time.Duration, d *Difference) time.Duration {
+	if len(d.Removed) > 0 {
+		return now
+	}
+	at := never
+	for _, u := range d.Upserts {
+		if !u.Quiet {
+			return now + upsertDelay
+		}
+		at = now + quietDelay
+	}
+	return at
+}
