Add raft, wal and replica: a first usable replicated log

Conclusion: one replica and three replicas work over an in-memory network under a virtual clock; the consensus property test is still to come.

--- /dev/null
+++ b/raft/election.go
@@ -0,0 +1,110 @@
+package raft
+
+// preCampaign asks whether an election could be won, without changing a term.
+func (n *Node) preCampaign() {
+	n.becomeFollower(n.term, None)
+	n.role = PreCandidate
+	n.votes = map[uint64]bool{n.id: true}
+	for _, v := range n.conf.current() {
+		if v.Voter && v.ID != n.id {
+			n.send(Message{
+				Kind: MsgPreVote, To: v.ID, Term: n.term + 1,
+				Index: n.log.last(), LogTerm: n.log.lastTerm(),
+			})
+		}
+	}
+	n.tally()
+}
+
+// campaign starts an election. The replica's own vote is a held message to
+// itself, so that it counts once it is durable.
+func (n *Node) campaign(force bool) {
+	n.becomeFollower(n.term+1, None)
+	n.role = Candidate
+	n.vote = n.id
+	n.votes = map[uint64]bool{}
+	for _, v := range n.conf.current() {
+		switch {
+		case v.ID == n.id:
+			n.hold(Message{Kind: MsgVoteResp, To: n.id})
+		case v.Voter:
+			n.hold(Message{
+				Kind: MsgVote, To: v.ID, Force: force,
+				Index: n.log.last(), LogTerm: n.log.lastTerm(),
+			})
+		}
+	}
+}
+
+func (n *Node) handlePreVote(m Message) {
+	grant := m.Term > n.term && !n.hearsLeader() && n.log.upToDate(m.Index, m.LogTerm)
+	if grant {
+		n.hold(Message{Kind: MsgPreVoteResp, To: m.From, Term: m.Term})
+		return
+	}
+	n.hold(Message{Kind: MsgPreVoteResp, To: m.From, Reject: true})
+}
+
+func (n *Node) handlePreVoteResp(m Message) {
+	if n.role != PreCandidate {
+		return
+	}
+	if !m.Reject && m.Term != n.term+1 {
+		return
+	}
+	n.votes[m.From] = !m.Reject
+	n.tally()
+}
+
+func (n *Node) handleVote(m Message) {
+	if !m.Force && n.hearsLeader() {
+		return
+	}
+	free := n.vote == m.From || (n.vote == None && n.leader == None)
+	if !free || !n.log.upToDate(m.Index, m.LogTerm) {
+		n.hold(Message{Kind: MsgVoteResp, To: m.From, Reject: true})
+		return
+	}
+	n.vote = m.From
+	n.resetElection()
+	n.hold(Message{Kind: MsgVoteResp, To: m.From})
+}
+
+func (n *Node) handleVoteResp(m Message) {
+	if n.role != Candidate || m.Term != n.term {
+		return
+	}
+	n.votes[m.From] = !m.Reject
+	n.tally()
+}
+
+// tally ends a round of votes once a majority agrees or refuses.
+func (n *Node) tally() {
+	members := n.conf.current()
+	granted, refused := 0, 0
+	for id, ok := range n.votes {
+		switch {
+		case !isVoter(members, id):
+		case ok:
+			granted++
+		default:
+			refused++
+		}
+	}
+	switch {
+	case granted >= quorum(members) && n.role == PreCandidate:
+		n.campaign(false)
+	case granted >= quorum(members):
+		n.becomeLeader()
+	case refused >= quorum(members):
+		n.becomeFollower(n.term, None)
+	}
+}
+
+// handleTimeoutNow starts an election for a leader that hands over.
+func (n *Node) handleTimeoutNow(m Message) {
+	if n.leader != m.From || !isVoter(n.conf.current(), n.id) {
+		return
+	}
+	n.campaign(true)
+}
--- /dev/null
+++ b/raft/leader.go
@@ -0,0 +1,274 @@
+package raft
+
+import (
+	"slices"
+	"time"
+)
+
+// snapshotChunkBytes is the data of one snapshot message.
+const snapshotChunkBytes = 256 << 10
+
+func (n *Node) becomeLeader() {
+	n.role = Leader
+	n.leader = n.id
+	n.electedAt = n.now
+	n.heartbeatAt = n.now
+	n.peers = map[uint64]*progress{}
+	n.syncPeers()
+	n.appendOwn(Entry{Kind: EntryNoop})
+}
+
+// syncPeers gives every other member a progress and drops former members.
+func (n *Node) syncPeers() {
+	members := n.conf.current()
+	for id := range n.peers {
+		if _, ok := find(members, id); !ok {
+			delete(n.peers, id)
+		}
+	}
+	for _, m := range members {
+		if m.ID == n.id || n.peers[m.ID] != nil {
+			continue
+		}
+		n.peers[m.ID] = &progress{next: n.log.last() + 1}
+	}
+}
+
+// appendOwn adds an entry to the leader's own log.
+func (n *Node) appendOwn(e Entry) (index, term uint64) {
+	e.Index, e.Term = n.log.last()+1, n.term
+	n.uncommitted += entrySize(&e)
+	n.store([]Entry{e})
+	if e.Kind == EntryMembers {
+		n.syncPeers()
+	}
+	return e.Index, e.Term
+}
+
+// Propose appends a command. An error means that nothing was appended.
+func (n *Node) Propose(command []byte) (index, term uint64, err error) {
+	if n.role != Leader || n.transferee != None {
+		return 0, 0, ErrNotLeader
+	}
+	if n.uncommitted > n.cfg.MaxUncommitted {
+		return 0, 0, ErrBusy
+	}
+	index, term = n.appendOwn(Entry{Kind: EntryCommand, Data: command})
+	return index, term, nil
+}
+
+func (n *Node) tickLeader() {
+	if !n.heardQuorum() {
+		n.becomeFollower(n.term, None)
+		return
+	}
+	if n.transferee != None && n.now >= n.transferBy {
+		n.transferee = None
+	}
+	if n.now < n.heartbeatAt {
+		return
+	}
+	n.heartbeatAt = n.now + n.cfg.HeartbeatInterval
+	n.replicateAll(true)
+}
+
+// quorumHeardAt returns the time since which a quorum is known to have
+// followed this leader, itself included.
+func (n *Node) quorumHeardAt() (at time.Duration, ok bool) {
+	members := n.conf.current()
+	var times []time.Duration
+	for _, m := range members {
+		if !m.Voter {
+			continue
+		}
+		if m.ID == n.id {
+			times = append(times, n.now)
+		} else if p := n.peers[m.ID]; p != nil && p.acked {
+			times = append(times, p.ackedAt)
+		}
+	}
+	q := quorum(members)
+	if len(times) < q {
+		return 0, false
+	}
+	slices.Sort(times)
+	return times[len(times)-q], true
+}
+
+// heardQuorum is the leader's own check that it is not cut off.
+func (n *Node) heardQuorum() bool {
+	since := n.electedAt
+	if at, ok := n.quorumHeardAt(); ok {
+		since = max(since, at)
+	}
+	return n.now < since+n.cfg.ElectionTimeout
+}
+
+// holdsLease says whether no other leader can have been elected: a quorum
+// has answered messages that were sent within the election timeout, less a
+// share for clocks of differing speed.
+func (n *Node) holdsLease() bool {
+	if n.role != Leader || n.transferee != None {
+		return false
+	}
+	at, ok := n.quorumHeardAt()
+	return ok && n.now < at+n.cfg.ElectionTimeout*leaseShare/100
+}
+
+// leaseShare is the part of the election timeout that a leader counts on, in
+// percent.
+const leaseShare = 90
+
+func (n *Node) replicateAll(heartbeat bool) {
+	for _, m := range n.conf.current() {
+		if p := n.peers[m.ID]; p != nil {
+			n.replicateTo(m.ID, p, heartbeat)
+		}
+	}
+}
+
+// replicateTo sends what a follower lacks, within its window. A heartbeat
+// sends at least one message.
+func (n *Node) replicateTo(id uint64, p *progress, heartbeat bool) {
+	if _, ok := n.log.term(p.next - 1); !ok && p.state != snapshotting {
+		s := n.log.snap
+		p.startSnapshot(&s)
+	}
+	switch p.state {
+	case snapshotting:
+		if heartbeat || !p.paused {
+			n.sendChunk(id, p)
+		}
+	case probing:
+		if heartbeat || !p.paused {
+			n.sendAppend(id, p.next, n.log.batch(p.next, n.cfg.MaxBatchBytes))
+			p.paused = true
+		}
+	case replicating:
+		sent := n.stream(id, p)
+		if heartbeat && !sent {
+			n.sendAppend(id, p.next, nil)
+		}
+	}
+}
+
+// stream sends batches of entries while the window has room.
+func (n *Node) stream(id uint64, p *progress) (sent bool) {
+	for p.next <= n.log.last() && len(p.inflight) < n.cfg.MaxInflight {
+		ents := n.log.batch(p.next, n.cfg.MaxBatchBytes)
+		n.sendAppend(id, p.next, ents)
+		p.next += uint64(len(ents))
+		p.inflight = append(p.inflight, p.next-1)
+		sent = true
+	}
+	return sent
+}
+
+func (n *Node) sendAppend(to, next uint64, ents []Entry) {
+	term, _ := n.log.term(next - 1)
+	n.sendLead(Message{
+		Kind: MsgAppend, To: to, Index: next - 1, LogTerm: term,
+		Commit: n.log.commit, Entries: ents,
+	})
+}
+
+func (n *Node) sendChunk(id uint64, p *progress) {
+	s := p.snap
+	from := min(p.offset, uint64(len(s.Data)))
+	to := min(from+snapshotChunkBytes, uint64(len(s.Data)))
+	n.sendLead(Message{Kind: MsgSnapshot, To: id, Chunk: &Chunk{
+		Index: s.Index, Term: s.Term, Members: s.Members,
+		Offset: from, Data: s.Data[from:to], Last: to == uint64(len(s.Data)),
+	}})
+	p.paused = true
+}
+
+// sendLead adds what every message of a leader carries.
+func (n *Node) sendLead(m Message) {
+	m.Round = n.round
+	m.SentAt = n.now
+	m.Fresh = n.holdsLease()
+	n.send(m)
+}
+
+// handleProgress takes in a follower's answer.
+func (n *Node) handleProgress(m Message) {
+	p := n.peers[m.From]
+	if n.role != Leader || p == nil {
+		return
+	}
+	p.heard(m.SentAt, m.Round)
+	n.confirmReads()
+	switch {
+	case m.Kind == MsgSnapshotResp:
+		n.chunkReceived(m, p)
+	case m.Reject:
+		n.probeBack(m, p)
+	case m.Index > n.log.last():
+		// No follower of this term can hold more than its leader.
+	default:
+		n.matched(m, p)
+	}
+	n.continueTransfer(m.From, p)
+}
+
+func (n *Node) chunkReceived(m Message, p *progress) {
+	if p.state != snapshotting || p.snap.Index != m.Index {
+		return
+	}
+	if m.Offset == p.offset {
+		return
+	}
+	p.offset = m.Offset
+	p.paused = false
+}
+
+func (n *Node) probeBack(m Message, p *progress) {
+	stale := m.Index <= p.match || (p.state == probing && m.Index != p.next-1)
+	if stale || p.state == snapshotting {
+		return
+	}
+	p.probe(max(p.match+1, min(m.Index, m.Hint+1)))
+}
+
+func (n *Node) matched(m Message, p *progress) {
+	if m.Index < p.match {
+		return
+	}
+	if p.state == snapshotting && m.Index < p.snap.Index {
+		return
+	}
+	if p.state == probing {
+		p.next = m.Index + 1
+	}
+	p.free(m.Index)
+	p.replicate(m.Index)
+	n.maybeCommit()
+}
+
+// maybeCommit moves the commit index to what a quorum holds durably. Only an
+// entry of the current term commits by counting.
+func (n *Node) maybeCommit() {
+	members := n.conf.current()
+	var held []uint64
+	for _, m := range members {
+		switch {
+		case !m.Voter:
+		case m.ID == n.id:
+			held = append(held, n.log.stable)
+		default:
+			held = append(held, n.peers[m.ID].match)
+		}
+	}
+	slices.Sort(held)
+	index := held[len(held)-quorum(members)]
+	if index <= n.log.commit || !n.log.matches(index, n.term) {
+		return
+	}
+	for _, e := range n.log.slice(n.log.commit+1, index) {
+		n.uncommitted -= entrySize(&e)
+	}
+	n.uncommitted = max(0, n.uncommitted)
+	n.log.commit = index
+	n.confirmReads()
+}
--- /dev/null
+++ b/replica/cluster_test.go
@@ -0,0 +1,230 @@
+package replica
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/raft"
+	"github.com/fireflytray/fireflytray/wal/waltest"
+)
+
+// callTimeout is by the virtual clock of a synctest bubble.
+const callTimeout = 10 * time.Second
+
+// counter is a state machine that appends commands to a list.
+type counter struct {
+	mu    sync.Mutex
+	items []string
+}
+
+func (c *counter) Apply(index uint64, command []byte) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.items = append(c.items, string(command))
+	return binary.BigEndian.AppendUint64(nil, uint64(len(c.items)))
+}
+
+func (c *counter) Snapshot() ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var b []byte
+	for _, s := range c.items {
+		b = binary.BigEndian.AppendUint32(b, uint32(len(s)))
+		b = append(b, s...)
+	}
+	return b, nil
+}
+
+func (c *counter) Restore(_ uint64, b []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.items = nil
+	for len(b) > 0 {
+		n := binary.BigEndian.Uint32(b)
+		c.items = append(c.items, string(b[4:4+n]))
+		b = b[4+n:]
+	}
+	return nil
+}
+
+func (c *counter) list() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.items...)
+}
+
+// network joins replicas by address.
+type network struct {
+	mu    sync.Mutex
+	hosts map[string]*host
+	cut   map[string]bool
+}
+
+type host struct {
+	net     *network
+	addr    string
+	fs      *waltest.FS
+	state   *counter
+	replica *Replica
+}
+
+func (n *network) find(addr string) *Replica {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h := n.hosts[addr]
+	if h == nil || n.cut[addr] {
+		return nil
+	}
+	return h.replica
+}
+
+func (n *network) setCut(addr string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[addr] = cut
+}
+
+// Send implements Transport.
+func (h *host) Send(_ uint64, addr string, body []byte) {
+	if h.net.find(h.addr) == nil {
+		return
+	}
+	if r := h.net.find(addr); r != nil {
+		r.Receive(body)
+	}
+}
+
+func newNetwork() *network {
+	return &network{hosts: map[string]*host{}, cut: map[string]bool{}}
+}
+
+func addr(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i) }
+
+// start opens a replica at an address with an empty folder.
+func (n *network) start(t *testing.T, i int, change func(*Options)) *host {
+	h := &host{net: n, addr: addr(i), fs: waltest.New(uint64(i))}
+	h.open(t, change)
+	return h
+}
+
+func (h *host) open(t *testing.T, change func(*Options)) {
+	h.state = &counter{}
+	opt := Options{
+		Dir: "/data", Addr: h.addr, FS: h.fs, Seed: uint64(len(h.addr)) + uint64(h.addr[7]),
+		Transport: h, StateMachine: h.state,
+		Log: func(msg string, kv ...any) { t.Log(h.addr, msg, kv) },
+	}
+	if change != nil {
+		change(&opt)
+	}
+	r, err := Open(opt)
+	require.NoError(t, err)
+	h.net.mu.Lock()
+	defer h.net.mu.Unlock()
+	h.replica = r
+	h.net.hosts[h.addr] = h
+}
+
+func first(hosts ...int) func(*Options) {
+	return func(o *Options) {
+		for _, i := range hosts {
+			o.Bootstrap = append(o.Bootstrap, Member{Addr: addr(i)})
+		}
+	}
+}
+
+func join(o *Options) { o.Join = true }
+
+func (n *network) stopAll(t *testing.T) {
+	for _, h := range n.hosts {
+		stopped, cancel := context.WithCancel(t.Context())
+		cancel()
+		h.replica.Stop(stopped)
+	}
+}
+
+func timeout(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// leader waits until one of the hosts leads and says that it is fresh.
+func leader(t *testing.T, hosts ...*host) *host {
+	for range 200 {
+		for _, h := range hosts {
+			if s := h.replica.Status(); s.Role == raft.Leader && s.Fresh {
+				return h
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	require.Fail(t, "no leader within 10 s of virtual time")
+	return nil
+}
+
+func three(t *testing.T, n *network) []*host {
+	var hosts []*host
+	for i := 1; i <= 3; i++ {
+		hosts = append(hosts, n.start(t, i, first(1, 2, 3)))
+	}
+	return hosts
+}
+
+func TestSingleReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		h := n.start(t, 1, first(1))
+		leader(t, h)
+		for i := range 10 {
+			res, index, err := h.replica.Propose(timeout(t), fmt.Appendf(nil, "%d", i))
+			require.NoError(t, err)
+			require.Equal(t, uint64(i+1), binary.BigEndian.Uint64(res))
+			read, err := h.replica.Barrier(timeout(t))
+			require.NoError(t, err)
+			require.GreaterOrEqual(t, read, index)
+		}
+		require.NoError(t, h.replica.Stop(timeout(t)))
+		_, _, err := h.replica.Propose(timeout(t), []byte("late"))
+		require.ErrorIs(t, err, ErrStopped)
+
+		h.open(t, first(1))
+		leader(t, h)
+		_, err = h.replica.Barrier(timeout(t))
+		require.NoError(t, err)
+		require.Len(t, h.state.list(), 10)
+		n.stopAll(t)
+	})
+}
+
+func TestThreeReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		hosts := three(t, n)
+		l := leader(t, hosts...)
+		for i := range 20 {
+			_, _, err := l.replica.Propose(timeout(t), fmt.Appendf(nil, "%d", i))
+			require.NoError(t, err)
+		}
+		for _, h := range hosts {
+			_, err := h.replica.Barrier(timeout(t))
+			require.NoError(t, err)
+			require.Len(t, h.state.list(), 20)
+			require.True(t, h.replica.Status().Fresh)
+			if h != l {
+				_, _, err := h.replica.Propose(timeout(t), nil)
+				var moved ErrNotLeader
+				require.ErrorAs(t, err, &moved)
+				require.Equal(t, l.addr, moved.LeaderAddr)
+			}
+		}
+		n.stopAll(t)
+	})
+}
--- /dev/null
+++ b/replica/loop.go
@@ -0,0 +1,367 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fireflytray/fireflytray/raft"
+	"github.com/fireflytray/fireflytray/wal"
+)
+
+// eventBacklog is how many events may wait before messages are dropped.
+const eventBacklog = 4096
+
+// maxDrain bounds the events that are handled before the next save begins.
+const maxDrain = 1024
+
+// event is one input of the loop; exactly one field is set.
+type event struct {
+	body []byte
+	req  *request
+	stop bool
+}
+
+// request is a call of the API.
+type request struct {
+	kind    requestKind
+	ctx     context.Context
+	command []byte
+	change  raft.Change
+	reply   chan result
+}
+
+func (q *request) answer(res result) { q.reply <- res }
+
+// waiter is a request whose entry is in the log but not applied.
+type waiter struct {
+	term uint64
+	req  *request
+}
+
+// readWait is a read whose index may not be applied yet.
+type readWait struct {
+	index uint64
+	req   *request
+}
+
+// loop is the goroutine that owns a replica's state.
+type loop struct {
+	r     *Replica
+	opt   *Options
+	start time.Time
+
+	wal    *wal.WAL
+	saver  *saver
+	former *former    // nil once the replica belongs to a cluster
+	node   *raft.Node // nil before
+
+	ident   wal.Identity
+	addrs   map[uint64]string // as the peers themselves say
+	leader  uint64
+	applied uint64
+
+	waiters   map[uint64]waiter
+	reads     map[uint64]*request
+	readsDone []readWait
+	readID    uint64
+	handovers []*request
+
+	snapshotAt   uint64 // index of the last snapshot
+	snapshotting bool
+	stopping     bool
+	failure      error
+}
+
+func newLoop(r *Replica, w *wal.WAL, st wal.State) (*loop, error) {
+	l := &loop{
+		r: r, opt: &r.opt, start: time.Now(),
+		wal: w, ident: st.Identity,
+		addrs:   map[uint64]string{},
+		waiters: map[uint64]waiter{},
+		reads:   map[uint64]*request{},
+	}
+	if st.Cut > 0 {
+		l.opt.Log("cut an unfinished write off the log", "bytes", st.Cut)
+	}
+	if st.Identity.Phase == wal.PhaseMember {
+		return l, l.startNode(st)
+	}
+	return l, l.startForming()
+}
+
+func (l *loop) now() time.Duration { return time.Since(l.start) }
+
+// startForming begins the way into a cluster.
+func (l *loop) startForming() error {
+	var addrs []string
+	for _, m := range l.opt.Bootstrap {
+		addrs = append(addrs, m.Addr)
+	}
+	l.former = newFormer(l.ident, l.opt.Addr, addrs)
+	if !l.opt.Join || l.ident.Phase != wal.PhaseNew {
+		return nil
+	}
+	var eff effects
+	l.former.wait(&eff)
+	return l.carryOut(eff)
+}
+
+// startNode begins to take part in the cluster.
+func (l *loop) startNode(st wal.State) error {
+	node, err := raft.New(raft.Config{
+		ID: l.ident.Replica, Hard: st.Hard, Snapshot: st.Snapshot, Entries: st.Entries,
+		Now: l.now(), Seed: l.opt.Seed,
+		ElectionTimeout: l.opt.ElectionTimeout, HeartbeatInterval: l.opt.HeartbeatInterval,
+	})
+	if err != nil {
+		return err
+	}
+	l.former = nil
+	l.node = node
+	l.applied = st.Snapshot.Index
+	l.snapshotAt = st.Snapshot.Index
+	l.saver = newSaver(l.wal)
+	return nil
+}
+
+func (l *loop) run() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for !l.stopping && l.failure == nil {
+		timer.Reset(max(0, l.next()-l.now()))
+		l.wait(timer)
+		l.drain()
+		if l.node != nil && l.failure == nil {
+			l.process()
+		}
+	}
+	l.shutDown()
+}
+
+func (l *loop) next() time.Duration {
+	switch {
+	case l.node != nil:
+		return l.node.Next()
+	case l.former.ident.Phase == wal.PhaseWaiting:
+		return l.now() + time.Hour
+	}
+	return l.former.nextAt
+}
+
+// wait handles one event or the passing of time.
+func (l *loop) wait(timer *time.Timer) {
+	var done chan saveDone
+	if l.saver != nil {
+		done = l.saver.done
+	}
+	select {
+	case ev := <-l.r.events:
+		l.tick()
+		l.handle(ev)
+	case d := <-done:
+		l.tick()
+		l.saved(d)
+	case <-timer.C:
+		l.tick()
+	}
+}
+
+// drain handles the events that wait already, so that they share one save.
+func (l *loop) drain() {
+	for range maxDrain {
+		if l.stopping || l.failure != nil {
+			return
+		}
+		select {
+		case ev := <-l.r.events:
+			l.handle(ev)
+		default:
+			return
+		}
+	}
+}
+
+// tick comes before every event, so that a process that was frozen first finds
+// out that its lease has ended.
+func (l *loop) tick() {
+	if l.node != nil {
+		l.node.Tick(l.now())
+		return
+	}
+	l.must(l.carryOut(l.former.tick(l.now())))
+}
+
+func (l *loop) handle(ev event) {
+	switch {
+	case ev.stop:
+		l.stopping = true
+	case ev.req != nil:
+		l.handleRequest(ev.req)
+	default:
+		l.handleMessage(ev.body)
+	}
+}
+
+func (l *loop) must(err error) {
+	if err != nil && l.failure == nil {
+		l.failure = err
+		l.opt.Log("the replica stops", "error", err)
+	}
+}
+
+func (l *loop) saved(d saveDone) {
+	switch {
+	case d.err != nil:
+		l.must(d.err)
+	case d.job.snapshot != nil:
+		l.snapshotting = false
+		l.node.Compact(*d.job.snapshot)
+	default:
+		l.node.Advance()
+	}
+}
+
+// process carries out what the state machine asks for until it has no more.
+func (l *loop) process() {
+	for {
+		rd := l.node.Ready()
+		if rd.Empty() {
+			break
+		}
+		l.send(rd.Messages)
+		if rd.Save != nil {
+			l.saver.jobs <- saveJob{save: rd.Save}
+		}
+		l.apply(rd.Restore, rd.Committed)
+		l.noteReads(rd.Reads)
+	}
+	l.noteRole()
+	l.maybeSnapshot()
+}
+
+func (l *loop) send(msgs []raft.Message) {
+	for i := range msgs {
+		m := &msgs[i]
+		l.sendTo(m.To, l.addrOf(m.To), envelope{Raft: m})
+	}
+}
+
+func (l *loop) sendTo(to uint64, addr string, e envelope) {
+	if addr == "" {
+		return
+	}
+	e.From, e.FromAddr, e.Cluster = l.ident.Replica, l.opt.Addr, l.ident.Cluster
+	body, err := e.encode()
+	if err != nil {
+		l.opt.Log("can't encode a message", "peer", addr, "error", err)
+		return
+	}
+	l.opt.Transport.Send(to, addr, body)
+}
+
+// addrOf returns where a replica is: where it last spoke from, or else where
+// the membership says.
+func (l *loop) addrOf(id uint64) string {
+	if addr := l.addrs[id]; addr != "" {
+		return addr
+	}
+	if id == l.ident.Replica {
+		return l.opt.Addr
+	}
+	if l.node == nil {
+		return ""
+	}
+	for _, m := range l.node.Members() {
+		if m.ID == id {
+			return m.Addr
+		}
+	}
+	return ""
+}
+
+// apply brings the state machine forward and answers the requests whose
+// entries are applied.
+func (l *loop) apply(s *raft.Snapshot, ents []raft.Entry) {
+	if s != nil && l.failure == nil {
+		l.restore(s)
+	}
+	for _, e := range ents {
+		if l.failure != nil {
+			return
+		}
+		var data []byte
+		if e.Kind == raft.EntryCommand {
+			data = l.opt.StateMachine.Apply(e.Index, e.Data)
+		}
+		l.applied = e.Index
+		if w, ok := l.waiters[e.Index]; ok {
+			delete(l.waiters, e.Index)
+			w.req.answer(outcome(w, e, data))
+		}
+	}
+}
+
+func outcome(w waiter, e raft.Entry, data []byte) result {
+	if w.term != e.Term {
+		return result{err: ErrUnknownOutcome}
+	}
+	return result{data: data, index: e.Index}
+}
+
+func (l *loop) restore(s *raft.Snapshot) {
+	l.failWaiters(ErrUnknownOutcome)
+	l.applied, l.snapshotAt = s.Index, s.Index
+	if s.Index == initialIndex && len(s.Data) == 0 {
+		return
+	}
+	if err := l.opt.StateMachine.Restore(s.Index, s.Data); err != nil {
+		l.must(fmt.Errorf("restore snapshot %d: %w", s.Index, err))
+	}
+}
+
+func (l *loop) failWaiters(err error) {
+	for _, w := range l.waiters {
+		w.req.answer(result{err: err})
+	}
+	clear(l.waiters)
+}
+
+func (l *loop) maybeSnapshot() {
+	if l.snapshotting || l.failure != nil || l.applied < l.snapshotAt+l.opt.SnapshotEntries {
+		return
+	}
+	data, err := l.opt.StateMachine.Snapshot()
+	if err != nil {
+		l.opt.Log("can't take a snapshot", "error", err)
+		l.snapshotAt = l.applied
+		return
+	}
+	s, ok := l.node.MakeSnapshot(l.applied, data)
+	if !ok {
+		return
+	}
+	l.snapshotAt = s.Index
+	l.snapshotting = true
+	l.saver.jobs <- saveJob{snapshot: &s}
+}
+
+// shutDown answers what is still open and closes the files.
+func (l *loop) shutDown() {
+	l.failWaiters(ErrUnknownOutcome)
+	for _, req := range l.handovers {
+		req.answer(result{err: ErrStopped})
+	}
+	var err error
+	if l.saver != nil {
+		err = l.saver.close()
+	} else {
+		err = l.wal.Close()
+	}
+	l.r.err = errors.Join(l.failure, err)
+	if l.failure != nil {
+		l.r.err = fmt.Errorf("replica %s: %w", formatID(l.ident.Replica), l.failure)
+	}
+	close(l.r.done)
+}
