--- /dev/null
+++ b/adminapi/client.go
@@ -0,0 +1,142 @@
+package adminapi
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/fireflytray/fireflytray/keys"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+const (
+	// DefaultTimeout bounds one request.
+	DefaultTimeout = 10 * time.Second
+	// maxResponse bounds an answer, in bytes.
+	maxResponse = 128 << 20
+)
+
+// ErrNoAnswer means that no control host answered.
+var ErrNoAnswer = errors.New("no control host answered")
+
+// Client asks control hosts, one after another, until one answers.
+type Client struct {
+	addrs   []string
+	http    *fasthttp.Client
+	timeout time.Duration
+}
+
+// NewClient returns a client for the admin addresses.
+func NewClient(id *keys.Identity, addrs []string) *Client {
+	return &Client{
+		addrs:   addrs,
+		timeout: DefaultTimeout,
+		http: &fasthttp.Client{
+			Name:                      "fireflytray",
+			TLSConfig:                 id.ClientTLS(wire.RoleControl),
+			MaxResponseBodySize:       maxResponse,
+			MaxIdemponentCallAttempts: 1,
+		},
+	}
+}
+
+// Get asks for path, with query, and decodes the answer into out.
+func (c *Client) Get(ctx context.Context, path, query string, out any) error {
+	if query != "" {
+		path += "?" + query
+	}
+	return c.do(ctx, fasthttp.MethodGet, path, nil, out)
+}
+
+// Post sends in as JSON and decodes the answer into out. The request may be
+// carried out more than once, so it has to be idempotent.
+func (c *Client) Post(ctx context.Context, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return fmt.Errorf("adminapi: encode request: %w", err)
+	}
+	return c.do(ctx, fasthttp.MethodPost, path, body, out)
+}
+
+// PostRaw sends bytes and decodes the answer into out.
+func (c *Client) PostRaw(ctx context.Context, path string, body []byte, out any) error {
+	return c.do(ctx, fasthttp.MethodPost, path, body, out)
+}
+
+// GetRaw returns the bytes at path.
+func (c *Client) GetRaw(ctx context.Context, path string) ([]byte, error) {
+	var raw []byte
+	err := c.do(ctx, fasthttp.MethodGet, path, nil, &raw)
+	return raw, err
+}
+
+// do asks each address in turn. A host that can't be reached or has no fresh
+// quorum is passed over as long as another is left.
+func (c *Client) do(ctx context.Context, method, path string, body []byte, out any) error {
+	var errs []error
+	for _, addr := range c.addrs {
+		err := c.ask(ctx, addr, method, path, body, out)
+		if err == nil || final(err) || ctx.Err() != nil {
+			return err
+		}
+		errs = append(errs, err)
+	}
+	if len(errs) == 1 {
+		return errs[0]
+	}
+	return errors.Join(errs...)
+}
+
+// final reports whether another control host would say the same.
+func final(err error) bool {
+	var p *Problem
+	return errors.As(err, &p) && p.Type != TypeNotFresh && p.Type != TypeUnknown
+}
+
+func (c *Client) ask(ctx context.Context, addr, method, path string, body []byte, out any) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("https://" + addr + path)
+	req.Header.SetMethod(method)
+	req.SetBody(body)
+	deadline := time.Now().Add(c.timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+		return fmt.Errorf("%w: %s %s at %s: %w", ErrNoAnswer, method, path, addr, err)
+	}
+	if err := decode(resp, out); err != nil {
+		return fmt.Errorf("%s %s at %s: %w", method, path, addr, err)
+	}
+	return nil
+}
+
+func decode(resp *fasthttp.Response, out any) error {
+	if resp.StatusCode() >= fasthttp.StatusBadRequest && string(resp.Header.ContentType()) == ProblemType {
+		p := new(Problem)
+		if err := json.Unmarshal(resp.Body(), p); err != nil {
+			return fmt.Errorf("decode problem: %w", err)
+		}
+		return p
+	}
+	if raw, ok := out.(*[]byte); ok {
+		*raw = append([]byte(nil), resp.Body()...)
+		return nil
+	}
+	if err := json.Unmarshal(resp.Body(), out); err != nil {
+		return fmt.Errorf("decode answer %d: %w", resp.StatusCode(), err)
+	}
+	return nil
+}
+
+// The content types of answers.
+const (
+	JSONType    = "application/json"
+	ProblemType = "application/problem+json"
+)
--- a/control/command.go
+++ b/control/command.go
@@ -13,6 +13,7 @@
 
 //go:generate go tool msgp -file=. -o=control_gen.go -tests=false -io=false
 //msgp:ignore Machine AuditFilter
+//msgp:limit arrays:262144 maps:16
 
 // Operator says who asks for a change, and from where.
 type Operator struct {
@@ -33,6 +34,7 @@
 	Note     *Note         `msg:"n"`
 	Claim    *wire.Claim   `msg:"c"`
 	Resolve  *wire.Resolve `msg:"r"`
+	Restore  *Restore      `msg:"s"`
 }
 
 // Apply replaces the configuration if the version in force is Base.
@@ -59,6 +61,7 @@
 type Note struct {
 	By       Operator `msg:"w"`
 	Action   string   `msg:"a"`
+	Op       string   `msg:"o"`
 	Detail   string   `msg:"d"`
 	Accepted bool     `msg:"k"`
 	Reason   string   `msg:"r"`
@@ -81,6 +84,7 @@
 type Reply struct {
 	Change  *ChangeReply     `msg:"c"`
 	Claim   *wire.ClaimReply `msg:"k"`
+	Restore *RestoreReply    `msg:"s"`
 	Refusal string           `msg:"e"`
 }
 
@@ -133,7 +137,7 @@
 		return nil, fmt.Errorf("control: decode command: %w", err)
 	}
 	set := 0
-	for _, there := range []bool{c.Apply != nil, c.Rollback != nil, c.Note != nil, c.Claim != nil, c.Resolve != nil} {
+	for _, there := range []bool{c.Apply != nil, c.Rollback != nil, c.Note != nil, c.Claim != nil, c.Resolve != nil, c.Restore != nil} {
 		if there {
 			set++
 		}
--- a/control/config.go
+++ b/control/config.go
@@ -179,19 +179,26 @@
 		return ChangeReply{Refusal: refusal, Detail: detail}
 	}
 	diff, undo := fleet.Diff(c.doc, doc), fleet.Diff(doc, c.doc)
+	// After a restore the versions are ahead of the log.
+	index = max(index, c.current().Index+1)
 	info := VersionInfo{
 		Index: index, Digest: doc.Digest(), Base: req.base, Op: req.op, By: req.by,
 		At: now, Action: req.action, Changed: changedRefs(diff),
 	}
-	c.history = append(c.history, Version{info, Undo{undo.Sections, undo.Removed}})
-	if drop := len(c.history) - maxHistory; drop > 0 {
-		c.history = slices.Delete(c.history, 0, drop)
-	}
+	c.push(Version{info, Undo{undo.Sections, undo.Removed}})
 	c.doc = doc
 	return ChangeReply{Accepted: true, Index: index, Digest: doc.Digest(),
 		Detail: fmt.Sprintf("%d sections changed", len(info.Changed))}
 }
 
+// push adds a version to the history.
+func (c *configs) push(v Version) {
+	c.history = append(c.history, v)
+	if drop := len(c.history) - maxHistory; drop > 0 {
+		c.history = slices.Delete(c.history, 0, drop)
+	}
+}
+
 func changedRefs(c fleet.Change) []string {
 	var out []string
 	for _, s := range c.Sections {
--- a/control/control_gen.go
+++ b/control/control_gen.go
@@ -10,6 +10,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zfe1bd8eflimitArrays = 262144
+	zfe1bd8eflimitMaps   = 16
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Apply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -52,6 +58,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -79,6 +89,10 @@
 				err = msgp.WrapError(err, "By")
 				return
 			}
+			if zb0002 > zfe1bd8eflimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -114,6 +128,10 @@
 				err = msgp.WrapError(err, "Sections")
 				return
 			}
+			if zb0003 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Sections) >= int(zb0003) {
 				z.Sections = (z.Sections)[:zb0003]
 			} else {
@@ -206,6 +224,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -239,6 +261,10 @@
 				err = msgp.WrapError(err, "By")
 				return
 			}
+			if zb0002 > zfe1bd8eflimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -379,6 +405,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -518,6 +548,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -606,9 +640,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Command) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "t"
-	o = append(o, 0x86, 0xa1, 0x74)
+	o = append(o, 0x87, 0xa1, 0x74)
 	o = msgp.AppendInt64(o, z.At)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
@@ -665,6 +699,17 @@
 			return
 		}
 	}
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	if z.Restore == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Restore.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Restore")
+			return
+		}
+	}
 	return
 }
 
@@ -678,6 +723,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -777,6 +826,23 @@
 					return
 				}
 			}
+		case "s":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Restore = nil
+			} else {
+				if z.Restore == nil {
+					z.Restore = new(Restore)
+				}
+				bts, err = z.Restore.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Restore")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -821,6 +887,12 @@
 	} else {
 		s += z.Resolve.Msgsize()
 	}
+	s += 2
+	if z.Restore == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Restore.Msgsize()
+	}
 	return
 }
 
@@ -851,9 +923,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Note) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "w"
-	o = append(o, 0x85, 0xa1, 0x77)
+	o = append(o, 0x86, 0xa1, 0x77)
 	// map header, size 2
 	// string "n"
 	o = append(o, 0x82, 0xa1, 0x6e)
@@ -864,6 +936,9 @@
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Action)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendString(o, z.Op)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendString(o, z.Detail)
@@ -886,6 +961,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -901,6 +980,10 @@
 				err = msgp.WrapError(err, "By")
 				return
 			}
+			if zb0002 > zfe1bd8eflimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -935,6 +1018,12 @@
 				err = msgp.WrapError(err, "Action")
 				return
 			}
+		case "o":
+			z.Op, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Op")
+				return
+			}
 		case "d":
 			z.Detail, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -967,7 +1056,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Note) Msgsize() (s int) {
-	s = 1 + 2 + 1 + 2 + msgp.StringPrefixSize + len(z.By.Name) + 2 + msgp.StringPrefixSize + len(z.By.Addr) + 2 + msgp.StringPrefixSize + len(z.Action) + 2 + msgp.StringPrefixSize + len(z.Detail) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Reason)
+	s = 1 + 2 + 1 + 2 + msgp.StringPrefixSize + len(z.By.Name) + 2 + msgp.StringPrefixSize + len(z.By.Addr) + 2 + msgp.StringPrefixSize + len(z.Action) + 2 + msgp.StringPrefixSize + len(z.Op) + 2 + msgp.StringPrefixSize + len(z.Detail) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Reason)
 	return
 }
 
@@ -1001,6 +1090,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1068,6 +1161,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1137,9 +1234,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Reply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "c"
-	o = append(o, 0x83, 0xa1, 0x63)
+	o = append(o, 0x84, 0xa1, 0x63)
 	if z.Change == nil {
 		o = msgp.AppendNil(o)
 	} else {
@@ -1160,6 +1257,19 @@
 			return
 		}
 	}
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	if z.Restore == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		// map header, size 2
+		// string "r"
+		o = append(o, 0x82, 0xa1, 0x72)
+		o = msgp.AppendString(o, z.Restore.Refusal)
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendUint64(o, z.Restore.Index)
+	}
 	// string "e"
 	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendString(o, z.Refusal)
@@ -1176,6 +1286,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1218,6 +1332,56 @@
 					return
 				}
 			}
+		case "s":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Restore = nil
+			} else {
+				if z.Restore == nil {
+					z.Restore = new(RestoreReply)
+				}
+				var zb0002 uint32
+				zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Restore")
+					return
+				}
+				if zb0002 > zfe1bd8eflimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0002 > 0 {
+					zb0002--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Restore")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "r":
+						z.Restore.Refusal, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Restore", "Refusal")
+							return
+						}
+					case "i":
+						z.Restore.Index, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Restore", "Index")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Restore")
+							return
+						}
+					}
+				}
+			}
 		case "e":
 			z.Refusal, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1250,10 +1414,228 @@
 	} else {
 		s += z.Claim.Msgsize()
 	}
+	s += 2
+	if z.Restore == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Restore.Refusal) + 2 + msgp.Uint64Size
+	}
 	s += 2 + msgp.StringPrefixSize + len(z.Refusal)
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Restore) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "w"
+	o = append(o, 0x85, 0xa1, 0x77)
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.By.Name)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.By.Addr)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendBytes(o, (z.Sum)[:])
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendUint64(o, z.Offset)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBytes(o, z.Data)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendBool(o, z.Last)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Restore) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "w":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "By")
+				return
+			}
+			if zb0002 > zfe1bd8eflimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "By")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "n":
+					z.By.Name, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "By", "Name")
+						return
+					}
+				case "a":
+					z.By.Addr, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "By", "Addr")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "By")
+						return
+					}
+				}
+			}
+		case "s":
+			bts, err = msgp.ReadExactBytes(bts, (z.Sum)[:])
+			if err != nil {
+				err = msgp.WrapError(err, "Sum")
+				return
+			}
+		case "o":
+			z.Offset, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Offset")
+				return
+			}
+		case "d":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Data")
+				return
+			}
+			if zb0003 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Data == nil || uint32(cap(z.Data)) < zb0003 {
+				z.Data = make([]byte, zb0003)
+			} else {
+				z.Data = z.Data[:zb0003]
+			}
+			if uint32(len(bts)) < zb0003 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Data, bts[:zb0003])
+			bts = bts[zb0003:]
+		case "l":
+			z.Last, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Last")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Restore) Msgsize() (s int) {
+	s = 1 + 2 + 1 + 2 + msgp.StringPrefixSize + len(z.By.Name) + 2 + msgp.StringPrefixSize + len(z.By.Addr) + 2 + msgp.ArrayHeaderSize + (sha256.Size * (msgp.ByteSize)) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Data) + 2 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z RestoreReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "r"
+	o = append(o, 0x82, 0xa1, 0x72)
+	o = msgp.AppendString(o, z.Refusal)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.Index)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RestoreReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.Refusal, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Refusal")
+				return
+			}
+		case "i":
+			z.Index, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Index")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RestoreReply) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Refusal) + 2 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Rollback) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1289,6 +1671,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1316,6 +1702,10 @@
 				err = msgp.WrapError(err, "By")
 				return
 			}
+			if zb0002 > zfe1bd8eflimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1371,9 +1761,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 12
 	// string "f"
-	o = append(o, 0x8a, 0xa1, 0x66)
+	o = append(o, 0x8c, 0xa1, 0x66)
 	o = msgp.AppendUint32(o, z.Format)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
@@ -1456,6 +1846,12 @@
 	// string "q"
 	o = append(o, 0xa1, 0x71)
 	o = msgp.AppendUint64(o, z.AuditSeq)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendBytes(o, z.Staged)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendBytes(o, (z.StagedSum)[:])
 	return
 }
 
@@ -1469,6 +1865,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1502,6 +1902,10 @@
 				err = msgp.WrapError(err, "Sections")
 				return
 			}
+			if zb0002 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Sections) >= int(zb0002) {
 				z.Sections = (z.Sections)[:zb0002]
 			} else {
@@ -1521,6 +1925,10 @@
 				err = msgp.WrapError(err, "History")
 				return
 			}
+			if zb0003 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.History) >= int(zb0003) {
 				z.History = (z.History)[:zb0003]
 			} else {
@@ -1533,6 +1941,10 @@
 					err = msgp.WrapError(err, "History", za0002)
 					return
 				}
+				if zb0004 > zfe1bd8eflimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1569,6 +1981,10 @@
 				err = msgp.WrapError(err, "Ops")
 				return
 			}
+			if zb0005 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Ops) >= int(zb0005) {
 				z.Ops = (z.Ops)[:zb0005]
 			} else {
@@ -1581,6 +1997,10 @@
 					err = msgp.WrapError(err, "Ops", za0003)
 					return
 				}
+				if zb0006 > zfe1bd8eflimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0006 > 0 {
 					zb0006--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1623,6 +2043,10 @@
 				err = msgp.WrapError(err, "Claims")
 				return
 			}
+			if zb0007 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Claims) >= int(zb0007) {
 				z.Claims = (z.Claims)[:zb0007]
 			} else {
@@ -1642,6 +2066,10 @@
 				err = msgp.WrapError(err, "Audit")
 				return
 			}
+			if zb0008 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Audit) >= int(zb0008) {
 				z.Audit = (z.Audit)[:zb0008]
 			} else {
@@ -1666,6 +2094,34 @@
 				err = msgp.WrapError(err, "AuditSeq")
 				return
 			}
+		case "b":
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Staged")
+				return
+			}
+			if zb0009 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Staged == nil || uint32(cap(z.Staged)) < zb0009 {
+				z.Staged = make([]byte, zb0009)
+			} else {
+				z.Staged = z.Staged[:zb0009]
+			}
+			if uint32(len(bts)) < zb0009 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Staged, bts[:zb0009])
+			bts = bts[zb0009:]
+		case "u":
+			bts, err = msgp.ReadExactBytes(bts, (z.StagedSum)[:])
+			if err != nil {
+				err = msgp.WrapError(err, "StagedSum")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1700,7 +2156,7 @@
 	for za0005 := range z.Audit {
 		s += z.Audit[za0005].Msgsize()
 	}
-	s += 2 + msgp.ArrayHeaderSize + (sha256.Size * (msgp.ByteSize)) + 2 + msgp.Uint64Size
+	s += 2 + msgp.ArrayHeaderSize + (sha256.Size * (msgp.ByteSize)) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Staged) + 2 + msgp.ArrayHeaderSize + (sha256.Size * (msgp.ByteSize))
 	return
 }
 
@@ -1737,6 +2193,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1752,6 +2212,10 @@
 				err = msgp.WrapError(err, "Sections")
 				return
 			}
+			if zb0002 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Sections) >= int(zb0002) {
 				z.Sections = (z.Sections)[:zb0002]
 			} else {
@@ -1771,6 +2235,10 @@
 				err = msgp.WrapError(err, "Removed")
 				return
 			}
+			if zb0003 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Removed) >= int(zb0003) {
 				z.Removed = (z.Removed)[:zb0003]
 			} else {
@@ -1839,6 +2307,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1927,6 +2399,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1966,6 +2442,10 @@
 				err = msgp.WrapError(err, "By")
 				return
 			}
+			if zb0002 > zfe1bd8eflimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2013,6 +2493,10 @@
 				err = msgp.WrapError(err, "Changed")
 				return
 			}
+			if zb0003 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Changed) >= int(zb0003) {
 				z.Changed = (z.Changed)[:zb0003]
 			} else {
--- a/control/machine.go
+++ b/control/machine.go
@@ -22,6 +22,7 @@
 	configs *configs
 	claims  *claims
 	trail   *trail
+	staged  staging
 	onIndex func(index uint64)
 }
 
@@ -38,7 +39,7 @@
 // Apply carries out one command of the log. A command that can't be decoded
 // changes nothing and gets a Reply that says so: every replica must agree, so
 // it is no error.
-func (m *Machine) Apply(index uint64, command []byte) ([]byte, error) {
+func (m *Machine) Apply(index uint64, command []byte) []byte {
 	m.mu.Lock()
 	before := m.configs.current().Index
 	reply := m.apply(index, command)
@@ -49,9 +50,9 @@
 	}
 	b, err := reply.MarshalMsg(nil)
 	if err != nil {
-		return nil, fmt.Errorf("control: apply %d: encode reply: %w", index, err)
+		panic(fmt.Sprintf("control: apply %d: encode reply: %v", index, err))
 	}
-	return b, nil
+	return b
 }
 
 func (m *Machine) apply(index uint64, command []byte) *Reply {
@@ -71,6 +72,9 @@
 	case cmd.Resolve != nil:
 		m.claims.resolve(m.now, cmd.Resolve)
 		return &Reply{}
+	case cmd.Restore != nil:
+		reply := m.restore(index, cmd.Restore)
+		return &Reply{Restore: &reply}
 	}
 	m.note(index, cmd.Note)
 	return &Reply{}
@@ -101,7 +105,7 @@
 
 func (m *Machine) note(index uint64, n *Note) {
 	m.trail.add(AuditEntry{
-		Index: index, At: m.now, By: n.By, Action: n.Action, Detail: n.Detail,
+		Index: index, At: m.now, By: n.By, Action: n.Action, Op: n.Op, Detail: n.Detail,
 		Accepted: n.Accepted, Reason: n.Reason, Digest: m.configs.doc.Digest(),
 	})
 }
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -19,6 +19,9 @@
 	Audit    []AuditEntry         `msg:"a"`
 	Anchor   Hash                 `msg:"n"`
 	AuditSeq uint64               `msg:"q"`
+	// Staged is a backup of which some parts have been restored.
+	Staged    []byte `msg:"b"`
+	StagedSum Hash   `msg:"u"`
 }
 
 // Snapshot returns the state. Machines that applied the same commands return
@@ -31,6 +34,7 @@
 		Sections: m.configs.doc.Sections(), History: m.configs.history, Ops: m.configs.ops,
 		Claims: m.claims.records(),
 		Audit:  m.trail.entries, Anchor: m.trail.anchor, AuditSeq: m.trail.seq,
+		Staged: m.staged.data, StagedSum: m.staged.sum,
 	}
 	b, err := s.MarshalMsg(nil)
 	if err != nil {
@@ -43,23 +47,29 @@
 // it was.
 func (m *Machine) Restore(index uint64, snapshot []byte) error {
 	var s State
-	if _, err := s.UnmarshalMsg(snapshot); err != nil {
+	if err := s.decode(snapshot); err != nil {
 		return fmt.Errorf("control: restore snapshot %d: %w", index, err)
 	}
-	if s.Format != snapshotFormat {
-		return fmt.Errorf("control: restore snapshot %d: format %d, want %d", index, s.Format, snapshotFormat)
-	}
 	configs, err := s.configs()
 	if err != nil {
 		return fmt.Errorf("control: restore snapshot %d: %w", index, err)
 	}
-	if err := VerifyAudit(s.Anchor, s.Audit); err != nil {
-		return fmt.Errorf("control: restore snapshot %d: %w", index, err)
-	}
 	m.install(index, &s, configs)
 	return nil
 }
 
+// decode reads a snapshot and verifies its audit trail.
+func (s *State) decode(snapshot []byte) error {
+	rest, err := s.UnmarshalMsg(snapshot)
+	if err != nil {
+		return err
+	}
+	if len(rest) > 0 || s.Format != snapshotFormat {
+		return fmt.Errorf("format %d with %d bytes too many, want format %d", s.Format, len(rest), snapshotFormat)
+	}
+	return VerifyAudit(s.Anchor, s.Audit)
+}
+
 func (s *State) configs() (*configs, error) {
 	doc, err := fleet.FromSections(s.Sections)
 	if err != nil {
@@ -79,15 +89,24 @@
 func (m *Machine) install(index uint64, s *State, c *configs) {
 	m.mu.Lock()
 	before := m.configs.current().Index
-	m.now, m.index, m.configs = s.Now, max(index, s.Index), c
-	m.trail = &trail{entries: s.Audit, anchor: s.Anchor, seq: s.AuditSeq}
-	m.claims = newClaims()
-	for i := range s.Claims {
-		m.claims.insert(&s.Claims[i])
-	}
+	m.index = max(index, s.Index)
+	m.now = 0
+	m.load(s, c)
+	m.staged = staging{sum: s.StagedSum, data: s.Staged}
 	after := c.current().Index
 	m.mu.Unlock()
 	if after != before {
 		m.onIndex(after)
 	}
 }
+
+// load takes configuration, claims and audit trail out of a state. Time does
+// not go backwards.
+func (m *Machine) load(s *State, c *configs) {
+	m.now, m.configs = max(m.now, s.Now), c
+	m.trail = &trail{entries: s.Audit, anchor: s.Anchor, seq: s.AuditSeq}
+	m.claims = newClaims()
+	for i := range s.Claims {
+		m.claims.insert(&s.Claims[i])
+	}
+}
--- /dev/null
+++ b/controld/admin_fleet.go
@@ -0,0 +1,189 @@
+package controld
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+
+	"github.com/fireflytray/fireflytray/adminapi"
+	"github.com/fireflytray/fireflytray/control"
+	"github.com/fireflytray/fireflytray/directory"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// members returns the live processes, this one included, by role and id.
+func (h *Host) members(ctx context.Context) ([]wire.Member, error) {
+	ch := make(chan []wire.Member, 1)
+	h.loop.Post(directory.Event{Watch: &directory.Watched{Reply: func(m []wire.Member) { ch <- m }}})
+	self := wire.Member{Peer: h.opts.Self, ConfigIndex: h.machine.Stamp().Index}
+	select {
+	case m := <-ch:
+		m = append(m, self)
+		slices.SortFunc(m, func(a, b wire.Member) int {
+			return cmp.Or(cmp.Compare(a.Peer.Role, b.Peer.Role), cmp.Compare(a.Peer.ID, b.Peer.ID))
+		})
+		return m, nil
+	case <-ctx.Done():
+		return nil, fmt.Errorf("controld: list members: %w", ctx.Err())
+	}
+}
+
+func processOf(m wire.Member) adminapi.Process {
+	p := adminapi.Process{
+		Role: string(m.Peer.Role), ID: m.Peer.ID, Domain: m.Peer.Domain, Addr: m.Peer.Addr,
+		Incarnation: m.Peer.Incarnation, Index: m.ConfigIndex,
+	}
+	if m.Worker != nil {
+		p.Service, p.Slots, p.Connections = m.Worker.Service, m.Worker.Slots, m.Worker.Connections
+		p.Rack, p.Draining = m.Worker.Rack, m.Worker.Draining
+	}
+	return p
+}
+
+func (h *Host) adminFleet(c *call) (any, error) {
+	members, err := h.members(c.ctx)
+	if err != nil {
+		return nil, err
+	}
+	out := &adminapi.FleetReply{Fresh: h.fresh.Load(), Index: h.machine.Stamp().Index}
+	for _, m := range members {
+		out.Processes = append(out.Processes, processOf(m))
+	}
+	return out, nil
+}
+
+// adminStatus says where the version in force is in force. Sites are failure
+// domains.
+func (h *Host) adminStatus(c *call) (any, error) {
+	fresh := h.current(c.ctx)
+	members, err := h.members(c.ctx)
+	if err != nil {
+		return nil, err
+	}
+	info, _ := h.machine.Current()
+	want := info.Index
+	if n, err := c.QueryArgs().GetUint("index"); err == nil {
+		want = uint64(n)
+	}
+	out := &adminapi.ConfigStatus{Fresh: fresh, Complete: true, Version: version(info)}
+	sites := map[string]*adminapi.Site{}
+	for _, m := range members {
+		s, ok := sites[m.Peer.Domain]
+		if !ok {
+			s = &adminapi.Site{Site: m.Peer.Domain, Lowest: m.ConfigIndex}
+			sites[m.Peer.Domain] = s
+		}
+		countMember(s, m, want)
+		out.Complete = out.Complete && m.ConfigIndex >= want
+	}
+	for _, s := range sites {
+		out.Sites = append(out.Sites, *s)
+	}
+	slices.SortFunc(out.Sites, func(a, b adminapi.Site) int { return cmp.Compare(a.Site, b.Site) })
+	return out, nil
+}
+
+func countMember(s *adminapi.Site, m wire.Member, want uint64) {
+	s.Processes++
+	s.Lowest = min(s.Lowest, m.ConfigIndex)
+	if m.ConfigIndex >= want {
+		s.InForce++
+		return
+	}
+	s.Behind = append(s.Behind, processOf(m))
+}
+
+func (h *Host) adminControl(*call) (any, error) {
+	s := h.replica.Status()
+	out := &adminapi.ControlReply{
+		Replica: adminapi.FormatDigest(s.ID), Fresh: s.Fresh, Term: s.Term, Commit: s.Commit, Applied: s.Applied,
+	}
+	if s.Leader != 0 {
+		out.Leader = adminapi.FormatDigest(s.Leader)
+	}
+	for _, m := range s.Members {
+		out.Members = append(out.Members, adminapi.ControlMember{
+			Replica: adminapi.FormatDigest(m.ID), Addr: m.Addr, Voter: m.Voter, Leader: m.ID == s.Leader, Match: m.Match, Live: m.Live,
+		})
+	}
+	return out, nil
+}
+
+// adminMembers changes the control hosts. The audit trail gets the request
+// before and the outcome after, so that no change lacks an entry.
+func (h *Host) adminMembers(c *call) (any, error) {
+	var req adminapi.MemberRequest
+	if err := c.decode(&req); err != nil {
+		return nil, err
+	}
+	id, err := strconv.ParseUint(req.Replica, 16, 64)
+	if err != nil {
+		return nil, badRequest(fmt.Errorf("replica id %q: want 16 hexadecimal digits", req.Replica))
+	}
+	change := wire.MemberChange{Action: wire.MemberAction(req.Action), ID: id, Addr: req.Addr}
+	note := control.Note{By: c.by, Action: "control " + req.Action, Detail: fmt.Sprintf("replica %s %s: requested", req.Replica, req.Addr), Accepted: true}
+	if err := h.note(c.ctx, note); err != nil {
+		return nil, fmt.Errorf("the request can't be audited: %w", err)
+	}
+	err = h.membersWithin(c.ctx, change)
+	note.Detail = fmt.Sprintf("replica %s %s: done", req.Replica, req.Addr)
+	if err != nil {
+		note.Detail = fmt.Sprintf("replica %s %s: not done", req.Replica, req.Addr)
+		note.Accepted, note.Reason = false, err.Error()
+	}
+	if noteErr := h.note(c.ctx, note); noteErr != nil {
+		h.log.Warn("outcome not audited", "action", note.Action, "err", noteErr)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return h.adminControl(c)
+}
+
+func (h *Host) membersWithin(ctx context.Context, c wire.MemberChange) error {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	return h.changeMembers(ctx, c)
+}
+
+func (h *Host) note(ctx context.Context, n control.Note) error {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	_, err := h.propose(ctx, &control.Command{Note: &n})
+	return err
+}
+
+// adminBackup returns the whole replicated state.
+func (h *Host) adminBackup(c *call) (any, error) {
+	if !h.current(c.ctx) {
+		return nil, errNotFresh
+	}
+	note := control.Note{By: c.by, Action: "control backup", Detail: "whole state", Accepted: true}
+	if err := h.note(c.ctx, note); err != nil {
+		return nil, fmt.Errorf("the backup can't be audited: %w", err)
+	}
+	return h.machine.Snapshot()
+}
+
+// adminRestore puts a backup into a cluster that has no configuration yet.
+func (h *Host) adminRestore(c *call) (any, error) {
+	parts, err := control.RestoreParts(c.PostBody(), c.by)
+	if err != nil {
+		return nil, badRequest(err)
+	}
+	var last *control.Reply
+	for _, p := range parts {
+		ctx, cancel := context.WithTimeout(c.ctx, changeTimeout)
+		last, err = h.propose(ctx, &control.Command{Restore: p})
+		cancel()
+		if err != nil {
+			return nil, err
+		}
+		if last.Restore.Refusal != "" {
+			return nil, &refusedError{last.Restore.Refusal}
+		}
+	}
+	return &adminapi.RestoreReply{Index: last.Restore.Index}, nil
+}
--- a/controld/controld.go
+++ b/controld/controld.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync/atomic"
@@ -108,10 +109,9 @@
 
 // open starts listening and opens the log.
 func (h *Host) open() error {
+	h.opts.Transport.Identity = h.opts.Identity
+	h.opts.Transport.Stamp = h.machine.Stamp
 	t := h.opts.Transport
-	t.Identity = h.opts.Identity
-	t.Stamp = h.machine.Stamp
-	h.opts.Transport = t
 	t.Accept = []wire.Role{wire.RoleEntry, wire.RoleAgent, wire.RoleControl}
 	listener, err := transport.Listen(h.opts.Listen, t)
 	if err != nil {
@@ -147,8 +147,11 @@
 	g.Go(func() error { h.watchLog(ctx); return nil })
 	g.Go(func() error { return h.serveAdmin(ctx) })
 	g.Go(func() error {
-		<-ctx.Done()
-		return h.listener.Close()
+		select {
+		case <-ctx.Done():
+		case <-h.replica.Done():
+		}
+		return errors.Join(h.listener.Close(), h.replica.Err())
 	})
 	h.log.Info("serving", "peers", h.Addr(), "admin", h.opts.Admin)
 	err := g.Wait()
--- a/controld/links.go
+++ b/controld/links.go
@@ -17,6 +17,9 @@
 	dialTimeout = time.Second
 	minBackoff  = 50 * time.Millisecond
 	maxBackoff  = time.Second
+	// leaderTimeout bounds the wait for the leader's answer before the proposal
+	// is made again or given up.
+	leaderTimeout = time.Second
 )
 
 // links are the connections that this host dials to the other control hosts:
@@ -168,24 +171,27 @@
 	_ = t.send(addr, &wire.Raft{Body: body})
 }
 
-// propose hands a command to the leader.
-func (t *links) propose(ctx context.Context, addr string, command []byte) ([]byte, error) {
+// propose hands a proposal to the leader.
+func (t *links) propose(ctx context.Context, addr string, m *wire.Propose) (*wire.Proposed, error) {
 	id, ch := t.open()
 	defer t.close(id)
-	if err := t.send(addr, &wire.Propose{Request: id, Command: command}); err != nil {
+	passed := *m
+	passed.Request = id
+	if err := t.send(addr, &passed); err != nil {
 		return nil, fmt.Errorf("leader %s: %w", addr, err)
 	}
+	timer := time.NewTimer(leaderTimeout)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return nil, fmt.Errorf("leader %s: %w: %w", addr, ErrUnknownOutcome, ctx.Err())
-	case m := <-ch:
-		switch m.Status {
-		case wire.ProposeAccepted:
-			return m.Result, nil
-		case wire.ProposeNotLeader:
-			return nil, fmt.Errorf("leader %s: %w", addr, &NotLeaderError{})
+	case <-timer.C:
+		return nil, fmt.Errorf("leader %s: %w: no answer in %s", addr, ErrUnknownOutcome, leaderTimeout)
+	case reply := <-ch:
+		if err := proposedError(reply); err != nil {
+			return nil, fmt.Errorf("leader %s: %w", addr, err)
 		}
-		return nil, fmt.Errorf("leader %s: %w: %s", addr, ErrUnknownOutcome, m.Detail)
+		return reply, nil
 	}
 }
 
--- a/controld/log.go
+++ b/controld/log.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/fireflytray/fireflytray/control"
+	"github.com/fireflytray/fireflytray/wire"
 )
 
 // Log is the replicated log below a control host. Package replica implements
@@ -20,10 +21,11 @@
 	Status() LogStatus
 	// Receive takes a message of another replica.
 	Receive(body []byte)
-	// AddLearner, Promote and Remove change the replicas, one at a time.
-	AddLearner(ctx context.Context, addr string) error
-	Promote(ctx context.Context, id uint64) error
-	Remove(ctx context.Context, id uint64) error
+	// Change changes the replicas, one at a time.
+	Change(ctx context.Context, c wire.MemberChange) error
+	// Done is closed once the log has stopped by itself; Err says why.
+	Done() <-chan struct{}
+	Err() error
 	Stop()
 }
 
@@ -52,6 +54,8 @@
 	// Match is the highest log index known to be on its disk; zero if this
 	// replica does not lead.
 	Match uint64
+	// Live says that it has answered the leader lately.
+	Live bool
 }
 
 // NotLeaderError says that a command was not taken as another replica leads.
@@ -94,8 +98,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.index++
-	result, err := l.machine.Apply(l.index, command)
-	return result, l.index, err
+	return l.machine.Apply(l.index, command), l.index, nil
 }
 
 // Barrier has nothing to wait for.
@@ -111,21 +114,21 @@
 	defer l.mu.Unlock()
 	return LogStatus{
 		ID: 1, Leader: 1, LeaderAddr: l.addr, Fresh: true, Term: 1, Commit: l.index, Applied: l.index,
-		Members: []LogMember{{1, l.addr, true, l.index}},
+		Members: []LogMember{{ID: 1, Addr: l.addr, Voter: true, Match: l.index, Live: true}},
 	}
 }
 
 // Receive ignores messages: there is no other replica.
 func (l *memoryLog) Receive([]byte) {}
 
-// AddLearner is not possible.
-func (l *memoryLog) AddLearner(context.Context, string) error { return errSingle }
+// Change is not possible.
+func (l *memoryLog) Change(context.Context, wire.MemberChange) error { return errSingle }
 
-// Promote is not possible.
-func (l *memoryLog) Promote(context.Context, uint64) error { return errSingle }
+// Done returns nil: the log never stops by itself.
+func (l *memoryLog) Done() <-chan struct{} { return nil }
 
-// Remove is not possible.
-func (l *memoryLog) Remove(context.Context, uint64) error { return errSingle }
+// Err returns nil.
+func (l *memoryLog) Err() error { return nil }
 
 // Stop does nothing.
 func (l *memoryLog) Stop() {}
--- a/controld/session.go
+++ b/controld/session.go
@@ -156,7 +156,7 @@
 		if role != wire.RoleControl {
 			return false
 		}
-		h.request(func() { s.send(h.proposeHere(ctx, m)) }, func() { s.send(notTaken(m.Request, "too many requests")) })
+		h.request(func() { s.send(h.proposeFor(ctx, m)) }, func() { s.send(notTaken(m.Request, "too many requests")) })
 	case *wire.Raft:
 		if role != wire.RoleControl {
 			return false
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -321,12 +321,35 @@
 	Body []byte `msg:"b"`
 }
 
-// Propose carries a command of the replicated log from a control host to the
-// leader.
+// Propose carries a command of the replicated log, or a change of the control
+// hosts, from a control host to the leader.
 type Propose struct {
 	// Request matches the reply.
-	Request uint64 `msg:"q"`
-	Command []byte `msg:"c"`
+	Request uint64        `msg:"q"`
+	Command []byte        `msg:"c"`
+	Change  *MemberChange `msg:"m"`
+}
+
+// MemberAction is what a MemberChange does.
+type MemberAction string
+
+// The actions.
+const (
+	// MemberAdd adds a control host as a learner.
+	MemberAdd MemberAction = "add"
+	// MemberPromote makes a learner a voter.
+	MemberPromote MemberAction = "promote"
+	// MemberRemove removes a control host.
+	MemberRemove MemberAction = "remove"
+)
+
+// MemberChange changes the replicas of the log.
+type MemberChange struct {
+	Action MemberAction `msg:"a"`
+	// ID is the replica id, born with the data folder.
+	ID uint64 `msg:"i"`
+	// Addr is the peer address; only MemberAdd needs it.
+	Addr string `msg:"d"`
 }
 
 // ProposeStatus says what became of a proposal.
@@ -340,6 +363,8 @@
 	ProposeNotLeader
 	// ProposeUnknown means that the command may be committed or not.
 	ProposeUnknown
+	// ProposeRefused means that the command was not taken and why, in Detail.
+	ProposeRefused
 )
 
 // Proposed answers a Propose.
--- a/wire/wire_gen.go
+++ b/wire/wire_gen.go
@@ -1407,6 +1407,108 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z MemberAction) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendString(o, string(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *MemberAction) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 string
+		zb0001, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = MemberAction(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z MemberAction) Msgsize() (s int) {
+	s = msgp.StringPrefixSize + len(string(z))
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z MemberChange) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "a"
+	o = append(o, 0x83, 0xa1, 0x61)
+	o = msgp.AppendString(o, string(z.Action))
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.ID)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendString(o, z.Addr)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *MemberChange) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Action")
+					return
+				}
+				z.Action = MemberAction(zb0002)
+			}
+		case "i":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "d":
+			z.Addr, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Addr")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z MemberChange) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Action)) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Addr)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Peer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1624,13 +1726,24 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Propose) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "q"
-	o = append(o, 0x82, 0xa1, 0x71)
+	o = append(o, 0x83, 0xa1, 0x71)
 	o = msgp.AppendUint64(o, z.Request)
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendBytes(o, z.Command)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	if z.Change == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Change.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Change")
+			return
+		}
+	}
 	return
 }
 
@@ -1664,6 +1777,23 @@
 				err = msgp.WrapError(err, "Command")
 				return
 			}
+		case "m":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Change = nil
+			} else {
+				if z.Change == nil {
+					z.Change = new(MemberChange)
+				}
+				bts, err = z.Change.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Change")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1678,7 +1808,12 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Propose) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Command)
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Command) + 2
+	if z.Change == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Change.Msgsize()
+	}
 	return
 }
 
