--- /dev/null
+++ b/control/machine_test.go
@@ -0,0 +1,324 @@
+package control
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/fireflytray/fireflytray/fleet"
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// naive is the plainest machine that can be right: it keeps every version whole
+// and forever, and looks through lists.
+type naive struct {
+	now      int64
+	versions []naiveVersion
+	ops      map[string]naiveOp
+	claims   map[claimKey]*naiveClaim
+	audit    []naiveAudit
+}
+
+type naiveVersion struct {
+	index uint64
+	doc   *fleet.Document
+	op    string
+	by    string
+}
+
+type naiveOp struct {
+	content string
+	reply   ChangeReply
+}
+
+type naiveClaim struct {
+	owner   task.SubmissionID
+	body    uint64
+	outcome *task.Outcome
+	expires int64
+}
+
+type naiveAudit struct {
+	by       string
+	op       string
+	accepted bool
+}
+
+func newNaive() *naive {
+	return &naive{
+		versions: []naiveVersion{{doc: fleet.Empty()}},
+		ops:      map[string]naiveOp{}, claims: map[claimKey]*naiveClaim{},
+	}
+}
+
+func (n *naive) last() naiveVersion { return n.versions[len(n.versions)-1] }
+
+func (n *naive) change(index uint64, op, by, content string, base uint64, doc *fleet.Document) ChangeReply {
+	if old, ok := n.ops[op]; ok {
+		if old.content == content {
+			reply := old.reply
+			reply.Resent = true
+			return reply
+		}
+		n.audit = append(n.audit, naiveAudit{by, op, false})
+		return ChangeReply{Refusal: RefusalOpReused}
+	}
+	reply := ChangeReply{}
+	switch {
+	case base != n.last().index:
+		reply.Refusal = RefusalConflict
+		reply.Winner = &VersionInfo{Index: n.last().index, Op: n.last().op}
+	case doc == nil:
+		reply.Refusal = RefusalNoSuch
+	default:
+		n.versions = append(n.versions, naiveVersion{index, doc, op, by})
+		reply.Accepted, reply.Index, reply.Digest = true, index, doc.Digest()
+	}
+	n.ops[op] = naiveOp{content, reply}
+	n.audit = append(n.audit, naiveAudit{by, op, reply.Accepted})
+	return reply
+}
+
+func (n *naive) at(index uint64) *fleet.Document {
+	for _, v := range n.versions {
+		if v.index == index {
+			return v.doc
+		}
+	}
+	return nil
+}
+
+func (n *naive) limit(team string) int {
+	return int(n.last().doc.Effective("").Teams[team].MaxKeys)
+}
+
+func (n *naive) claim(m *wire.Claim) wire.ClaimReply {
+	n.expire()
+	key := claimKey{m.Team, m.Service, m.Key}
+	held := 0
+	for k := range n.claims {
+		if k.Team == m.Team {
+			held++
+		}
+	}
+	c, ok := n.claims[key]
+	switch {
+	case !ok && held >= n.limit(m.Team):
+		return wire.ClaimReply{State: wire.ClaimUnavailable}
+	case !ok:
+		n.claims[key] = &naiveClaim{m.Owner, m.BodyDigest, nil, n.now + m.Keep.Milliseconds()}
+		return wire.ClaimReply{State: wire.ClaimGranted, Owner: m.Owner}
+	case c.body != m.BodyDigest:
+		return wire.ClaimReply{State: wire.ClaimMismatch, Owner: c.owner}
+	case c.outcome != nil:
+		return wire.ClaimReply{State: wire.ClaimDone, Owner: c.owner, Outcome: c.outcome}
+	case c.owner == m.Owner:
+		return wire.ClaimReply{State: wire.ClaimGranted, Owner: c.owner}
+	}
+	return wire.ClaimReply{State: wire.ClaimPending, Owner: c.owner}
+}
+
+func (n *naive) resolve(m *wire.Resolve) {
+	n.expire()
+	key := claimKey{m.Team, m.Service, m.Key}
+	c, ok := n.claims[key]
+	if !ok || c.owner != m.Owner || c.outcome != nil {
+		return
+	}
+	if m.Outcome.State == task.NotRun {
+		delete(n.claims, key)
+		return
+	}
+	out := m.Outcome
+	c.outcome = &out
+}
+
+func (n *naive) expire() {
+	maps.DeleteFunc(n.claims, func(_ claimKey, c *naiveClaim) bool { return c.expires <= n.now })
+}
+
+// world drives two machines and the naive one with the same commands. Copy is
+// restored from a snapshot now and then.
+type world struct {
+	t       *rapid.T
+	machine *Machine
+	copy    *Machine
+	naive   *naive
+	index   uint64
+	at      int64
+	indices []uint64
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, naive: newNaive(), at: 1000}
+	w.machine = NewMachine(func(index uint64) { w.indices = append(w.indices, index) })
+	w.copy = NewMachine(nil)
+	return w
+}
+
+// apply feeds a command to both machines and returns the reply.
+func (w *world) apply(c *Command) *Reply {
+	w.index++
+	// A proposer's clock may be behind or ahead of the others'.
+	w.at += int64(rapid.IntRange(0, 40_000).Draw(w.t, "clock"))
+	c.At = w.at - int64(rapid.IntRange(0, 20_000).Draw(w.t, "skew"))
+	w.naive.now = max(w.naive.now, c.At)
+	raw, err := c.Encode()
+	require.NoError(w.t, err)
+	first, second := w.machine.Apply(w.index, raw), w.copy.Apply(w.index, raw)
+	require.Equal(w.t, first, second, "two machines disagree")
+	reply, err := DecodeReply(first)
+	require.NoError(w.t, err)
+	return reply
+}
+
+func (w *world) checkChange(want ChangeReply, got *ChangeReply) {
+	require.NotNil(w.t, got)
+	require.Equal(w.t, want.Accepted, got.Accepted, got.Detail)
+	require.Equal(w.t, want.Refusal, got.Refusal, got.Detail)
+	require.Equal(w.t, want.Index, got.Index)
+	require.Equal(w.t, want.Digest, got.Digest)
+	require.Equal(w.t, want.Resent, got.Resent)
+	require.Equal(w.t, want.Winner == nil, got.Winner == nil)
+	if want.Winner != nil {
+		require.Equal(w.t, want.Winner.Index, got.Winner.Index)
+		require.Equal(w.t, want.Winner.Op, got.Winner.Op)
+	}
+}
+
+// base draws the version in force, or an older or invented one.
+func (w *world) base() uint64 {
+	if rapid.IntRange(0, 3).Draw(w.t, "base is stale") > 0 {
+		return w.naive.last().index
+	}
+	return rapid.Uint64Range(0, w.index+1).Draw(w.t, "base")
+}
+
+// op draws an operation id; few of them, so that some are sent again.
+func (w *world) op() string { return fmt.Sprint("op-", rapid.IntRange(0, 30).Draw(w.t, "op")) }
+
+func (w *world) operator() string {
+	return rapid.SampledFrom([]string{"astrid", "bo"}).Draw(w.t, "operator")
+}
+
+func (w *world) applyConfig(t *rapid.T) {
+	tasks, keys := rapid.IntRange(1, 4).Draw(t, "max_tasks"), rapid.IntRange(0, 4).Draw(t, "max_keys")
+	sections := []wire.ConfigSection{
+		{Name: "service alert-core", Keys: []wire.ConfigPair{{Key: "max_tasks", Value: fmt.Sprint(tasks)}}},
+		{Name: "team day", Keys: []wire.ConfigPair{{Key: "max_keys", Value: fmt.Sprint(keys)}}},
+		{Name: "team night"},
+	}
+	doc, err := fleet.FromSections(sections)
+	require.NoError(t, err)
+	op, by, base := w.op(), w.operator(), w.base()
+	reply := w.apply(&Command{Apply: &Apply{Op: op, Base: base, By: Operator{Name: by}, Sections: sections}})
+	want := w.naive.change(w.index, op, by, fmt.Sprint("apply ", base, doc.Digest()), base, doc)
+	w.checkChange(want, reply.Change)
+}
+
+func (w *world) rollback(t *rapid.T) {
+	to := rapid.Uint64Range(0, w.index+1).Draw(t, "to")
+	if len(w.naive.versions) > 1 && rapid.Bool().Draw(t, "to a version") {
+		to = rapid.SampledFrom(w.naive.versions).Draw(t, "version").index
+	}
+	op, by, base := w.op(), w.operator(), w.base()
+	reply := w.apply(&Command{Rollback: &Rollback{Op: op, Base: base, By: Operator{Name: by}, To: to}})
+	want := w.naive.change(w.index, op, by, fmt.Sprint("rollback ", base, to), base, w.naive.at(to))
+	w.checkChange(want, reply.Change)
+}
+
+func (w *world) key(t *rapid.T) claimKey {
+	return claimKey{
+		rapid.SampledFrom([]string{"day", "night", "nobody"}).Draw(t, "team"), "alert-core",
+		fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "key")),
+	}
+}
+
+func (w *world) owner(t *rapid.T) task.SubmissionID {
+	return task.NewSubmissionID(7, rapid.Uint64Range(1, 4).Draw(t, "owner"))
+}
+
+func (w *world) claim(t *rapid.T) {
+	key := w.key(t)
+	m := &wire.Claim{
+		Team: key.Team, Service: key.Service, Key: key.Key, Owner: w.owner(t),
+		BodyDigest: uint64(min(1, rapid.IntRange(0, 5).Draw(t, "body"))),
+		Keep:       time.Duration(rapid.IntRange(1, 10).Draw(t, "keep")) * time.Minute,
+	}
+	got := w.apply(&Command{Claim: m}).Claim
+	want := w.naive.claim(m)
+	require.NotNil(t, got)
+	require.Equal(t, want.State, got.State)
+	require.Equal(t, want.Owner, got.Owner)
+	require.Equal(t, want.Outcome, got.Outcome)
+}
+
+func (w *world) resolve(t *rapid.T) {
+	key := w.key(t)
+	m := &wire.Resolve{
+		Team: key.Team, Service: key.Service, Key: key.Key, Owner: w.owner(t),
+		Outcome: task.Outcome{
+			State: rapid.SampledFrom([]task.State{task.Complete, task.Failed, task.NotRun, task.Unknown}).Draw(t, "state"),
+			Body:  []byte(rapid.StringMatching("[a-c]{1,3}").Draw(t, "answer")),
+		},
+	}
+	w.apply(&Command{Resolve: m})
+	w.naive.resolve(m)
+}
+
+func (w *world) restart(t *rapid.T) {
+	snapshot, err := w.copy.Snapshot()
+	require.NoError(t, err)
+	w.copy = NewMachine(nil)
+	require.NoError(t, w.copy.Restore(w.index, snapshot))
+}
+
+// check compares the whole state after each command.
+func (w *world) check(t *rapid.T) {
+	info, doc := w.machine.Current()
+	require.Equal(t, w.naive.last().index, info.Index)
+	require.Equal(t, w.naive.last().doc.Digest(), doc.Digest())
+	for _, v := range w.naive.versions {
+		old := w.machine.At(v.index)
+		require.NotNil(t, old, "version %d is lost", v.index)
+		require.Equal(t, v.doc.Digest(), old.Digest())
+		next, err := v.doc.Receive(v.index, w.machine.Push(v.index))
+		require.NoError(t, err)
+		require.Equal(t, doc.Digest(), next.Digest())
+	}
+	require.True(t, slices.IsSorted(w.indices))
+	audit := w.machine.Audit(AuditFilter{})
+	require.Len(t, audit, len(w.naive.audit))
+	for i, e := range w.naive.audit {
+		require.Equal(t, e, naiveAudit{audit[i].By.Name, audit[i].Op, audit[i].Accepted})
+	}
+	require.NoError(t, w.machine.VerifyAudit())
+	one, err := w.machine.Snapshot()
+	require.NoError(t, err)
+	two, err := w.copy.Snapshot()
+	require.NoError(t, err)
+	require.Equal(t, one, two, "snapshots differ")
+}
+
+// Racing operators, resends, claims, owners that die and clocks that differ:
+// the machine agrees with the naive one, and with a copy of itself that
+// restarts from snapshots.
+func TestMachineAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"apply":    w.applyConfig,
+			"rollback": w.rollback,
+			"claim":    w.claim,
+			"resolve":  w.resolve,
+			"restart":  w.restart,
+			"":         w.check,
+		})
+	})
+}
