--- a/wire/wire.go
+++ b/wire/wire.go
@@ -13,6 +13,7 @@
 )
 
 //go:generate go tool msgp -tests=false -io=false
+//msgp:limit arrays:65536 maps:64
 
 // Version is the protocol version that every frame carries.
 const Version = 1
--- a/wire/wire_gen.go
+++ b/wire/wire_gen.go
@@ -7,6 +7,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z5817a858limitArrays = 65536
+	z5817a858limitMaps   = 64
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Announce) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -54,6 +60,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -156,6 +166,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -237,6 +251,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -341,6 +359,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -453,6 +475,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -578,6 +604,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -633,6 +663,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -716,6 +750,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -749,6 +787,10 @@
 				err = msgp.WrapError(err, "Sections")
 				return
 			}
+			if zb0002 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Sections) >= int(zb0002) {
 				z.Sections = (z.Sections)[:zb0002]
 			} else {
@@ -768,6 +810,10 @@
 				err = msgp.WrapError(err, "Removed")
 				return
 			}
+			if zb0003 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Removed) >= int(zb0003) {
 				z.Removed = (z.Removed)[:zb0003]
 			} else {
@@ -847,6 +893,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -874,6 +924,10 @@
 				err = msgp.WrapError(err, "Keys")
 				return
 			}
+			if zb0002 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Keys) >= int(zb0002) {
 				z.Keys = (z.Keys)[:zb0002]
 			} else {
@@ -886,6 +940,10 @@
 					err = msgp.WrapError(err, "Keys", za0001)
 					return
 				}
+				if zb0003 > z5817a858limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -959,6 +1017,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1050,6 +1112,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1077,6 +1143,10 @@
 				err = msgp.WrapError(err, "Upserts")
 				return
 			}
+			if zb0002 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Upserts) >= int(zb0002) {
 				z.Upserts = (z.Upserts)[:zb0002]
 			} else {
@@ -1096,6 +1166,10 @@
 				err = msgp.WrapError(err, "Removed")
 				return
 			}
+			if zb0003 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Removed) >= int(zb0003) {
 				z.Removed = (z.Removed)[:zb0003]
 			} else {
@@ -1115,6 +1189,10 @@
 				err = msgp.WrapError(err, "Left")
 				return
 			}
+			if zb0004 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Left) >= int(zb0004) {
 				z.Left = (z.Left)[:zb0004]
 			} else {
@@ -1199,6 +1277,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1238,6 +1320,10 @@
 				err = msgp.WrapError(err, "Pending")
 				return
 			}
+			if zb0002 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Pending) >= int(zb0002) {
 				z.Pending = (z.Pending)[:zb0002]
 			} else {
@@ -1340,6 +1426,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1461,6 +1551,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1541,6 +1635,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1624,6 +1722,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1685,6 +1787,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1757,6 +1863,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1772,11 +1882,27 @@
 				return
 			}
 		case "c":
-			z.Command, bts, err = msgp.ReadBytesBytes(bts, z.Command)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Command")
 				return
 			}
+			if zb0002 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Command == nil || uint32(cap(z.Command)) < zb0002 {
+				z.Command = make([]byte, zb0002)
+			} else {
+				z.Command = z.Command[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Command, bts[:zb0002])
+			bts = bts[zb0002:]
 		case "m":
 			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
@@ -1877,6 +2003,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1908,11 +2038,27 @@
 				return
 			}
 		case "r":
-			z.Result, bts, err = msgp.ReadBytesBytes(bts, z.Result)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Result")
 				return
 			}
+			if zb0003 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Result == nil || uint32(cap(z.Result)) < zb0003 {
+				z.Result = make([]byte, zb0003)
+			} else {
+				z.Result = z.Result[:zb0003]
+			}
+			if uint32(len(bts)) < zb0003 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Result, bts[:zb0003])
+			bts = bts[zb0003:]
 		case "d":
 			z.Detail, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1957,6 +2103,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1966,11 +2116,27 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "b":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+			if zb0002 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Body == nil || uint32(cap(z.Body)) < zb0002 {
+				z.Body = make([]byte, zb0002)
+			} else {
+				z.Body = z.Body[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Body, bts[:zb0002])
+			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2050,6 +2216,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2107,6 +2277,10 @@
 				err = msgp.WrapError(err, "Outcomes")
 				return
 			}
+			if zb0002 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Outcomes) >= int(zb0002) {
 				z.Outcomes = (z.Outcomes)[:zb0002]
 			} else {
@@ -2119,6 +2293,10 @@
 					err = msgp.WrapError(err, "Outcomes", za0001)
 					return
 				}
+				if zb0003 > z5817a858limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2218,6 +2396,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2314,6 +2496,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2409,6 +2595,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2502,6 +2692,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2535,6 +2729,10 @@
 				err = msgp.WrapError(err, "Demand")
 				return
 			}
+			if zb0002 > z5817a858limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2570,6 +2768,10 @@
 				err = msgp.WrapError(err, "Tasks")
 				return
 			}
+			if zb0003 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Tasks) >= int(zb0003) {
 				z.Tasks = (z.Tasks)[:zb0003]
 			} else {
@@ -2589,6 +2791,10 @@
 				err = msgp.WrapError(err, "Cancel")
 				return
 			}
+			if zb0004 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Cancel) >= int(zb0004) {
 				z.Cancel = (z.Cancel)[:zb0004]
 			} else {
@@ -2675,6 +2881,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2797,6 +3007,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
