--- a/wire/wire.go
+++ b/wire/wire.go
@@ -13,6 +13,7 @@
 )
 
 //go:generate go tool msgp -tests=false -io=false
+//msgp:limit arrays:65536 maps:64
 
 // Version is the protocol version that every frame carries.
 const Version = 1
@@ -37,6 +38,11 @@
 	KindRaft
 	KindPing
 	KindPong
+	KindPropose
+	KindProposed
+
+	// KindLimit is one more than the highest kind.
+	KindLimit
 )
 
 // Role is what a process is; a certificate names exactly one.
@@ -316,6 +322,61 @@
 	Body []byte `msg:"b"`
 }
 
+// Propose carries a command of the replicated log, or a change of the control
+// hosts, from a control host to the leader.
+type Propose struct {
+	// Request matches the reply.
+	Request uint64        `msg:"q"`
+	Command []byte        `msg:"c"`
+	Change  *MemberChange `msg:"m"`
+}
+
+// MemberAction is what a MemberChange does.
+type MemberAction string
+
+// The actions.
+const (
+	// MemberAdd adds a control host as a learner.
+	MemberAdd MemberAction = "add"
+	// MemberPromote makes a learner a voter.
+	MemberPromote MemberAction = "promote"
+	// MemberRemove removes a control host.
+	MemberRemove MemberAction = "remove"
+)
+
+// MemberChange changes the replicas of the log.
+type MemberChange struct {
+	Action MemberAction `msg:"a"`
+	// ID is the replica id, born with the data folder.
+	ID uint64 `msg:"i"`
+	// Addr is the peer address; only MemberAdd needs it.
+	Addr string `msg:"d"`
+}
+
+// ProposeStatus says what became of a proposal.
+type ProposeStatus uint8
+
+// The statuses.
+const (
+	// ProposeAccepted means that the command is committed and applied.
+	ProposeAccepted ProposeStatus = iota + 1
+	// ProposeNotLeader means that the command was not taken.
+	ProposeNotLeader
+	// ProposeUnknown means that the command may be committed or not.
+	ProposeUnknown
+	// ProposeRefused means that the command was not taken and why, in Detail.
+	ProposeRefused
+)
+
+// Proposed answers a Propose.
+type Proposed struct {
+	Request uint64        `msg:"q"`
+	Status  ProposeStatus `msg:"s"`
+	Index   uint64        `msg:"i"`
+	Result  []byte        `msg:"r"`
+	Detail  string        `msg:"d"`
+}
+
 // Ping asks for a Pong with the same Nonce.
 type Ping struct {
 	Nonce  uint64        `msg:"n"`
