agentd, upstream: add the driver and the stand-in upstream

Cause: the reducer of package agent needs sockets, and tests need an upstream. Ruled out: fasthttp's HostClient for runs, since it sends a request again when a kept connection was closed, and hides whether a byte was written. Change: a small connection pool whose failures say whether anything was written; announcements over HTTP; sessions over transport.

--- a/agent/config.go
+++ b/agent/config.go
@@ -76,7 +76,7 @@
 		SuspendFirst:   time.Second,
 		SuspendMax:     time.Minute,
 		DrainWithin:    30 * time.Second,
-		AckWithin:      2 * time.Second,
+		AckWithin:      4 * time.Second,
 	}
 }
 
--- a/agent/record.go
+++ b/agent/record.go
@@ -40,11 +40,9 @@
 	// reported is the sequence number of the last report with the result; zero
 	// if it must be sent.
 	reported uint64
-	// barred forbids the id to start later although it did not run.
-	barred bool
 }
 
-// past remembers the latest ids of tasks that must never start again, in a
+// past remembers the latest ids of tasks that must not start any more, in a
 // ring of fixed size.
 type past struct {
 	ids  map[task.ID]struct{}
--- a/agent/run.go
+++ b/agent/run.go
@@ -101,18 +101,15 @@
 		s.bar(e, id)
 	case r.entry != e:
 	case r.phase == phaseQueued:
-		r.barred = true
 		s.refuse(r, task.ReasonCancelled)
 	case r.phase == phaseRunning:
 		s.stop(r, task.ReasonCancelled)
-	case r.result.Outcome.State == task.NotRun:
-		r.barred = true
 	}
 }
 
 // bar refuses a task whose cancellation came before it.
 func (s *State) bar(e *entry, id task.ID) {
-	r := &record{id: id, entry: e, phase: phaseQueued, barred: true, arrived: s.now}
+	r := &record{id: id, entry: e, phase: phaseQueued, arrived: s.now}
 	s.tasks[id] = r
 	e.held++
 	s.refuse(r, task.ReasonCancelled)
@@ -269,7 +266,6 @@
 	r.entry.held--
 	if r.entry.forgotten {
 		s.release(r)
-		s.past.add(r.id)
 		return
 	}
 	r.entry.ended = append(r.entry.ended, r)
--- a/agent/session.go
+++ b/agent/session.go
@@ -63,9 +63,9 @@
 func (s *State) addEntry(h *wire.Hello) *entry {
 	e := &entry{}
 	if h.Incarnation == s.me.Incarnation {
-		// Fewer than one report a microsecond is sent, so this is above every
-		// number used before.
-		e.amnesic = true
+		// The entry may have had sessions that are forgotten. Fewer than one
+		// report a microsecond is sent, so its numbers stay above those used.
+		e.amnesic = len(h.Pending) > 0
 		e.reportSeq = uint64(s.now / time.Microsecond)
 	}
 	s.entries[h.From.Incarnation] = e
@@ -155,8 +155,8 @@
 	}
 }
 
-// acknowledge forgets the outcomes in reports up to seen. A task that did not
-// run may come again from now on; any other may not.
+// acknowledge drops the outcomes in reports up to seen. Their ids stay among
+// the past ones.
 func (s *State) acknowledge(e *entry, seen uint64) {
 	if seen >= e.welcomeAt {
 		e.amnesic = false
@@ -172,9 +172,7 @@
 
 func (s *State) release(r *record) {
 	delete(s.tasks, r.id)
-	if r.barred || r.result.Outcome.State != task.NotRun {
-		s.past.add(r.id)
-	}
+	s.past.add(r.id)
 }
 
 // dropOlder forgets the closed incarnations of a process that has restarted.
@@ -201,7 +199,6 @@
 	}
 	for _, r := range e.ended {
 		s.release(r)
-		s.past.add(r.id)
 	}
 	e.ended, e.sent = nil, 0
 	delete(s.entries, e.peer.Incarnation)
--- /dev/null
+++ b/agentd/agentd.go
@@ -0,0 +1,182 @@
+package agentd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fireflytray/fireflytray/agent"
+	"github.com/fireflytray/fireflytray/loop"
+	"github.com/fireflytray/fireflytray/transport"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+const (
+	// lingerAfterDrain lets the last messages leave before connections close.
+	lingerAfterDrain = 50 * time.Millisecond
+	readTimeout      = 5 * time.Second
+	maxAnnouncement  = 64 << 10
+)
+
+// daemon is a running agent.
+type daemon struct {
+	opts     Options
+	loop     *loop.Loop[agent.Event, agent.Effect]
+	peers    *transport.Listener
+	announce net.Listener
+	http     *fasthttp.Server
+	sessions *sessions
+	runner   *runner
+	meter    *meter
+	drained  chan struct{}
+}
+
+// Run runs an agent until ctx ends and it has drained: running tasks have
+// ended and their outcomes are delivered, as far as time allows.
+func Run(ctx context.Context, o Options) error {
+	d, err := newDaemon(o.withDefaults())
+	if err != nil {
+		return err
+	}
+	defer d.close()
+	return d.run(ctx)
+}
+
+func newDaemon(o Options) (*daemon, error) {
+	peers, err := transport.Listen(o.Peers, transport.Options{
+		Identity: o.Identity,
+		Accept:   []wire.Role{wire.RoleEntry},
+		Stamp:    o.Stamp,
+		OnStamp:  onStamp(o.OnStamp),
+		Scope:    o.Scope,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("agent: %w", err)
+	}
+	ln, err := net.Listen("tcp", o.Upstream)
+	if err != nil {
+		peers.Close()
+		return nil, fmt.Errorf("agent: listen for upstream on %s: %w", o.Upstream, err)
+	}
+	if o.Self.Addr == "" {
+		o.Self.Addr = peers.Addr()
+	}
+	d := &daemon{
+		opts:     o,
+		peers:    peers,
+		announce: ln,
+		meter:    newMeter(o.Scope),
+		drained:  make(chan struct{}),
+	}
+	state := agent.New(o.Self, o.Agent)
+	d.loop = loop.New[agent.Event, agent.Effect](state, agent.Tick{}, d.exec)
+	d.sessions = newSessions(d.loop.Post, o.Log)
+	d.runner = newRunner(d.loop.Post, d.loop.Now)
+	d.http = &fasthttp.Server{
+		Handler:               d.handle,
+		Name:                  "agent",
+		ReadTimeout:           readTimeout,
+		MaxRequestBodySize:    maxAnnouncement,
+		NoDefaultServerHeader: true,
+	}
+	return d, nil
+}
+
+func onStamp(f func(wire.Stamp)) func(transport.Peer, wire.Stamp) {
+	if f == nil {
+		return nil
+	}
+	return func(_ transport.Peer, s wire.Stamp) { f(s) }
+}
+
+func (d *daemon) run(ctx context.Context) error {
+	hard, stop := context.WithCancel(context.Background())
+	defer stop()
+	g, hard := errgroup.WithContext(hard)
+	g.Go(func() error { d.loop.Run(hard); return nil })
+	g.Go(func() error { return d.sessions.accept(hard, d.peers) })
+	g.Go(func() error { return d.serveHTTP(hard) })
+	g.Go(func() error {
+		defer stop()
+		return d.drainAfter(ctx, hard)
+	})
+	d.opts.Log.Info("agent is ready", "peers", d.peers.Addr(), "upstream", d.announce.Addr(), "incarnation", d.opts.Self.Incarnation)
+	if d.opts.Ready != nil {
+		d.opts.Ready(d.peers.Addr(), d.announce.Addr().String())
+	}
+	return g.Wait()
+}
+
+// drainAfter waits for ctx to end and then for the drain.
+func (d *daemon) drainAfter(ctx, hard context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-hard.Done():
+		return nil
+	}
+	d.opts.Log.Info("agent drains")
+	d.loop.Post(agent.Drain{})
+	select {
+	case <-d.drained:
+		time.Sleep(lingerAfterDrain)
+	case <-hard.Done():
+	}
+	return nil
+}
+
+func (d *daemon) serveHTTP(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { d.announce.Close() })
+	defer stop()
+	err := d.http.Serve(d.announce)
+	if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return fmt.Errorf("agent: serve upstream on %s: %w", d.announce.Addr(), err)
+}
+
+func (d *daemon) close() {
+	d.announce.Close()
+	d.peers.Close()
+	d.runner.close()
+}
+
+// exec carries out one effect. It must not block.
+func (d *daemon) exec(eff agent.Effect) {
+	switch eff := eff.(type) {
+	case agent.SendWelcome:
+		d.meter.report(eff.Welcome.Report)
+		d.sessions.send(eff.Session, eff.Welcome)
+	case agent.SendReport:
+		d.meter.report(eff.Report)
+		d.meter.connections(d.runner.connections())
+		d.sessions.send(eff.Session, eff.Report)
+	case agent.CloseSession:
+		d.sessions.end(eff.Session, string(eff.Why))
+	case agent.StartRun:
+		d.runner.start(eff)
+	case agent.StopRun:
+		d.runner.stop(eff)
+	case agent.AbandonRun:
+		d.runner.abandon(eff)
+	case agent.CheckRun:
+		d.runner.check(eff)
+	case agent.ProbeUpstream:
+		d.runner.probe(eff)
+	case agent.UseUpstream:
+		d.opts.Log.Info("upstream announced", "service", eff.Upstream.Service, "addr", eff.Upstream.Addr, "slots", eff.Upstream.Slots)
+		d.runner.use(eff.Upstream)
+	case agent.AnnounceWorker:
+		d.meter.worker(eff.Worker)
+		if d.opts.Control != nil {
+			d.opts.Control.Announce(d.opts.Self, eff.Worker, eff.Leaving)
+		}
+	case agent.Drained:
+		d.opts.Log.Info("agent has drained", "unacknowledged", eff.Unacked)
+		close(d.drained)
+	}
+}
--- /dev/null
+++ b/agentd/meter.go
@@ -0,0 +1,76 @@
+package agentd
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// meter counts what the agent does. It is used by the loop only.
+type meter struct {
+	scope    tally.Scope
+	slots    tally.Gauge
+	open     tally.Gauge
+	idle     tally.Gauge
+	running  tally.Gauge
+	queued   tally.Gauge
+	reports  tally.Counter
+	outcomes map[outcomeKind]tally.Counter
+	ran      tally.Timer
+	waited   tally.Timer
+}
+
+type outcomeKind struct {
+	state  task.State
+	reason task.Reason
+}
+
+func newMeter(scope tally.Scope) *meter {
+	scope = scope.SubScope("agent")
+	return &meter{
+		scope:    scope,
+		slots:    scope.Gauge("slots"),
+		open:     scope.Gauge("upstream_connections"),
+		idle:     scope.Gauge("upstream_connections_idle"),
+		running:  scope.Gauge("running"),
+		queued:   scope.Gauge("queued"),
+		reports:  scope.Counter("reports"),
+		outcomes: make(map[outcomeKind]tally.Counter),
+		ran:      scope.Timer("ran"),
+		waited:   scope.Timer("waited"),
+	}
+}
+
+func (m *meter) worker(w wire.Worker) { m.slots.Update(float64(w.Slots)) }
+
+func (m *meter) connections(open, idle int) {
+	m.open.Update(float64(open))
+	m.idle.Update(float64(idle))
+}
+
+func (m *meter) report(r *wire.Report) {
+	m.reports.Inc(1)
+	m.running.Update(float64(r.Running))
+	m.queued.Update(float64(r.Queued))
+	for i := range r.Outcomes {
+		m.outcome(&r.Outcomes[i])
+	}
+}
+
+func (m *meter) outcome(r *wire.Result) {
+	k := outcomeKind{r.Outcome.State, r.Outcome.Reason}
+	c, ok := m.outcomes[k]
+	if !ok {
+		c = m.scope.Tagged(map[string]string{
+			"state":  k.state.String(),
+			"reason": string(k.reason),
+		}).Counter("outcomes")
+		m.outcomes[k] = c
+	}
+	c.Inc(1)
+	if k.state == task.Complete {
+		m.ran.Record(r.Outcome.Ran)
+		m.waited.Record(r.Waited)
+	}
+}
--- /dev/null
+++ b/agentd/pool.go
@@ -0,0 +1,188 @@
+package agentd
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	dialTimeout = time.Second
+	// maxIdle is how long a connection may be kept unused.
+	maxIdle = 10 * time.Second
+)
+
+// errPoolFull means that every allowed connection is in use.
+var errPoolFull = errors.New("every connection is in use")
+
+// pool holds the connections to one upstream, never more than max at a time.
+type pool struct {
+	addr string
+	max  int
+
+	mu     sync.Mutex
+	open   int
+	idle   []*upConn
+	closed bool
+}
+
+func newPool(addr string, limit uint32) *pool { return &pool{addr: addr, max: int(limit)} }
+
+// upConn is one connection to an upstream.
+type upConn struct {
+	net.Conn
+	pool      *pool
+	r         *bufio.Reader
+	w         *bufio.Writer
+	written   int
+	idleSince time.Time
+	once      sync.Once
+}
+
+// Write implements net.Conn and counts what was handed to the kernel.
+func (c *upConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written += n
+	return n, err
+}
+
+// get returns an idle connection, or a new one.
+func (p *pool) get() (*upConn, error) {
+	for {
+		c := p.takeIdle()
+		if c == nil {
+			return p.dial()
+		}
+		if time.Since(c.idleSince) < maxIdle && c.quiet() {
+			return c, nil
+		}
+		c.discard()
+	}
+}
+
+func (p *pool) takeIdle() *upConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return c
+}
+
+// dial opens a connection from a new local port. Where the limit is reached,
+// an idle connection gives way.
+func (p *pool) dial() (*upConn, error) {
+	if err := p.reserve(); err != nil {
+		return nil, err
+	}
+	raw, err := net.DialTimeout("tcp", p.addr, dialTimeout)
+	if err != nil {
+		p.release()
+		return nil, fmt.Errorf("agent: dial upstream %s: %w", p.addr, err)
+	}
+	c := &upConn{Conn: raw, pool: p}
+	c.r = bufio.NewReader(raw)
+	c.w = bufio.NewWriter(c)
+	return c, nil
+}
+
+func (p *pool) reserve() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open >= p.max && len(p.idle) > 0 {
+		c := p.idle[0]
+		p.idle = p.idle[1:]
+		c.once.Do(func() {})
+		c.Conn.Close()
+		p.open--
+	}
+	if p.open >= p.max {
+		return fmt.Errorf("agent: dial upstream %s: %w", p.addr, errPoolFull)
+	}
+	p.open++
+	return nil
+}
+
+func (p *pool) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
+// put keeps a connection for reuse.
+func (p *pool) put(c *upConn) {
+	c.idleSince = time.Now()
+	c.SetDeadline(time.Time{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.closed {
+		p.idle = append(p.idle, c)
+		return
+	}
+	go c.discard()
+}
+
+// close closes the idle connections; those in use close when they are put.
+func (p *pool) close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.closed = nil, true
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.discard()
+	}
+}
+
+// counts returns how many connections are open and idle.
+func (p *pool) counts() (open, idle int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open, len(p.idle)
+}
+
+// reuse keeps the connection after an answer, unless the upstream closes it.
+func (c *upConn) reuse(a answer) {
+	if a.last {
+		c.discard()
+		return
+	}
+	c.pool.put(c)
+}
+
+// discard closes a connection, once.
+func (c *upConn) discard() {
+	c.once.Do(func() {
+		c.Conn.Close()
+		c.pool.release()
+	})
+}
+
+// quiet reports whether an idle connection is open and has nothing to read.
+func (c *upConn) quiet() bool {
+	if c.r.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(rerr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/upstream/upstream.go
@@ -0,0 +1,253 @@
+package upstream
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	announceTimeout = time.Second
+	// renewalsPerLease is how often a lease is renewed before it runs out.
+	renewalsPerLease = 3
+	maxPayload       = 8 << 20
+)
+
+// The kinds of work.
+const (
+	WorkSleep = "sleep"
+	WorkCPU   = "cpu"
+)
+
+// Options configures a stand-in upstream.
+type Options struct {
+	// Tasks is the HTTP host:port for tasks; port 0 picks one.
+	Tasks string
+	// Agent is the agent's host:port for announcements; empty announces
+	// nothing.
+	Agent       string
+	Service     string
+	Slots       uint32
+	Connections uint32
+	Lease       time.Duration
+	Offered     Offered
+	Rack        string
+	// Work is the default kind of work.
+	Work string
+	// Slowdown multiplies every run time; zero means one.
+	Slowdown float64
+	// FailShare is the share of tasks that fail at once; Seed seeds the choice.
+	FailShare float64
+	Seed      uint64
+	// Journal is a file to which each start is appended; empty for none.
+	Journal string
+	// Ready is called with the address for tasks once it is open.
+	Ready func(addr string)
+	Log   *log.Logger
+}
+
+func (o Options) withDefaults() Options {
+	if o.Slots == 0 {
+		o.Slots = 8
+	}
+	if o.Connections == 0 {
+		o.Connections = 64
+	}
+	if o.Lease == 0 {
+		o.Lease = 3 * time.Second
+	}
+	if o.Work == "" {
+		o.Work = WorkSleep
+	}
+	if o.Slowdown == 0 {
+		o.Slowdown = 1
+	}
+	if o.Log == nil {
+		o.Log = log.New(io.Discard)
+	}
+	return o
+}
+
+// Server is a running stand-in.
+type Server struct {
+	opts     Options
+	instance string
+	ln       *gate
+	http     *fasthttp.Server
+	client   fasthttp.Client
+	tasks    *tasks
+	fault    *faults
+	kill     context.CancelFunc
+	killed   context.Context
+	depart   sync.Once
+	departed chan struct{}
+}
+
+// New opens the address for tasks.
+func New(o Options) (*Server, error) {
+	o = o.withDefaults()
+	ln, err := net.Listen("tcp", o.Tasks)
+	if err != nil {
+		return nil, fmt.Errorf("upstream: listen %s: %w", o.Tasks, err)
+	}
+	j, err := newJournal(o.Journal)
+	if err != nil {
+		ln.Close()
+		return nil, err
+	}
+	s := &Server{opts: o, instance: rand.Text(), ln: newGate(ln), fault: newFaults(), departed: make(chan struct{})}
+	s.killed, s.kill = context.WithCancel(context.Background())
+	s.tasks = newTasks(o, j, s.fault)
+	s.http = &fasthttp.Server{
+		Handler:               s.handle,
+		Name:                  "upstream",
+		MaxRequestBodySize:    maxPayload,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+	}
+	return s, nil
+}
+
+// Addr returns the host:port for tasks.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+// Instance returns the name of this run of the upstream.
+func (s *Server) Instance() string { return s.instance }
+
+// Journal returns the starts so far, in order.
+func (s *Server) Journal() []JournalEntry { return s.tasks.journal.entries() }
+
+// SetFault changes the fault in force.
+func (s *Server) SetFault(f Fault) error {
+	if err := s.fault.set(f); err != nil {
+		return err
+	}
+	switch f.Mode {
+	case FaultSilent:
+		s.ln.silence()
+	case FaultLeave:
+		s.depart.Do(func() { close(s.departed) })
+	}
+	return nil
+}
+
+// Kill ends the upstream like the death of its process: nothing is said and
+// every connection is cut.
+func (s *Server) Kill() {
+	s.kill()
+	s.ln.cut()
+}
+
+// Run serves until ctx ends, and then leaves: it says so, lets the running
+// tasks end and closes.
+func Run(ctx context.Context, o Options) error {
+	s, err := New(o)
+	if err != nil {
+		return err
+	}
+	return s.Run(ctx)
+}
+
+// Run serves until ctx ends or Kill is called.
+func (s *Server) Run(ctx context.Context) error {
+	if s.opts.Ready != nil {
+		s.opts.Ready(s.Addr())
+	}
+	var g errgroup.Group
+	g.Go(func() error {
+		err := s.http.Serve(s.ln)
+		if err != nil && s.killed.Err() == nil && !errors.Is(err, net.ErrClosed) {
+			return fmt.Errorf("upstream: serve %s: %w", s.Addr(), err)
+		}
+		return nil
+	})
+	g.Go(func() error {
+		s.announceUntil(ctx)
+		return s.leave()
+	})
+	return g.Wait()
+}
+
+// announceUntil renews the lease until ctx ends or the upstream is killed.
+func (s *Server) announceUntil(ctx context.Context) {
+	every := time.NewTicker(s.opts.Lease / renewalsPerLease)
+	defer every.Stop()
+	for {
+		s.announce(false)
+		select {
+		case <-every.C:
+		case <-ctx.Done():
+			return
+		case <-s.departed:
+			return
+		case <-s.killed.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) announce(draining bool) {
+	if s.opts.Agent == "" || s.fault.mode() == FaultFreeze {
+		return
+	}
+	if err := s.post(PathAnnounce, s.announcement(draining)); err != nil {
+		s.opts.Log.Warn("announcement failed", "agent", s.opts.Agent, "err", err)
+	}
+}
+
+func (s *Server) announcement(draining bool) Announcement {
+	return Announcement{
+		Instance:    s.instance,
+		Service:     s.opts.Service,
+		Address:     s.Addr(),
+		Slots:       s.opts.Slots,
+		Connections: s.opts.Connections,
+		LeaseMS:     uint32(s.opts.Lease / time.Millisecond),
+		Offered:     s.opts.Offered,
+		Rack:        s.opts.Rack,
+		Draining:    draining,
+		CanStop:     true,
+		CanStatus:   true,
+	}
+}
+
+// leave says goodbye, waits for the running tasks, and closes.
+func (s *Server) leave() error {
+	if s.killed.Err() != nil {
+		return nil
+	}
+	if s.opts.Agent != "" {
+		if err := s.post(PathLeave, Departure{Instance: s.instance}); err != nil {
+			s.opts.Log.Warn("leaving was not heard", "agent", s.opts.Agent, "err", err)
+		}
+	}
+	s.tasks.wait(s.killed)
+	s.tasks.journal.close()
+	if err := s.http.Shutdown(); err != nil {
+		return fmt.Errorf("upstream: shut down %s: %w", s.Addr(), err)
+	}
+	return nil
+}
+
+func newJournal(path string) (*journal, error) {
+	j := &journal{}
+	if path == "" {
+		return j, nil
+	}
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, fmt.Errorf("upstream: open journal: %w", err)
+	}
+	j.file = f
+	return j, nil
+}
