--- /dev/null
+++ b/agentd/harness_test.go
@@ -0,0 +1,232 @@
+package agentd
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/agent"
+	"github.com/fireflytray/fireflytray/keys"
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/transport"
+	"github.com/fireflytray/fireflytray/upstream"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+const (
+	testWait  = 20 * time.Second
+	testLease = 600 * time.Millisecond
+	entryInc  = 77
+)
+
+// site is an agent, its upstream and the keys of both, on real sockets.
+type site struct {
+	t         *testing.T
+	ca        *keys.Authority
+	peers     string
+	announce  string
+	upstream  *upstream.Server
+	stopAgent context.CancelFunc
+	agentDone chan error
+	stopUp    context.CancelFunc
+	upDone    chan error
+	start     time.Time
+}
+
+func newSite(t *testing.T, conf agent.Config) *site {
+	ca, err := keys.Ephemeral()
+	require.NoError(t, err)
+	s := &site{t: t, ca: ca, start: time.Now()}
+	s.runAgent(conf)
+	s.runUpstream(upstream.Options{})
+	return s
+}
+
+func (s *site) runAgent(conf agent.Config) {
+	id, err := s.ca.Identity(wire.RoleAgent, "agent-1", "sv-a")
+	require.NoError(s.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	s.stopAgent, s.agentDone = stop, make(chan error, 1)
+	ready := make(chan struct{})
+	go func() {
+		s.agentDone <- Run(ctx, Options{
+			Self:     wire.Peer{ID: "agent-1", Domain: "sv-a"},
+			Identity: id,
+			Peers:    "127.0.0.1:0",
+			Upstream: "127.0.0.1:0",
+			Agent:    conf,
+			Ready: func(peers, up string) {
+				s.peers, s.announce = peers, up
+				close(ready)
+			},
+		})
+	}()
+	s.t.Cleanup(stop)
+	await(s.t, ready)
+}
+
+func (s *site) runUpstream(o upstream.Options) {
+	o.Tasks, o.Agent, o.Service, o.Lease = "127.0.0.1:0", s.announce, "alert-core", testLease
+	up, err := upstream.New(o)
+	require.NoError(s.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	s.upstream, s.stopUp, s.upDone = up, stop, make(chan error, 1)
+	done := s.upDone
+	go func() { done <- up.Run(ctx) }()
+	s.t.Cleanup(func() { up.Kill(); stop() })
+}
+
+func await[T any](t *testing.T, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(testWait):
+		require.Fail(t, "timed out")
+		panic("unreachable")
+	}
+}
+
+// client plays an entry.
+type client struct {
+	s       *site
+	conn    *transport.Conn
+	seq     uint64
+	welcome *wire.Welcome
+
+	mu      sync.Mutex
+	seen    uint64
+	slots   uint32
+	results map[task.ID]wire.Result
+	count   map[task.ID]int
+}
+
+func (s *site) dial(session, incarnation uint64, pending ...task.ID) *client {
+	id, err := s.ca.Identity(wire.RoleEntry, "entry-1", "sv-a")
+	require.NoError(s.t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	defer cancel()
+	conn, err := transport.Dial(ctx, s.peers, wire.RoleAgent, transport.Options{Identity: id})
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() { conn.Close("test ends") })
+	c := &client{s: s, conn: conn, results: map[task.ID]wire.Result{}, count: map[task.ID]int{}}
+	require.NoError(s.t, conn.Send(&wire.Hello{
+		From:        wire.Peer{Role: wire.RoleEntry, ID: "entry-1", Incarnation: entryInc},
+		Session:     session,
+		SentAt:      time.Since(s.start),
+		Incarnation: incarnation,
+		Pending:     pending,
+	}))
+	m, _, err := conn.Recv(ctx)
+	require.NoError(s.t, err)
+	c.welcome = m.(*wire.Welcome)
+	c.take(c.welcome.Report)
+	go c.receive()
+	return c
+}
+
+func (c *client) receive() {
+	for {
+		m, _, err := c.conn.Recv(context.Background())
+		if err != nil {
+			return
+		}
+		c.take(m.(*wire.Report))
+	}
+}
+
+func (c *client) take(r *wire.Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seen, c.slots = r.Seq, r.Slots
+	for _, o := range r.Outcomes {
+		c.results[o.ID] = o
+		c.count[o.ID]++
+	}
+}
+
+func (c *client) update(u *wire.Update) {
+	c.seq++
+	c.mu.Lock()
+	u.Seq, u.Seen, u.SentAt = c.seq, c.seen, time.Since(c.s.start)
+	c.mu.Unlock()
+	require.NoError(c.s.t, c.conn.Send(u))
+}
+
+// send assigns tasks of one submission each.
+func (c *client) send(p upstream.Payload, ids ...task.ID) {
+	body, err := json.Marshal(p)
+	require.NoError(c.s.t, err)
+	u := &wire.Update{}
+	for _, id := range ids {
+		u.Tasks = append(u.Tasks, wire.Assignment{
+			ID:          id,
+			Spec:        task.Spec{Payload: body},
+			StartWithin: testWait,
+			RunWithin:   testWait,
+		})
+	}
+	c.update(u)
+}
+
+func (c *client) result(id task.ID) wire.Result {
+	c.s.t.Helper()
+	var r wire.Result
+	c.s.eventually(func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		var ok bool
+		r, ok = c.results[id]
+		return ok
+	})
+	return r
+}
+
+func (c *client) awaitSlots(n uint32) {
+	c.s.t.Helper()
+	c.s.eventually(func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.slots == n
+	})
+}
+
+func (s *site) eventually(cond func() bool) {
+	s.t.Helper()
+	require.Eventually(s.t, cond, testWait, 5*time.Millisecond)
+}
+
+// starts returns how often the upstream started each task.
+func (s *site) starts() map[string]int {
+	n := map[string]int{}
+	for _, e := range s.upstream.Journal() {
+		n[e.ID]++
+	}
+	return n
+}
+
+func (s *site) awaitStart(id task.ID) {
+	s.t.Helper()
+	s.eventually(func() bool { return s.starts()[id.String()] > 0 })
+}
+
+func taskID(n uint64) task.ID { return task.ID{Submission: task.NewSubmissionID(entryInc, n)} }
+
+func taskIDs(n uint64) []task.ID {
+	ids := make([]task.ID, n)
+	for i := range ids {
+		ids[i] = taskID(uint64(i) + 1)
+	}
+	return ids
+}
+
+func dialAs(t *testing.T, s *site, id *keys.Identity) *transport.Conn {
+	conn, err := transport.Dial(t.Context(), s.peers, wire.RoleAgent, transport.Options{Identity: id})
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close("test ends") })
+	return conn
+}
