--- a/entry/agent.go
+++ b/entry/agent.go
@@ -24,10 +24,12 @@
 // agent is what the entry knows of one agent and shares with it.
 type agent struct {
 	placement.Agent
-	peer    wire.Peer
-	worker  wire.Worker
-	svc     *service
-	link    linkState
+	peer   wire.Peer
+	worker wire.Worker
+	svc    *service
+	link   linkState
+	// met is the incarnation that sent the last welcome, zero before the first.
+	met     uint64
 	session uint64
 	// listed is set while the directory names the agent.
 	listed bool
@@ -45,6 +47,8 @@
 	seen     uint64 // highest report handled
 	told     uint64 // highest report acknowledged
 	ackArmed bool
+	// expecting is what the driver was last told to expect of the session.
+	expecting bool
 	// wanted is the count of waiting tasks that the agent was last told.
 	wanted uint32
 	speed  speed
@@ -77,7 +81,7 @@
 			e.entries[m.Peer.ID] = true
 		}
 	}
-	if d.Full {
+	if d.Full && d.Complete {
 		e.dropUnnamed(named)
 	}
 	for _, p := range d.Removed {
@@ -157,7 +161,7 @@
 		From:        e.opts.Self,
 		Session:     a.session,
 		SentAt:      e.now,
-		Incarnation: a.peer.Incarnation,
+		Incarnation: a.met,
 	}
 	h.Pending = a.sentIDs()
 	e.emit(Dial{Peer: a.peer, Hello: h, Within: dialWithin})
@@ -171,7 +175,7 @@
 		return
 	}
 	w := ev.Welcome
-	if w.From.Incarnation != a.peer.Incarnation {
+	if w.From.Incarnation != a.met {
 		e.agentRestarted(a, w.From)
 	}
 	a.link = linkOpen
@@ -179,6 +183,7 @@
 	a.seq = 0
 	a.unseen = a.unseen[:0]
 	a.wanted = 0
+	a.expecting = false
 	if w.Worker != nil {
 		e.workerChanged(a, *w.Worker)
 	}
@@ -205,6 +210,7 @@
 // one numbers its reports afresh.
 func (e *Entry) agentRestarted(a *agent, p wire.Peer) {
 	a.peer = p
+	a.met = p.Incarnation
 	a.seen, a.told = 0, 0
 	e.settleAll(a, task.ReasonAgentRestarted)
 }
