agent: differential test against a naive version

Change: a fake network, entries and upstream with one virtual clock; the naive version keeps one list of every task.

--- /dev/null
+++ b/agent/world_test.go
@@ -0,0 +1,376 @@
+package agent
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// transit is the least time that a message takes in the fake network.
+const transit = time.Millisecond
+
+// world is an agent among fake entries, a fake network and a fake upstream,
+// with one virtual clock. It knows what truly happened.
+type world struct {
+	t       *rapid.T
+	now     time.Duration
+	state   *State
+	naive   *naive
+	self    wire.Peer
+	entries []*fakeEntry
+	conns   map[SessionID]*fakeConn
+	lastID  SessionID
+	runs    map[RunID]*fakeRun
+
+	sent    map[task.ID]sentTask
+	started map[task.ID]bool
+	notRun  map[task.ID]bool
+	outcome map[task.ID]task.Outcome
+	drained bool
+}
+
+type sentTask struct {
+	at          time.Duration
+	startWithin time.Duration
+}
+
+// fakeConn is one connection: a stream of messages in order, read when the
+// network delivers them.
+type fakeConn struct {
+	id    SessionID
+	entry *fakeEntry
+	inbox []Event
+	last  Event
+	cut   bool
+}
+
+// fakeEntry is an entry that knows nothing but what reports tell it.
+type fakeEntry struct {
+	peer     wire.Peer
+	skew     time.Duration
+	conn     *fakeConn
+	session  uint64
+	seq      uint64
+	seen     uint64
+	agentInc uint64
+	welcomed bool
+	credit   int
+	pending  []task.ID
+	lastTask uint64
+	minLag   time.Duration
+}
+
+type fakeRun struct {
+	StartRun
+	starts  bool
+	stopped bool
+}
+
+func newWorld(t *rapid.T, cfg Config, entries int) *world {
+	w := &world{
+		t: t, now: time.Second, conns: map[SessionID]*fakeConn{},
+		sent: map[task.ID]sentTask{}, started: map[task.ID]bool{}, notRun: map[task.ID]bool{}, outcome: map[task.ID]task.Outcome{},
+	}
+	for i := range entries {
+		w.entries = append(w.entries, &fakeEntry{
+			peer: wire.Peer{Role: wire.RoleEntry, ID: fmt.Sprint("entry-", i), Incarnation: uint64(100 + i)},
+			skew: time.Duration(i+1) * 13 * time.Hour,
+		})
+	}
+	w.boot(cfg)
+	return w
+}
+
+// boot starts a new incarnation of the agent. The connections die with the old.
+func (w *world) boot(cfg Config) {
+	w.self = wire.Peer{Role: wire.RoleAgent, ID: "agent", Incarnation: w.self.Incarnation + 1}
+	w.state, w.naive, w.runs, w.drained = New(w.self, cfg), newNaive(cfg), map[RunID]*fakeRun{}, false
+	for _, c := range w.conns {
+		c.cut = true
+	}
+	clear(w.conns)
+	for _, e := range w.entries {
+		e.conn, e.minLag = nil, 0
+	}
+}
+
+// step hands one event to both reducers and carries out the effects.
+func (w *world) step(ev Event) {
+	due, ok := w.state.Next()
+	w.naive.step(w.now, due, ok, ev)
+	for _, eff := range w.state.Step(w.now, ev, nil) {
+		w.carryOut(eff)
+	}
+	w.compare()
+}
+
+func (w *world) carryOut(eff Effect) {
+	switch eff := eff.(type) {
+	case StartRun:
+		w.start(eff)
+	case StopRun:
+		w.runs[eff.Run].stopped = true
+	case AbandonRun:
+		delete(w.runs, eff.Run)
+	case CloseSession:
+		w.cut(w.conns[eff.Session])
+	case SendWelcome:
+		w.welcome(w.conns[eff.Session], eff.Welcome)
+	case SendReport:
+		w.report(w.conns[eff.Session], eff.Report)
+	case Drained:
+		w.drained = true
+	}
+}
+
+// start checks that a task may start. Whether the upstream truly starts it is
+// drawn; the run's end tells the same.
+func (w *world) start(eff StartRun) {
+	s, ok := w.sent[eff.ID]
+	if !ok {
+		w.t.Fatalf("%s started and was never sent", eff.ID)
+	}
+	e := w.entryOf(eff.ID)
+	if age := w.now - s.at; age > s.startWithin+e.minLag+w.now/5000 {
+		w.t.Fatalf("%s started %s after sending, allowed %s", eff.ID, age, s.startWithin)
+	}
+	r := &fakeRun{StartRun: eff, starts: rapid.IntRange(0, 7).Draw(w.t, "starts") > 0}
+	w.runs[eff.Run] = r
+	if !r.starts {
+		return
+	}
+	if w.started[eff.ID] {
+		w.t.Fatalf("%s started twice", eff.ID)
+	}
+	if w.notRun[eff.ID] {
+		w.t.Fatalf("%s started after it was said not to run", eff.ID)
+	}
+	w.started[eff.ID] = true
+}
+
+func (w *world) entryOf(id task.ID) *fakeEntry {
+	for _, e := range w.entries {
+		if e.peer.Incarnation == id.Submission.Incarnation() {
+			return e
+		}
+	}
+	return nil
+}
+
+// say checks an outcome against the truth and against what was said before.
+func (w *world) say(r wire.Result, seq uint64) {
+	o := r.Outcome
+	if o.State == task.NotRun {
+		w.notRun[r.ID] = true
+		if w.started[r.ID] {
+			w.t.Fatalf("%s is said not to have run (%s), and was started", r.ID, o.Reason)
+		}
+	}
+	if (o.State == task.Complete || o.State == task.Failed) && !w.started[r.ID] {
+		w.t.Fatalf("%s is said to be %s and never started", r.ID, o.State)
+	}
+	if before, ok := w.outcome[r.ID]; ok && o.Reason != task.ReasonAgentRestarted &&
+		(before.State != o.State || before.Reason != o.Reason) {
+		w.t.Fatalf("%s has two outcomes: %v and %v", r.ID, before, o)
+	}
+	w.outcome[r.ID] = o
+	w.naive.told(r.ID, seq)
+}
+
+// welcome and report deliver what the agent says, unless the connection is
+// cut: then the message is lost.
+func (w *world) welcome(c *fakeConn, m *wire.Welcome) {
+	for _, r := range m.Report.Outcomes {
+		w.say(r, m.Report.Seq)
+	}
+	if c.cut {
+		return
+	}
+	e := c.entry
+	if m.From.Incarnation != e.agentInc {
+		e.agentInc, e.seen = m.From.Incarnation, 0
+	}
+	e.welcomed = true
+	e.take(m.Report)
+}
+
+func (w *world) report(c *fakeConn, r *wire.Report) {
+	for _, o := range r.Outcomes {
+		w.say(o, r.Seq)
+	}
+	if !c.cut {
+		c.entry.take(r)
+	}
+}
+
+func (e *fakeEntry) take(r *wire.Report) {
+	if r.Seq <= e.seen {
+		return
+	}
+	e.seen, e.credit = r.Seq, int(r.Credit)
+	for _, o := range r.Outcomes {
+		if i := slices.Index(e.pending, o.ID); i >= 0 {
+			e.pending = slices.Delete(e.pending, i, i+1)
+		}
+	}
+}
+
+func (w *world) clockOf(e *fakeEntry) time.Duration { return w.now + e.skew }
+
+// dial opens a new connection and queues its Hello. The older connection may
+// still deliver what is in it.
+func (w *world) dial(e *fakeEntry) {
+	w.lastID++
+	c := &fakeConn{id: w.lastID, entry: e}
+	w.conns[c.id] = c
+	e.conn, e.welcomed, e.seq = c, false, 0
+	e.session++
+	w.put(c, SessionOpened{Session: c.id, Hello: &wire.Hello{
+		From: e.peer, Session: e.session, SentAt: w.clockOf(e),
+		Incarnation: e.agentInc, Pending: slices.Clone(e.pending),
+	}})
+}
+
+func (w *world) put(c *fakeConn, ev Event) { c.inbox = append(c.inbox, ev) }
+
+// send queues an update with new tasks and cancellations.
+func (w *world) send(e *fakeEntry, tasks []wire.Assignment, cancel []task.ID) {
+	for i := range tasks {
+		e.lastTask++
+		tasks[i].ID = task.ID{Submission: task.NewSubmissionID(e.peer.Incarnation, e.lastTask)}
+		w.sent[tasks[i].ID] = sentTask{at: w.now, startWithin: tasks[i].StartWithin}
+		e.pending = append(e.pending, tasks[i].ID)
+	}
+	e.seq++
+	waiting := rapid.Uint32Range(0, 3).Draw(w.t, "waiting")
+	w.put(e.conn, UpdateReceived{Session: e.conn.id, Update: &wire.Update{
+		Seq: e.seq, Seen: e.seen, SentAt: w.clockOf(e), Tasks: tasks, Cancel: cancel,
+		Demand: wire.Demand{Waiting: waiting, Rank: float64(waiting)},
+	}})
+}
+
+// deliver hands the next message of a connection to the agent.
+func (w *world) deliver(c *fakeConn) {
+	if len(c.inbox) == 0 {
+		return
+	}
+	ev := c.inbox[0]
+	c.inbox, c.last = c.inbox[1:], ev
+	w.arrive(c.entry, ev)
+	w.step(ev)
+}
+
+// arrive notes the least true time that a message of an entry was under way.
+func (w *world) arrive(e *fakeEntry, ev Event) {
+	var sentAt time.Duration
+	switch ev := ev.(type) {
+	case SessionOpened:
+		sentAt = ev.Hello.SentAt
+	case UpdateReceived:
+		sentAt = ev.Update.SentAt
+	default:
+		return
+	}
+	if lag := w.clockOf(e) - sentAt; e.minLag == 0 || lag < e.minLag {
+		e.minLag = lag
+	}
+}
+
+// cut ends a connection for the entry; what it has sent may still arrive.
+func (w *world) cut(c *fakeConn) {
+	if c == nil || c.cut {
+		return
+	}
+	c.cut = true
+	if c.entry.conn == c {
+		c.entry.conn = nil
+	}
+}
+
+// advance moves the clock and ticks the agent whenever it wants.
+func (w *world) advance(d time.Duration) {
+	end := w.now + d
+	for i := 0; ; i++ {
+		at, ok := w.state.Next()
+		if !ok || at > end {
+			break
+		}
+		if i > 10_000 {
+			w.t.Fatalf("ticks don't end: %s", at)
+		}
+		w.now = max(w.now, at)
+		w.step(Tick{})
+	}
+	w.now = end
+}
+
+// finish ends a run as it truly went.
+func (w *world) finish(r *fakeRun, draw int) {
+	delete(w.runs, r.Run)
+	end := RunEnded{Run: r.Run, Ran: time.Millisecond}
+	switch {
+	case !r.starts:
+		end.End = []End{EndRefused, EndBusy, EndExpired}[draw%3]
+	case r.stopped:
+		end.End = []End{EndStopped, EndComplete, EndLost}[draw%3]
+	default:
+		end.End = []End{EndComplete, EndComplete, EndComplete, EndFailed, EndLost}[draw%5]
+	}
+	w.step(end)
+}
+
+// compare holds the state against the naive one.
+func (w *world) compare() {
+	var running, queued []task.ID
+	for _, r := range w.state.running {
+		running = append(running, r.id)
+	}
+	for _, r := range w.state.queue.recs {
+		queued = append(queued, r.id)
+	}
+	w.equal("running", running, ids(w.naive.in(phaseRunning)), true)
+	w.equal("queued", queued, ids(w.naive.in(phaseQueued)), false)
+	if got, want := w.state.slots(), w.naive.slots(); got != want {
+		w.t.Fatalf("slots: %d, naive %d", got, want)
+	}
+	for _, n := range w.naive.in(phaseEnded) {
+		w.compareEnded(n)
+	}
+}
+
+func (w *world) compareEnded(n *naiveTask) {
+	r := w.state.tasks[n.id]
+	switch {
+	case r == nil && !n.acked:
+		w.t.Fatalf("%s: outcome is dropped before its acknowledgement", n.id)
+	case r != nil && (r.phase != phaseEnded || r.result.Outcome.State != n.state || r.result.Outcome.Reason != n.reason):
+		w.t.Fatalf("%s: phase %d outcome %v, naive %s %s", n.id, r.phase, r.result.Outcome, n.state, n.reason)
+	}
+}
+
+func ids(tasks []*naiveTask) []task.ID {
+	var list []task.ID
+	for _, t := range tasks {
+		list = append(list, t.id)
+	}
+	return list
+}
+
+func (w *world) equal(what string, got, want []task.ID, anyOrder bool) {
+	if anyOrder {
+		slices.SortFunc(got, compareID)
+		slices.SortFunc(want, compareID)
+	}
+	if !slices.Equal(got, want) {
+		w.t.Fatalf("%s: %v, naive %v", what, got, want)
+	}
+}
+
+func compareID(a, b task.ID) int {
+	return slices.Compare([]byte(a.String()), []byte(b.String()))
+}
