--- a/agent/differential_test.go
+++ b/agent/differential_test.go
@@ -23,6 +23,7 @@
 		Prefetch:    rapid.IntRange(0, 2).Draw(t, "prefetch"),
 		EjectAfter:  3,
 		ForgetEntry: 2 * time.Minute,
+		PastIDs:     []int{2, 1 << 10}[rapid.IntRange(0, 1).Draw(t, "pastIDs")],
 	}
 }
 
