Answer an oversized body before skipping it

Cause: waiting for the rest of the body held the 413 back by the quiet time. Change: the answer is written and the output ended first, then input is dropped within limits; the payload's ownership has a test.

--- a/httpapi/conn.go
+++ b/httpapi/conn.go
@@ -1,10 +1,13 @@
 package httpapi
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"syscall"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 )
 
@@ -12,13 +15,10 @@
 	// callerCheck is how often a waiting request looks whether its caller is
 	// still connected.
 	callerCheck = 100 * time.Millisecond
-	// skipLimit, skipTime and skipQuiet bound what is read of a body that is
-	// too large, so that its sender gets to read the answer: in bytes, in all,
-	// and since the last byte.
+	// skipLimit and skipTime bound what is read of a body that is too large,
+	// so that its sender gets to read the answer.
 	skipLimit = 64 << 20
 	skipTime  = 2 * time.Second
-	skipQuiet = 100 * time.Millisecond
-	skipChunk = 64 << 10
 )
 
 // callerGone reports whether the other side has closed the connection. It
@@ -50,19 +50,23 @@
 	return true
 }
 
-// skipInput reads and drops input, within limits. Closing a connection with
-// unread input resets it, and the answer would be lost.
-func skipInput(conn net.Conn) {
-	end := time.Now().Add(skipTime)
-	buf := make([]byte, skipChunk)
-	for left := skipLimit; left > 0 && time.Now().Before(end); {
-		if conn.SetReadDeadline(time.Now().Add(skipQuiet)) != nil {
-			return
-		}
-		n, err := conn.Read(buf)
-		if err != nil {
-			return
-		}
-		left -= n
+// answerFirst writes the answer of a request whose body is not read, ends the
+// output, and drops input within limits. Closing a connection with unread
+// input resets it, and the answer would be lost. What the HTTP library writes
+// afterwards goes nowhere.
+func answerFirst(ctx *fasthttp.RequestCtx) {
+	conn, ok := ctx.Conn().(*net.TCPConn)
+	if !ok {
+		return
+	}
+	ctx.SetConnectionClose()
+	out := bufio.NewWriter(conn)
+	if ctx.Response.Write(out) != nil || out.Flush() != nil || conn.CloseWrite() != nil {
+		return
+	}
+	if conn.SetReadDeadline(time.Now().Add(skipTime)) != nil {
+		return
 	}
+	// How much was skipped, and why it ended, changes nothing.
+	_, _ = io.CopyN(io.Discard, conn, skipLimit)
 }
--- a/httpapi/fuzz_test.go
+++ b/httpapi/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
@@ -26,7 +27,7 @@
 			return
 		}
 		require.True(t, len(s.Tasks) >= 1 && len(s.Tasks) <= 10)
-		require.GreaterOrEqual(t, s.Deadline, 0*s.Deadline)
+		require.GreaterOrEqual(t, s.Deadline, time.Duration(0))
 		a := echo(task.NewSubmissionID(1, 1), s)
 		require.True(t, json.Valid(appendJobAnswer(nil, &a)))
 	})
--- a/httpapi/server.go
+++ b/httpapi/server.go
@@ -198,8 +198,8 @@
 	var netErr net.Error
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		skipInput(ctx.Conn())
 		tooLarge(fmt.Sprintf("the body is larger than %d bytes", s.cfg.MaxBody)).write(ctx)
+		answerFirst(ctx)
 	case errors.As(err, &small):
 		p := tooLarge("the headers are too large")
 		p.Status = fasthttp.StatusRequestHeaderFieldsTooLarge
--- a/httpapi/server_test.go
+++ b/httpapi/server_test.go
@@ -12,7 +12,9 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fireflytray/fireflytray/task"
@@ -50,6 +52,17 @@
 	}, b.seen[0])
 }
 
+// The HTTP library reuses its buffers; a submission must not see that.
+func TestSubmissionOwnsItsPayload(t *testing.T) {
+	var req fasthttp.Request
+	req.Header.Set(HeaderTeam, team)
+	req.SetBodyString("first")
+	s, err := decodeRequest("s", &req)
+	require.NoError(t, err)
+	copy(req.Body(), "other")
+	require.Equal(t, "first", string(s.Tasks[0].Payload))
+}
+
 func TestBadRequestsNameTheFault(t *testing.T) {
 	const req, job = "/v1/services/s/requests", "/v1/services/s/jobs"
 	cases := []struct {
@@ -215,7 +228,9 @@
 	location := r.header.Get("Location")
 
 	var down sync.WaitGroup
-	down.Go(func() { require.NoError(t, s.Shutdown(context.Background())) })
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	down.Go(func() { assert.NoError(t, s.Shutdown(ctx)) })
 	eventually(t, func() bool { return call(t, "GET", url+"/readyz", nil).status == 503 })
 	eventually(t, s.refusing.Load)
 	refused := call(t, "POST", url+"/v1/services/s/requests", nil, HeaderTeam, team)
