Prove raft against a naive register under all faults together

Cause: the replicated log had no proof beyond three quiet replicas. Change: a property test of replicas over wal on a faulty file system and a faulty network, with clocks of differing speed. It found that a learner which died unnoticed could be promoted beside a dead voter, which left a membership of four with two alive: Promote is now refused while any voter is down. A leader whose transfer times out steps down, because the late order to take over could otherwise break its lease.

--- a/raft/change.go
+++ b/raft/change.go
@@ -69,6 +69,9 @@
 	if !n.caughtUp(c.ID) {
 		return nil, ErrNotCaughtUp
 	}
+	if !n.votersLive() {
+		return nil, ErrVoterDown
+	}
 	members[i].Voter = true
 	return members, nil
 }
@@ -94,6 +97,17 @@
 	return p.acked && n.now < p.ackedAt+n.cfg.ElectionTimeout
 }
 
+// votersLive says whether every voter is live. One more voter beside a dead one
+// would raise the quorum, so that the loss of the new one stops the cluster.
+func (n *Node) votersLive() bool {
+	for _, m := range n.conf.current() {
+		if p := n.peers[m.ID]; m.Voter && p != nil && !n.live(p) {
+			return false
+		}
+	}
+	return true
+}
+
 // liveQuorum says whether the live voters of a membership are a majority.
 func (n *Node) liveQuorum(members []Member) bool {
 	count := 0
@@ -111,7 +125,8 @@
 }
 
 // Transfer hands leadership to a voter, or with None to the live voter with
-// the longest log. Until it is done or has timed out, proposals are refused.
+// the longest log. From then on proposals are refused; a transfer that is not
+// done within the election timeout ends in an ordinary election.
 func (n *Node) Transfer(to uint64) error {
 	if n.role != Leader {
 		return ErrNotLeader
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -5,9 +5,6 @@
 	"time"
 )
 
-// snapshotChunkBytes is the data of one snapshot message.
-const snapshotChunkBytes = 256 << 10
-
 func (n *Node) becomeLeader() {
 	n.role = Leader
 	n.leader = n.id
@@ -58,13 +55,13 @@
 }
 
 func (n *Node) tickLeader() {
-	if !n.heardQuorum() {
+	// A transferee may still be told to take over after the transfer has timed
+	// out, so that the leader can't count on its lease again in this term.
+	abandoned := n.transferee != None && n.now >= n.transferBy
+	if abandoned || !n.heardQuorum() {
 		n.becomeFollower(n.term, None)
 		return
 	}
-	if n.transferee != None && n.now >= n.transferBy {
-		n.transferee = None
-	}
 	if n.now < n.heartbeatAt {
 		return
 	}
@@ -175,7 +172,7 @@
 func (n *Node) sendChunk(id uint64, p *progress) {
 	s := p.snap
 	from := min(p.offset, uint64(len(s.Data)))
-	to := min(from+snapshotChunkBytes, uint64(len(s.Data)))
+	to := min(from+uint64(n.cfg.ChunkBytes), uint64(len(s.Data)))
 	n.sendLead(Message{Kind: MsgSnapshot, To: id, Chunk: &Chunk{
 		Index: s.Index, Term: s.Term, Members: s.Members,
 		Offset: from, Data: s.Data[from:to], Last: to == uint64(len(s.Data)),
--- a/raft/node.go
+++ b/raft/node.go
@@ -46,21 +46,22 @@
 	DefaultMaxInflight       = 32
 	DefaultMaxUncommitted    = 8 << 20
 	DefaultKeepEntries       = 1024
+	DefaultChunkBytes        = 256 << 10
 )
 
 // Errors of proposals and membership changes. Each means that nothing was
 // appended.
 var (
-	ErrNotLeader       = errors.New("not the leader")
-	ErrBusy            = errors.New("too many changes wait for a commit")
-	ErrChangePending   = errors.New("an earlier membership change is not committed yet")
-	ErrNotCaughtUp     = errors.New("the learner has not caught up")
-	ErrUnknownMember   = errors.New("no such member")
-	ErrMemberExists    = errors.New("the member exists already")
-	ErrRemoveLeader    = errors.New("the leader can't remove itself before its leadership is transferred")
-	ErrQuorumLost      = errors.New("the change would leave no live quorum")
-	ErrNoTransferee    = errors.New("no other live voter can take over")
-	ErrDuplicateMember = errors.New("another member has the address")
+	ErrNotLeader     = errors.New("not the leader")
+	ErrBusy          = errors.New("too many changes wait for a commit")
+	ErrChangePending = errors.New("an earlier membership change is not committed yet")
+	ErrNotCaughtUp   = errors.New("the learner has not caught up")
+	ErrUnknownMember = errors.New("no such member")
+	ErrMemberExists  = errors.New("the member exists already")
+	ErrRemoveLeader  = errors.New("the leader can't remove itself before its leadership is transferred")
+	ErrQuorumLost    = errors.New("the change would leave no live quorum")
+	ErrNoTransferee  = errors.New("no other live voter can take over")
+	ErrVoterDown     = errors.New("a voter is down: it has to come back or be removed first")
 )
 
 // Config describes a replica at its start.
@@ -84,6 +85,8 @@
 	// KeepEntries is how many entries before a snapshot stay in memory for
 	// followers that lag a little.
 	KeepEntries uint64
+	// ChunkBytes is the data of one snapshot message.
+	ChunkBytes int
 }
 
 func (c *Config) setDefaults() {
@@ -93,6 +96,7 @@
 	c.MaxInflight = orDefault(c.MaxInflight, DefaultMaxInflight)
 	c.MaxUncommitted = orDefault(c.MaxUncommitted, DefaultMaxUncommitted)
 	c.KeepEntries = orDefault(c.KeepEntries, DefaultKeepEntries)
+	c.ChunkBytes = orDefault(c.ChunkBytes, DefaultChunkBytes)
 }
 
 func orDefault[T comparable](v, def T) T {
--- /dev/null
+++ b/raft/sim_test.go
@@ -0,0 +1,274 @@
+package raft_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/raft"
+	"github.com/fireflytray/fireflytray/wal/waltest"
+)
+
+// Small limits, so that short runs reach them.
+const (
+	keepEntries   = 3
+	maxBatchBytes = 150
+	maxInflight   = 3
+	chunkBytes    = 10
+)
+
+// sim is a few hosts on a bad network under a virtual clock.
+type sim struct {
+	t     require.TestingT
+	rng   *rand.Rand
+	now   time.Duration
+	hosts []*host
+	truth *truth
+
+	wires   []wire
+	groups  map[uint64]int // hosts of different groups can't talk
+	drop    int            // percent
+	double  int            // percent
+	slow    time.Duration
+	leaders map[uint64]uint64 // by term
+
+	ops           int
+	readID        uint64
+	readsAnswered int
+}
+
+// wire is a message on its way.
+type wire struct {
+	at time.Duration
+	m  raft.Message
+}
+
+func newSim(t require.TestingT, seed uint64, voters int) *sim {
+	s := &sim{
+		t: t, rng: rand.New(rand.NewPCG(seed, 3)), truth: newTruth(),
+		groups: map[uint64]int{}, leaders: map[uint64]uint64{}, slow: 2 * time.Millisecond,
+	}
+	var members []raft.Member
+	for range voters {
+		h := s.addHost()
+		members = append(members, raft.Member{ID: h.id, Addr: fmt.Sprint(h.id), Voter: true})
+	}
+	for _, h := range s.hosts {
+		h.boot(&raft.Save{
+			Hard:     raft.HardState{Term: 1, Commit: 1},
+			Snapshot: &raft.Snapshot{Index: 1, Term: 1, Members: members},
+		})
+	}
+	return s
+}
+
+// addHost adds a host with an empty folder.
+func (s *sim) addHost() *host {
+	h := &host{s: s, id: s.rng.Uint64() | 1, fs: waltest.New(s.rng.Uint64()), savedAt: never}
+	h.rate = 96 + time.Duration(s.rng.IntN(9))
+	s.hosts = append(s.hosts, h)
+	return h
+}
+
+func (s *sim) between(lo, hi time.Duration) time.Duration {
+	return lo + time.Duration(s.rng.Int64N(int64(hi-lo)+1))
+}
+
+// send puts a message on its way, or drops or doubles it. It goes through the
+// encoding, as between processes.
+func (s *sim) send(m raft.Message) {
+	body, err := m.MarshalMsg(nil)
+	require.NoError(s.t, err)
+	copies := 1
+	switch p := s.rng.IntN(100); {
+	case p < s.drop:
+		copies = 0
+	case p < s.drop+s.double:
+		copies = 2
+	}
+	for range copies {
+		var c raft.Message
+		_, err := c.UnmarshalMsg(body)
+		require.NoError(s.t, err)
+		s.wires = append(s.wires, wire{at: s.now + s.between(time.Millisecond/2, s.slow), m: c})
+	}
+}
+
+func (s *sim) find(id uint64) *host {
+	i := slices.IndexFunc(s.hosts, func(h *host) bool { return h.id == id })
+	if i < 0 {
+		return nil
+	}
+	return s.hosts[i]
+}
+
+// advance lets time pass.
+func (s *sim) advance(d time.Duration) {
+	end := s.now + d
+	for {
+		at, h, w := s.nextEvent()
+		if at > end {
+			break
+		}
+		s.now = max(s.now, at)
+		if h != nil {
+			h.run()
+			continue
+		}
+		m := s.wires[w].m
+		s.wires = slices.Delete(s.wires, w, w+1)
+		s.deliver(m)
+	}
+	s.now = end
+}
+
+func (s *sim) nextEvent() (at time.Duration, h *host, w int) {
+	at, w = never, -1
+	for _, c := range s.hosts {
+		if n := c.next(); n < at {
+			at, h = n, c
+		}
+	}
+	for i := range s.wires {
+		if s.wires[i].at < at {
+			at, h, w = s.wires[i].at, nil, i
+		}
+	}
+	return at, h, w
+}
+
+func (s *sim) deliver(m raft.Message) {
+	h := s.find(m.To)
+	if h == nil || s.groups[m.From] != s.groups[m.To] {
+		return
+	}
+	h.receive(m)
+}
+
+// checkLeader holds that a term has at most one leader.
+func (s *sim) checkLeader(h *host) {
+	role, term, _ := h.node.Role()
+	if role != raft.Leader {
+		return
+	}
+	if old, ok := s.leaders[term]; ok {
+		require.Equal(s.t, old, h.id, "term %d has two leaders", term)
+	}
+	if s.leaders[term] == h.id {
+		return
+	}
+	s.leaders[term] = h.id
+	for _, o := range s.hosts {
+		if o != h && o.node != nil {
+			st := o.node.Status(o.now())
+			require.False(s.t, st.Role == raft.Leader && st.Fresh, "a leader of term %d was elected within another's lease", term)
+		}
+	}
+}
+
+// checkLogs holds that where two logs agree on an index and a term, they are
+// alike up to there.
+func (s *sim) checkLogs() {
+	for i, a := range s.hosts {
+		for _, b := range s.hosts[:i] {
+			if a.node != nil && b.node != nil {
+				s.checkPair(a.node.Log(), b.node.Log())
+			}
+		}
+	}
+}
+
+func (s *sim) checkPair(a, b []raft.Entry) {
+	byIndex := map[uint64]raft.Entry{}
+	for _, e := range b {
+		byIndex[e.Index] = e
+	}
+	match := false
+	for _, e := range slices.Backward(a) {
+		o, ok := byIndex[e.Index]
+		if !ok {
+			continue
+		}
+		match = match || o.Term == e.Term
+		if match {
+			require.Equal(s.t, o.Term, e.Term, "logs agree later but not at %d", e.Index)
+			require.Equal(s.t, string(o.Data), string(e.Data))
+			require.True(s.t, slices.Equal(o.Members, e.Members))
+		}
+	}
+}
+
+func (s *sim) leader() *host {
+	var best *host
+	var bestTerm uint64
+	for _, h := range s.hosts {
+		if h.node == nil || h.frozen {
+			continue
+		}
+		role, term, _ := h.node.Role()
+		if role == raft.Leader && term > bestTerm {
+			best, bestTerm = h, term
+		}
+	}
+	return best
+}
+
+// write proposes a change at a host, which refuses it unless it leads.
+func (s *sim) write(h *host) {
+	s.ops++
+	o := &op{id: fmt.Sprintf("w%d", s.ops), after: s.truth.highest}
+	o.cmd = command(o.id, s.truth.naive.version-s.rng.IntN(2))
+	h.node.Tick(h.now())
+	var err error
+	o.index, o.term, err = h.node.Propose(o.cmd)
+	if err != nil {
+		s.truth.refuse(s.t, o.id)
+	} else {
+		h.ops[o.index] = o
+	}
+	h.pump()
+}
+
+func (s *sim) read(h *host) {
+	s.readID++
+	h.node.Tick(h.now())
+	if h.node.Read(s.readID) == nil {
+		h.reads[s.readID] = s.truth.highest
+	}
+	h.pump()
+}
+
+// settle ends all faults and holds that the hosts agree in the end.
+func (s *sim) settle() {
+	s.drop, s.double, s.slow = 0, 0, 2*time.Millisecond
+	clear(s.groups)
+	for _, h := range s.hosts {
+		switch {
+		case h.lost:
+		case h.node == nil:
+			h.boot(nil)
+		case h.frozen:
+			h.thaw()
+		}
+	}
+	s.advance(10 * time.Second)
+	l := s.leader()
+	require.NotNil(s.t, l, "no leader 10 s after the last fault")
+	before := len(s.truth.accepted)
+	s.write(l)
+	s.advance(2 * time.Second)
+	require.Equal(s.t, before+1, len(s.truth.accepted), "the cluster takes no change after the last fault")
+	s.checkLogs()
+	for _, m := range l.node.Members() {
+		if h := s.find(m.ID); !h.lost {
+			require.Equal(s.t, s.truth.last, h.applied, "replica %x lags", h.id)
+			require.Equal(s.t, s.truth.naive, h.reg)
+		}
+	}
+	for id := range s.truth.accepted {
+		require.Contains(s.t, s.truth.naive.seen, id, "an accepted write is lost")
+	}
+}
