--- a/agentd/options.go
+++ b/agentd/options.go
@@ -53,7 +53,7 @@
 func (o Options) withDefaults() Options {
 	o.Self.Role = wire.RoleAgent
 	if o.Self.Incarnation == 0 {
-		o.Self.Incarnation = newIncarnation()
+		o.Self.Incarnation = NewIncarnation()
 	}
 	if o.Log == nil {
 		o.Log = log.New(io.Discard)
@@ -67,9 +67,9 @@
 // incarnationRandomBits is how many low bits of an incarnation are random.
 const incarnationRandomBits = 20
 
-// newIncarnation draws a number that grows with the time of day, so that a
+// NewIncarnation draws a number that grows with the time of day, so that a
 // restart usually has the higher one, and that two starts never share.
-func newIncarnation() uint64 {
+func NewIncarnation() uint64 {
 	var b [8]byte
 	// Read never fails.
 	_, _ = rand.Read(b[:])
--- a/cmd/fireflytray-agent/main.go
+++ b/cmd/fireflytray-agent/main.go
@@ -3,11 +3,12 @@
 
 import (
 	"context"
-	"errors"
 	"os"
 
 	"github.com/fireflytray/fireflytray/daemon"
+	"github.com/fireflytray/fireflytray/node"
 	"github.com/fireflytray/fireflytray/settings"
+	"github.com/fireflytray/fireflytray/task"
 	"github.com/fireflytray/fireflytray/wire"
 )
 
@@ -21,6 +22,28 @@
 	}, os.Args[1:], os.Stdout, os.Stderr))
 }
 
-func run(context.Context, daemon.Runtime, *settings.Agent) error {
-	return errors.New("agent: not built into this program yet")
+func run(ctx context.Context, rt daemon.Runtime, s *settings.Agent) error {
+	return node.RunAgent(ctx, node.AgentOptions{
+		Common:   common(rt, s),
+		Peers:    s.Peers,
+		Upstream: s.Upstream,
+		Rack:     s.Rack,
+		Offered: task.Resources{
+			MilliCPU:     s.Processors * 1000,
+			MemoryMB:     s.MemoryMB,
+			Accelerators: s.Accelerators,
+		},
+	})
+}
+
+func common(rt daemon.Runtime, s *settings.Agent) node.Common {
+	return node.Common{
+		ID:       s.ID,
+		Domain:   s.Domain,
+		Site:     s.Site,
+		Identity: rt.Identity,
+		Logs:     rt.Logs,
+		Scope:    rt.Metrics.Scope(),
+		Controls: s.Control,
+	}
 }
--- a/cmd/fireflytray-control/main.go
+++ b/cmd/fireflytray-control/main.go
@@ -3,10 +3,10 @@
 
 import (
 	"context"
-	"errors"
 	"os"
 
 	"github.com/fireflytray/fireflytray/daemon"
+	"github.com/fireflytray/fireflytray/node"
 	"github.com/fireflytray/fireflytray/settings"
 	"github.com/fireflytray/fireflytray/wire"
 )
@@ -21,6 +21,25 @@
 	}, os.Args[1:], os.Stdout, os.Stderr))
 }
 
-func run(context.Context, daemon.Runtime, *settings.Control) error {
-	return errors.New("control: not built into this program yet")
+func run(ctx context.Context, rt daemon.Runtime, s *settings.Control) error {
+	return node.RunControl(ctx, node.ControlOptions{
+		Common:  common(rt, s),
+		Peers:   s.Peers,
+		Admin:   s.Admin,
+		Data:    s.Data,
+		Initial: s.Initial,
+		Join:    s.Join,
+	})
+}
+
+func common(rt daemon.Runtime, s *settings.Control) node.Common {
+	return node.Common{
+		ID:       s.ID,
+		Domain:   s.Domain,
+		Site:     s.Site,
+		Identity: rt.Identity,
+		Logs:     rt.Logs,
+		Scope:    rt.Metrics.Scope(),
+		Controls: s.Initial,
+	}
 }
--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -3,10 +3,13 @@
 
 import (
 	"context"
-	"errors"
 	"os"
 
 	"github.com/fireflytray/fireflytray/daemon"
+	"github.com/fireflytray/fireflytray/entry/placement"
+	"github.com/fireflytray/fireflytray/entry/queue"
+	"github.com/fireflytray/fireflytray/httpapi"
+	"github.com/fireflytray/fireflytray/node"
 	"github.com/fireflytray/fireflytray/settings"
 	"github.com/fireflytray/fireflytray/wire"
 )
@@ -21,6 +24,28 @@
 	}, os.Args[1:], os.Stdout, os.Stderr))
 }
 
-func run(context.Context, daemon.Runtime, *settings.Entry) error {
-	return errors.New("entry: not built into this program yet")
+func run(ctx context.Context, rt daemon.Runtime, s *settings.Entry) error {
+	policy, err := placement.Parse(s.Placement)
+	if err != nil {
+		return err
+	}
+	return node.RunEntry(ctx, node.EntryOptions{
+		Common:  common(rt, s),
+		Callers: s.Callers,
+		HTTP:    httpapi.Config{MaxBody: s.MaxBody},
+		Policy:  policy,
+		Order:   queue.LeftOverSlowdown,
+	})
+}
+
+func common(rt daemon.Runtime, s *settings.Entry) node.Common {
+	return node.Common{
+		ID:       s.ID,
+		Domain:   s.Domain,
+		Site:     s.Site,
+		Identity: rt.Identity,
+		Logs:     rt.Logs,
+		Scope:    rt.Metrics.Scope(),
+		Controls: s.Control,
+	}
 }
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fireflytray/fireflytray/entry"
@@ -20,7 +21,6 @@
 	"github.com/fireflytray/fireflytray/entry/queue"
 	"github.com/fireflytray/fireflytray/fleet"
 	"github.com/fireflytray/fireflytray/httpapi"
-	"github.com/fireflytray/fireflytray/keys"
 	"github.com/fireflytray/fireflytray/loop"
 	"github.com/fireflytray/fireflytray/task"
 	"github.com/fireflytray/fireflytray/transport"
@@ -38,20 +38,13 @@
 
 // Control is the entry's side of the control hosts.
 type Control interface {
-	// Run keeps sessions to the control hosts until ctx ends.
-	Run(ctx context.Context) error
-	// Stamp is the configuration in force here.
-	Stamp() wire.Stamp
 	Claim(ctx context.Context, c wire.Claim) (wire.ClaimReply, error)
 	Resolve(ctx context.Context, r wire.Resolve) error
-	// Leave says goodbye.
-	Leave(ctx context.Context)
 }
 
 // Options are the settings of an entry's daemon.
 type Options struct {
-	Self     wire.Peer
-	Identity *keys.Identity
+	Self wire.Peer
 	// Callers is the host:port for callers; a listener given here is used
 	// instead if not nil.
 	Callers  string
@@ -62,10 +55,11 @@
 	Seed     uint64
 	Poke     int
 	Config   *fleet.Config
-	// NewControl connects the daemon to control; d takes its callbacks.
-	NewControl func(d *Daemon) Control
-	Transport  transport.Options
-	Log        *log.Logger
+	Control  Control
+	// Transport dials agents; its Identity and Stamp must be set.
+	Transport transport.Options
+	Log       *log.Logger
+	Scope     tally.Scope
 }
 
 // Daemon is a running entry.
@@ -75,7 +69,6 @@
 	loop    *loop.Loop[entry.Event, entry.Effect]
 	state   *entry.Entry
 	api     *httpapi.Server
-	control Control
 	counter atomic.Uint64
 	ready   atomic.Bool
 
@@ -109,7 +102,6 @@
 	})
 	d.loop = loop.New[entry.Event, entry.Effect](&inspected{d.state}, entry.Tick{}, d.exec)
 	d.api = httpapi.New(d, o.HTTP)
-	d.control = o.NewControl(d)
 	return d
 }
 
@@ -125,7 +117,6 @@
 	d.dialCtx = inner
 	g, gctx := errgroup.WithContext(inner)
 	g.Go(func() error { d.loop.Run(gctx); return nil })
-	g.Go(func() error { return d.control.Run(gctx) })
 	g.Go(func() error { return d.api.Serve(ln) })
 	g.Go(func() error {
 		select {
@@ -169,7 +160,6 @@
 	case <-ctx.Done():
 		return fmt.Errorf("drain: %w", ctx.Err())
 	}
-	d.control.Leave(ctx)
 	d.closeLinks()
 	d.log.Info("drained")
 	return nil
@@ -258,7 +248,7 @@
 func (d *Daemon) claim(c wire.Claim) {
 	ctx, cancel := context.WithTimeout(d.dialCtx, claimWithin)
 	defer cancel()
-	r, err := d.control.Claim(ctx, c)
+	r, err := d.opts.Control.Claim(ctx, c)
 	if err != nil {
 		d.log.Warn("claim failed", "err", err)
 		r = wire.ClaimReply{State: wire.ClaimUnavailable}
@@ -270,7 +260,7 @@
 func (d *Daemon) resolve(r wire.Resolve) {
 	ctx, cancel := context.WithTimeout(d.dialCtx, claimWithin)
 	defer cancel()
-	if err := d.control.Resolve(ctx, r); err != nil {
+	if err := d.opts.Control.Resolve(ctx, r); err != nil {
 		d.log.Warn("claim not resolved", "owner", r.Owner, "err", err)
 	}
 }
--- a/entryd/link.go
+++ b/entryd/link.go
@@ -39,10 +39,7 @@
 func (d *Daemon) open(eff entry.Dial) (*transport.Conn, *wire.Welcome, error) {
 	ctx, cancel := context.WithTimeout(d.dialCtx, eff.Within)
 	defer cancel()
-	o := d.opts.Transport
-	o.Identity = d.opts.Identity
-	o.Stamp = d.control.Stamp
-	conn, err := transport.Dial(ctx, eff.Peer.Addr, wire.RoleAgent, o)
+	conn, err := transport.Dial(ctx, eff.Peer.Addr, wire.RoleAgent, d.opts.Transport)
 	if err != nil {
 		return nil, nil, err
 	}
--- /dev/null
+++ b/node/agent.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"context"
+	"sync"
+
+	"github.com/fireflytray/fireflytray/agent"
+	"github.com/fireflytray/fireflytray/agentd"
+	"github.com/fireflytray/fireflytray/controlclient"
+	"github.com/fireflytray/fireflytray/logging"
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// AgentOptions are the settings of an agent.
+type AgentOptions struct {
+	Common
+	// Peers is the UDP host:port for entries, Upstream the HTTP host:port for
+	// the upstream's announcements.
+	Peers    string
+	Upstream string
+	Offered  task.Resources
+	Rack     string
+	Agent    agent.Config
+	// Ready is called once both addresses are open.
+	Ready func(peers, upstream string)
+}
+
+// RunAgent runs an agent until ctx ends and it has drained.
+func RunAgent(ctx context.Context, o AgentOptions) error {
+	self := o.peer(wire.RoleAgent, o.Peers)
+	board := &board{self: wire.Announce{From: self}}
+	logger := o.Logs.For(logging.PartAgent)
+	client := controlclient.New(controlclient.Options{
+		Controls:  o.Controls,
+		Transport: o.transport(),
+		Self:      board.current,
+		Site:      o.Site,
+		Log:       logger,
+	})
+	board.changed = client.Announce
+	return withClient(ctx, client, func(ctx context.Context) error {
+		return agentd.Run(ctx, agentd.Options{
+			Self:     self,
+			Identity: o.Identity,
+			Peers:    o.Peers,
+			Upstream: o.Upstream,
+			Offered:  o.Offered,
+			Rack:     o.Rack,
+			Agent:    o.Agent,
+			Control:  board,
+			Stamp:    client.Stamp,
+			OnStamp:  client.Seen,
+			Ready:    o.Ready,
+			Log:      logger,
+			Scope:    o.Scope,
+		})
+	})
+}
+
+// board holds the announcement of an agent as it is now.
+type board struct {
+	mu      sync.Mutex
+	self    wire.Announce
+	changed func()
+}
+
+// Announce implements agentd.Control.
+func (b *board) Announce(self wire.Peer, w wire.Worker, _ bool) {
+	b.mu.Lock()
+	b.self.From = self
+	b.self.Worker = &w
+	b.mu.Unlock()
+	b.changed()
+}
+
+func (b *board) current() wire.Announce {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.self
+}
--- /dev/null
+++ b/node/control.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"context"
+	"net"
+
+	"github.com/fireflytray/fireflytray/controld"
+	"github.com/fireflytray/fireflytray/logging"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// ControlOptions are the settings of a control host.
+type ControlOptions struct {
+	Common
+	// Peers is the UDP host:port for the system's own processes, Admin the
+	// HTTPS host:port for operators. AdminListener is used instead of Admin if
+	// not nil.
+	Peers         string
+	Admin         string
+	AdminListener net.Listener
+	// Data is the folder of the replicated log.
+	Data string
+	// Initial lists the peer addresses of the first control hosts.
+	Initial []string
+	// Join makes an empty data folder wait to be added.
+	Join bool
+}
+
+// RunControl runs a control host until ctx ends.
+func RunControl(ctx context.Context, o ControlOptions) error {
+	return controld.Run(ctx, controld.Options{
+		Self:          o.peer(wire.RoleControl, o.Peers),
+		Identity:      o.Identity,
+		Listen:        o.Peers,
+		Admin:         o.Admin,
+		AdminListener: o.AdminListener,
+		OpenLog: controld.OpenReplica(controld.ReplicaOptions{
+			Dir:     o.Data,
+			Addr:    o.Peers,
+			Initial: o.Initial,
+			Join:    o.Join,
+		}),
+		Peers:     o.Initial,
+		Transport: o.transport(),
+		Log:       o.Logs.For(logging.PartControl),
+	})
+}
--- /dev/null
+++ b/node/entry.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"context"
+	"net"
+
+	"github.com/fireflytray/fireflytray/controlclient"
+	"github.com/fireflytray/fireflytray/entry/placement"
+	"github.com/fireflytray/fireflytray/entry/queue"
+	"github.com/fireflytray/fireflytray/entryd"
+	"github.com/fireflytray/fireflytray/fleet"
+	"github.com/fireflytray/fireflytray/httpapi"
+	"github.com/fireflytray/fireflytray/logging"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// EntryOptions are the settings of an entry.
+type EntryOptions struct {
+	Common
+	// Callers is the HTTP host:port for callers; Listener is used instead if
+	// not nil.
+	Callers  string
+	Listener net.Listener
+	HTTP     httpapi.Config
+	Policy   placement.Policy
+	Order    queue.Order
+	Poke     int
+}
+
+// RunEntry runs an entry until ctx ends and it has drained.
+func RunEntry(ctx context.Context, o EntryOptions) error {
+	self := o.peer(wire.RoleEntry, o.Callers)
+	if o.Listener != nil {
+		self.Addr = o.Listener.Addr().String()
+	}
+	logger := o.Logs.For(logging.PartEntry)
+	var d *entryd.Daemon
+	client := controlclient.New(controlclient.Options{
+		Controls:    o.Controls,
+		Transport:   o.transport(),
+		Self:        func() wire.Announce { return wire.Announce{From: self, Watch: true} },
+		Site:        o.Site,
+		OnDirectory: func(m wire.Directory) { d.OnDirectory(m) },
+		OnConfig:    func(c *fleet.Config) { d.OnConfig(c) },
+		Log:         logger,
+	})
+	t := o.transport()
+	t.Stamp = client.Stamp
+	d = entryd.New(entryd.Options{
+		Self:      self,
+		Callers:   o.Callers,
+		Listener:  o.Listener,
+		HTTP:      o.HTTP,
+		Policy:    o.Policy,
+		Order:     o.Order,
+		Seed:      self.Incarnation,
+		Poke:      o.Poke,
+		Control:   client,
+		Transport: t,
+		Log:       logger,
+		Scope:     o.Scope,
+	})
+	return withClient(ctx, client, d.Run)
+}
