load: open-loop load tool that checks every answer

Ruled out: a closed loop, which hides waiting; times from the actual sending. Change: submissions at their intended times, echo, count and order of outcomes checked, HDR histogram over the ideal, time line, teams, messages from answers, Prometheus counters, journals of stand-ins for doubled starts, text, JSON, plot. Conclusion: tested against the callers' interface over a fake backend.

--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,274 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/httpapi"
+	"github.com/fireflytray/fireflytray/load/workload"
+	"github.com/fireflytray/fireflytray/task"
+)
+
+// backend answers each submission by a function of its number and content.
+type backend struct {
+	answer func(n uint64, s task.Submission) task.Answer
+	// hold keeps every answer back until so many submissions have come.
+	hold int
+
+	mu    sync.Mutex
+	n     uint64
+	ready []func()
+}
+
+func (b *backend) Submit(s task.Submission, done func(task.Answer)) task.SubmissionID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := b.n
+	b.n++
+	id := task.NewSubmissionID(1, n)
+	b.ready = append(b.ready, func() {
+		a := b.answer(n, s)
+		a.ID = id
+		done(a)
+	})
+	if len(b.ready) < b.hold {
+		return id
+	}
+	for _, f := range b.ready {
+		go f()
+	}
+	b.ready, b.hold = nil, 0
+	return id
+}
+
+func (b *backend) Cancel([]task.SubmissionID) {}
+
+func (b *backend) Ready() (bool, string) { return true, "" }
+
+// whole echoes every task as the stand-in upstream does.
+func whole(_ uint64, s task.Submission) task.Answer {
+	a := task.Answer{State: task.Complete, Messages: uint32(2 * len(s.Tasks)), Wasted: 1}
+	for _, spec := range s.Tasks {
+		a.Outcomes = append(a.Outcomes, task.Outcome{State: task.Complete, Body: spec.Payload})
+	}
+	return a
+}
+
+func serve(t *testing.T, b *backend) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := httpapi.New(b, httpapi.Config{DrainNotice: time.Millisecond})
+	go func() { _ = s.Serve(ln) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_ = s.Shutdown(ctx)
+	})
+	return "http://" + ln.Addr().String()
+}
+
+// options give about 40 submissions within 200 ms.
+func options(kind workload.Kind, entries ...string) Options {
+	cfg := workload.Default(3)
+	cfg.Kind = kind
+	cfg.Rate = 200
+	cfg.MaxTasks = 20
+	cfg.Teams = []workload.Team{{Name: "a", Share: 1}, {Name: "b", Share: 1}}
+	return Options{Entries: entries, Service: "s", Load: cfg, Duration: 200 * time.Millisecond, Drain: 20 * time.Second}
+}
+
+func planned(t *testing.T, o Options) (submissions, tasks int) {
+	t.Helper()
+	g, err := workload.New(o.Load)
+	require.NoError(t, err)
+	for s := g.Next(); s.At < o.Duration; s = g.Next() {
+		submissions++
+		tasks += len(s.Tasks)
+	}
+	return submissions, tasks
+}
+
+func TestRunCountsWholeAnswers(t *testing.T) {
+	for _, kind := range []workload.Kind{workload.Jobs, workload.Requests} {
+		o := options(kind, serve(t, &backend{answer: whole}), serve(t, &backend{answer: whole}))
+		n, tasks := planned(t, o)
+		r, err := Run(context.Background(), o)
+		require.NoError(t, err)
+		require.NoError(t, r.Clean())
+		require.Equal(t, []Count{{Outcome{"complete", ""}, n}}, r.Counts)
+		require.Equal(t, tasks, r.TasksDone)
+		require.EqualValues(t, n, r.Over.Count)
+		require.EqualValues(t, 2*tasks, r.Messages)
+		require.EqualValues(t, n, r.Wasted)
+		require.Equal(t, n, r.Teams[0].Sent+r.Teams[1].Sent)
+		require.Equal(t, n, r.Line[0].Sent)
+	}
+}
+
+// A tool that waited for answers before sending more would never end the hold.
+func TestLoadIsOpenLoop(t *testing.T) {
+	b := &backend{answer: whole}
+	o := options(workload.Jobs, serve(t, b))
+	b.hold, _ = planned(t, o)
+	r, err := Run(context.Background(), o)
+	require.NoError(t, err)
+	require.NoError(t, r.Clean())
+	require.Equal(t, b.n, uint64(r.Over.Count))
+}
+
+// Times count from the intended sending, also of what was sent late.
+func TestTimesCountFromIntendedSending(t *testing.T) {
+	o := options(workload.Jobs, "http://127.0.0.1:1")
+	o.RoundTrip = 10 * time.Millisecond
+	st := newStats(&o)
+	s := workload.Submission{Team: "a", At: 50 * time.Millisecond, Tasks: []workload.Task{
+		{Run: 20 * time.Millisecond}, {Run: 90 * time.Millisecond},
+	}}
+	st.sent()
+	st.add(&s, answer{state: "complete"}, 250*time.Millisecond)
+	r := st.result()
+	require.InEpsilon(t, 2.5, r.Over.P50, 0.002)
+	require.InEpsilon(t, 250, r.Latency.Max, 0.002)
+	require.InEpsilon(t, 2.5, r.Line[0].P99, 1e-9)
+}
+
+func TestAnswersThatAreNotWholeAreFound(t *testing.T) {
+	spoil := map[string]func(*task.Answer){
+		"missing": func(a *task.Answer) { a.Outcomes = a.Outcomes[:len(a.Outcomes)-1] },
+		"doubled": func(a *task.Answer) { a.Outcomes = append(a.Outcomes, a.Outcomes[0]) },
+		"swapped": func(a *task.Answer) {
+			a.Outcomes[0], a.Outcomes[1] = a.Outcomes[1], a.Outcomes[0]
+		},
+		"another caller's": func(a *task.Answer) { a.Outcomes[0].Body = []byte(`{"echo":"x-0-0"}`) },
+		"empty":            func(a *task.Answer) { a.Outcomes[0].Body = nil },
+	}
+	for name, f := range spoil {
+		spoiled := 0
+		b := &backend{}
+		b.answer = func(n uint64, s task.Submission) task.Answer {
+			a := whole(n, s)
+			if n%2 == 0 && len(s.Tasks) > 1 {
+				f(&a)
+				b.mu.Lock()
+				spoiled++
+				b.mu.Unlock()
+			}
+			return a
+		}
+		r, err := Run(context.Background(), options(workload.Jobs, serve(t, b)))
+		require.NoError(t, err)
+		require.NotZero(t, spoiled)
+		require.Equal(t, spoiled, r.NotClean, name)
+		require.ErrorIs(t, r.Clean(), ErrNotClean)
+		require.NotEmpty(t, r.Faults)
+	}
+}
+
+func TestRefusalsAreCountedByReason(t *testing.T) {
+	b := &backend{answer: func(n uint64, s task.Submission) task.Answer {
+		if n%2 == 0 {
+			return whole(n, s)
+		}
+		return task.Answer{State: task.NotRun, Reason: task.ReasonQuota, Messages: 3, Wasted: 1}
+	}}
+	r, err := Run(context.Background(), options(workload.Requests, serve(t, b)))
+	require.NoError(t, err)
+	require.NoError(t, r.Clean(), "a refusal is a whole answer")
+	require.Len(t, r.Counts, 2)
+	require.Equal(t, Outcome{"not_run", task.ReasonQuota}, r.Counts[1].Outcome)
+	require.Equal(t, r.Submissions, r.Counts[0].Count+r.Counts[1].Count)
+}
+
+func TestLostAnswersAreNotClean(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.Close()
+		}
+	}()
+	defer ln.Close()
+	o := options(workload.Requests, "http://"+ln.Addr().String())
+	o.RoundTrip = time.Millisecond
+	r, err := Run(context.Background(), o)
+	require.NoError(t, err)
+	require.Equal(t, r.Submissions, r.NotClean)
+	require.Equal(t, Outcome{"unknown", reasonNoAnswer}, r.Counts[0].Outcome)
+}
+
+func TestJournalsShowDoubledStarts(t *testing.T) {
+	page := func(ids ...string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			entries := []journalEntry{}
+			for _, id := range ids {
+				entries = append(entries, journalEntry{id})
+			}
+			_ = json.NewEncoder(w).Encode(entries)
+		}))
+		t.Cleanup(s.Close)
+		return s.URL
+	}
+	o := options(workload.Jobs, serve(t, &backend{answer: whole}))
+	o.Upstreams = []string{page("a.0.0", "a.1.0", "b.0.0"), page("a.1.1", "c.0.0", "c.0.0", "c.0.0")}
+	r, err := Run(context.Background(), o)
+	require.NoError(t, err)
+	require.Equal(t, &Journal{Starts: 7, Tasks: 4, Doubled: 2}, r.Journal)
+	require.ErrorIs(t, r.Clean(), ErrNotClean)
+	require.Equal(t, 1, countStarts([]journalEntry{{"a.1.0"}, {"a.1.1"}, {"c.0.0"}, {"c.0.0"}}, true).Doubled)
+}
+
+func TestResultIsWritten(t *testing.T) {
+	pages := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		pages++
+		fmt.Fprintf(w, "# TYPE x_messages_sent counter\nx_messages_sent{kind=\"a\"} %d\nx_messages_sent{kind=\"b\"} 5\n", pages*10)
+	}))
+	defer s.Close()
+	o := options(workload.Jobs, serve(t, &backend{answer: whole}))
+	o.Metrics = []string{s.URL}
+	r, err := Run(context.Background(), o)
+	require.NoError(t, err)
+	require.Equal(t, []PageChange{{s.URL, "x_messages_sent", 10}}, r.Pages)
+	var text bytes.Buffer
+	require.NoError(t, r.WriteText(&text))
+	require.Contains(t, text.String(), "over ideal")
+	for _, name := range []string{"a.svg", "a.png"} {
+		file := filepath.Join(t.TempDir(), name)
+		require.NoError(t, r.Plot(file))
+		info, err := os.Stat(file)
+		require.NoError(t, err)
+		require.NotZero(t, info.Size())
+	}
+}
+
+func TestBadOptionsAreRefused(t *testing.T) {
+	for name, change := range map[string]func(*Options){
+		"entry":   func(o *Options) { o.Entries = []string{"127.0.0.1:80"} },
+		"entries": func(o *Options) { o.Entries = nil },
+		"service": func(o *Options) { o.Service = "" },
+		"warm-up": func(o *Options) { o.Warmup = o.Duration },
+		"rate":    func(o *Options) { o.Load.Rate = 0 },
+	} {
+		o := options(workload.Jobs, "http://127.0.0.1:1")
+		change(&o)
+		_, err := Run(context.Background(), o)
+		require.Error(t, err, name)
+	}
+}
--- /dev/null
+++ b/load/pages.go
@@ -0,0 +1,150 @@
+package load
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+	"github.com/valyala/fasthttp"
+
+	"github.com/fireflytray/fireflytray/load/workload"
+)
+
+const pageWithin = 10 * time.Second
+
+// PageChange is how much a message counter of a Prometheus page grew.
+type PageChange struct {
+	Page   string  `json:"page"`
+	Name   string  `json:"name"`
+	Change float64 `json:"change"`
+}
+
+type counterKey struct{ page, name string }
+
+// scrape reads the message counters of every page.
+func (c *client) scrape() (map[counterKey]float64, error) {
+	all := map[counterKey]float64{}
+	for _, page := range c.opts.Metrics {
+		body, err := c.get(page)
+		if err != nil {
+			return nil, err
+		}
+		if err := readCounters(page, body, all); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+// pagesSince returns the counters that grew.
+func (c *client) pagesSince(before map[counterKey]float64) ([]PageChange, error) {
+	after, err := c.scrape()
+	if err != nil {
+		return nil, err
+	}
+	var grown []PageChange
+	for k, v := range after {
+		if d := v - before[k]; d != 0 {
+			grown = append(grown, PageChange{k.page, k.name, d})
+		}
+	}
+	slices.SortFunc(grown, func(a, b PageChange) int {
+		return cmp.Or(cmp.Compare(a.Page, b.Page), cmp.Compare(a.Name, b.Name))
+	})
+	return grown, nil
+}
+
+// readCounters adds the counters of messages and bytes on a page to sums, over
+// all their labels.
+func readCounters(page string, body []byte, sums map[counterKey]float64) error {
+	parser := expfmt.NewTextParser(model.LegacyValidation)
+	families, err := parser.TextToMetricFamilies(bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("load: metrics page %s: %w", page, err)
+	}
+	for name, f := range families {
+		if f.GetType() != dto.MetricType_COUNTER || !isTraffic(name) {
+			continue
+		}
+		for _, m := range f.Metric {
+			sums[counterKey{page, name}] += m.GetCounter().GetValue()
+		}
+	}
+	return nil
+}
+
+func isTraffic(name string) bool {
+	return strings.Contains(name, "message") || strings.Contains(name, "bytes") ||
+		strings.Contains(name, "frames") || strings.Contains(name, "wasted")
+}
+
+// Journal sums the journals of the stand-in upstreams.
+type Journal struct {
+	Starts  int `json:"starts"`
+	Tasks   int `json:"tasks"`
+	Doubled int `json:"doubled"`
+}
+
+// journalEntry is what is read of a start in a journal.
+type journalEntry struct {
+	ID string `json:"id"`
+}
+
+// checkJournals counts the tasks that were started more than once, over all
+// upstreams.
+func (c *client) checkJournals() (*Journal, error) {
+	if len(c.opts.Upstreams) == 0 {
+		return nil, nil
+	}
+	var all []journalEntry
+	for _, u := range c.opts.Upstreams {
+		body, err := c.get(u + "/v1/journal")
+		if err != nil {
+			return nil, err
+		}
+		var entries []journalEntry
+		if err := json.Unmarshal(body, &entries); err != nil {
+			return nil, fmt.Errorf("load: journal of upstream %s: %w", u, err)
+		}
+		all = append(all, entries...)
+	}
+	mayRetry := c.opts.Load.Kind == workload.Requests && c.opts.Idempotent
+	return countStarts(all, mayRetry), nil
+}
+
+// countStarts counts starts by submission and index, and by attempt too where
+// a task that may have run may be sent again.
+func countStarts(all []journalEntry, mayRetry bool) *Journal {
+	j := &Journal{Starts: len(all)}
+	starts := map[string]int{}
+	for _, e := range all {
+		id := e.ID
+		if last := strings.LastIndexByte(id, '.'); last >= 0 && !mayRetry {
+			id = id[:last]
+		}
+		starts[id]++
+		if starts[id] == 2 {
+			j.Doubled++
+		}
+	}
+	j.Tasks = len(starts)
+	return j
+}
+
+func (c *client) get(url string) ([]byte, error) {
+	status, body, err := c.http.GetTimeout(nil, url, pageWithin)
+	if err != nil {
+		return nil, fmt.Errorf("load: get %s: %w", url, err)
+	}
+	if status != fasthttp.StatusOK {
+		return nil, fmt.Errorf("load: get %s: status %d", url, status)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/load/run.go
@@ -0,0 +1,151 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/fireflytray/fireflytray/load/workload"
+	"github.com/fireflytray/fireflytray/task"
+)
+
+const (
+	roundTripSamples = 21
+	roundTripWithin  = 5 * time.Second
+)
+
+// Run loads the entries and returns what was measured. It ends early with ctx;
+// the result then covers what was sent.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	o.setDefaults()
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	gen, err := workload.New(o.Load)
+	if err != nil {
+		return nil, err
+	}
+	c := newClient(&o, fmt.Sprintf("%08x", rand.Uint32()))
+	if err := c.measureRoundTrip(); err != nil {
+		return nil, err
+	}
+	before, err := c.scrape()
+	if err != nil {
+		return nil, err
+	}
+	r := &runner{opts: &o, client: c, stats: newStats(&o)}
+	r.send(ctx, gen)
+	res := r.stats.result()
+	if res.Pages, err = c.pagesSince(before); err != nil {
+		return res, err
+	}
+	res.Journal, err = c.checkJournals()
+	return res, err
+}
+
+// measureRoundTrip takes the median round trip of the health pages.
+func (c *client) measureRoundTrip() error {
+	if c.opts.RoundTrip > 0 {
+		return nil
+	}
+	var trips []time.Duration
+	for _, e := range c.opts.Entries {
+		for range roundTripSamples {
+			start := time.Now()
+			status, _, err := c.http.GetTimeout(nil, e+"/healthz", roundTripWithin)
+			if err != nil {
+				return fmt.Errorf("load: health of entry %s: %w", e, err)
+			}
+			if status != fasthttp.StatusOK {
+				return fmt.Errorf("load: health of entry %s: status %d", e, status)
+			}
+			trips = append(trips, time.Since(start))
+		}
+	}
+	slices.Sort(trips)
+	c.opts.RoundTrip = trips[len(trips)/2]
+	return nil
+}
+
+// runner sends a load.
+type runner struct {
+	opts   *Options
+	client *client
+	stats  *stats
+}
+
+// send sends every submission at its intended time and returns when all are
+// answered or given up.
+func (r *runner) send(ctx context.Context, gen *workload.Generator) {
+	start := time.Now()
+	end := start.Add(r.opts.Duration + r.opts.Drain)
+	stop := r.reportProgress(start)
+	defer stop()
+	slots := make(chan struct{}, r.opts.MaxInFlight)
+	var inFlight sync.WaitGroup
+	for {
+		s := gen.Next()
+		if s.At >= r.opts.Duration || !sleepUntil(ctx, start.Add(s.At)) {
+			break
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			r.stats.add(&s, answer{state: task.NotRun.String(), reason: reasonNotSent}, 0)
+			continue
+		}
+		r.stats.sent()
+		inFlight.Go(func() {
+			a := r.client.submit(&s, end)
+			r.stats.add(&s, a, time.Since(start)-s.At)
+			<-slots
+		})
+	}
+	r.stats.ended(time.Since(start))
+	inFlight.Wait()
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *runner) reportProgress(start time.Time) (stop func()) {
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		ticker := time.NewTicker(time.Second)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				fmt.Fprintf(r.opts.Progress, "load: %3.0f s  %s\n", time.Since(start).Seconds(), r.stats.progress())
+			case <-done:
+				return
+			}
+		}
+	})
+	return sync.OnceFunc(func() {
+		close(done)
+		wg.Wait()
+	})
+}
+
+// ErrNotClean means that an answer was lost, not whole or doubled.
+var ErrNotClean = errors.New("load: answers were lost, not whole or doubled")
