Choose lent credits and the order by waiting work over slowdown

Change: agent.Lend is the default policy, DemandKeep 100 ms, TellEvery 20 ms; Order LeftOverSlowdown squares the run time; Stats.Wasted by cause.

--- a/agent/config.go
+++ b/agent/config.go
@@ -59,10 +59,10 @@
 	return Config{
 		QueueShare:     0.5,
 		QueueMin:       2,
-		Policy:         Sticky{Factor: 2},
+		Policy:         Lend{Keep: 1},
 		GrantHold:      25 * time.Millisecond,
-		DemandKeep:     time.Second,
-		TellEvery:      time.Second,
+		DemandKeep:     100 * time.Millisecond,
+		TellEvery:      20 * time.Millisecond,
 		BypassAfter:    200 * time.Millisecond,
 		MaxRun:         10 * time.Minute,
 		StopGrace:      time.Second,
--- a/agent/policy.go
+++ b/agent/policy.go
@@ -25,7 +25,7 @@
 
 // PolicyByName returns the policy of that name.
 func PolicyByName(name string) (Policy, bool) {
-	for _, p := range []Policy{Sticky{Factor: 2}, ByRank{}, Split{}} {
+	for _, p := range []Policy{Sticky{Factor: 2}, ByRank{}, Split{}, Lend{Keep: 1}} {
 		if p.Name() == name {
 			return p, true
 		}
@@ -98,6 +98,51 @@
 	return (avail + idle - 1) / idle
 }
 
+// Lend shares free slots evenly, like Split, but lends to an entry with waiting
+// tasks what idle entries hold above Keep, and prefers the most urgent entry
+// where several have waiting tasks.
+type Lend struct{ Keep int }
+
+// Name returns "lend".
+func (Lend) Name() string { return "lend" }
+
+// Credit implements Policy.
+func (p Lend) Credit(free, who int, all []Claimant) int {
+	me := all[who]
+	avail, rivals, unmet := free, 1, 0
+	for i, c := range all {
+		if i == who {
+			continue
+		}
+		avail -= p.held(me, c)
+		unmet += c.unmet()
+		if c.Told == 0 && (c.Waiting > 0 || me.Waiting == 0) {
+			rivals++
+		}
+	}
+	if avail <= 0 {
+		return 0
+	}
+	share := (avail + rivals - 1) / rivals
+	if me.Waiting == 0 && unmet > 0 {
+		return min(share, p.Keep)
+	}
+	return share
+}
+
+// held returns how many free slots me must leave to c.
+func (p Lend) held(me, c Claimant) int {
+	switch {
+	case me.Waiting == 0:
+		return c.Told
+	case c.Waiting == 0:
+		return min(c.Told, p.Keep)
+	case c.Told == 0 && c.Rank < me.Rank:
+		return 1
+	}
+	return c.Told
+}
+
 // reserved counts the slots promised to other entries with waiting tasks. What
 // entries without waiting tasks were told may overlap.
 func reserved(who int, all []Claimant) int {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -113,7 +113,7 @@
 			return
 		}
 		a := e.agents[p.ID]
-		if a.link == linkOpen && a.Outstanding == 0 && a.wanted == 0 && a.Slots > 0 {
+		if a.link == linkOpen && a.wanted == 0 && a.Slots > 0 {
 			e.markDirty(a)
 			left--
 		}
@@ -142,10 +142,13 @@
 		Tasks:  a.tasks,
 		Cancel: a.cancel,
 	}
-	if len(a.tasks) > 0 {
+	switch {
+	case len(a.tasks) > 0:
 		a.unseen = append(a.unseen, unseen{a.seq, len(a.tasks)})
-	} else {
-		e.stats.Wasted++
+	case a.told < a.seen || len(a.cancel) > 0:
+		e.stats.Wasted.Acks++
+	default:
+		e.stats.Wasted.Demands++
 	}
 	a.told = a.seen
 	a.wanted = u.Demand.Waiting
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -35,7 +35,7 @@
 
 const (
 	// ackDelay is how long an acknowledgement waits for a message to ride on.
-	ackDelay = 2 * time.Second
+	ackDelay = 10 * time.Second
 	// dialWithin bounds a dial up to the welcome.
 	dialWithin = 1500 * time.Millisecond
 	// redialDelay is the least time between two dials of an agent.
--- a/entry/queue/order.go
+++ b/entry/queue/order.go
@@ -18,8 +18,9 @@
 	// LeftOverAge ranks by waiting tasks over age, so that a large job can't
 	// wait for ever.
 	LeftOverAge
-	// LeftOverSlowdown ranks by waiting tasks over the job's slowdown so far:
-	// its age against the run time that it declared.
+	// LeftOverSlowdown ranks by the waiting work, as waiting tasks times the
+	// longest declared run time, over the job's slowdown so far, as its age
+	// over that run time.
 	LeftOverSlowdown
 )
 
@@ -31,7 +32,7 @@
 )
 
 // classesPerOctave is how finely LeftOverSlowdown tells sizes apart.
-const classesPerOctave = 8
+const classesPerOctave = 6
 
 // orderNames are the names in settings and reports, by Order.
 var orderNames = [...]string{"fifo", "fewest-left", "left-over-age", "left-over-slowdown"}
@@ -60,7 +61,8 @@
 	case FIFO:
 		return 0
 	case LeftOverSlowdown:
-		octaves := math.Log2(max(1, float64(j.waiting)*j.run().Seconds()*1000))
+		run := float64(j.run() / time.Millisecond)
+		octaves := math.Log2(max(1, float64(j.waiting)*run*run))
 		return int(min(octaves*classesPerOctave, maxClass))
 	default:
 		return int(min(j.waiting, maxClass))
@@ -84,7 +86,8 @@
 	case FewestLeft:
 		return float64(j.waiting)
 	case LeftOverSlowdown:
-		return float64(j.waiting) * j.run().Seconds() / age
+		run := j.run().Seconds()
+		return float64(j.waiting) * run * run / age
 	default:
 		return float64(j.waiting) / age
 	}
--- a/entry/report.go
+++ b/entry/report.go
@@ -21,7 +21,7 @@
 func (e *Entry) report(a *agent, r *wire.Report) {
 	e.stats.Received++
 	if r.Seq <= a.seen {
-		e.stats.Wasted++
+		e.stats.Wasted.Late++
 		return
 	}
 	a.seen = r.Seq
@@ -33,8 +33,13 @@
 	}
 	hadNone := a.Credit <= 0
 	e.credit(a, r)
-	if news == 0 && !(hadNone && a.Credit > 0 && a.svc.q.Len() > 0) {
-		e.stats.Wasted++
+	useful := hadNone && a.Credit > 0 && a.svc.q.Len() > 0
+	switch {
+	case news > 0 || useful:
+	case len(r.Outcomes) > 0:
+		e.stats.Wasted.Late++
+	default:
+		e.stats.Wasted.Credits++
 	}
 	if len(r.Outcomes) > 0 && !a.ackArmed {
 		a.ackArmed = true
@@ -83,7 +88,7 @@
 	}
 	if r.Outcome.State == task.NotRun {
 		e.stats.Refused++
-		e.stats.Wasted++ // the assignment; the report is counted by the caller
+		e.stats.Wasted.Refusals++ // the assignment; report counts the report
 		rec.sub.wasted += 2
 	}
 	o := r.Outcome
--- a/entry/stats.go
+++ b/entry/stats.go
@@ -22,13 +22,32 @@
 	// them that brought no task nearer its outcome.
 	Sent     uint64
 	Received uint64
-	Wasted   uint64
+	Wasted   Waste
 	// LateResults came for attempts already given up; Abandoned for
 	// submissions already answered.
 	LateResults uint64
 	Abandoned   uint64
 }
 
+// Waste counts, by cause, messages that brought no task nearer its outcome.
+type Waste struct {
+	// Acks are updates that only acknowledge or cancel.
+	Acks uint64
+	// Demands are updates that only tell of waiting tasks.
+	Demands uint64
+	// Credits are reports of credit that was not needed at once.
+	Credits uint64
+	// Refusals are assignments that came back as not run, and their reports.
+	Refusals uint64
+	// Late are reports that told nothing new or nothing awaited.
+	Late uint64
+}
+
+// Total returns the sum over all causes.
+func (w Waste) Total() uint64 {
+	return w.Acks + w.Demands + w.Credits + w.Refusals + w.Late
+}
+
 func (s *Stats) answered(a task.Answer) {
 	if s.Answered == nil {
 		s.Answered = make(map[task.State]uint64)
--- a/proof/load_test.go
+++ b/proof/load_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fireflytray/fireflytray/agent"
+	"github.com/fireflytray/fireflytray/entry"
 	"github.com/fireflytray/fireflytray/entry/placement"
 	"github.com/fireflytray/fireflytray/entry/queue"
 	"github.com/fireflytray/fireflytray/task"
@@ -64,6 +65,7 @@
 	perTask   float64 // messages a task
 	wasted    float64 // share of messages that were wasted
 	refused   uint64
+	waste     []entry.Waste
 	byTeam    map[string][]float64
 	submitted int
 }
@@ -153,7 +155,8 @@
 	var wasted uint64
 	for _, e := range w.entries {
 		st := e.e.View().Stats
-		wasted += st.Wasted
+		wasted += st.Wasted.Total()
+		res.waste = append(res.waste, st.Wasted)
 		res.refused += st.Refused
 	}
 	res.perTask = float64(w.messages-before) / float64(tasks)
