--- /dev/null
+++ b/directory/reducer_test.go
@@ -0,0 +1,301 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// naiveProcess is what a list-keeper without any cleverness knows.
+type naiveProcess struct {
+	incarnation, seq uint64
+	slots            uint32
+	expires          time.Duration
+	leftIncarnation  uint64
+}
+
+func (p *naiveProcess) live(now time.Duration) bool {
+	return p.expires > now && p.incarnation > p.leftIncarnation
+}
+
+// world drives one Reducer with announcements that are delayed, doubled and
+// reordered, and keeps a watcher's view of it.
+type world struct {
+	red      *Reducer
+	now      time.Duration
+	sent     []*wire.Announce
+	next     map[string]uint64
+	naive    map[string]*naiveProcess
+	entry    map[string]wire.Member
+	control  map[string]wire.Member
+	complete bool
+}
+
+const (
+	entryConn   ConnID = 1000
+	controlConn ConnID = 1001
+	testLease          = 3 * time.Second
+)
+
+func newWorld(t require.TestingT) *world {
+	w := &world{
+		red: NewReducer(0), next: map[string]uint64{}, naive: map[string]*naiveProcess{},
+		entry: map[string]wire.Member{}, control: map[string]wire.Member{},
+	}
+	w.watch(entryConn, wire.RoleEntry)
+	w.watch(controlConn, wire.RoleControl)
+	return w
+}
+
+// watch adds a watcher without a lasting lease of its own.
+func (w *world) watch(conn ConnID, role wire.Role) {
+	w.step(Event{Announce: &Announced{Conn: conn, Msg: &wire.Announce{
+		From: wire.Peer{Role: role, ID: "watcher", Incarnation: 1}, Seq: 1, Lease: MinLease, Watch: true,
+	}}})
+}
+
+func (w *world) step(ev Event) {
+	for _, e := range w.red.Step(w.now, ev, nil) {
+		d, ok := e.Msg.(*wire.Directory)
+		if !ok {
+			continue
+		}
+		view := w.entry
+		if e.Conn == controlConn {
+			view = w.control
+		}
+		w.complete = d.Complete || w.complete
+		follow(view, d)
+	}
+}
+
+// follow keeps a view as a client of this host alone would.
+func follow(view map[string]wire.Member, d *wire.Directory) {
+	for _, p := range d.Removed {
+		if view[p.ID].Peer.Incarnation <= p.Incarnation {
+			delete(view, p.ID)
+		}
+	}
+	if d.Full {
+		clear(view)
+	}
+	for _, m := range d.Upserts {
+		if m.Peer.Role == wire.RoleAgent {
+			view[m.Peer.ID] = m
+		}
+	}
+}
+
+// advance lets time pass, with every tick that the reducer asks for.
+func (w *world) advance(d time.Duration) {
+	end := w.now + d
+	for {
+		at, ok := w.red.Next()
+		if !ok || at > end {
+			break
+		}
+		w.now = max(w.now, at)
+		w.step(Event{})
+	}
+	w.now = end
+	w.step(Event{})
+}
+
+func (w *world) announcement(id string, incarnation uint64, slots uint32, leaving bool) *wire.Announce {
+	w.next[id]++
+	return &wire.Announce{
+		From:   wire.Peer{Role: wire.RoleAgent, ID: id, Incarnation: incarnation},
+		Seq:    w.next[id],
+		Worker: &wire.Worker{Service: "s", Slots: slots}, Lease: testLease, Leaving: leaving,
+	}
+}
+
+func (w *world) deliver(m *wire.Announce) {
+	w.step(Event{Announce: &Announced{Conn: 1, Msg: m}})
+	p, ok := w.naive[m.From.ID]
+	if !ok {
+		p = &naiveProcess{}
+		w.naive[m.From.ID] = p
+	}
+	inForce := p.expires > w.now && p.incarnation > p.leftIncarnation
+	stale := m.From.Incarnation < p.incarnation || m.From.Incarnation == p.incarnation && m.Seq <= p.seq
+	switch {
+	case m.From.Incarnation <= p.leftIncarnation, inForce && stale:
+		return
+	case m.Leaving:
+		p.leftIncarnation = m.From.Incarnation
+		return
+	}
+	*p = naiveProcess{m.From.Incarnation, m.Seq, m.Worker.Slots, w.now + testLease, p.leftIncarnation}
+}
+
+// check compares the watchers' views with the naive list.
+func (w *world) check(t *rapid.T) {
+	for _, view := range []map[string]wire.Member{w.entry, w.control} {
+		live := 0
+		for id, p := range w.naive {
+			m, ok := view[id]
+			require.Equal(t, p.live(w.now), ok, "%s at %s", id, w.now)
+			if !ok {
+				continue
+			}
+			live++
+			require.Equal(t, p.incarnation, m.Peer.Incarnation)
+			require.Equal(t, p.slots, m.Worker.Slots)
+		}
+		require.Len(t, view, live)
+	}
+}
+
+// Announcements that are late, doubled and out of order, goodbyes, crashes and
+// restarts: once the gathering delay is over, every watcher has the naive list.
+func TestReducerAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		incarnation := map[string]uint64{}
+		announce := func(t *rapid.T, leaving bool) {
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			if rapid.IntRange(0, 5).Draw(t, "restart") == 0 || leaving && incarnation[id] == 0 {
+				incarnation[id]++
+				w.next[id] = 0
+			}
+			m := w.announcement(id, 1+incarnation[id], rapid.Uint32Range(1, 3).Draw(t, "slots"), leaving)
+			w.sent = append(w.sent, m)
+			if rapid.Bool().Draw(t, "in time") {
+				w.deliver(m)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"announce": func(t *rapid.T) { announce(t, false) },
+			"leave":    func(t *rapid.T) { announce(t, rapid.IntRange(0, 2).Draw(t, "leave") == 0) },
+			"again": func(t *rapid.T) {
+				if len(w.sent) > 0 {
+					w.deliver(rapid.SampledFrom(w.sent[max(0, len(w.sent)-6):]).Draw(t, "old message"))
+				}
+			},
+			"wait": func(t *rapid.T) { w.advance(time.Duration(rapid.IntRange(1, 40).Draw(t, "ticks")) * upsertDelay) },
+			"": func(t *rapid.T) {
+				w.advance(upsertDelay)
+				w.check(t)
+			},
+		})
+	})
+}
+
+// A member of a test fleet.
+func member(id string, incarnation, seq uint64) wire.Member {
+	return wire.Member{Peer: wire.Peer{Role: wire.RoleAgent, ID: id, Incarnation: incarnation}, Seq: seq, Worker: &wire.Worker{Slots: uint32(seq)}}
+}
+
+func ids(ms []wire.Member) []string {
+	out := []string{}
+	for _, m := range ms {
+		out = append(out, fmt.Sprint(m.Peer.ID, m.Peer.Incarnation))
+	}
+	return out
+}
+
+// A control host that has just started names nobody; its list must not empty
+// the table until it is complete.
+func TestRestartedHostEmptiesNothing(t *testing.T) {
+	table := NewTable()
+	table.Merge(0, "c1", &wire.Directory{Full: true, Complete: true, Upserts: []wire.Member{member("a", 1, 1), member("b", 1, 1)}})
+	table.Take()
+	table.Merge(0, "c1", &wire.Directory{Full: true})
+	require.Equal(t, []string{"a1", "b1"}, ids(table.Members()))
+	diff := table.Take()
+	require.True(t, diff.Empty())
+	table.Merge(0, "c1", &wire.Directory{Full: true, Upserts: []wire.Member{member("a", 1, 2)}})
+	table.Merge(0, "c1", &wire.Directory{Full: true, Complete: true, Upserts: []wire.Member{member("a", 1, 2)}})
+	require.Equal(t, []string{"a1"}, ids(table.Members()))
+}
+
+// The reducer tells its watchers that its list is complete only after every
+// lease has had time to be renewed.
+func TestComplete(t *testing.T) {
+	w := newWorld(t)
+	w.advance(completeAfter - time.Millisecond)
+	require.False(t, w.complete)
+	w.advance(time.Millisecond)
+	require.True(t, w.complete)
+}
+
+// A process stays while any control host vouches for it, and goes at once when
+// it says goodbye to any of them; late news of it changes nothing.
+func TestSources(t *testing.T) {
+	table := NewTable()
+	table.Upsert("c1", member("a", 1, 1))
+	table.Upsert("c2", member("a", 1, 1))
+	table.Expire("c1", member("a", 1, 1).Peer)
+	require.Equal(t, []string{"a1"}, ids(table.Members()))
+	table.Leave(0, member("a", 1, 1).Peer)
+	require.Empty(t, table.Members())
+	table.Upsert("c2", member("a", 1, 5))
+	require.Empty(t, table.Members(), "late news of a process that left")
+	table.Upsert("c2", member("a", 2, 1))
+	require.Equal(t, []string{"a2"}, ids(table.Members()))
+	table.Expire("c2", member("a", 1, 1).Peer)
+	table.Leave(0, member("a", 1, 1).Peer)
+	require.Equal(t, []string{"a2"}, ids(table.Members()), "news of the run before")
+}
+
+// What another control host said outlives the link to it for a while only.
+func TestLostSource(t *testing.T) {
+	w := newWorld(t)
+	w.advance(completeAfter)
+	w.step(Event{Merge: &Merged{Source: "c2", Msg: &wire.Directory{Full: true, Complete: true, Upserts: []wire.Member{member("a", 1, 1)}}}})
+	w.step(Event{Lost: &Lost{Source: "c2"}})
+	w.advance(sourceGrace - time.Millisecond)
+	require.Contains(t, w.entry, "a")
+	require.NotContains(t, w.control, "a", "a control host vouches for its own leases only")
+	w.advance(time.Millisecond)
+	require.NotContains(t, w.entry, "a")
+}
+
+// A renewal without a change costs the watchers no message, and a new
+// configuration index none for the entries.
+func TestRenewalIsQuiet(t *testing.T) {
+	w := newWorld(t)
+	w.advance(completeAfter)
+	w.deliver(w.announcement("a", 1, 4, false))
+	w.advance(upsertDelay)
+	messages := map[ConnID]int{}
+	for n := range 100 {
+		w.now += testLease / 3
+		m := w.announcement("a", 1, 4, false)
+		ev := Event{Announce: &Announced{Conn: 1, Msg: m, Index: uint64(n / 50)}}
+		for _, e := range w.red.Step(w.now, ev, nil) {
+			if _, ok := e.Msg.(*wire.Directory); ok {
+				messages[e.Conn]++
+			}
+		}
+	}
+	require.Zero(t, messages[entryConn])
+	require.Equal(t, 1, messages[controlConn])
+}
+
+func BenchmarkRenewals(b *testing.B) {
+	const agents = 1500
+	red := NewReducer(0)
+	var now time.Duration
+	msgs := make([]*wire.Announce, agents)
+	for i := range msgs {
+		msgs[i] = &wire.Announce{
+			From:   wire.Peer{Role: wire.RoleAgent, ID: fmt.Sprint("agent-", i), Incarnation: 1},
+			Worker: &wire.Worker{Service: "s", Slots: 8}, Lease: testLease,
+		}
+	}
+	var out []Effect
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		m := msgs[n%agents]
+		m.Seq++
+		now += time.Second / agents
+		out = red.Step(now, Event{Announce: &Announced{Conn: 1, Msg: m}}, out[:0])
+	}
+}
