--- /dev/null
+++ b/cmd/fireflytray-agent/main.go
@@ -0,0 +1,49 @@
+// Command fireflytray-agent is the agent daemon.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/fireflytray/fireflytray/daemon"
+	"github.com/fireflytray/fireflytray/node"
+	"github.com/fireflytray/fireflytray/settings"
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+func main() {
+	os.Exit(daemon.Main(daemon.Program[settings.Agent]{
+		Name:    "fireflytray-agent",
+		Role:    wire.RoleAgent,
+		Load:    settings.LoadAgent,
+		Process: func(s *settings.Agent) *settings.Process { return &s.Process },
+		Run:     run,
+	}, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+func run(ctx context.Context, rt daemon.Runtime, s *settings.Agent) error {
+	return node.RunAgent(ctx, node.AgentOptions{
+		Common:   common(rt, s),
+		Peers:    s.Peers,
+		Upstream: s.Upstream,
+		Rack:     s.Rack,
+		Offered: task.Resources{
+			MilliCPU:     s.Processors * 1000,
+			MemoryMB:     s.MemoryMB,
+			Accelerators: s.Accelerators,
+		},
+	})
+}
+
+func common(rt daemon.Runtime, s *settings.Agent) node.Common {
+	return node.Common{
+		ID:       s.ID,
+		Domain:   s.Domain,
+		Site:     s.Site,
+		Identity: rt.Identity,
+		Logs:     rt.Logs,
+		Scope:    rt.Metrics.Scope(),
+		Controls: s.Control,
+	}
+}
--- a/wire/wire_gen.go
+++ b/wire/wire_gen.go
@@ -7,6 +7,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z5817a858limitArrays = 65536
+	z5817a858limitMaps   = 64
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Announce) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -54,6 +60,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -156,6 +166,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -237,6 +251,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -341,6 +359,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -453,6 +475,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -578,6 +604,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -633,6 +663,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -716,6 +750,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -749,6 +787,10 @@
 				err = msgp.WrapError(err, "Sections")
 				return
 			}
+			if zb0002 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Sections) >= int(zb0002) {
 				z.Sections = (z.Sections)[:zb0002]
 			} else {
@@ -768,6 +810,10 @@
 				err = msgp.WrapError(err, "Removed")
 				return
 			}
+			if zb0003 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Removed) >= int(zb0003) {
 				z.Removed = (z.Removed)[:zb0003]
 			} else {
@@ -847,6 +893,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -874,6 +924,10 @@
 				err = msgp.WrapError(err, "Keys")
 				return
 			}
+			if zb0002 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Keys) >= int(zb0002) {
 				z.Keys = (z.Keys)[:zb0002]
 			} else {
@@ -886,6 +940,10 @@
 					err = msgp.WrapError(err, "Keys", za0001)
 					return
 				}
+				if zb0003 > z5817a858limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -959,6 +1017,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1050,6 +1112,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1077,6 +1143,10 @@
 				err = msgp.WrapError(err, "Upserts")
 				return
 			}
+			if zb0002 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Upserts) >= int(zb0002) {
 				z.Upserts = (z.Upserts)[:zb0002]
 			} else {
@@ -1096,6 +1166,10 @@
 				err = msgp.WrapError(err, "Removed")
 				return
 			}
+			if zb0003 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Removed) >= int(zb0003) {
 				z.Removed = (z.Removed)[:zb0003]
 			} else {
@@ -1115,6 +1189,10 @@
 				err = msgp.WrapError(err, "Left")
 				return
 			}
+			if zb0004 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Left) >= int(zb0004) {
 				z.Left = (z.Left)[:zb0004]
 			} else {
@@ -1199,6 +1277,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1238,6 +1320,10 @@
 				err = msgp.WrapError(err, "Pending")
 				return
 			}
+			if zb0002 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Pending) >= int(zb0002) {
 				z.Pending = (z.Pending)[:zb0002]
 			} else {
@@ -1340,6 +1426,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1407,6 +1497,112 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z MemberAction) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendString(o, string(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *MemberAction) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 string
+		zb0001, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = MemberAction(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z MemberAction) Msgsize() (s int) {
+	s = msgp.StringPrefixSize + len(string(z))
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z MemberChange) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "a"
+	o = append(o, 0x83, 0xa1, 0x61)
+	o = msgp.AppendString(o, string(z.Action))
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.ID)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendString(o, z.Addr)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *MemberChange) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Action")
+					return
+				}
+				z.Action = MemberAction(zb0002)
+			}
+		case "i":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "d":
+			z.Addr, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Addr")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z MemberChange) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Action)) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Addr)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Peer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1439,6 +1635,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1522,6 +1722,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1583,6 +1787,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1621,6 +1829,260 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Propose) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "q"
+	o = append(o, 0x83, 0xa1, 0x71)
+	o = msgp.AppendUint64(o, z.Request)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendBytes(o, z.Command)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	if z.Change == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Change.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Change")
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Propose) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "q":
+			z.Request, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		case "c":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Command")
+				return
+			}
+			if zb0002 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Command == nil || uint32(cap(z.Command)) < zb0002 {
+				z.Command = make([]byte, zb0002)
+			} else {
+				z.Command = z.Command[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Command, bts[:zb0002])
+			bts = bts[zb0002:]
+		case "m":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Change = nil
+			} else {
+				if z.Change == nil {
+					z.Change = new(MemberChange)
+				}
+				bts, err = z.Change.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Change")
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Propose) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Command) + 2
+	if z.Change == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Change.Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ProposeStatus) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendUint8(o, uint8(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ProposeStatus) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 uint8
+		zb0001, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = ProposeStatus(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ProposeStatus) Msgsize() (s int) {
+	s = msgp.Uint8Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Proposed) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "q"
+	o = append(o, 0x85, 0xa1, 0x71)
+	o = msgp.AppendUint64(o, z.Request)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint8(o, uint8(z.Status))
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.Index)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendBytes(o, z.Result)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendString(o, z.Detail)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Proposed) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "q":
+			z.Request, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		case "s":
+			{
+				var zb0002 uint8
+				zb0002, bts, err = msgp.ReadUint8Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Status")
+					return
+				}
+				z.Status = ProposeStatus(zb0002)
+			}
+		case "i":
+			z.Index, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Index")
+				return
+			}
+		case "r":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Result")
+				return
+			}
+			if zb0003 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Result == nil || uint32(cap(z.Result)) < zb0003 {
+				z.Result = make([]byte, zb0003)
+			} else {
+				z.Result = z.Result[:zb0003]
+			}
+			if uint32(len(bts)) < zb0003 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Result, bts[:zb0003])
+			bts = bts[zb0003:]
+		case "d":
+			z.Detail, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Detail")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Proposed) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint8Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Result) + 2 + msgp.StringPrefixSize + len(z.Detail)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Raft) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1641,6 +2103,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1650,11 +2116,27 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "b":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+			if zb0002 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Body == nil || uint32(cap(z.Body)) < zb0002 {
+				z.Body = make([]byte, zb0002)
+			} else {
+				z.Body = z.Body[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Body, bts[:zb0002])
+			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1734,6 +2216,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1791,6 +2277,10 @@
 				err = msgp.WrapError(err, "Outcomes")
 				return
 			}
+			if zb0002 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Outcomes) >= int(zb0002) {
 				z.Outcomes = (z.Outcomes)[:zb0002]
 			} else {
@@ -1803,6 +2293,10 @@
 					err = msgp.WrapError(err, "Outcomes", za0001)
 					return
 				}
+				if zb0003 > z5817a858limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1902,6 +2396,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1998,6 +2496,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2093,6 +2595,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2186,6 +2692,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2219,6 +2729,10 @@
 				err = msgp.WrapError(err, "Demand")
 				return
 			}
+			if zb0002 > z5817a858limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2254,6 +2768,10 @@
 				err = msgp.WrapError(err, "Tasks")
 				return
 			}
+			if zb0003 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Tasks) >= int(zb0003) {
 				z.Tasks = (z.Tasks)[:zb0003]
 			} else {
@@ -2273,6 +2791,10 @@
 				err = msgp.WrapError(err, "Cancel")
 				return
 			}
+			if zb0004 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Cancel) >= int(zb0004) {
 				z.Cancel = (z.Cancel)[:zb0004]
 			} else {
@@ -2359,6 +2881,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2481,6 +3007,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
