--- a/agent/differential_test.go
+++ b/agent/differential_test.go
@@ -147,8 +147,7 @@
 		}
 	}
 	if w.roll(20) == 0 {
-		e.lastTask++
-		early := task.ID{Submission: task.NewSubmissionID(e.peer.Incarnation, e.lastTask)}
+		early := e.newID()
 		e.pending = append(e.pending, early)
 		cancel = append(cancel, early)
 	}
--- a/agent/session_test.go
+++ b/agent/session_test.go
@@ -76,3 +76,23 @@
 	_, queued = s.Load()
 	require.Zero(t, queued)
 }
+
+// An id that comes again after its outcome was acknowledged starts no more,
+// whatever the outcome was.
+func TestAcknowledgedIDStartsNoMore(t *testing.T) {
+	s := newTestState(Config{})
+	s.Step(0, Announced{testUpstream("a", true)}, nil)
+	s.Step(0, SessionOpened{Session: 1, Hello: hello(1, 1)}, nil)
+	ran, refused := task.ID{Submission: task.NewSubmissionID(1, 1)}, task.ID{Submission: task.NewSubmissionID(1, 2)}
+	both := []wire.Assignment{{ID: ran, StartWithin: time.Minute}, {ID: refused}}
+	s.Step(0, UpdateReceived{Session: 1, Update: &wire.Update{Seq: 1, Tasks: both}}, nil)
+	effs := s.Step(0, RunEnded{Run: 1, End: EndComplete}, nil)
+	last := effs[len(effs)-1].(SendReport).Report.Seq
+	both[1].StartWithin = time.Minute
+	for _, eff := range s.Step(0, UpdateReceived{Session: 1, Update: &wire.Update{Seq: 2, Seen: last, Tasks: both}}, nil) {
+		_, started := eff.(StartRun)
+		require.False(t, started)
+	}
+	require.Empty(t, s.tasks)
+	require.EqualValues(t, 2, s.Stats().Duplicates)
+}
--- a/agent/world_test.go
+++ b/agent/world_test.go
@@ -283,8 +283,13 @@
 	if n := len(e.pending); n > 0 && w.roll(12) == 0 {
 		return e.pending[w.roll(n)]
 	}
+	return e.newID()
+}
+
+// newID names the next task of a job of three.
+func (e *fakeEntry) newID() task.ID {
 	e.lastTask++
-	return task.ID{Submission: task.NewSubmissionID(e.peer.Incarnation, e.lastTask)}
+	return task.ID{Submission: task.NewSubmissionID(e.peer.Incarnation, e.lastTask/3), Index: uint32(e.lastTask % 3)}
 }
 
 // deliver hands the next message of a connection to the agent.
