--- /dev/null
+++ b/command/caller.go
@@ -0,0 +1,83 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/fireflytray/fireflytray/httpapi"
+	"github.com/fireflytray/fireflytray/task"
+)
+
+// callerGrace is how long a caller waits beyond the deadline that it names.
+const callerGrace = 5 * time.Second
+
+// entryOptions name the entry that a caller's command talks to.
+type entryOptions struct {
+	Entry   string        `long:"entry" required:"yes" value-name:"URL" description:"Base URL of the entry"`
+	Team    string        `long:"team" required:"yes" description:"Team on whose behalf to call"`
+	Timeout time.Duration `long:"timeout" default:"10m" description:"How long to wait for the entry"`
+}
+
+// callEntry makes one call. An answer that is a problem becomes an error with
+// the exit code of its state.
+func callEntry(req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) error {
+	client := fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}
+	if err := client.DoTimeout(req, resp, timeout); err != nil {
+		return Exit(ExitUnavailable, "call %s: %w", req.URI(), err)
+	}
+	if resp.StatusCode() < fasthttp.StatusBadRequest {
+		return nil
+	}
+	var p httpapi.Problem
+	if err := json.Unmarshal(resp.Body(), &p); err != nil || p.State == "" {
+		return Exit(ExitUnavailable, "call %s: status %d without problem details", req.URI(), resp.StatusCode())
+	}
+	return problemError(&p)
+}
+
+func problemError(p *httpapi.Problem) error {
+	text := fmt.Sprintf("%s (%s): %s", p.State, p.Reason, p.Title)
+	if p.Detail != "" {
+		text += ": " + p.Detail
+	}
+	if p.RetryAfterMS > 0 {
+		text += fmt.Sprintf("; retry after %v", time.Duration(p.RetryAfterMS)*time.Millisecond)
+	}
+	return Exit(exitOf(p.State), "%s", text)
+}
+
+// exitOf returns the exit code of a state.
+func exitOf(state string) int {
+	switch state {
+	case task.Complete.String():
+		return ExitOK
+	case task.NotRun.String():
+		return ExitNotRun
+	case task.Unknown.String():
+		return ExitUnknown
+	}
+	return ExitFailed
+}
+
+// waitFor returns how long to wait for an answer within a deadline.
+func (o *entryOptions) waitFor(deadline time.Duration) time.Duration {
+	if deadline <= 0 || deadline > math.MaxInt64-callerGrace {
+		return o.Timeout
+	}
+	return min(o.Timeout, deadline+callerGrace)
+}
+
+func (o *entryOptions) request(method, path string) *fasthttp.Request {
+	req := fasthttp.AcquireRequest()
+	req.Header.SetMethod(method)
+	req.SetRequestURI(o.Entry + path)
+	req.Header.Set(httpapi.HeaderTeam, o.Team)
+	return req
+}
--- a/httpapi/fake_test.go
+++ b/httpapi/fake_test.go
@@ -59,6 +59,10 @@
 
 func (f *fakeBackend) Ready() (bool, string) { return f.notReady == "", f.notReady }
 
+func (f *fakeBackend) Status() (Status, error) {
+	return Status{ID: "entry-1", InFlight: f.holding()}, nil
+}
+
 // release answers every held submission, the latest first.
 func (f *fakeBackend) release(answer func(task.SubmissionID, task.Submission) task.Answer) {
 	f.mu.Lock()
--- a/httpapi/registry.go
+++ b/httpapi/registry.go
@@ -107,6 +107,13 @@
 	return all + r.pending, r.pending
 }
 
+// kept returns how many jobs are kept.
+func (r *registry) kept() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held
+}
+
 // evict drops expired answers and, while the registry is full, collected ones.
 func (r *registry) evict() {
 	now := r.now()
--- a/httpapi/server.go
+++ b/httpapi/server.go
@@ -125,6 +125,8 @@
 		s.only(ctx, fasthttp.MethodGet, s.handleHealth)
 	case path == "/readyz":
 		s.only(ctx, fasthttp.MethodGet, s.handleReady)
+	case path == "/v1/status":
+		s.only(ctx, fasthttp.MethodGet, s.handleStatus)
 	case path == "/v1/cancel":
 		s.only(ctx, fasthttp.MethodPost, s.handleCancel)
 	case strings.HasPrefix(path, "/v1/jobs/"):
@@ -180,12 +182,12 @@
 }
 
 func (s *Server) handleReady(ctx *fasthttp.RequestCtx) {
-	if s.leaving.Load() {
-		newProblem(task.NotRun, task.ReasonDraining, "the entry is shutting down").write(ctx)
-		return
-	}
-	if ok, why := s.backend.Ready(); !ok {
-		newProblem(task.NotRun, task.ReasonBusy, why).write(ctx)
+	if ok, why := s.ready(); !ok {
+		reason := task.ReasonBusy
+		if s.leaving.Load() {
+			reason = task.ReasonDraining
+		}
+		newProblem(task.NotRun, reason, why).write(ctx)
 		return
 	}
 	ctx.SetContentType("text/plain")
--- a/httpapi/server_test.go
+++ b/httpapi/server_test.go
@@ -268,6 +268,15 @@
 	require.Equal(t, "no agent yet", problem(t, r).Detail)
 }
 
+func TestStatusPageDescribesEntry(t *testing.T) {
+	_, url := start(t, &fakeBackend{notReady: "no agent yet"}, Config{})
+	call(t, "POST", url+"/v1/services/s/jobs", []byte(`{"team":"prairie","wait":false,"tasks":[{}]}`))
+	r := call(t, "GET", url+"/v1/status", nil)
+	var s Status
+	require.NoError(t, json.Unmarshal(r.body, &s))
+	require.Equal(t, Status{ID: "entry-1", Why: "no agent yet", InFlight: 1, Kept: 1}, s)
+}
+
 // Every reason has a row of its own.
 func TestEveryReasonHasStatus(t *testing.T) {
 	for reason, row := range statuses {
--- /dev/null
+++ b/httpapi/status.go
@@ -0,0 +1,70 @@
+package httpapi
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"github.com/fireflytray/fireflytray/task"
+)
+
+// StatusBackend is a Backend that can describe itself for people.
+type StatusBackend interface {
+	Status() (Status, error)
+}
+
+// Status describes an entry for people; GET /v1/status shows it.
+type Status struct {
+	ID          string `json:"id"`
+	Domain      string `json:"domain"`
+	Ready       bool   `json:"ready"`
+	Why         string `json:"why,omitempty"`
+	ConfigIndex uint64 `json:"config_index"`
+	// InFlight counts submissions without an answer, Kept the jobs whose
+	// answer is kept or to come.
+	InFlight int `json:"in_flight"`
+	Kept     int `json:"kept"`
+	// Waiting counts tasks that wait, by service.
+	Waiting map[string]int `json:"waiting"`
+	// Answered counts answers by state, Reasons those not complete by reason.
+	Answered map[string]uint64      `json:"answered"`
+	Reasons  map[task.Reason]uint64 `json:"reasons"`
+	Messages uint64                 `json:"messages"`
+	Wasted   uint64                 `json:"wasted"`
+	Agents   []AgentStatus          `json:"agents"`
+}
+
+// AgentStatus is what an entry knows of an agent.
+type AgentStatus struct {
+	ID        string `json:"id"`
+	Domain    string `json:"domain"`
+	Service   string `json:"service"`
+	Connected bool   `json:"connected"`
+	Slots     int    `json:"slots"`
+	Credit    int    `json:"credit"`
+	// Outstanding counts this entry's tasks at the agent, Others the rest.
+	Outstanding int `json:"outstanding"`
+	Others      int `json:"others"`
+}
+
+func (s *Server) handleStatus(ctx *fasthttp.RequestCtx) {
+	describer, ok := s.backend.(StatusBackend)
+	if !ok {
+		notFound("this entry has no status page").write(ctx)
+		return
+	}
+	status, err := describer.Status()
+	if err != nil {
+		newProblem(task.NotRun, task.ReasonBusy, err.Error()).write(ctx)
+		return
+	}
+	status.Ready, status.Why = s.ready()
+	status.Kept = s.jobs.kept()
+	writeJSON(ctx, fasthttp.StatusOK, status)
+}
+
+// ready says whether the balancer should send callers here.
+func (s *Server) ready() (bool, string) {
+	if s.leaving.Load() {
+		return false, "the entry is shutting down"
+	}
+	return s.backend.Ready()
+}
--- a/load/workload/workload_test.go
+++ b/load/workload/workload_test.go
@@ -101,6 +101,21 @@
 	require.InEpsilon(t, 250, burst["b"], 0.05)
 }
 
+// Between two arrivals may lie many bursts.
+func TestRareArrivalsCountAllBursts(t *testing.T) {
+	g := generator(t, func(c *Config) {
+		c.Kind = Requests
+		c.Rate = 0.1
+		c.Burst = Burst{Every: time.Second, For: 500 * time.Millisecond, Factor: 3}
+	})
+	const n = 20_000
+	var last Submission
+	for range n {
+		last = g.Next()
+	}
+	require.InEpsilon(t, 0.2, n/last.At.Seconds(), 0.03)
+}
+
 func TestBadConfigurationsAreRefused(t *testing.T) {
 	for name, change := range map[string]func(*Config){
 		"kind":     func(c *Config) { c.Kind = "both" },
