--- a/entry/submit.go
+++ b/entry/submit.go
@@ -51,6 +51,9 @@
 	if e.draining {
 		return nil, &refusal{task.ReasonDraining, "this entry is shutting down", drainRetry}
 	}
+	if e.cfg == nil {
+		return nil, &refusal{task.ReasonBusy, "this entry has no configuration yet", drainRetry}
+	}
 	sc, ok := e.cfg.Services[sub.Service]
 	if !ok {
 		return nil, &refusal{reason: task.ReasonUnknownService, detail: fmt.Sprintf("service %q is not configured", sub.Service)}
