--- a/load/run.go
+++ b/load/run.go
@@ -91,7 +91,7 @@
 	var inFlight sync.WaitGroup
 	for {
 		s := gen.Next()
-		if s.At >= r.opts.Duration || !sleepUntil(ctx, start.Add(s.At)) {
+		if !sleepUntil(ctx, start.Add(min(s.At, r.opts.Duration))) || s.At >= r.opts.Duration {
 			break
 		}
 		select {
