--- a/load/pages.go
+++ b/load/pages.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -9,11 +8,9 @@
 	"strings"
 	"time"
 
-	dto "github.com/prometheus/client_model/go"
-	"github.com/prometheus/common/expfmt"
-	"github.com/prometheus/common/model"
 	"github.com/valyala/fasthttp"
 
+	"github.com/fireflytray/fireflytray/load/scrape"
 	"github.com/fireflytray/fireflytray/load/workload"
 )
 
@@ -31,13 +28,15 @@
 // scrape reads the message counters of every page.
 func (c *client) scrape() (map[counterKey]float64, error) {
 	all := map[counterKey]float64{}
-	for _, page := range c.opts.Metrics {
-		body, err := c.get(page)
+	for _, url := range c.opts.Metrics {
+		page, err := scrape.Get(c.http, url)
 		if err != nil {
-			return nil, err
+			return nil, fmt.Errorf("load: %w", err)
 		}
-		if err := readCounters(page, body, all); err != nil {
-			return nil, err
+		for name, v := range page.Counters {
+			if isTraffic(name) {
+				all[counterKey{url, name}] = v
+			}
 		}
 	}
 	return all, nil
@@ -61,25 +60,6 @@
 	return grown, nil
 }
 
-// readCounters adds the counters of messages and bytes on a page to sums, over
-// all their labels.
-func readCounters(page string, body []byte, sums map[counterKey]float64) error {
-	parser := expfmt.NewTextParser(model.LegacyValidation)
-	families, err := parser.TextToMetricFamilies(bytes.NewReader(body))
-	if err != nil {
-		return fmt.Errorf("load: metrics page %s: %w", page, err)
-	}
-	for name, f := range families {
-		if f.GetType() != dto.MetricType_COUNTER || !isTraffic(name) {
-			continue
-		}
-		for _, m := range f.Metric {
-			sums[counterKey{page, name}] += m.GetCounter().GetValue()
-		}
-	}
-	return nil
-}
-
 func isTraffic(name string) bool {
 	return strings.Contains(name, "message") || strings.Contains(name, "bytes") ||
 		strings.Contains(name, "frames") || strings.Contains(name, "wasted")
