--- a/entryd/status.go
+++ b/entryd/status.go
@@ -20,7 +20,7 @@
 		Answered:    make(map[string]uint64),
 		Reasons:     v.Stats.Reasons,
 		Messages:    v.Stats.Sent + v.Stats.Received,
-		Wasted:      v.Stats.Wasted,
+		Wasted:      v.Stats.Wasted.Total(),
 		Agents:      make([]httpapi.AgentStatus, 0, len(v.Agents)),
 	}
 	for state, n := range v.Stats.Answered {
