--- a/agent/run.go
+++ b/agent/run.go
@@ -101,18 +101,15 @@
 		s.bar(e, id)
 	case r.entry != e:
 	case r.phase == phaseQueued:
-		r.barred = true
 		s.refuse(r, task.ReasonCancelled)
 	case r.phase == phaseRunning:
 		s.stop(r, task.ReasonCancelled)
-	case r.result.Outcome.State == task.NotRun:
-		r.barred = true
 	}
 }
 
 // bar refuses a task whose cancellation came before it.
 func (s *State) bar(e *entry, id task.ID) {
-	r := &record{id: id, entry: e, phase: phaseQueued, barred: true, arrived: s.now}
+	r := &record{id: id, entry: e, phase: phaseQueued, arrived: s.now}
 	s.tasks[id] = r
 	e.held++
 	s.refuse(r, task.ReasonCancelled)
@@ -120,6 +117,7 @@
 
 // dispatch starts queued tasks while slots and resources allow.
 func (s *State) dispatch() {
+	s.expireQueued()
 	slots := s.slots()
 	for len(s.running) < slots {
 		r := s.nextFitting()
@@ -269,7 +267,6 @@
 	r.entry.held--
 	if r.entry.forgotten {
 		s.release(r)
-		s.past.add(r.id)
 		return
 	}
 	r.entry.ended = append(r.entry.ended, r)
@@ -280,6 +277,15 @@
 	s.health.tick(s.now)
 	s.expireUpstream()
 	s.expireEntries()
+	s.expireQueued()
+	for i := 0; i < len(s.running); i++ {
+		if r := s.running[i]; s.expireRun(r) {
+			i--
+		}
+	}
+}
+
+func (s *State) expireQueued() {
 	for i := 0; i < s.queue.len(); i++ {
 		if r := s.queue.recs[i]; s.now >= r.startBy {
 			s.stats.Stale++
@@ -287,11 +293,6 @@
 			i--
 		}
 	}
-	for i := 0; i < len(s.running); i++ {
-		if r := s.running[i]; s.expireRun(r) {
-			i--
-		}
-	}
 }
 
 // expireRun acts on a run's deadlines and reports whether it was given up.
--- a/agent/session.go
+++ b/agent/session.go
@@ -56,16 +56,16 @@
 	e.peer, e.session, e.sessionNo, e.lastSeq = h.From, id, h.Session, 0
 	e.demand, e.told = wire.Demand{}, 0
 	s.sessions[id] = e
-	e.clock.lag(s.now, h.SentAt)
+	s.observe(e, h.SentAt)
 	s.welcome(e, h)
 }
 
 func (s *State) addEntry(h *wire.Hello) *entry {
 	e := &entry{}
 	if h.Incarnation == s.me.Incarnation {
-		// Fewer than one report a microsecond is sent, so this is above every
-		// number used before.
-		e.amnesic = true
+		// The entry may have had sessions that are forgotten. Fewer than one
+		// report a microsecond is sent, so its numbers stay above those used.
+		e.amnesic = len(h.Pending) > 0
 		e.reportSeq = uint64(s.now / time.Microsecond)
 	}
 	s.entries[h.From.Incarnation] = e
@@ -130,7 +130,7 @@
 		s.stats.Duplicates++
 		return
 	}
-	lag := e.clock.lag(s.now, u.SentAt)
+	lag := s.observe(e, u.SentAt)
 	switch {
 	case u.Seq != e.lastSeq+1:
 		s.endSession(e, CloseGap)
@@ -155,8 +155,25 @@
 	}
 }
 
-// acknowledge forgets the outcomes in reports up to seen. A task that did not
-// run may come again from now on; any other may not.
+// observe returns how long a message was held up. Where it shows that earlier
+// ones were held up for longer than thought, the deadlines of the tasks that
+// they brought move back.
+func (s *State) observe(e *entry, sentAt time.Duration) time.Duration {
+	lag, correction := e.clock.observe(s.now, sentAt)
+	if correction == 0 {
+		return lag
+	}
+	for _, r := range s.queue.recs {
+		if r.entry == e {
+			r.startBy -= correction
+			r.runBy -= correction
+		}
+	}
+	return lag
+}
+
+// acknowledge drops the outcomes in reports up to seen. Their ids stay among
+// the past ones.
 func (s *State) acknowledge(e *entry, seen uint64) {
 	if seen >= e.welcomeAt {
 		e.amnesic = false
@@ -172,9 +189,7 @@
 
 func (s *State) release(r *record) {
 	delete(s.tasks, r.id)
-	if r.barred || r.result.Outcome.State != task.NotRun {
-		s.past.add(r.id)
-	}
+	s.past.add(r.id)
 }
 
 // dropOlder forgets the closed incarnations of a process that has restarted.
@@ -201,7 +216,6 @@
 	}
 	for _, r := range e.ended {
 		s.release(r)
-		s.past.add(r.id)
 	}
 	e.ended, e.sent = nil, 0
 	delete(s.entries, e.peer.Incarnation)
