Prove entry and agent together under all faults; mend what that found

Change: pokes repeat every 100 ms while the entry holds less than half of its share; Lend counts an idle entry's credit for 250 ms; one session counter for all dials; goneDue checks that the record is the one in force.

--- a/agent/config.go
+++ b/agent/config.go
@@ -59,7 +59,7 @@
 	return Config{
 		QueueShare:     0.5,
 		QueueMin:       2,
-		Policy:         Lend{Keep: 1},
+		Policy:         DefaultLend,
 		GrantHold:      25 * time.Millisecond,
 		DemandKeep:     100 * time.Millisecond,
 		TellEvery:      20 * time.Millisecond,
--- a/agent/policy.go
+++ b/agent/policy.go
@@ -1,5 +1,7 @@
 package agent
 
+import "time"
+
 // Claimant is what a policy knows of an entry.
 type Claimant struct {
 	// Waiting and Rank are the entry's demand; Waiting is zero once it is old.
@@ -7,6 +9,8 @@
 	Rank    float64
 	// Told is the credit that the entry holds and has not used.
 	Told int
+	// ToldFor is how long ago that was.
+	ToldFor time.Duration
 	// Held counts the entry's tasks at the agent.
 	Held int
 }
@@ -25,7 +29,7 @@
 
 // PolicyByName returns the policy of that name.
 func PolicyByName(name string) (Policy, bool) {
-	for _, p := range []Policy{Sticky{Factor: 2}, ByRank{}, Split{}, Lend{Keep: 1}} {
+	for _, p := range []Policy{Sticky{Factor: 2}, ByRank{}, Split{}, DefaultLend} {
 		if p.Name() == name {
 			return p, true
 		}
@@ -99,9 +103,17 @@
 }
 
 // Lend shares free slots evenly, like Split, but lends to an entry with waiting
-// tasks what idle entries hold above Keep, and prefers the most urgent entry
+// tasks what idle entries hold above Keep or
+// for longer than KeepFor, and prefers the most urgent entry
 // where several have waiting tasks.
-type Lend struct{ Keep int }
+type Lend struct {
+	Keep int
+	// KeepFor is how long an idle entry's credit counts.
+	KeepFor time.Duration
+}
+
+// DefaultLend is the policy of DefaultConfig.
+var DefaultLend = Lend{Keep: 1, KeepFor: 250 * time.Millisecond}
 
 // Name returns "lend".
 func (Lend) Name() string { return "lend" }
@@ -135,6 +147,8 @@
 	switch {
 	case me.Waiting == 0:
 		return c.Told
+	case c.Waiting == 0 && c.ToldFor > p.KeepFor:
+		return 0
 	case c.Waiting == 0:
 		return min(c.Told, p.Keep)
 	case c.Told == 0 && c.Rank < me.Rank:
--- a/agent/report.go
+++ b/agent/report.go
@@ -93,7 +93,7 @@
 		if o.session == 0 {
 			continue
 		}
-		c := Claimant{Waiting: s.waiting(o), Rank: o.demand.Rank, Told: o.told, Held: o.held}
+		c := Claimant{Waiting: s.waiting(o), Rank: o.demand.Rank, Told: o.told, ToldFor: s.now - o.toldAt, Held: o.held}
 		if o == e {
 			who = len(s.claims)
 			c.Told = 0
--- a/entry/agent.go
+++ b/entry/agent.go
@@ -49,9 +49,11 @@
 	ackArmed bool
 	// expecting is what the driver was last told to expect of the session.
 	expecting bool
-	// wanted is the count of waiting tasks that the agent was last told.
-	wanted uint32
-	speed  speed
+	// wanted is the count of waiting tasks that the agent was last told, at
+	// wantedAt.
+	wanted   uint32
+	wantedAt time.Duration
+	speed    speed
 }
 
 // sentRec is a task at an agent.
@@ -156,7 +158,8 @@
 // dial opens a session and names the tasks whose outcomes the entry awaits.
 func (e *Entry) dial(a *agent) {
 	a.link = linkDialing
-	a.session++
+	e.sessions++
+	a.session = e.sessions
 	h := &wire.Hello{
 		From:        e.opts.Self,
 		Session:     a.session,
@@ -286,7 +289,7 @@
 // goneDue gives up on the tasks of an agent that has had no session since the
 // timer was set.
 func (e *Entry) goneDue(a *agent, at time.Duration) {
-	if a.link == linkOpen || a.lostAt+goneAfter > at {
+	if e.agents[a.peer.ID] != a || a.link == linkOpen || a.lostAt+goneAfter > at {
 		return
 	}
 	e.settleAll(a, task.ReasonAgentGone)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -95,27 +95,58 @@
 	return n
 }
 
-// poke tells a few agents of waiting tasks, once for each spell of waiting: of
-// those that hold none of this entry's tasks, no report is on its way that
-// could bring credit.
+// poke tells a few agents of waiting tasks, at the start of each spell of
+// waiting and then, while the entry has far less than its share of the slots,
+// at intervals: messages that are sent anyway may be long in coming, and agents
+// heed a demand for a short time only.
 func (e *Entry) poke(s *service) {
-	if s.q.Len() == 0 {
+	if s.q.Len() == 0 || !e.opts.Policy.Late() {
 		s.poked = false
 		return
 	}
-	if s.poked || !e.opts.Policy.Late() {
+	if s.poked {
 		return
 	}
 	s.poked = true
+	e.tellDemand(s)
+	e.arm(timer{at: e.now + pokeEvery, kind: timerPoke, svc: s})
+}
+
+// pokeDue repeats a poke while the entry is starved.
+func (e *Entry) pokeDue(s *service) {
+	if s.q.Len() == 0 {
+		s.poked = false
+		return
+	}
+	if e.starved(s) {
+		e.tellDemand(s)
+	}
+	e.arm(timer{at: e.now + pokeEvery, kind: timerPoke, svc: s})
+}
+
+// starved reports whether the entry has less than half of its even share of a
+// service's slots.
+func (e *Entry) starved(s *service) bool {
+	slots, held := 0, 0
+	for _, a := range s.pool.Agents() {
+		slots += a.Slots
+		held += a.Outstanding
+	}
+	return 2*held*max(1, len(e.entries)) < slots
+}
+
+// tellDemand lets a few random agents that were not told of waiting tasks, or
+// not lately, get an update.
+func (e *Entry) tellDemand(s *service) {
 	left := e.opts.Poke
 	for _, p := range s.pool.Shuffled() {
-		if left == 0 {
-			return
-		}
 		a := e.agents[p.ID]
-		if a.link == linkOpen && a.wanted == 0 && a.Slots > 0 {
-			e.markDirty(a)
-			left--
+		if a.link != linkOpen || a.Slots == 0 || a.wanted > 0 && e.now < a.wantedAt+pokeEvery {
+			continue
+		}
+		e.markDirty(a)
+		if left--; left <= 0 {
+			return
 		}
 	}
 }
@@ -152,6 +183,7 @@
 	}
 	a.told = a.seen
 	a.wanted = u.Demand.Waiting
+	a.wantedAt = e.now
 	e.stats.Sent++
 	e.emit(Send{Agent: a.ID, Session: a.session, Update: u})
 	e.expect(a)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,11 +29,17 @@
 	Seed   uint64
 	Config *fleet.Config
 	// Poke is how many agents are told of waiting tasks when no credit is
-	// left, beyond those that are told on messages sent anyway.
+	// left, beyond those that are told on messages sent anyway; zero takes
+	// DefaultPoke.
 	Poke int
 }
 
+// DefaultPoke is the default of Options.Poke.
+const DefaultPoke = 3
+
 const (
+	// pokeEvery is the time between two pokes while the entry is starved.
+	pokeEvery = 100 * time.Millisecond
 	// ackDelay is how long an acknowledgement waits for a message to ride on.
 	ackDelay = 10 * time.Second
 	// dialWithin bounds a dial up to the welcome.
@@ -64,6 +70,7 @@
 	claims   map[uint64]*submission
 	teams    map[string]*teamState
 	nextReq  uint64
+	sessions uint64 // dials so far, over all agents
 	timers   timers
 	dirty    []*agent // agents to flush at the end of the step
 	active   []*service
@@ -103,6 +110,9 @@
 	if e.opts.Policy == nil {
 		e.opts.Policy = placement.Credits{}
 	}
+	if e.opts.Poke == 0 {
+		e.opts.Poke = DefaultPoke
+	}
 	e.configure(o.Config)
 	e.arm(timer{at: reviewEvery, kind: timerReview})
 	return e
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -103,6 +103,9 @@
 	a.freePos = -1
 }
 
+// Agents returns the agents; the caller must not change the slice.
+func (p *Pool) Agents() []*Agent { return p.agents }
+
 // Shuffled returns the agents in a random order.
 func (p *Pool) Shuffled() []*Agent {
 	s := slices.Clone(p.agents)
--- a/entry/timers.go
+++ b/entry/timers.go
@@ -15,6 +15,7 @@
 	timerDial
 	timerGone
 	timerReview
+	timerPoke
 )
 
 // timer is due once; whether it still matters is checked when it fires.
@@ -23,6 +24,7 @@
 	kind timerKind
 	sub  *submission
 	ag   *agent
+	svc  *service
 }
 
 // timers is a heap of timers by time.
@@ -77,6 +79,8 @@
 			e.goneDue(t.ag, t.at)
 		case timerReview:
 			e.review()
+		case timerPoke:
+			e.pokeDue(t.svc)
 		}
 	}
 }
--- /dev/null
+++ b/proof/faults_test.go
@@ -0,0 +1,275 @@
+package proof
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/fireflytray/fireflytray/entry"
+	"github.com/fireflytray/fireflytray/task"
+)
+
+// settleTime is long enough for every deadline, lease and time-out of a run.
+const settleTime = 150 * time.Second
+
+// record is what the test knows of a submission that it made.
+type record struct {
+	id    task.SubmissionID
+	entry *simEntry
+	sub   task.Submission
+	at    time.Duration
+}
+
+// chaos drives a world by drawn actions and checks its answers against a naive
+// version: one process that runs every task of a submission in order.
+type chaos struct {
+	t    *rapid.T
+	w    *world
+	o    worldOptions
+	made []record
+}
+
+func newChaos(t *rapid.T) *chaos {
+	o := sveaWorld(rapid.Uint64().Draw(t, "seed"))
+	o.agents = rapid.IntRange(1, 4).Draw(t, "agents")
+	o.slots = uint32(rapid.IntRange(1, 3).Draw(t, "slots"))
+	o.poke = rapid.IntRange(1, 3).Draw(t, "poke")
+	w := newWorld(o)
+	w.jitter = time.Duration(rapid.IntRange(0, 20).Draw(t, "jitterMS")) * time.Millisecond
+	w.doubled = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "doubled")
+	w.run(time.Second)
+	return &chaos{t: t, w: w, o: o}
+}
+
+func (c *chaos) entry() *simEntry {
+	return rapid.SampledFrom(c.w.entries).Draw(c.t, "entry")
+}
+
+func (c *chaos) agent() string {
+	return fmt.Sprintf("a%02d", rapid.IntRange(0, c.o.agents-1).Draw(c.t, "agent"))
+}
+
+func (c *chaos) pause(label string, most time.Duration) time.Duration {
+	return time.Duration(rapid.Int64Range(0, int64(most)).Draw(c.t, label))
+}
+
+func (c *chaos) submit(sub task.Submission) {
+	e := c.entry()
+	if e.dead {
+		return
+	}
+	at := c.w.now
+	c.made = append(c.made, record{c.w.submit(e, sub), e, sub, at})
+}
+
+func (c *chaos) job() {
+	n := rapid.IntRange(1, 12).Draw(c.t, "tasks")
+	sub := task.Submission{Service: "svc", Team: "t0", Job: true, Deadline: 20 * time.Second}
+	for i := range n {
+		run := time.Duration(rapid.IntRange(1, 3000).Draw(c.t, "runMS"))*time.Millisecond + time.Duration(i)
+		sub.Tasks = append(sub.Tasks, task.Spec{Payload: payload(run), Declared: run / 2})
+	}
+	c.submit(sub)
+}
+
+func (c *chaos) request() {
+	run := time.Duration(rapid.IntRange(1, 3000).Draw(c.t, "runMS")) * time.Millisecond
+	sub := task.Submission{Service: "svc", Team: "t1", Deadline: 15 * time.Second, Tasks: []task.Spec{{Payload: payload(run)}}}
+	sub.Idempotent = rapid.Bool().Draw(c.t, "idempotent")
+	c.submit(sub)
+}
+
+// keyed submits one of three keys, each with a body of its own.
+func (c *chaos) keyed() {
+	k := rapid.IntRange(1, 3).Draw(c.t, "key")
+	c.submit(task.Submission{
+		Service: "svc", Team: "t1", Key: fmt.Sprintf("key-%d", k), Deadline: 15 * time.Second,
+		Tasks: []task.Spec{{Payload: payload(time.Duration(k) * 300 * time.Millisecond)}},
+	})
+}
+
+func (c *chaos) cancel() {
+	if len(c.made) == 0 {
+		return
+	}
+	r := rapid.SampledFrom(c.made).Draw(c.t, "submission")
+	c.w.stepEntry(r.entry, entry.Cancel{IDs: []task.SubmissionID{r.id}})
+}
+
+// kill ends an agent, and starts its next incarnation a while later.
+func (c *chaos) kill() {
+	id := c.agent()
+	if c.w.agents[id].dead {
+		return
+	}
+	c.w.killAgent(id)
+	c.w.at(c.w.now+c.pause("restartAfter", 8*time.Second), func() { c.w.restartAgent(id) })
+}
+
+func (c *chaos) freeze() { c.w.freezeAgent(c.agent(), c.pause("frozen", 30*time.Second)) }
+
+// cut loses everything between an entry and an agent for a while.
+func (c *chaos) cut() {
+	e, id := c.entry(), c.agent()
+	pair := e.id + "|" + id
+	if c.w.cut[pair] {
+		return
+	}
+	c.w.cut[pair] = true
+	for _, l := range c.w.linksOf(c.w.agents[id]) {
+		if l.entry.id == e.id {
+			c.w.at(c.w.now+silentAfter, func() { c.w.breakLink(l) })
+		}
+	}
+	c.w.at(c.w.now+silentAfter+c.pause("cutFor", 10*time.Second), func() { delete(c.w.cut, pair) })
+}
+
+// drop breaks a session and loses what is under way on it.
+func (c *chaos) drop() {
+	if l := c.entry().links[c.agent()]; l != nil {
+		c.w.breakLink(l)
+	}
+}
+
+func (c *chaos) spoil() {
+	a := c.w.agents[c.agent()]
+	a.worker.fails = rapid.Bool().Draw(c.t, "fails")
+	a.worker.factor = rapid.SampledFrom([]float64{1, 1, 10}).Draw(c.t, "factor")
+}
+
+func (c *chaos) leave() {
+	c.w.leave(c.w.agents[c.agent()], c.pause("leftFor", 5*time.Second))
+}
+
+func (c *chaos) killEntry() {
+	alive := 0
+	for _, e := range c.w.entries {
+		if !e.dead {
+			alive++
+		}
+	}
+	e := c.entry()
+	if alive < 2 || e.dead {
+		return
+	}
+	e.dead = true
+	for _, l := range e.links {
+		c.w.at(c.w.now+silentAfter, func() { c.w.breakLink(l) })
+	}
+	c.w.at(c.w.now+c.pause("entryBack", 5*time.Second), func() { c.w.startEntry(e.id, c.o) })
+}
+
+func (c *chaos) toggleControl() { c.w.control = !c.w.control }
+
+func (c *chaos) act() {
+	actions := []func(){
+		c.job, c.job, c.job, c.request, c.request, c.keyed, c.keyed, c.cancel,
+		c.kill, c.freeze, c.cut, c.drop, c.drop, c.spoil, c.leave, c.killEntry, c.toggleControl,
+	}
+	actions[rapid.IntRange(0, len(actions)-1).Draw(c.t, "action")]()
+	c.w.run(c.w.now + c.pause("pause", 1500*time.Millisecond))
+}
+
+// check compares every answer with what the naive version would have given.
+func (c *chaos) check() {
+	startsOfKey := make(map[string]int)
+	for _, r := range c.made {
+		starts := 0
+		for i := range r.sub.Tasks {
+			n := c.w.startsOf[startKey{r.id, uint32(i)}]
+			starts += n
+			if r.sub.Job || !r.sub.Idempotent {
+				require.LessOrEqual(c.t, n, 1, "task %d of %s started %d times", i, r.id, n)
+			}
+		}
+		if r.sub.Key != "" {
+			startsOfKey[r.sub.Key] += starts
+		}
+		c.checkAnswers(r, starts)
+	}
+	for key, n := range startsOfKey {
+		require.LessOrEqual(c.t, n, 1, "key %s ran %d times", key, n)
+	}
+}
+
+func (c *chaos) checkAnswers(r record, starts int) {
+	answers := c.w.answers[r.id]
+	if r.entry.dead {
+		require.LessOrEqual(c.t, len(answers), 1, "submission %s", r.id)
+	} else {
+		require.Len(c.t, answers, 1, "submission %s", r.id)
+	}
+	if len(answers) == 0 {
+		return
+	}
+	a := answers[0]
+	late := c.w.latency[r.id] - r.sub.Deadline
+	require.LessOrEqual(c.t, late, time.Duration(0), "answer %s came %s after the deadline", r.id, late)
+	switch a.State {
+	case task.NotRun:
+		require.Zero(c.t, starts, "%s was said not to have run: %s", r.id, a.Reason)
+	case task.Complete:
+		c.checkComplete(r, a, starts)
+	default:
+		require.Empty(c.t, a.Outcomes, "a partial answer to %s", r.id)
+		require.NotEmpty(c.t, a.Reason, "no reason for %s", r.id)
+	}
+}
+
+func (c *chaos) checkComplete(r record, a task.Answer, starts int) {
+	require.Len(c.t, a.Outcomes, len(r.sub.Tasks), "%s", r.id)
+	for i, o := range a.Outcomes {
+		require.True(c.t, bytes.Equal(r.sub.Tasks[i].Payload, o.Body), "outcome %d of %s is not its own", i, r.id)
+		require.Equal(c.t, task.Complete, o.State)
+	}
+	if r.sub.Job {
+		require.Equal(c.t, len(r.sub.Tasks), starts, "%s", r.id)
+	}
+}
+
+// heal ends every fault and checks that no capacity was lost: jobs as wide as
+// the whole fleet complete, one from each entry.
+func (c *chaos) heal() {
+	c.w.control = true
+	c.w.doubled = 0
+	for _, a := range c.w.agents {
+		a.worker.fails, a.worker.factor = false, 1
+	}
+	c.w.run(c.w.now + settleTime)
+	for _, e := range c.w.entries {
+		if e.dead {
+			continue
+		}
+		sub := task.Submission{Service: "svc", Team: "t0", Job: true, Deadline: 20 * time.Second}
+		for i := range c.o.agents * int(c.o.slots) {
+			sub.Tasks = append(sub.Tasks, task.Spec{Payload: payload(time.Second + time.Duration(i))})
+		}
+		id := c.w.submit(e, sub)
+		c.made = append(c.made, record{id, e, sub, c.w.now})
+		c.w.run(c.w.now + 20*time.Second)
+		require.Len(c.t, c.w.answers[id], 1)
+		a := c.w.answers[id][0]
+		require.Equal(c.t, task.Complete, a.State, "after all faults: %s %s at %s\n%s", a.Reason, a.Detail, e.id, c.w.dump())
+	}
+}
+
+// Under every fault of the brief that reaches entries and agents, together and
+// twice: each task starts at most once, no answer is partial, foreign, doubled
+// or late, not run is true whenever it is said, a key runs once, and nothing is
+// lost for good.
+func TestAllFaultsTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newChaos(t)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			c.act()
+		}
+		c.w.run(c.w.now + settleTime)
+		c.check()
+		c.heal()
+		c.check()
+	})
+}
--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/fireflytray/fireflytray/agent"
@@ -29,7 +30,9 @@
 	entries []*simEntry
 	agents  map[string]*simAgent
 	lastInc uint64
-	config  *fleet.Config
+	// fleetEntries is how many entries the directory names.
+	fleetEntries int
+	config       *fleet.Config
 
 	started   map[task.ID]int
 	startsOf  map[startKey]int
@@ -105,6 +108,8 @@
 	slots  uint32
 	factor float64 // run times are multiplied by it
 	fails  bool    // fails at once all it starts
+	run    int     // counts the upstream's runs
+	left   bool    // announces nothing
 }
 
 // simLink is a session: two ordered streams.
@@ -114,8 +119,10 @@
 	session uint64
 	sid     agent.SessionID
 	closed  bool
-	toAgent time.Duration // when the last message arrives, for order
-	toEntry time.Duration
+	// welcomed is set once the entry has the welcome.
+	welcomed bool
+	toAgent  time.Duration // when the last message arrives, for order
+	toEntry  time.Duration
 }
 
 type worldOptions struct {
@@ -133,10 +140,13 @@
 
 func newWorld(o worldOptions) *world {
 	w := &world{
-		rng:       rand.New(rand.NewPCG(o.seed, 1)),
-		hop:       o.hop,
-		agents:    make(map[string]*simAgent),
-		config:    o.config,
+		rng:    rand.New(rand.NewPCG(o.seed, 1)),
+		hop:    o.hop,
+		agents: make(map[string]*simAgent),
+		config: o.config,
+
+		fleetEntries: o.entries,
+
 		started:   make(map[task.ID]int),
 		startsOf:  make(map[startKey]int),
 		answers:   make(map[task.SubmissionID][]task.Answer),
@@ -221,6 +231,9 @@
 		}
 		d.Upserts = append(d.Upserts, wire.Member{Peer: a.peer(), Worker: &wire.Worker{Service: "svc", Slots: a.worker.slots}})
 	}
+	for i := range w.fleetEntries {
+		d.Upserts = append(d.Upserts, wire.Member{Peer: wire.Peer{Role: wire.RoleEntry, ID: fmt.Sprintf("e%d", i)}})
+	}
 	return d
 }
 
@@ -245,12 +258,30 @@
 	if a.dead {
 		return
 	}
+	w.at(w.now+time.Second, func() { w.announce(a) })
+	if a.worker.left {
+		return
+	}
 	w.stepAgent(a, agent.Announced{Upstream: agent.Upstream{
-		Instance: "u" + a.id, Service: "svc", Slots: a.worker.slots, Connections: 64,
+		Instance: a.instance(), Service: "svc", Slots: a.worker.slots, Connections: 64,
 		Offered: task.Resources{MilliCPU: 64000, MemoryMB: 128000, Accelerators: 1},
 		Lease:   3 * time.Second, CanStop: true,
 	}})
-	w.at(w.now+time.Second, func() { w.announce(a) })
+}
+
+func (a *simAgent) instance() string { return fmt.Sprintf("u%s-%d", a.id, a.worker.run) }
+
+// leave lets the upstream say goodbye; its next run announces itself after d.
+func (w *world) leave(a *simAgent, d time.Duration) {
+	if a.worker.left {
+		return
+	}
+	w.stepAgent(a, agent.Left{Instance: a.instance()})
+	a.worker.left = true
+	w.at(w.now+d, func() {
+		a.worker.run++
+		a.worker.left = false
+	})
 }
 
 func (w *world) stepEntry(e *simEntry, ev entry.Event) {
@@ -395,6 +426,11 @@
 	e.links[a.id] = l
 	a.links[l.sid] = l
 	w.toAgent(l, agent.SessionOpened{Session: l.sid, Hello: eff.Hello})
+	w.at(w.now+eff.Within, func() {
+		if !l.welcomed {
+			w.breakLink(l)
+		}
+	})
 }
 
 // toAgent delivers in order, unless the link breaks first.
@@ -417,6 +453,7 @@
 	l.toEntry = max(l.toEntry, w.now+w.delay())
 	deliver := func() {
 		if !l.closed && !w.cut[l.entry.id+"|"+l.agent.id] {
+			l.welcomed = true
 			w.stepEntry(l.entry, ev)
 		}
 	}
@@ -466,7 +503,9 @@
 // restartAgent starts a new incarnation and announces it to the entries.
 func (w *world) restartAgent(id string) {
 	old := w.agents[id]
-	w.startAgent(id, old.cfg, old.worker)
+	spec := old.worker
+	spec.left = false
+	w.startAgent(id, old.cfg, spec)
 	w.tellDirectory()
 }
 
@@ -550,3 +589,17 @@
 }
 
 func runOf(p []byte) time.Duration { return time.Duration(binary.BigEndian.Uint64(p)) }
+
+// dump describes the state of every process, for a failed test.
+func (w *world) dump() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "now %s\n", w.now)
+	for _, e := range w.entries {
+		fmt.Fprintf(&b, "entry %s/%d dead %v %+v\n", e.id, e.inc, e.dead, e.e.View())
+	}
+	for _, a := range w.agents {
+		running, queued := a.a.Load()
+		fmt.Fprintf(&b, "agent %s/%d dead %v frozen %v running %d queued %d %+v %+v\n", a.id, a.inc, a.dead, a.frozen, running, queued, a.worker, a.a.Stats())
+	}
+	return b.String()
+}
