--- a/agent/config.go
+++ b/agent/config.go
@@ -59,7 +59,7 @@
 	return Config{
 		QueueShare:     0.5,
 		QueueMin:       2,
-		Policy:         Sticky{Factor: 2},
+		Policy:         Split{},
 		GrantHold:      25 * time.Millisecond,
 		DemandKeep:     time.Second,
 		TellEvery:      time.Second,
