measure: slopes of reducers and of a fleet of processes

Ruled out: goroutines in one process in place of processes (their processor time can't be told apart). Change: package measure, commands measure and measure-process: 3 control hosts, an entry and up to 200 agents with stand-in upstreams as processes, read through their metrics pages; JSON, text and SVG plots.

--- /dev/null
+++ b/measure/control.go
@@ -0,0 +1,124 @@
+package measure
+
+import (
+	"errors"
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/fireflytray/fireflytray/control"
+	"github.com/fireflytray/fireflytray/directory"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// machineChanges are the configuration changes applied to one machine.
+var machineChanges = []int{10, 50, 200, 3000}
+
+const (
+	// configTeams is the number of teams in the configuration that is changed.
+	configTeams = 260
+	renewals    = 50
+)
+
+// measureDirectory measures a control host's soft state against the agents.
+func measureDirectory(r *Result) error {
+	memory := Series{Name: "control.directory-bytes.agents", Axis: AxisAgents, Unit: "bytes"}
+	cost := Series{Name: "control.renewal-ns.agents", Axis: AxisAgents, Unit: "ns an announcement"}
+	for _, n := range reducerAgents {
+		before := heapBytes()
+		now := time.Duration(0)
+		d := directory.NewReducer(now)
+		announceAll(d, n, 1, now)
+		memory.Points = append(memory.Points, Point{float64(n), heapBytes() - before})
+		start := time.Now()
+		for i := range renewals {
+			now += time.Second
+			announceAll(d, n, uint64(i)+2, now)
+		}
+		cost.Points = append(cost.Points, Point{float64(n), float64(time.Since(start)) / float64(n*renewals)})
+		runtime.KeepAlive(d)
+	}
+	if err := r.add(memory); err != nil {
+		return err
+	}
+	return r.add(cost)
+}
+
+func announceAll(d *directory.Reducer, agents int, seq uint64, now time.Duration) {
+	for i := range agents {
+		m := &wire.Announce{From: peer(i), Seq: seq, Worker: worker(), Lease: 3 * time.Second}
+		ev := directory.Event{Announce: &directory.Announced{Conn: directory.ConnID(i + 1), Msg: m, Index: 1}}
+		d.Step(now, ev, nil)
+	}
+}
+
+// configSections is a configuration of configTeams teams, one of which has a
+// weight that counts changes.
+func configSections(change int) []wire.ConfigSection {
+	sections := []wire.ConfigSection{{Name: "service " + service, Keys: []wire.ConfigPair{
+		{Key: "max_tasks", Value: "140"}, {Key: "deadline", Value: "5s"}, {Key: "max_deadline", Value: "60s"},
+	}}}
+	for i := range configTeams {
+		weight := 1
+		if i == change%configTeams {
+			weight = 2 + change/configTeams
+		}
+		sections = append(sections, wire.ConfigSection{
+			Name: fmt.Sprintf("team team-%03d", i),
+			Keys: []wire.ConfigPair{{Key: "weight", Value: fmt.Sprint(weight)}, {Key: "rate", Value: "100"}},
+		})
+	}
+	return sections
+}
+
+// measureMachine measures the replicated state against configuration changes.
+func measureMachine(r *Result) error {
+	memory := Series{Name: "control.machine-bytes.changes", Axis: AxisChanges, Unit: "bytes"}
+	cost := Series{Name: "control.apply-us.changes", Axis: AxisChanges, Unit: "us a change, mean"}
+	command := Series{Name: "control.command-bytes.changes", Axis: AxisChanges, Unit: "bytes a change"}
+	for _, n := range machineChanges {
+		before := heapBytes()
+		m := control.NewMachine(func(uint64) {})
+		start := time.Now()
+		size, err := applyChanges(m, n)
+		if err != nil {
+			return err
+		}
+		x := float64(n)
+		cost.Points = append(cost.Points, Point{x, float64(time.Since(start).Microseconds()) / x})
+		memory.Points = append(memory.Points, Point{x, heapBytes() - before})
+		command.Points = append(command.Points, Point{x, float64(size) / x})
+		runtime.KeepAlive(m)
+	}
+	for _, s := range []Series{memory, cost, command} {
+		if err := r.add(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// applyChanges applies n changes and returns the bytes of their commands.
+func applyChanges(m *control.Machine, n int) (int, error) {
+	size, base := 0, uint64(0)
+	for i := range n {
+		cmd := &control.Command{At: int64(i), Apply: &control.Apply{
+			Op: fmt.Sprintf("op-%d", i), Base: base,
+			By: control.Operator{Name: "operator-1", Addr: "10.0.0.1:50000"}, Sections: configSections(i + 1),
+		}}
+		b, err := cmd.Encode()
+		if err != nil {
+			return 0, fmt.Errorf("measure: encode change %d: %w", i, err)
+		}
+		size += len(b)
+		reply, err := control.DecodeReply(m.Apply(uint64(i)+1, b))
+		if err != nil {
+			return 0, fmt.Errorf("measure: apply change %d: %w", i, err)
+		}
+		if reply.Change == nil || !reply.Change.Accepted {
+			return 0, errors.New("measure: a change was refused: " + fmt.Sprintf("%+v", reply.Change))
+		}
+		base = reply.Change.Index
+	}
+	return size, nil
+}
--- /dev/null
+++ b/measure/window.go
@@ -0,0 +1,129 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// roleUsage is the use of one process a role: the mean over its processes, and
+// for control the most of any.
+type roleUsage struct {
+	control, controlMost, entry, agent usage
+}
+
+// snapshot is the use of every process since its start.
+type snapshot struct {
+	at      time.Time
+	control []usage
+	entry   usage
+	agents  []usage
+}
+
+func (f *testFleet) snapshot() (snapshot, error) {
+	s := snapshot{at: time.Now()}
+	var err error
+	if s.control, err = f.usages(f.control); err != nil {
+		return s, err
+	}
+	if s.agents, err = f.usages(f.agents); err != nil {
+		return s, err
+	}
+	s.entry, err = f.entry.usage(f.pages)
+	return s, err
+}
+
+func (f *testFleet) usages(processes []*process) ([]usage, error) {
+	var all []usage
+	for _, p := range processes {
+		u, err := p.usage(f.pages)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, u)
+	}
+	return all, nil
+}
+
+// since returns the use of each role from before to s, in all.
+func (s *snapshot) since(before *snapshot) roleUsage {
+	var r roleUsage
+	for i, u := range s.control {
+		d := u.since(before.control[i])
+		r.control = r.control.plus(d.over(float64(len(s.control))))
+		if d.cpuSeconds > r.controlMost.cpuSeconds {
+			r.controlMost = d
+		}
+	}
+	for i := range before.agents {
+		r.agent = r.agent.plus(s.agents[i].since(before.agents[i]).over(float64(len(before.agents))))
+	}
+	r.entry = s.entry.since(before.entry)
+	return r
+}
+
+// rates returns the use a second; the memory stays as it is.
+func (r roleUsage) rates(seconds float64) roleUsage {
+	per := func(u usage) usage {
+		m := u.memory
+		u = u.over(seconds)
+		u.memory = m
+		return u
+	}
+	return roleUsage{per(r.control), per(r.controlMost), per(r.entry), per(r.agent)}
+}
+
+// during measures the fleet while do runs.
+func (f *testFleet) during(ctx context.Context, do func(context.Context) error) (use roleUsage, seconds float64, err error) {
+	before, err := f.snapshot()
+	if err != nil {
+		return use, 0, err
+	}
+	if err := do(ctx); err != nil {
+		return use, 0, err
+	}
+	if err := ctx.Err(); err != nil {
+		return use, 0, fmt.Errorf("measure: %w", err)
+	}
+	after, err := f.snapshot()
+	if err != nil {
+		return use, 0, err
+	}
+	return after.since(&before), after.at.Sub(before.at).Seconds(), nil
+}
+
+// collector gathers series by name in the order of their first points.
+type collector struct {
+	order  []string
+	series map[string]*Series
+}
+
+func newCollector() *collector { return &collector{series: map[string]*Series{}} }
+
+func (c *collector) add(name string, axis Axis, unit string, x, y float64) {
+	s := c.series[name]
+	if s == nil {
+		s = &Series{Name: name, Axis: axis, Unit: unit}
+		c.series[name] = s
+		c.order = append(c.order, name)
+	}
+	s.Points = append(s.Points, Point{x, y})
+}
+
+// addUsage adds the four quantities of one role. What is the suffix of the
+// series, per the unit of time or event.
+func (c *collector) addUsage(role, what string, axis Axis, per string, x float64, u usage) {
+	c.add(role+".cpu."+what, axis, "core seconds"+per, x, u.cpuSeconds)
+	c.add(role+".messages."+what, axis, "messages"+per, x, u.messages)
+	c.add(role+".bytes."+what, axis, "bytes"+per, x, u.bytes)
+	c.add(role+".memory."+what, axis, "bytes resident", x, u.memory)
+}
+
+func (c *collector) into(r *Result) error {
+	for _, name := range c.order {
+		if err := r.add(*c.series[name]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
