--- a/load/scrape/scrape.go
+++ b/load/scrape/scrape.go
@@ -19,8 +19,15 @@
 type Page struct {
 	Counters map[string]float64
 	Gauges   map[string]float64
+	// Kinds splits the counters that have a label "kind" by its value.
+	Kinds map[Kind]float64
 }
 
+// Kind is a counter's name with the value of its label "kind".
+type Kind struct{ Name, Kind string }
+
+const kindLabel = "kind"
+
 // Get reads the page at url.
 func Get(client *fasthttp.Client, url string) (Page, error) {
 	status, body, err := client.GetTimeout(nil, url, within)
@@ -39,7 +46,7 @@
 
 // Parse reads the text of a page.
 func Parse(body []byte) (Page, error) {
-	p := Page{Counters: map[string]float64{}, Gauges: map[string]float64{}}
+	p := Page{Counters: map[string]float64{}, Gauges: map[string]float64{}, Kinds: map[Kind]float64{}}
 	parser := expfmt.NewTextParser(model.LegacyValidation)
 	families, err := parser.TextToMetricFamilies(bytes.NewReader(body))
 	if err != nil {
@@ -49,7 +56,7 @@
 		for _, m := range f.Metric {
 			switch f.GetType() {
 			case dto.MetricType_COUNTER:
-				p.Counters[name] += m.GetCounter().GetValue()
+				p.count(name, m)
 			case dto.MetricType_GAUGE:
 				p.Gauges[name] += m.GetGauge().GetValue()
 			}
@@ -57,3 +64,13 @@
 	}
 	return p, nil
 }
+
+func (p *Page) count(name string, m *dto.Metric) {
+	v := m.GetCounter().GetValue()
+	p.Counters[name] += v
+	for _, l := range m.Label {
+		if l.GetName() == kindLabel {
+			p.Kinds[Kind{name, l.GetValue()}] += v
+		}
+	}
+}
--- a/measure/entry.go
+++ b/measure/entry.go
@@ -30,6 +30,8 @@
 
 // heapBytes returns the live heap.
 func heapBytes() float64 {
+	// The first collection leaves what sync.Pool and finalizers still hold.
+	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -24,7 +24,10 @@
 // testFleet is a fleet of processes on loopback: control hosts, one entry and
 // agents with stand-in upstreams.
 type testFleet struct {
-	dir      string
+	dir string
+	// spread has each agent announce itself to one control host; otherwise
+	// each announces itself to all of them.
+	spread   bool
 	peers    []string // peer addresses of the control hosts
 	admins   []string
 	control  []*process
@@ -37,8 +40,8 @@
 }
 
 // newFleet starts the control hosts and the entry in dir.
-func newFleet(ctx context.Context, dir string) (*testFleet, error) {
-	f := &testFleet{dir: dir, pages: &fasthttp.Client{MaxIdleConnDuration: time.Minute}}
+func newFleet(ctx context.Context, dir string, spread bool) (*testFleet, error) {
+	f := &testFleet{dir: dir, spread: spread, pages: &fasthttp.Client{MaxIdleConnDuration: time.Minute}}
 	if err := keys.Init(f.authority()); err != nil {
 		return nil, fmt.Errorf("measure: %w", err)
 	}
@@ -189,6 +192,9 @@
 		if s.Upstream, err = freeTCP(); err != nil {
 			return err
 		}
+		if f.spread {
+			s.Controls = f.peers[i%controls : i%controls+1]
+		}
 		p, err := startProcess(ctx, f.dir, s)
 		if err != nil {
 			return err
@@ -224,4 +230,5 @@
 	for _, p := range all {
 		p.stop()
 	}
+	f.agents, f.control, f.entry = nil, nil, nil
 }
--- a/measure/process.go
+++ b/measure/process.go
@@ -98,8 +98,26 @@
 	memory     float64
 	messages   float64
 	bytes      float64
+	// kinds splits messages and bytes by kind.
+	kinds map[string]Traffic
 }
 
+// Traffic is messages and bytes of frames, sent and received.
+type Traffic struct {
+	Messages float64 `json:"messages"`
+	Bytes    float64 `json:"bytes"`
+}
+
+func (t Traffic) plus(o Traffic) Traffic { return Traffic{t.Messages + o.Messages, t.Bytes + o.Bytes} }
+
+func (t Traffic) times(f float64) Traffic { return Traffic{t.Messages * f, t.Bytes * f} }
+
+const (
+	transportMetrics = "transport"
+	messagesSuffix   = "_messages"
+	bytesSuffix      = "_bytes"
+)
+
 func (p *process) usage(client *fasthttp.Client) (usage, error) {
 	page, err := p.page(client)
 	if err != nil {
@@ -109,34 +127,59 @@
 		cpuSeconds: page.Counters["process_cpu_seconds_total"],
 		memory:     page.Gauges["process_resident_memory_bytes"],
 	}
-	for name, v := range page.Counters {
+	u.addTraffic(page)
+	return u, nil
+}
+
+func (u *usage) addTraffic(page scrape.Page) {
+	u.kinds = map[string]Traffic{}
+	for k, v := range page.Kinds {
+		if !strings.Contains(k.Name, transportMetrics) {
+			continue
+		}
+		t := u.kinds[k.Kind]
 		switch {
-		case !strings.Contains(name, "transport"):
-		case strings.HasSuffix(name, "_messages"):
-			u.messages += v
-		case strings.HasSuffix(name, "_bytes"):
-			u.bytes += v
+		case strings.HasSuffix(k.Name, messagesSuffix):
+			t.Messages += v
+		case strings.HasSuffix(k.Name, bytesSuffix):
+			t.Bytes += v
 		}
+		u.kinds[k.Kind] = t
+	}
+	for _, t := range u.kinds {
+		u.messages += t.Messages
+		u.bytes += t.Bytes
 	}
-	return u, nil
 }
 
 // since returns what was used after before; the memory is the present one.
 func (u usage) since(before usage) usage {
-	u.cpuSeconds -= before.cpuSeconds
-	u.messages -= before.messages
-	u.bytes -= before.bytes
+	memory := u.memory
+	u = u.plus(before.times(-1))
+	u.memory = memory
 	return u
 }
 
 func (u usage) plus(o usage) usage {
-	return usage{u.cpuSeconds + o.cpuSeconds, u.memory + o.memory, u.messages + o.messages, u.bytes + o.bytes}
+	sum := usage{u.cpuSeconds + o.cpuSeconds, u.memory + o.memory, u.messages + o.messages, u.bytes + o.bytes, map[string]Traffic{}}
+	for _, kinds := range []map[string]Traffic{u.kinds, o.kinds} {
+		for kind, t := range kinds {
+			sum.kinds[kind] = sum.kinds[kind].plus(t)
+		}
+	}
+	return sum
 }
 
-func (u usage) over(n float64) usage {
-	return usage{u.cpuSeconds / n, u.memory / n, u.messages / n, u.bytes / n}
+func (u usage) times(f float64) usage {
+	scaled := usage{u.cpuSeconds * f, u.memory * f, u.messages * f, u.bytes * f, map[string]Traffic{}}
+	for kind, t := range u.kinds {
+		scaled.kinds[kind] = t.times(f)
+	}
+	return scaled
 }
 
+func (u usage) over(n float64) usage { return u.times(1 / n) }
+
 // freeUDP and freeTCP return loopback addresses that were free a moment ago.
 func freeUDP() (string, error) {
 	c, err := net.ListenPacket("udp", loopback)
--- a/measure/result.go
+++ b/measure/result.go
@@ -59,6 +59,17 @@
 type Result struct {
 	Host   Host     `json:"host"`
 	Series []Series `json:"series"`
+	// Kinds splits the messages of idle processes by kind.
+	Kinds []KindRate `json:"kinds"`
+}
+
+// KindRate is the traffic of one kind of message at one process a second.
+type KindRate struct {
+	Fleet  string `json:"fleet"`
+	Agents int    `json:"agents"`
+	Role   string `json:"role"`
+	Kind   string `json:"kind"`
+	Traffic
 }
 
 func newResult() *Result {
@@ -144,6 +155,10 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.4g\t%.4g\t%.3f\n",
 			s.Name, s.Axis, s.Unit, pointsText(s.Points), s.Fit.Slope, s.Fit.Intercept, s.Fit.R2)
 	}
+	fmt.Fprintf(w, "\nFLEET\tAGENTS\tROLE\tKIND\tMESSAGES/S\tBYTES/S\n")
+	for _, k := range r.Kinds {
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%.2f\t%.0f\n", k.Fleet, k.Agents, k.Role, k.Kind, k.Messages, k.Bytes)
+	}
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("measure: write result: %w", err)
 	}
--- a/measure/run.go
+++ b/measure/run.go
@@ -74,8 +74,11 @@
 			return nil, err
 		}
 	}
-	if len(o.Agents) > 0 {
-		if err := measureFleet(ctx, &o, r); err != nil {
+	for _, kind := range []string{fleetAll, fleetSpread} {
+		if len(o.Agents) == 0 {
+			break
+		}
+		if err := measureFleet(ctx, &o, r, kind); err != nil {
 			return nil, err
 		}
 	}
@@ -102,46 +105,64 @@
 	return nil
 }
 
+// The two fleets differ in where agents announce themselves.
+const (
+	fleetAll    = "all"
+	fleetSpread = "spread"
+)
+
 // fleetRun measures a growing fleet of processes.
 type fleetRun struct {
 	opts *Options
+	kind string
 	f    *testFleet
 	c    *collector
 }
 
-func measureFleet(ctx context.Context, o *Options, r *Result) error {
+func measureFleet(ctx context.Context, o *Options, r *Result, kind string) error {
 	dir, err := os.MkdirTemp("", "fireflytray-measure-")
 	if err != nil {
 		return fmt.Errorf("measure: %w", err)
 	}
-	f, err := newFleet(ctx, dir)
+	f, err := newFleet(ctx, dir, kind == fleetSpread)
 	if f != nil {
 		defer f.stop()
 	}
 	if err != nil {
 		return fmt.Errorf("%w; logs are in %s", err, dir)
 	}
-	m := &fleetRun{opts: o, f: f, c: newCollector()}
+	m := &fleetRun{opts: o, kind: kind, f: f, c: newCollector()}
 	for _, n := range o.Agents {
 		if err := m.atSize(ctx, n); err != nil {
 			return fmt.Errorf("%w; logs are in %s", err, dir)
 		}
 	}
+	if err := m.c.into(r); err != nil {
+		return err
+	}
+	f.stop()
+	return removeAll(dir)
+}
+
+func removeAll(dir string) error {
 	if err := os.RemoveAll(dir); err != nil {
 		return fmt.Errorf("measure: %w", err)
 	}
-	return m.c.into(r)
+	return nil
 }
 
 func (m *fleetRun) atSize(ctx context.Context, n int) error {
-	m.say("%d agents: start", n)
+	m.say("%s, %d agents: start", m.kind, n)
 	if err := m.join(ctx, n); err != nil {
 		return err
 	}
-	m.say("%d agents: idle for %v", n, m.opts.Window)
+	m.say("%s, %d agents: idle for %v", m.kind, n, m.opts.Window)
 	if err := m.idle(ctx, n); err != nil {
 		return err
 	}
+	if m.kind == fleetSpread {
+		return nil
+	}
 	if err := m.spread(ctx, n); err != nil {
 		return err
 	}
@@ -165,10 +186,13 @@
 	if err != nil {
 		return err
 	}
+	pause(ctx, settle)
+	if m.kind == fleetSpread {
+		return nil
+	}
 	x := float64(joined)
 	m.c.addUsage("control", "joins", AxisAgents, "", x, use.control)
 	m.c.addUsage("entry", "joins", AxisAgents, "", x, use.entry)
-	pause(ctx, settle)
 	return nil
 }
 
@@ -183,13 +207,24 @@
 	}
 	use = use.rates(seconds)
 	x := float64(n)
-	m.c.addUsage("control", "agents", AxisAgents, "/s", x, use.control)
-	m.c.addUsage("control-most", "agents", AxisAgents, "/s", x, use.controlMost)
-	m.c.addUsage("entry", "agents", AxisAgents, "/s", x, use.entry)
-	m.c.addUsage("agent", "agents", AxisAgents, "/s", x, use.agent)
+	for _, role := range []struct {
+		name string
+		use  usage
+	}{{"control", use.control}, {"control-most", use.controlMost}, {"entry", use.entry}, {"agent", use.agent}} {
+		m.c.addUsage(role.name, m.axisName(), AxisAgents, "/s", x, role.use)
+		m.c.addKinds(m.kind, role.name, n, role.use)
+	}
 	return nil
 }
 
+// axisName tells the series of the two fleets apart.
+func (m *fleetRun) axisName() string {
+	if m.kind == fleetSpread {
+		return "spread-agents"
+	}
+	return "agents"
+}
+
 // spread times changes until they are in force everywhere.
 func (m *fleetRun) spread(ctx context.Context, n int) error {
 	var longest time.Duration
--- a/measure/window.go
+++ b/measure/window.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -96,6 +98,7 @@
 type collector struct {
 	order  []string
 	series map[string]*Series
+	kinds  []KindRate
 }
 
 func newCollector() *collector { return &collector{series: map[string]*Series{}} }
@@ -119,7 +122,17 @@
 	c.add(role+".memory."+what, axis, "bytes resident", x, u.memory)
 }
 
+// addKinds adds the kinds of messages of one role.
+func (c *collector) addKinds(fleet, role string, agents int, u usage) {
+	for _, kind := range slices.Sorted(maps.Keys(u.kinds)) {
+		if t := u.kinds[kind]; t.Messages > 0 {
+			c.kinds = append(c.kinds, KindRate{fleet, agents, role, kind, t})
+		}
+	}
+}
+
 func (c *collector) into(r *Result) error {
+	r.Kinds = append(r.Kinds, c.kinds...)
 	for _, name := range c.order {
 		if err := r.add(*c.series[name]); err != nil {
 			return err
