--- a/measure/run.go
+++ b/measure/run.go
@@ -65,6 +65,7 @@
 		do   func(*Result) error
 	}{
 		{"message sizes", measureSizes},
+		{"size of the fleet's page", measureFleetPage},
 		{"entry's reducer", measureEntry},
 		{"control's directory", measureDirectory},
 		{"control's replicated state", measureMachine},
--- a/measure/sizes.go
+++ b/measure/sizes.go
@@ -1,9 +1,11 @@
 package measure
 
 import (
+	"encoding/json"
 	"fmt"
 	"time"
 
+	"github.com/fireflytray/fireflytray/adminapi"
 	"github.com/fireflytray/fireflytray/task"
 	"github.com/fireflytray/fireflytray/wire"
 )
@@ -106,3 +108,25 @@
 	}
 	return nil
 }
+
+// measureFleetPage fits the size of the answer that operators get about the
+// fleet.
+func measureFleetPage(r *Result) error {
+	s := Series{Name: "operator.fleet-bytes.agents", Axis: AxisAgents, Unit: "bytes of JSON"}
+	for _, n := range reducerAgents {
+		var reply adminapi.FleetReply
+		for i := range n {
+			p, w := peer(i), worker()
+			reply.Processes = append(reply.Processes, adminapi.Process{
+				Role: string(p.Role), ID: p.ID, Domain: p.Domain, Addr: p.Addr, Incarnation: p.Incarnation, Index: 1 << 20,
+				Service: w.Service, Slots: w.Slots, Connections: w.Connections, Rack: w.Rack,
+			})
+		}
+		b, err := json.Marshal(reply)
+		if err != nil {
+			return fmt.Errorf("measure: encode the fleet: %w", err)
+		}
+		s.Points = append(s.Points, Point{float64(n), float64(len(b))})
+	}
+	return r.add(s)
+}
