measure: take ports that connections are never given

Cause: a run failed at 200 agents because a connection had taken an agent's port before it started. Conclusion: ports below the range that the system hands out.

--- /dev/null
+++ b/httpapi/bench_test.go
@@ -0,0 +1,56 @@
+package httpapi
+
+import (
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"github.com/fireflytray/fireflytray/task"
+)
+
+// benchTasks is about the mean of jobs of 1 to 140 tasks.
+const benchTasks = 28
+
+// instant answers each submission before Submit returns.
+type instant struct{ n uint64 }
+
+func (b *instant) Submit(s task.Submission, done func(task.Answer)) task.SubmissionID {
+	id := task.NewSubmissionID(1, b.n)
+	done(echo(id, s))
+	return id
+}
+
+func (b *instant) Cancel([]task.SubmissionID) {}
+
+func (b *instant) Ready() (bool, string) { return true, "" }
+
+// BenchmarkJob runs jobs of benchTasks tasks through the interface on one
+// connection.
+func BenchmarkJob(b *testing.B) {
+	ln := fasthttputil.NewInmemoryListener()
+	s := New(&instant{}, Config{})
+	go func() { _ = s.Serve(ln) }()
+	defer ln.Close()
+	client := fasthttp.Client{Dial: func(string) (net.Conn, error) { return ln.Dial() }}
+	job := JobRequest{Team: "t"}
+	for range benchTasks {
+		job.Tasks = append(job.Tasks, JobTask{Payload: []byte(`{"run_ms":120,"echo":"5f3a-17-3"}`), DeclaredMS: 100})
+	}
+	body, err := json.Marshal(job)
+	require.NoError(b, err)
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://entry/v1/services/s/jobs")
+	req.SetBody(body)
+	b.ReportAllocs()
+	for b.Loop() {
+		require.NoError(b, client.DoTimeout(req, resp, time.Minute))
+		require.Equal(b, fasthttp.StatusOK, resp.StatusCode())
+	}
+	b.ReportMetric(float64(b.N)*benchTasks/b.Elapsed().Seconds(), "tasks/s")
+}
--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -35,6 +35,7 @@
 	agents   []*process
 	admin    *adminapi.Client
 	pages    *fasthttp.Client
+	ports    ports
 	version  uint64
 	changeNo int
 }
@@ -72,11 +73,11 @@
 	if err != nil {
 		return ProcessSpec{}, err
 	}
-	page, err := freeTCP()
+	page, err := f.ports.tcp()
 	if err != nil {
 		return ProcessSpec{}, err
 	}
-	peers, err := freeUDP()
+	peers, err := f.ports.udp()
 	return ProcessSpec{Role: role, ID: id, Keys: dir, Metrics: page, Peers: peers, Controls: f.peers}, err
 }
 
@@ -87,7 +88,7 @@
 		if err != nil {
 			return err
 		}
-		if s.Admin, err = freeTCP(); err != nil {
+		if s.Admin, err = f.ports.tcp(); err != nil {
 			return err
 		}
 		s.Data = filepath.Join(f.dir, s.ID)
@@ -124,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	if s.Callers, err = freeTCP(); err != nil {
+	if s.Callers, err = f.ports.tcp(); err != nil {
 		return err
 	}
 	if f.entry, err = startProcess(ctx, f.dir, s); err != nil {
@@ -189,7 +190,7 @@
 		if err != nil {
 			return err
 		}
-		if s.Upstream, err = freeTCP(); err != nil {
+		if s.Upstream, err = f.ports.tcp(); err != nil {
 			return err
 		}
 		if f.spread {
--- a/measure/process.go
+++ b/measure/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -180,23 +181,48 @@
 
 func (u usage) over(n float64) usage { return u.times(1 / n) }
 
-// freeUDP and freeTCP return loopback addresses that were free a moment ago.
-func freeUDP() (string, error) {
-	c, err := net.ListenPacket("udp", loopback)
-	if err != nil {
-		return "", fmt.Errorf("measure: %w", err)
-	}
-	defer c.Close()
-	return c.LocalAddr().String(), nil
+// Addresses for a fleet come from ports below those that systems hand out to
+// connections, so that a connection can't take one before its process starts.
+const (
+	firstPort = 20_000
+	lastPort  = 31_999
+	host      = "127.0.0.1"
+)
+
+// ports hands out free loopback addresses, each once.
+type ports struct{ next int }
+
+// udp returns an address that is free for datagrams.
+func (p *ports) udp() (string, error) {
+	return p.find(func(addr string) error {
+		c, err := net.ListenPacket("udp", addr)
+		if err != nil {
+			return err
+		}
+		return c.Close()
+	})
 }
 
-func freeTCP() (string, error) {
-	l, err := net.Listen("tcp", loopback)
-	if err != nil {
-		return "", fmt.Errorf("measure: %w", err)
+// tcp returns an address that is free for connections.
+func (p *ports) tcp() (string, error) {
+	return p.find(func(addr string) error {
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			return err
+		}
+		return l.Close()
+	})
+}
+
+func (p *ports) find(try func(addr string) error) (string, error) {
+	for p.next <= lastPort-firstPort {
+		addr := net.JoinHostPort(host, strconv.Itoa(firstPort+p.next))
+		p.next++
+		if try(addr) == nil {
+			return addr, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("measure: no free port from %d to %d", firstPort, lastPort)
 }
 
 // poll calls try until it succeeds, ctx ends or startWithin has passed.
