directory: proofs for what three mutations left alive

Cause: mutations of late news of an earlier run, of a member that comes and goes within one difference and of the list for control hosts lived. Change: a test for each; the lease no longer keeps what the table compares. Conclusion: the mutations fail now.

--- a/directory/reducer.go
+++ b/directory/reducer.go
@@ -74,9 +74,7 @@
 // lease is an announcement in force at this control host.
 type lease struct {
 	peer    wire.Peer
-	worker  *wire.Worker
 	seq     uint64
-	changed uint64
 	expires time.Duration
 }
 
@@ -156,11 +154,10 @@
 		r.local.Leave(now, a.Msg.From)
 		return append(out, Effect{a.Conn, &wire.Announced{Seq: a.Msg.Seq, Fresh: r.fresh}})
 	}
-	l := renew(known, a.Msg)
-	l.expires = now + min(max(a.Msg.Lease, MinLease), MaxLease)
+	l := &lease{peer: a.Msg.From, seq: a.Msg.Seq, expires: now + min(max(a.Msg.Lease, MinLease), MaxLease)}
 	r.wakeAt = min(r.wakeAt, l.expires)
 	r.leases[key] = l
-	m := wire.Member{Peer: l.peer, Worker: l.worker, ConfigIndex: a.Index, Seq: l.changed}
+	m := wire.Member{Peer: l.peer, Worker: a.Msg.Worker, ConfigIndex: a.Index, Seq: l.seq}
 	r.table.Upsert(Local, m)
 	r.local.Upsert(Local, m)
 	out = append(out, Effect{a.Conn, &wire.Announced{Seq: a.Msg.Seq, Fresh: r.fresh}})
@@ -178,22 +175,6 @@
 	return m.Seq <= l.seq
 }
 
-// renew returns the lease after an announcement.
-func renew(old *lease, m *wire.Announce) *lease {
-	l := &lease{peer: m.From, worker: m.Worker, seq: m.Seq, changed: m.Seq}
-	if old != nil && old.peer == m.From && sameWorker(old.worker, m.Worker) {
-		l.changed = old.changed
-	}
-	return l
-}
-
-func sameWorker(a, b *wire.Worker) bool {
-	if a == nil || b == nil {
-		return a == b
-	}
-	return *a == *b
-}
-
 // watch adds a watcher and sends it the whole list.
 func (r *Reducer) watch(a *Announced, out []Effect) []Effect {
 	if slices.ContainsFunc(r.watchers, func(w watcher) bool { return w.conn == a.Conn }) {
--- a/directory/reducer_test.go
+++ b/directory/reducer_test.go
@@ -219,7 +219,7 @@
 // lease has had time to be renewed.
 func TestComplete(t *testing.T) {
 	w := newWorld(t)
-	w.advance(completeAfter - time.Millisecond)
+	w.advance(MaxLease - time.Millisecond)
 	require.False(t, w.complete)
 	w.advance(time.Millisecond)
 	require.True(t, w.complete)
@@ -299,3 +299,38 @@
 		out = red.Step(now, Event{Announce: &Announced{Conn: 1, Msg: m}}, out[:0])
 	}
 }
+
+// News of an earlier run, whatever its Seq, does not replace the later one.
+func TestOlderIncarnation(t *testing.T) {
+	table := NewTable()
+	table.Upsert("c1", member("a", 2, 1))
+	table.Take()
+	table.Upsert("c2", member("a", 1, 9))
+	require.Equal(t, []string{"a2"}, ids(table.Members()))
+	diff := table.Take()
+	require.True(t, diff.Empty())
+}
+
+// A process that comes and goes between two differences is not in the second.
+func TestComeAndGo(t *testing.T) {
+	w := newWorld(t)
+	w.advance(completeAfter)
+	w.deliver(w.announcement("a", 2, 4, false))
+	w.deliver(w.announcement("a", 2, 4, true))
+	w.advance(upsertDelay)
+	require.Empty(t, w.entry)
+	require.Empty(t, w.control)
+}
+
+// A control host that starts to watch gets the leases held here, and nothing
+// that came from another control host.
+func TestControlGetsLocalLeases(t *testing.T) {
+	w := newWorld(t)
+	w.deliver(w.announcement("a", 1, 4, false))
+	w.step(Event{Merge: &Merged{Source: "c2", Msg: &wire.Directory{Upserts: []wire.Member{member("b", 1, 1)}}}})
+	full := w.red.full(watcher{conn: controlConn, local: true})
+	require.Contains(t, ids(full.Upserts), "a1")
+	require.NotContains(t, ids(full.Upserts), "b1")
+	full = w.red.full(watcher{conn: entryConn})
+	require.Contains(t, ids(full.Upserts), "b1")
+}
--- a/directory/table.go
+++ b/directory/table.go
@@ -169,6 +169,13 @@
 	}
 }
 
+func sameWorker(a, b *wire.Worker) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
+}
+
 // changed notes an upsert; it stays loud if an earlier one was.
 func (t *Table) changed(key processKey, m wire.Member, quiet bool) {
 	if t.diff.Upserts == nil {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -213,8 +213,8 @@
 	Worker *Worker `msg:"w"`
 	// ConfigIndex is the configuration index in force there.
 	ConfigIndex uint64 `msg:"c"`
-	// Seq is the Announce.Seq that last changed Worker or Peer; of two members
-	// of one incarnation, the one with the higher Seq is newer.
+	// Seq is the Announce.Seq from which this is; of two members of one
+	// incarnation, the one with the higher Seq is newer.
 	Seq uint64 `msg:"q"`
 }
 
