controld: changes over restarts, races, cut-off hosts, lost disks on real sockets

Change: tests on three control hosts with data folders and real QUIC: accepted changes compared with the audit trail of every host, racing operators, a host without the others, a lost disk followed by the loss of a second host.

--- /dev/null
+++ b/controld/cluster_test.go
@@ -0,0 +1,261 @@
+package controld
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/control"
+	"github.com/fireflytray/fireflytray/keys"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// freeAddr returns a loopback address with a UDP port that was free.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer conn.Close()
+	return conn.LocalAddr().String()
+}
+
+// cluster is a set of control hosts with data folders.
+type cluster struct {
+	t         *testing.T
+	authority *keys.Authority
+	addrs     []string
+	folders   []string
+	hosts     []*running
+}
+
+func startCluster(t *testing.T, size int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, authority: newAuthority(t)}
+	for range size {
+		c.addrs = append(c.addrs, freeAddr(t))
+		c.folders = append(c.folders, filepath.Join(t.TempDir(), "data"))
+	}
+	c.hosts = make([]*running, size)
+	for i := range size {
+		c.start(i, false)
+	}
+	return c
+}
+
+// start starts host i on its folder.
+func (c *cluster) start(i int, join bool) {
+	c.t.Helper()
+	id := fmt.Sprint("control-", i)
+	c.hosts[i] = start(c.t, Options{
+		Self:     wire.Peer{Role: wire.RoleControl, ID: id, Incarnation: uint64(time.Now().UnixNano()), Domain: "sv-a", Addr: c.addrs[i]},
+		Identity: identity(c.t, c.authority, wire.RoleControl, id),
+		Listen:   c.addrs[i],
+		Peers:    c.addrs,
+		OpenLog:  OpenReplica(ReplicaOptions{Dir: c.folders[i], Addr: c.addrs[i], Initial: c.addrs, Join: join}),
+	})
+}
+
+func (c *cluster) leader() int {
+	leader := -1
+	eventually(c.t, "a leader", func() bool {
+		for i, h := range c.hosts {
+			if s := h.replica.Status(); s.IsLeader() && s.Fresh {
+				leader = i
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+// change proposes until it is answered, as an operator's client does.
+func change(t *testing.T, h *Host, op string, base uint64, maxTasks int) *control.ChangeReply {
+	t.Helper()
+	cmd := &control.Command{Apply: &control.Apply{Op: op, Base: base, By: control.Operator{Name: "astrid"}, Sections: sections(maxTasks)}}
+	deadline := time.Now().Add(patience)
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
+		reply, err := h.propose(ctx, cmd)
+		cancel()
+		if err == nil {
+			return reply.Change
+		}
+		require.True(t, time.Now().Before(deadline), "not accepted: %v", err)
+	}
+}
+
+// acceptedOps returns the operation ids that the audit trail calls accepted.
+func acceptedOps(h *Host) map[string]uint64 {
+	out := map[string]uint64{}
+	for _, e := range h.machine.Audit(control.AuditFilter{Outcome: control.OutcomeAccepted}) {
+		out[e.Op] = e.Index
+	}
+	return out
+}
+
+// Changes through every host while hosts are stopped and started again: every
+// change that was answered as accepted is in the audit trail of every host, no
+// refused one is in force, and no entry sees an index go down.
+func TestChangesOverRestarts(t *testing.T) {
+	c := startCluster(t, 3)
+	entry := startProcess(t, c.authority, wire.RoleEntry, "entry-1", c.addrs...)
+	agent := startProcess(t, c.authority, wire.RoleAgent, "agent-1", c.addrs[1:]...)
+	c.leader()
+	accepted, refused := map[string]uint64{}, map[string]bool{}
+	var base uint64
+	for n := range 30 {
+		host := c.hosts[n%3].Host
+		op := fmt.Sprint("op-", n)
+		reply := change(t, host, op, base, n+1)
+		require.True(t, reply.Accepted, reply.Detail)
+		require.Greater(t, reply.Index, base)
+		late := change(t, host, op+"-late", base, 999)
+		require.False(t, late.Accepted)
+		require.Equal(t, reply.Index, late.Winner.Index)
+		require.Equal(t, op, late.Winner.Op)
+		accepted[op], refused[op+"-late"] = reply.Index, true
+		base = reply.Index
+		if n%10 == 4 {
+			victim := c.leader()
+			c.hosts[victim].halt()
+			again := change(t, c.hosts[(victim+1)%3].Host, op, base-1, 0)
+			require.NotNil(t, again)
+			c.start(victim, false)
+		}
+	}
+	for _, h := range c.hosts {
+		eventually(t, "all hosts have all", func() bool { return h.machine.Stamp().Index == base })
+		require.NoError(t, h.machine.VerifyAudit())
+		got := acceptedOps(h.Host)
+		require.Equal(t, accepted, got)
+		for op := range refused {
+			require.NotContains(t, got, op)
+		}
+	}
+	eventually(t, "in force at the entry and the agent", func() bool { return entry.index() == base && agent.index() == base })
+	indices, configs := entry.handedOver()
+	require.IsIncreasing(t, indices)
+	require.Equal(t, uint32(30), configs[len(configs)-1].Services["alert-core"].MaxTasks)
+}
+
+// Operators race with equal versions through different hosts: exactly one wins,
+// and the others are told by which change. A resend gets the first answer from
+// any host.
+func TestRacingOperators(t *testing.T) {
+	c := startCluster(t, 3)
+	c.leader()
+	var base uint64
+	for round := range 5 {
+		replies := make([]*control.ChangeReply, 6)
+		var wg sync.WaitGroup
+		for n := range replies {
+			wg.Go(func() { replies[n] = change(t, c.hosts[n%3].Host, fmt.Sprintf("op-%d-%d", round, n), base, n+1) })
+		}
+		wg.Wait()
+		winner := -1
+		for n, r := range replies {
+			if r.Accepted {
+				require.Equal(t, -1, winner, "two changes won")
+				winner = n
+			}
+		}
+		require.NotEqual(t, -1, winner, "no change won")
+		for n, r := range replies {
+			if n != winner {
+				require.Equal(t, control.RefusalConflict, r.Refusal)
+				require.Equal(t, fmt.Sprintf("op-%d-%d", round, winner), r.Winner.Op)
+			}
+			again := change(t, c.hosts[(n+1)%3].Host, fmt.Sprintf("op-%d-%d", round, n), base, n+1)
+			require.True(t, again.Resent)
+			require.Equal(t, r.Accepted, again.Accepted)
+			require.Equal(t, r.Index, again.Index)
+		}
+		base = replies[winner].Index
+	}
+}
+
+// A host without the others refuses changes and claims, and says that it is
+// not fresh.
+func TestCutOffHostRefuses(t *testing.T) {
+	c := startCluster(t, 3)
+	first := change(t, c.hosts[0].Host, "op-1", 0, 1)
+	eventually(t, "all have it", func() bool { return c.hosts[2].machine.Stamp().Index == first.Index })
+	c.hosts[0].halt()
+	c.hosts[1].halt()
+	eventually(t, "host 2 knows that it is cut off", func() bool { return !c.hosts[2].fresh.Load() })
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err := c.hosts[2].propose(ctx, &control.Command{Apply: &control.Apply{Op: "op-2", Base: first.Index, Sections: sections(2)}})
+	require.ErrorIs(t, err, errNotFresh)
+	require.False(t, c.hosts[2].pushFrom(0).Fresh)
+	reply := c.hosts[2].claim(context.Background(), &wire.Claim{Request: 3, Team: "night-nurses"})
+	require.Equal(t, wire.ClaimUnavailable, reply.State)
+	require.Zero(t, reply.RetryAfter)
+}
+
+// A host whose disk is lost comes back as a new replica: it waits until it is
+// added, becomes a voter after it has caught up, and then the loss of a second
+// host costs nothing.
+func TestLostDisk(t *testing.T) {
+	c := startCluster(t, 3)
+	var base uint64
+	for n := range 20 {
+		base = change(t, c.hosts[n%3].Host, fmt.Sprint("op-", n), base, n+1).Index
+	}
+	old := c.hosts[0].replica.Status().ID
+	c.hosts[0].halt()
+	c.folders[0] = filepath.Join(t.TempDir(), "new")
+	c.start(0, true)
+	id := c.hosts[0].replica.Status().ID
+	require.NotEqual(t, old, id)
+
+	members(t, c.hosts[1].Host, wire.MemberChange{Action: wire.MemberRemove, ID: old})
+	members(t, c.hosts[1].Host, wire.MemberChange{Action: wire.MemberAdd, ID: id, Addr: c.addrs[0]})
+	members(t, c.hosts[1].Host, wire.MemberChange{Action: wire.MemberPromote, ID: id})
+	eventually(t, "caught up", func() bool { return c.hosts[0].machine.Stamp().Index == base })
+
+	c.hosts[2].halt()
+	next := change(t, c.hosts[0].Host, "op-last", base, 99)
+	require.True(t, next.Accepted, next.Detail)
+	require.Len(t, acceptedOps(c.hosts[0].Host), 21)
+}
+
+// members asks for a change of the control hosts until it is done.
+func members(t *testing.T, h *Host, m wire.MemberChange) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for {
+		err := h.membersWithin(context.Background(), m)
+		if err == nil || already(h, m) {
+			return
+		}
+		require.True(t, time.Now().Before(deadline), "not done: %v", err)
+		time.Sleep(retryPause)
+	}
+}
+
+// already reports whether a change that was asked for twice has been made.
+func already(h *Host, m wire.MemberChange) bool {
+	for _, member := range h.replica.Status().Members {
+		if member.ID == m.ID {
+			return m.Action == wire.MemberAdd || m.Action == wire.MemberPromote && member.Voter
+		}
+	}
+	return m.Action == wire.MemberRemove
+}
+
+// A second host on the same data folder is refused with an error that names it.
+func TestDataFolderLocked(t *testing.T) {
+	c := startCluster(t, 1)
+	_, err := OpenReplica(ReplicaOptions{Dir: c.folders[0], Addr: c.addrs[0], Initial: c.addrs})(Hooks{
+		Machine: control.NewMachine(nil), Send: func(string, []byte) {}, Log: quiet,
+	})
+	require.ErrorContains(t, err, c.folders[0])
+}
