--- a/agentd/harness_test.go
+++ b/agentd/harness_test.go
@@ -110,7 +110,8 @@
 	require.NoError(s.t, err)
 	ctx, cancel := context.WithTimeout(context.Background(), testWait)
 	defer cancel()
-	conn, err := transport.Dial(ctx, s.peers, wire.RoleAgent, transport.Options{Identity: id})
+	// A frozen agent's connection is kept, so that what was sent to it arrives.
+	conn, err := transport.Dial(ctx, s.peers, wire.RoleAgent, transport.Options{Identity: id, Silence: testWait})
 	require.NoError(s.t, err)
 	s.t.Cleanup(func() { conn.Close("test ends") })
 	c := &client{s: s, conn: conn, results: map[task.ID]wire.Result{}, count: map[task.ID]int{}}
@@ -158,7 +159,10 @@
 }
 
 // send assigns tasks of one submission each.
-func (c *client) send(p upstream.Payload, ids ...task.ID) {
+func (c *client) send(p upstream.Payload, ids ...task.ID) { c.sendWithin(testWait, p, ids...) }
+
+// sendWithin assigns tasks that must start in time.
+func (c *client) sendWithin(within time.Duration, p upstream.Payload, ids ...task.ID) {
 	body, err := json.Marshal(p)
 	require.NoError(c.s.t, err)
 	u := &wire.Update{}
@@ -166,7 +170,7 @@
 		u.Tasks = append(u.Tasks, wire.Assignment{
 			ID:          id,
 			Spec:        task.Spec{Payload: body},
-			StartWithin: testWait,
+			StartWithin: within,
 			RunWithin:   testWait,
 		})
 	}
