agentd: test that a written request is never sent again

Cause: the pool's promise of what was written had no test of its own. Change: tests of the runner against an upstream that answers by hand.

--- /dev/null
+++ b/agentd/runner_test.go
@@ -0,0 +1,162 @@
+package agentd
+
+import (
+	"bufio"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/fireflytray/fireflytray/agent"
+)
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// rawUpstream answers each request by hand.
+type rawUpstream struct {
+	ln       net.Listener
+	requests atomic.Int32
+	dials    atomic.Int32
+}
+
+// newRawUpstream calls answer with each request; it returns what to write and
+// whether to close the connection then.
+func newRawUpstream(t *testing.T, answer func(n int32) (text string, hangUp bool)) *rawUpstream {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	u := &rawUpstream{ln: ln}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			u.dials.Add(1)
+			go u.serve(c, answer)
+		}
+	}()
+	return u
+}
+
+func (u *rawUpstream) serve(c net.Conn, answer func(int32) (string, bool)) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		var req fasthttp.Request
+		if req.Read(r) != nil {
+			return
+		}
+		text, hangUp := answer(u.requests.Add(1))
+		if _, err := c.Write([]byte(text)); err != nil || hangUp {
+			return
+		}
+	}
+}
+
+// bench is a runner whose events can be awaited.
+type bench struct {
+	*runner
+	t      *testing.T
+	events chan agent.Event
+	start  time.Time
+	last   agent.RunID
+}
+
+func newBench(t *testing.T, addr string, connections uint32) *bench {
+	b := &bench{t: t, events: make(chan agent.Event, 16), start: time.Now()}
+	b.runner = newRunner(func(ev agent.Event) bool { b.events <- ev; return true }, b.now)
+	b.use(agent.Upstream{Addr: addr, Connections: connections})
+	t.Cleanup(b.close)
+	return b
+}
+
+func (b *bench) now() time.Duration { return time.Since(b.start) }
+
+func (b *bench) run(startBy time.Duration) agent.End {
+	b.last++
+	b.runner.start(agent.StartRun{Run: b.last, ID: taskID(uint64(b.last)), StartBy: startBy, RunBy: testWait})
+	end := await(b.t, b.events).(agent.RunEnded)
+	require.Equal(b.t, b.last, end.Run)
+	return end.End
+}
+
+func TestRunPastItsStartDeadlineIsNotSent(t *testing.T) {
+	u := newRawUpstream(t, func(int32) (string, bool) { return okAnswer, false })
+	b := newBench(t, u.ln.Addr().String(), 2)
+	require.Equal(t, agent.EndExpired, b.run(0))
+	require.Zero(t, u.requests.Load())
+	require.Equal(t, agent.EndComplete, b.run(testWait))
+	require.EqualValues(t, 1, u.dials.Load(), "the connection is kept")
+}
+
+// A request that was written is never sent again, however the connection ends.
+func TestLostRunIsNotSentAgain(t *testing.T) {
+	u := newRawUpstream(t, func(n int32) (string, bool) {
+		if n == 1 {
+			return okAnswer, false
+		}
+		return "", true
+	})
+	b := newBench(t, u.ln.Addr().String(), 2)
+	require.Equal(t, agent.EndComplete, b.run(testWait))
+	require.Equal(t, agent.EndLost, b.run(testWait))
+	require.EqualValues(t, 2, u.requests.Load())
+}
+
+// A kept connection that the upstream has closed meanwhile costs no run.
+func TestClosedIdleConnectionIsReplaced(t *testing.T) {
+	u := newRawUpstream(t, func(int32) (string, bool) { return okAnswer, true })
+	b := newBench(t, u.ln.Addr().String(), 2)
+	for range 5 {
+		require.Equal(t, agent.EndComplete, b.run(testWait))
+		require.Eventually(t, func() bool {
+			b.pool.mu.Lock()
+			defer b.pool.mu.Unlock()
+			return !b.pool.idle[0].quiet()
+		}, testWait, time.Millisecond)
+	}
+	open, _ := b.connections()
+	require.Equal(t, 1, open)
+}
+
+func TestUnreachableUpstreamRunsNothing(t *testing.T) {
+	u := newRawUpstream(t, func(int32) (string, bool) { return okAnswer, false })
+	u.ln.Close()
+	b := newBench(t, u.ln.Addr().String(), 2)
+	require.Equal(t, agent.EndRefused, b.run(testWait))
+	open, _ := b.connections()
+	require.Zero(t, open)
+}
+
+// Abandoned runs give their connections back, so that a probe finds room.
+func TestAbandonedRunsFreeTheirConnections(t *testing.T) {
+	block := make(chan struct{})
+	t.Cleanup(func() { close(block) })
+	u := newRawUpstream(t, func(n int32) (string, bool) {
+		if n <= 2 {
+			<-block
+		}
+		return okAnswer, false
+	})
+	b := newBench(t, u.ln.Addr().String(), 2)
+	for id := agent.RunID(1); id <= 2; id++ {
+		b.runner.start(agent.StartRun{Run: id, ID: taskID(uint64(id)), StartBy: testWait, RunBy: testWait})
+	}
+	require.Eventually(t, func() bool { return u.requests.Load() == 2 }, testWait, time.Millisecond)
+	b.probe(agent.ProbeUpstream{})
+	require.Equal(t, agent.Probed{}, await(t, b.events), "no connection is left for a probe")
+	for id := agent.RunID(1); id <= 2; id++ {
+		b.abandon(agent.AbandonRun{Run: id, ID: taskID(uint64(id))})
+		require.Equal(t, agent.EndLost, await(t, b.events).(agent.RunEnded).End)
+	}
+	require.Equal(t, agent.EndComplete, b.runAs(3))
+}
+
+func (b *bench) runAs(id agent.RunID) agent.End {
+	b.last = id - 1
+	return b.run(testWait)
+}
