--- /dev/null
+++ b/agent/drain_test.go
@@ -0,0 +1,57 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+func drainedIn(effs []Effect) bool {
+	for _, eff := range effs {
+		if _, ok := eff.(Drained); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// A drain waits for the runs, however long the time for acknowledgements is
+// over, and then for the acknowledgement of their outcomes.
+func TestDrainWaitsForRunsAndAcknowledgements(t *testing.T) {
+	s := newTestState(Config{AckWithin: time.Second, DrainWithin: time.Hour})
+	s.Step(0, Announced{testUpstream("a", true)}, nil)
+	s.Step(0, SessionOpened{Session: 1, Hello: hello(1, 1)}, nil)
+	one := []wire.Assignment{{ID: task.ID{Submission: task.NewSubmissionID(1, 1)}, StartWithin: time.Minute}}
+	s.Step(0, UpdateReceived{Session: 1, Update: &wire.Update{Seq: 1, Tasks: one}}, nil)
+	require.False(t, drainedIn(s.Step(0, Drain{}, nil)))
+	require.False(t, drainedIn(s.Step(2*time.Second, Tick{}, nil)), "a task still runs")
+	effs := s.Step(2*time.Second, RunEnded{Run: 1, End: EndComplete}, nil)
+	require.False(t, drainedIn(effs), "its outcome is not acknowledged")
+	seen := effs[len(effs)-1].(SendReport).Report.Seq
+	effs = s.Step(2*time.Second, UpdateReceived{Session: 1, Update: &wire.Update{Seq: 2, Seen: seen}}, nil)
+	require.True(t, drainedIn(effs))
+}
+
+// Tasks need what a lagging measurement says is free, and less than what is
+// offered.
+func TestTasksWaitForMeasuredResources(t *testing.T) {
+	s := newTestState(Config{})
+	s.Step(0, Announced{testUpstream("a", true)}, nil)
+	s.Step(0, SessionOpened{Session: 1, Hello: hello(1, 1)}, nil)
+	s.Step(0, Usage{InUse: task.Resources{MilliCPU: 3500}, Age: time.Second}, nil)
+	one := []wire.Assignment{{
+		ID:          task.ID{Submission: task.NewSubmissionID(1, 1)},
+		Spec:        task.Spec{Need: task.Resources{MilliCPU: 1000}},
+		StartWithin: time.Minute,
+	}}
+	s.Step(0, UpdateReceived{Session: 1, Update: &wire.Update{Seq: 1, Tasks: one}}, nil)
+	running, queued := s.Load()
+	require.Equal(t, []int{0, 1}, []int{running, queued})
+	s.Step(0, Usage{InUse: task.Resources{MilliCPU: 500}}, nil)
+	running, queued = s.Load()
+	require.Equal(t, []int{1, 0}, []int{running, queued})
+}
