--- a/agent/config.go
+++ b/agent/config.go
@@ -35,8 +35,10 @@
 	CheckEvery  time.Duration
 	// ForgetEntry is how long an entry without a session is remembered.
 	ForgetEntry time.Duration
-	// MaxUnacked bounds the outcomes kept for one entry.
-	MaxUnacked int
+	// MaxUnacked bounds the outcomes kept for one entry, MaxUnackedBytes their
+	// bodies. Above half of either the entry gets no credit.
+	MaxUnacked      int
+	MaxUnackedBytes int
 	// MaxReportBytes bounds the bodies in one report.
 	MaxReportBytes int
 	// PastIDs is how many ids of acknowledged tasks are remembered.
@@ -57,26 +59,27 @@
 // DefaultConfig returns the configuration that applies to unset fields.
 func DefaultConfig() Config {
 	return Config{
-		QueueShare:     0.5,
-		QueueMin:       2,
-		Policy:         DefaultLend,
-		GrantHold:      25 * time.Millisecond,
-		DemandKeep:     100 * time.Millisecond,
-		TellEvery:      20 * time.Millisecond,
-		BypassAfter:    200 * time.Millisecond,
-		MaxRun:         10 * time.Minute,
-		StopGrace:      time.Second,
-		SilentAfter:    2 * time.Second,
-		CheckEvery:     time.Second,
-		ForgetEntry:    10 * time.Minute,
-		MaxUnacked:     4096,
-		MaxReportBytes: 1 << 20,
-		PastIDs:        1 << 16,
-		EjectAfter:     5,
-		SuspendFirst:   time.Second,
-		SuspendMax:     time.Minute,
-		DrainWithin:    30 * time.Second,
-		AckWithin:      4 * time.Second,
+		QueueShare:      0.5,
+		QueueMin:        2,
+		Policy:          DefaultLend,
+		GrantHold:       25 * time.Millisecond,
+		DemandKeep:      100 * time.Millisecond,
+		TellEvery:       20 * time.Millisecond,
+		BypassAfter:     200 * time.Millisecond,
+		MaxRun:          10 * time.Minute,
+		StopGrace:       time.Second,
+		SilentAfter:     2 * time.Second,
+		CheckEvery:      time.Second,
+		ForgetEntry:     10 * time.Minute,
+		MaxUnacked:      4096,
+		MaxUnackedBytes: 64 << 20,
+		MaxReportBytes:  1 << 20,
+		PastIDs:         1 << 16,
+		EjectAfter:      5,
+		SuspendFirst:    time.Second,
+		SuspendMax:      time.Minute,
+		DrainWithin:     30 * time.Second,
+		AckWithin:       4 * time.Second,
 	}
 }
 
@@ -97,6 +100,7 @@
 	setDefault(&c.CheckEvery, d.CheckEvery)
 	setDefault(&c.ForgetEntry, d.ForgetEntry)
 	setDefault(&c.MaxUnacked, d.MaxUnacked)
+	setDefault(&c.MaxUnackedBytes, d.MaxUnackedBytes)
 	setDefault(&c.MaxReportBytes, d.MaxReportBytes)
 	setDefault(&c.PastIDs, d.PastIDs)
 	setDefault(&c.EjectAfter, d.EjectAfter)
--- a/agent/report.go
+++ b/agent/report.go
@@ -70,7 +70,7 @@
 
 // credit asks the policy how many more tasks e may send.
 func (s *State) credit(e *entry) int {
-	if len(e.ended) >= s.cfg.MaxUnacked/2 {
+	if len(e.ended) >= s.cfg.MaxUnacked/2 || e.bytes >= s.cfg.MaxUnackedBytes/2 {
 		return 0
 	}
 	room := s.room()
--- a/agent/run.go
+++ b/agent/run.go
@@ -265,6 +265,7 @@
 	r.phase, r.payload = phaseEnded, nil
 	r.result = wire.Result{ID: r.id, Outcome: out, Waited: waited}
 	r.entry.held--
+	r.entry.bytes += len(out.Body)
 	if r.entry.forgotten {
 		s.release(r)
 		return
--- a/agent/session.go
+++ b/agent/session.go
@@ -29,6 +29,7 @@
 	// reports, in order of their sequence numbers.
 	ended []*record
 	sent  int
+	bytes int
 	held  int
 
 	demand    wire.Demand
@@ -140,7 +141,7 @@
 		return
 	}
 	s.acknowledge(e, u.Seen)
-	if len(e.ended)+len(u.Tasks)+len(u.Cancel) > s.cfg.MaxUnacked {
+	if s.overfull(e, u) {
 		s.endSession(e, CloseUnacked)
 		return
 	}
@@ -155,6 +156,13 @@
 	}
 }
 
+// overfull reports whether an update would make the agent keep more outcomes
+// for an entry than it may.
+func (s *State) overfull(e *entry, u *wire.Update) bool {
+	return len(e.ended)+len(u.Tasks)+len(u.Cancel) > s.cfg.MaxUnacked ||
+		len(u.Tasks) > 0 && e.bytes > s.cfg.MaxUnackedBytes
+}
+
 // observe returns how long a message was held up. Where it shows that earlier
 // ones were held up for longer than thought, the deadlines of the tasks that
 // they brought move back.
@@ -189,6 +197,7 @@
 
 func (s *State) release(r *record) {
 	delete(s.tasks, r.id)
+	r.entry.bytes -= len(r.result.Outcome.Body)
 	s.past.add(r.id)
 }
 
--- a/agentd/agentd_test.go
+++ b/agentd/agentd_test.go
@@ -116,6 +116,41 @@
 	}
 }
 
+// A worker that fails all it starts is suspended after a few submissions, tried
+// with one task at a time, and taken back once it succeeds. One job whose every
+// task fails does not suspend it.
+func TestFailingWorkerIsSuspendedAndTakenBack(t *testing.T) {
+	s := newSite(t, agent.Config{SuspendFirst: testLease / 4})
+	c := s.dial(1, 0)
+	c.awaitSlots(8)
+	for i := range uint32(20) {
+		id := taskID(1)
+		id.Index = i
+		c.send(upstream.Payload{Fail: true}, id)
+		require.Equal(t, task.Failed, c.result(id).Outcome.State)
+	}
+	fine := taskID(2)
+	c.send(upstream.Payload{}, fine)
+	require.Equal(t, task.Complete, c.result(fine).Outcome.State)
+
+	require.NoError(t, s.upstream.SetFault(upstream.Fault{Mode: upstream.FaultFail}))
+	for n := uint64(3); n < 8; n++ {
+		c.send(upstream.Payload{}, taskID(n))
+		require.Equal(t, task.Failed, c.result(taskID(n)).Outcome.State)
+	}
+	c.awaitSlots(1)
+	trial := taskID(8)
+	c.send(upstream.Payload{}, trial)
+	require.Equal(t, task.Failed, c.result(trial).Outcome.State)
+
+	require.NoError(t, s.upstream.SetFault(upstream.Fault{Mode: upstream.FaultNone}))
+	c.awaitSlots(1)
+	back := taskID(9)
+	c.send(upstream.Payload{}, back)
+	require.Equal(t, task.Complete, c.result(back).Outcome.State)
+	c.awaitSlots(8)
+}
+
 func TestLeavingUpstreamGetsNothingNewAndCutsOffNothing(t *testing.T) {
 	s := newSite(t, agent.Config{})
 	c := s.dial(1, 0)
