--- a/measure/control.go
+++ b/measure/control.go
@@ -14,6 +14,9 @@
 // machineChanges are the configuration changes applied to one machine.
 var machineChanges = []int{10, 50, 200, 3000}
 
+// machineClaims are the idempotency keys held by one machine.
+var machineClaims = []int{100, 1000, 10_000}
+
 const (
 	// configTeams is the number of teams in the configuration that is changed.
 	configTeams = 260
@@ -98,6 +101,46 @@
 	return nil
 }
 
+// measureClaims measures the replicated state against idempotency keys.
+func measureClaims(r *Result) error {
+	s := Series{Name: "control.machine-bytes.claims", Axis: AxisClaims, Unit: "bytes"}
+	for _, n := range machineClaims {
+		m := control.NewMachine(func(uint64) {})
+		if _, err := applyChanges(m, 1); err != nil {
+			return err
+		}
+		before := heapBytes()
+		if err := applyClaims(m, n); err != nil {
+			return err
+		}
+		s.Points = append(s.Points, Point{float64(n), heapBytes() - before})
+		runtime.KeepAlive(m)
+	}
+	return r.add(s)
+}
+
+func applyClaims(m *control.Machine, n int) error {
+	for i := range n {
+		cmd := &control.Command{At: int64(i), Claim: &wire.Claim{
+			Request: uint64(i), Team: fmt.Sprintf("team-%03d", i%configTeams), Service: service,
+			Key: fmt.Sprintf("payout-2026-q4-%08d", i), BodyDigest: uint64(i),
+			Owner: taskID(i).Submission, Keep: time.Hour,
+		}}
+		b, err := cmd.Encode()
+		if err != nil {
+			return fmt.Errorf("measure: encode claim %d: %w", i, err)
+		}
+		reply, err := control.DecodeReply(m.Apply(uint64(i)+2, b))
+		if err != nil {
+			return fmt.Errorf("measure: apply claim %d: %w", i, err)
+		}
+		if reply.Claim == nil || reply.Claim.State != wire.ClaimGranted {
+			return fmt.Errorf("measure: claim %d was not granted: %+v", i, reply.Claim)
+		}
+	}
+	return nil
+}
+
 // applyChanges applies n changes and returns the bytes of their commands.
 func applyChanges(m *control.Machine, n int) (int, error) {
 	size, base := 0, uint64(0)
--- /dev/null
+++ b/measure/fleet_test.go
@@ -0,0 +1,52 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestMain runs this program as a process of a measurement if it is started as
+// one.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 4 && os.Args[1] == processCommand {
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+		defer stop()
+		fmt.Fprintln(os.Stderr, RunProcess(ctx, os.Args[3]))
+		os.Exit(1)
+	}
+	os.Exit(m.Run())
+}
+
+// A fleet of separate processes takes changes and runs jobs, and what each
+// process used is read from its page.
+func TestFleetOfProcesses(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f, err := newFleet(ctx, t.TempDir(), false)
+	if f != nil {
+		defer f.stop()
+	}
+	require.NoError(t, err)
+	require.NoError(t, f.grow(ctx, 2))
+	m := &fleetRun{opts: &Options{Window: loadMaxRun * 20, Progress: os.Stderr}, f: f}
+	use, _, err := f.during(ctx, func(ctx context.Context) error {
+		if err := f.change(ctx); err != nil {
+			return err
+		}
+		if err := f.awaitInForce(ctx); err != nil {
+			return err
+		}
+		return m.send(ctx, 20)
+	})
+	require.NoError(t, err)
+	require.Positive(t, use.entry.kinds["update"].Messages)
+	require.Positive(t, use.agent.kinds["report"].Bytes)
+	require.Positive(t, use.control.kinds["announce"].Messages)
+	require.Positive(t, use.control.memory)
+}
--- a/measure/result.go
+++ b/measure/result.go
@@ -34,6 +34,7 @@
 	AxisAgents  Axis = "agents"
 	AxisStarts  Axis = "task starts/s"
 	AxisChanges Axis = "changes"
+	AxisClaims  Axis = "claims"
 	AxisTasks   Axis = "tasks a message"
 )
 
--- a/measure/run.go
+++ b/measure/run.go
@@ -69,6 +69,7 @@
 		{"entry's reducer", measureEntry},
 		{"control's directory", measureDirectory},
 		{"control's replicated state", measureMachine},
+		{"control's claims", measureClaims},
 	} {
 		fmt.Fprintln(o.Progress, "measure:", step.name)
 		if err := step.do(r); err != nil {
@@ -173,6 +174,7 @@
 	if err := m.load(ctx); err != nil {
 		return err
 	}
+	pause(ctx, settle)
 	return m.changes(ctx)
 }
 
@@ -279,6 +281,7 @@
 func (m *fleetRun) changes(ctx context.Context) error {
 	for _, n := range changeCounts {
 		m.say("%d changes", n)
+		pause(ctx, settle)
 		use, _, err := m.f.during(ctx, func(ctx context.Context) error {
 			for range n {
 				if err := m.f.change(ctx); err != nil {
