--- a/raft/main_test.go
+++ b/raft/main_test.go
@@ -16,7 +16,6 @@
 	}
 	if flag.Lookup("rapid.checks").Value.String() == "100" {
 		flag.Set("rapid.checks", "400")
-		flag.Set("rapid.steps", "100")
 	}
 	flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
--- a/raft/property_test.go
+++ b/raft/property_test.go
@@ -1,6 +1,7 @@
 package raft_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -10,97 +11,121 @@
 	"github.com/fireflytray/fireflytray/raft"
 )
 
-// Replicas under every fault together accept, refuse and answer as a naive
-// single copy does.
+// Replicas under many faults together accept, refuse and answer as a naive
+// single copy does. Rapid draws the seed, the length and which faults occur;
+// the seed decides the rest, so that cases are long and dense.
 func TestMatchesNaiveRegister(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		voters := rapid.SampledFrom([]int{1, 3, 3, 3, 5}).Draw(t, "voters")
+		voters := rapid.SampledFrom([]int{1, 3, 3, 3, 3, 5}).Draw(t, "voters")
 		a := &actor{newSim(t, rapid.Uint64().Draw(t, "seed"), voters)}
+		steps := rapid.IntRange(20, 500).Draw(t, "steps")
+		var picks []action
+		for _, act := range actions {
+			if act.always || rapid.IntRange(0, 3).Draw(t, act.name) > 0 {
+				picks = append(picks, slices.Repeat([]action{act}, act.weight)...)
+			}
+		}
 		a.advance(2 * time.Second)
-		t.Repeat(map[string]func(*rapid.T){
-			"":          func(*rapid.T) { a.checkLogs() },
-			"pass":      a.pass,
-			"pass more": a.pass,
-			"write":     a.writeSome,
-			"read":      a.readSome,
-			"network":   a.network,
-			"partition": a.partition,
-			"heal":      func(*rapid.T) { clear(a.groups) },
-			"crash":     a.crash,
-			"restart":   a.restart,
-			"freeze":    a.freeze,
-			"snapshot":  a.snapshot,
-			"transfer":  a.transfer,
-			"lose disk": a.loseDisk,
-			"add":       a.add,
-			"promote":   a.promote,
-			"remove":    a.remove,
-		})
+		for range steps {
+			picks[a.rng.IntN(len(picks))].do(a)
+			a.checkLogs()
+		}
 		a.settle()
 	})
 }
 
-// actor draws what happens to the hosts.
+// action is something that may happen, as often as its weight says.
+type action struct {
+	name   string
+	weight int
+	always bool
+	do     func(*actor)
+}
+
+var actions = []action{
+	{"pass a little", 30, true, func(a *actor) { a.advance(a.between(0, 30*time.Millisecond)) }},
+	{"pass", 10, true, func(a *actor) { a.advance(a.between(0, 800*time.Millisecond)) }},
+	{"write", 30, true, (*actor).writeLeader},
+	{"write anywhere", 3, true, func(a *actor) { a.onUp(a.write) }},
+	{"read", 6, true, func(a *actor) { a.onUp(a.read) }},
+	{"restart", 12, true, (*actor).restart},
+	{"heal", 4, true, func(a *actor) { clear(a.groups) }},
+	{"crash", 4, false, func(a *actor) { a.onUp((*host).crash) }},
+	{"crash leader", 2, false, func(a *actor) { a.onLeader((*host).crash) }},
+	{"power cut", 1, false, (*actor).powerCut},
+	{"network", 3, false, (*actor).network},
+	{"partition", 3, false, (*actor).partition},
+	{"cut off leader", 2, false, func(a *actor) { a.onLeader(func(h *host) { a.groups[h.id] = 1 }) }},
+	{"freeze", 1, false, func(a *actor) { a.onUp(func(h *host) { h.frozen = true }) }},
+	{"freeze leader", 1, false, func(a *actor) { a.onLeader(func(h *host) { h.frozen = true }) }},
+	{"snapshot", 4, false, func(a *actor) { a.onUp((*host).snapshot) }},
+	{"transfer", 1, false, (*actor).transfer},
+	{"lose disk", 1, false, (*actor).loseDisk},
+	{"add", 2, false, (*actor).add},
+	{"promote", 3, false, (*actor).promote},
+	{"remove", 2, false, (*actor).remove},
+}
+
+// actor makes things happen to the hosts.
 type actor struct{ *sim }
 
-// up draws a host that runs.
-func (a *actor) up(t *rapid.T) *host {
+// onUp does something to a random host that runs.
+func (a *actor) onUp(do func(*host)) {
 	var up []*host
 	for _, h := range a.hosts {
 		if h.node != nil && !h.frozen {
 			up = append(up, h)
 		}
 	}
-	if len(up) == 0 {
-		t.Skip("no host is up")
+	if len(up) > 0 {
+		do(up[a.rng.IntN(len(up))])
 	}
-	return rapid.SampledFrom(up).Draw(t, "host")
 }
 
-// led returns the leader or skips.
-func (a *actor) led(t *rapid.T) *host {
-	l := a.leader()
-	if l == nil {
-		t.Skip("no leader")
+// onLeader does something to the newest leader that runs.
+func (a *actor) onLeader(do func(*host)) {
+	if l := a.leader(); l != nil {
+		l.node.Tick(l.now())
+		do(l)
 	}
-	l.node.Tick(l.now())
-	return l
 }
 
-func (a *actor) pass(t *rapid.T) {
-	ms := rapid.IntRange(1, 1500).Draw(t, "ms")
-	a.advance(time.Duration(ms) * time.Millisecond)
+func (a *actor) writeLeader() {
+	for range 1 + a.rng.IntN(4) {
+		a.onLeader(a.write)
+	}
 }
 
-func (a *actor) writeSome(t *rapid.T) {
-	for range rapid.IntRange(1, 5).Draw(t, "count") {
-		if l := a.leader(); l != nil && rapid.Bool().Draw(t, "leader") {
-			a.write(l)
-		} else {
-			a.write(a.up(t))
+func (a *actor) powerCut() {
+	for _, h := range a.hosts {
+		if h.node != nil {
+			h.crash()
+		}
+	}
+	for _, h := range a.hosts {
+		if !h.lost {
+			h.boot(nil)
 		}
-		a.advance(time.Duration(rapid.IntRange(0, 10).Draw(t, "ms")) * time.Millisecond)
 	}
 }
 
-func (a *actor) readSome(t *rapid.T) { a.read(a.up(t)) }
-
-func (a *actor) network(t *rapid.T) {
-	a.drop = rapid.SampledFrom([]int{0, 5, 30}).Draw(t, "drop")
-	a.double = rapid.SampledFrom([]int{0, 20}).Draw(t, "double")
-	a.slow = time.Duration(rapid.SampledFrom([]int{2, 50, 400}).Draw(t, "slow")) * time.Millisecond
+func (a *actor) network() {
+	a.drop = []int{0, 5, 30}[a.rng.IntN(3)]
+	a.double = []int{0, 20}[a.rng.IntN(2)]
+	a.slow = []time.Duration{2, 50, 400}[a.rng.IntN(3)] * time.Millisecond
 }
 
-func (a *actor) partition(t *rapid.T) {
+func (a *actor) partition() {
 	for _, h := range a.hosts {
-		a.groups[h.id] = rapid.IntRange(0, 1).Draw(t, "group")
+		a.groups[h.id] = a.rng.IntN(2)
 	}
 }
 
-func (a *actor) crash(t *rapid.T) { a.up(t).crash() }
-
-func (a *actor) restart(t *rapid.T) {
-	for _, h := range a.hosts {
+// restart brings back one host that is down or frozen.
+func (a *actor) restart() {
+	from := a.rng.IntN(len(a.hosts))
+	for i := range a.hosts {
+		h := a.hosts[(from+i)%len(a.hosts)]
 		switch {
 		case h.lost:
 		case h.node == nil:
@@ -113,14 +138,11 @@
 	}
 }
 
-func (a *actor) freeze(t *rapid.T) { a.up(t).frozen = true }
-
-func (a *actor) snapshot(t *rapid.T) { a.up(t).snapshot() }
-
-func (a *actor) transfer(t *rapid.T) {
-	l := a.led(t)
-	l.node.Transfer(raft.None)
-	l.pump()
+func (a *actor) transfer() {
+	a.onLeader(func(l *host) {
+		l.node.Transfer(raft.None)
+		l.pump()
+	})
 }
 
 // noticed is how long after the loss of a host no operator acts: a leader
@@ -129,10 +151,10 @@
 
 // loseDisk takes a host away for good and puts an empty one in its place,
 // unless that would leave some membership without a majority.
-func (a *actor) loseDisk(t *rapid.T) {
-	h := rapid.SampledFrom(a.hosts).Draw(t, "host")
+func (a *actor) loseDisk() {
+	h := a.hosts[a.rng.IntN(len(a.hosts))]
 	if h.lost || !a.spares(h) {
-		t.Skip("the host is needed")
+		return
 	}
 	if h.node != nil {
 		h.crash()
@@ -168,31 +190,32 @@
 	return true
 }
 
-func (a *actor) add(t *rapid.T) {
-	l := a.led(t)
-	for _, h := range a.hosts {
-		if !h.lost {
-			l.node.ProposeChange(raft.Change{Kind: raft.AddLearner, ID: h.id, Addr: "new"})
+func (a *actor) add() {
+	a.onLeader(func(l *host) {
+		for _, h := range a.hosts {
+			if !h.lost {
+				l.node.ProposeChange(raft.Change{Kind: raft.AddLearner, ID: h.id, Addr: "new"})
+			}
 		}
-	}
-	l.pump()
+		l.pump()
+	})
 }
 
 // promote asks for the promotion of every learner, also too early. One that is
 // accepted must durably hold all that clients were told is accepted.
-func (a *actor) promote(t *rapid.T) {
-	l := a.led(t)
-	for _, m := range l.node.Members() {
-		if m.Voter {
-			continue
-		}
-		_, _, err := l.node.ProposeChange(raft.Change{Kind: raft.Promote, ID: m.ID})
-		if err == nil && a.leads(l) {
-			h := a.find(m.ID)
-			require.GreaterOrEqual(t, h.durable, a.truth.highest, "a learner was promoted early")
+func (a *actor) promote() {
+	a.onLeader(func(l *host) {
+		for _, m := range l.node.Members() {
+			if m.Voter {
+				continue
+			}
+			_, _, err := l.node.ProposeChange(raft.Change{Kind: raft.Promote, ID: m.ID})
+			if err == nil && a.leads(l) {
+				require.GreaterOrEqual(a.t, a.find(m.ID).durable, a.truth.highest, "a learner was promoted early")
+			}
 		}
-	}
-	l.pump()
+		l.pump()
+	})
 }
 
 // leads says whether no host has gone on to a later term.
@@ -210,12 +233,13 @@
 }
 
 // remove drops the members whose disks are lost.
-func (a *actor) remove(t *rapid.T) {
-	l := a.led(t)
-	for _, m := range l.node.Members() {
-		if a.find(m.ID).lost {
-			l.node.ProposeChange(raft.Change{Kind: raft.Remove, ID: m.ID})
+func (a *actor) remove() {
+	a.onLeader(func(l *host) {
+		for _, m := range l.node.Members() {
+			if a.find(m.ID).lost {
+				l.node.ProposeChange(raft.Change{Kind: raft.Remove, ID: m.ID})
+			}
 		}
-	}
-	l.pump()
+		l.pump()
+	})
 }
--- a/replica/handle.go
+++ b/replica/handle.go
@@ -179,6 +179,9 @@
 	}
 }
 
+// handoverTimeouts bounds the wait for another leader, in election timeouts.
+const handoverTimeouts = 3
+
 // handOver begins a transfer of leadership; the answer comes when another
 // replica leads.
 func (l *loop) handOver(q *request, to uint64) {
@@ -186,7 +189,8 @@
 		q.answer(result{err: l.explain(err)})
 		return
 	}
-	l.handovers = append(l.handovers, q)
+	until := l.now() + handoverTimeouts*l.opt.ElectionTimeout
+	l.handovers = append(l.handovers, handover{until: until, req: q})
 }
 
 // noteRole reacts to a change of leadership.
@@ -206,19 +210,19 @@
 	if len(l.handovers) == 0 {
 		return
 	}
-	var err error
-	switch {
-	case role != raft.Leader && leader != raft.None:
-		err = ErrNotLeader{LeaderID: leader, LeaderAddr: l.addrOf(leader)}
-	case role == raft.Leader && !l.node.Status(l.now()).Transferring:
-		err = fmt.Errorf("no replica has taken over: %w", raft.ErrNoTransferee)
-	default:
-		return
-	}
-	for _, q := range l.handovers {
-		q.answer(result{err: err})
+	now := l.now()
+	open := l.handovers[:0]
+	for _, h := range l.handovers {
+		switch {
+		case role != raft.Leader && (leader != raft.None || now >= h.until):
+			h.req.answer(result{err: ErrNotLeader{LeaderID: leader, LeaderAddr: l.addrOf(leader)}})
+		case role == raft.Leader && !l.node.Status(now).Transferring:
+			h.req.answer(result{err: fmt.Errorf("no replica has taken over: %w", raft.ErrNoTransferee)})
+		default:
+			open = append(open, h)
+		}
 	}
-	l.handovers = nil
+	l.handovers = open
 }
 
 func (l *loop) status() Status {
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -46,6 +46,12 @@
 	req   *request
 }
 
+// handover is a request that waits until another replica leads.
+type handover struct {
+	until time.Duration
+	req   *request
+}
+
 // loop is the goroutine that owns a replica's state.
 type loop struct {
 	r     *Replica
@@ -66,7 +72,7 @@
 	reads     map[uint64]*request
 	readsDone []readWait
 	readID    uint64
-	handovers []*request
+	handovers []handover
 
 	snapshotAt   uint64 // index of the last snapshot
 	snapshotting bool
@@ -350,8 +356,8 @@
 // shutDown answers what is still open and closes the files.
 func (l *loop) shutDown() {
 	l.failWaiters(ErrUnknownOutcome)
-	for _, req := range l.handovers {
-		req.answer(result{err: ErrStopped})
+	for _, h := range l.handovers {
+		h.req.answer(result{err: ErrStopped})
 	}
 	var err error
 	if l.saver != nil {
