--- a/raft/follower.go
+++ b/raft/follower.go
@@ -13,7 +13,7 @@
 	case m.Index < n.log.commit && m.Index < n.log.baseIndex:
 		// The entries before the base are committed, so they match.
 		resp.Index = n.log.commit
-	case !contiguous(m.Index, m.Entries):
+	case !contiguous(m.Index, m.Entries) || n.contradicts(m.Entries):
 		return
 	case !n.log.matches(m.Index, m.LogTerm):
 		resp.Reject = true
@@ -36,6 +36,20 @@
 	return true
 }
 
+// contradicts says whether entries differ from committed ones. No correct
+// leader sends such.
+func (n *Node) contradicts(ents []Entry) bool {
+	for _, e := range ents {
+		if e.Index > n.log.commit {
+			return false
+		}
+		if t, ok := n.log.term(e.Index); ok && t != e.Term {
+			return true
+		}
+	}
+	return false
+}
+
 // appendFrom stores entries whose predecessor matches. It truncates only at a
 // real conflict, because an old message may repeat entries.
 func (n *Node) appendFrom(ents []Entry) {
--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -65,6 +66,7 @@
 	mu    sync.Mutex
 	hosts map[string]*host
 	cut   map[string]bool
+	rng   *rand.Rand
 }
 
 type host struct {
@@ -101,8 +103,10 @@
 	}
 }
 
-func newNetwork() *network {
-	return &network{hosts: map[string]*host{}, cut: map[string]bool{}}
+func newNetwork(t *testing.T) *network {
+	n := &network{hosts: map[string]*host{}, cut: map[string]bool{}, rng: rand.New(rand.NewPCG(1, 5))}
+	t.Cleanup(func() { n.stopAll(t) })
+	return n
 }
 
 func addr(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i) }
@@ -117,8 +121,8 @@
 func (h *host) open(t *testing.T, change func(*Options)) {
 	h.state = &counter{}
 	opt := Options{
-		Dir: "/data", Addr: h.addr, FS: h.fs, Seed: uint64(len(h.addr)) + uint64(h.addr[7]),
-		Transport: h, StateMachine: h.state,
+		Dir: "/data", Addr: h.addr, FS: h.fs, Seed: h.net.rng.Uint64() | 1,
+		Transport: h, StateMachine: h.state, newID: h.net.rng.Uint64,
 		Log: func(msg string, kv ...any) { t.Log(h.addr, msg, kv) },
 	}
 	if change != nil {
@@ -144,7 +148,7 @@
 
 func (n *network) stopAll(t *testing.T) {
 	for _, h := range n.hosts {
-		stopped, cancel := context.WithCancel(t.Context())
+		stopped, cancel := context.WithCancel(context.Background())
 		cancel()
 		h.replica.Stop(stopped)
 	}
@@ -180,7 +184,7 @@
 
 func TestSingleReplica(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
+		n := newNetwork(t)
 		h := n.start(t, 1, first(1))
 		leader(t, h)
 		for i := range 10 {
@@ -200,13 +204,12 @@
 		_, err = h.replica.Barrier(timeout(t))
 		require.NoError(t, err)
 		require.Len(t, h.state.list(), 10)
-		n.stopAll(t)
 	})
 }
 
 func TestThreeReplicas(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
+		n := newNetwork(t)
 		hosts := three(t, n)
 		l := leader(t, hosts...)
 		for i := range 20 {
@@ -225,6 +228,5 @@
 				require.Equal(t, l.addr, moved.LeaderAddr)
 			}
 		}
-		n.stopAll(t)
 	})
 }
--- /dev/null
+++ b/replica/form_test.go
@@ -0,0 +1,153 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/fireflytray/fireflytray/wal"
+)
+
+// formation is three first hosts on a network that drops and delays. It holds
+// that no cluster forms while a host belongs to another.
+type formation struct {
+	t     require.TestingT
+	rng   *rand.Rand
+	now   time.Duration
+	addrs []string
+	hosts map[string]*former
+	disks map[string]wal.Identity
+	wires []packet
+	ids   uint64
+}
+
+func newFormation(t require.TestingT, seed uint64) *formation {
+	f := &formation{
+		t: t, rng: rand.New(rand.NewPCG(seed, 4)),
+		addrs: []string{addr(1), addr(2), addr(3)},
+		hosts: map[string]*former{}, disks: map[string]wal.Identity{},
+	}
+	for _, a := range f.addrs {
+		f.wipe(a)
+	}
+	return f
+}
+
+// wipe puts an empty folder at an address.
+func (f *formation) wipe(a string) {
+	f.ids++
+	f.disks[a] = wal.Identity{Replica: f.ids}
+	f.restart(a)
+}
+
+func (f *formation) restart(a string) { f.hosts[a] = newFormer(f.disks[a], a, f.addrs) }
+
+func (f *formation) carryOut(a string, eff effects) {
+	h := f.hosts[a]
+	if eff.save {
+		if h.ident.Phase == wal.PhaseMember {
+			f.checkOnly(a, h.ident)
+		}
+		f.disks[a] = h.ident
+	}
+	f.wires = append(f.wires, eff.packets...)
+}
+
+func (f *formation) checkOnly(a string, ident wal.Identity) {
+	for _, other := range f.addrs {
+		disk := f.disks[other]
+		if disk.Phase == wal.PhaseMember {
+			require.Equal(f.t, disk.Cluster, ident.Cluster, "%s formed a second cluster beside %s", a, other)
+		}
+	}
+}
+
+func (f *formation) deliver(p packet) {
+	h := f.hosts[p.addr]
+	if h.ident.Phase == wal.PhaseMember {
+		if p.env.Intro != nil {
+			e := envelope{From: h.id, FromAddr: h.addr, Cluster: h.ident.Cluster, Exists: &exists{Initial: h.ident.Initial}}
+			f.wires = append(f.wires, packet{to: p.env.From, addr: p.env.FromAddr, env: e})
+		}
+		return
+	}
+	if p.env.Intro != nil {
+		f.carryOut(p.addr, h.handleIntro(&p.env))
+	} else {
+		f.carryOut(p.addr, h.handleExists(&p.env))
+	}
+}
+
+func (f *formation) step(wipes bool) {
+	a := f.addrs[f.rng.IntN(len(f.addrs))]
+	switch n := f.rng.IntN(40); {
+	case n == 0 && wipes:
+		f.wipe(a)
+	case n == 1:
+		f.restart(a)
+	case n < 10:
+		f.now += introInterval / 4
+		f.carryOut(a, f.hosts[a].tick(f.now))
+	case len(f.wires) > 0:
+		i := f.rng.IntN(len(f.wires))
+		p := f.wires[i]
+		if f.rng.IntN(4) > 0 {
+			f.wires = append(f.wires[:i:i], f.wires[i+1:]...)
+		}
+		f.deliver(p)
+	}
+}
+
+// Whatever is lost, late, doubled, restarted or wiped, no host forms a cluster
+// beside one that exists; with no wipe, all three form one.
+func TestFormsAtMostOneCluster(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFormation(t, rapid.Uint64().Draw(t, "seed"))
+		wipes := rapid.Bool().Draw(t, "wipes")
+		for range rapid.IntRange(100, 1000).Draw(t, "steps") {
+			f.step(wipes)
+		}
+		if wipes {
+			return
+		}
+		for range 3000 {
+			f.step(false)
+		}
+		for _, a := range f.addrs {
+			require.Equal(t, wal.PhaseMember, f.disks[a].Phase)
+		}
+	})
+}
+
+// Two of three first hosts form nothing. When two have lost their disks while
+// the third, which holds the cluster, is away, they form nothing either.
+func TestEmptyFoldersFormNothingBesideACluster(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		a, b := n.start(t, 1, first(1, 2, 3)), n.start(t, 2, first(1, 2, 3))
+		time.Sleep(time.Minute)
+		require.Equal(t, wal.PhaseNew, a.replica.Status().Phase)
+		c := n.start(t, 3, first(1, 2, 3))
+		items := write(t, leader(t, a, b, c), "a", 3)
+
+		eventually(t, "the third host has all", func() bool { return len(c.state.list()) == len(items) })
+		n.setCut(c.addr, true)
+		for i, h := range []*host{a, b} {
+			h.crash(t)
+			h.wipe(uint64(20 + i))
+			h.open(t, first(1, 2, 3))
+		}
+		time.Sleep(time.Minute)
+		n.setCut(c.addr, false)
+		time.Sleep(time.Minute)
+		for _, h := range []*host{a, b} {
+			require.Equal(t, wal.PhaseWaiting, h.replica.Status().Phase)
+		}
+		require.Equal(t, items, c.state.list())
+		require.False(t, c.replica.Status().Fresh)
+	})
+}
--- a/replica/repair_test.go
+++ b/replica/repair_test.go
@@ -88,7 +88,7 @@
 // repair a second host is lost at once, and nothing accepted is missing.
 func TestLostDiskThenSecondHostLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
+		n := newNetwork(t)
 		hosts := three(t, n)
 		l := leader(t, hosts...)
 		items := write(t, l, "a", 10)
@@ -114,7 +114,6 @@
 			require.NoError(t, err)
 			require.Equal(t, items, h.state.list())
 		}
-		n.stopAll(t)
 	})
 }
 
@@ -122,7 +121,7 @@
 // the quorum is refused.
 func TestPromotionNeedsCaughtUpLearner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
+		n := newNetwork(t)
 		hosts := three(t, n)
 		l := leader(t, hosts...)
 		write(t, l, "a", 3)
@@ -138,13 +137,12 @@
 		n.setCut(d.addr, false)
 		admin(t, hosts, func(r *Replica) error { return r.Promote(timeout(t), id) })
 		eventually(t, "the voter catches up", func() bool { return len(d.state.list()) == 3 })
-		n.stopAll(t)
 	})
 }
 
 func TestPromotionWaitsForDeadVoter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
+		n := newNetwork(t)
 		hosts := three(t, n)
 		l := leader(t, hosts...)
 		d := n.start(t, 4, join)
@@ -157,7 +155,6 @@
 		require.ErrorIs(t, l.replica.Promote(timeout(t), id), raft.ErrVoterDown)
 		left := others(hosts, l, dead)[0]
 		require.ErrorIs(t, l.replica.Remove(timeout(t), left.replica.Status().ID), raft.ErrQuorumLost)
-		n.stopAll(t)
 	})
 }
 
@@ -165,7 +162,7 @@
 func TestLeaderLost(t *testing.T) {
 	const target = 3 * time.Second
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
+		n := newNetwork(t)
 		hosts := three(t, n)
 		l := leader(t, hosts...)
 		items := write(t, l, "a", 5)
@@ -187,7 +184,6 @@
 		require.Equal(t, append(items, "b"), next.state.list())
 		l.open(t, first(1, 2, 3))
 		eventually(t, "the old leader follows", func() bool { return len(l.state.list()) == 6 })
-		n.stopAll(t)
 	})
 }
 
@@ -195,7 +191,7 @@
 // it comes back it disturbs no leader.
 func TestCutOffHost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
+		n := newNetwork(t)
 		hosts := three(t, n)
 		l := leader(t, hosts...)
 		n.setCut(l.addr, true)
@@ -221,14 +217,13 @@
 		time.Sleep(10 * time.Second)
 		require.Equal(t, term, next.replica.Status().Term, "the returning host forced an election")
 		require.Equal(t, items, l.state.list())
-		n.stopAll(t)
 	})
 }
 
 // A leader that is asked to remove itself hands over first.
 func TestRemoveLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
+		n := newNetwork(t)
 		hosts := three(t, n)
 		l := leader(t, hosts...)
 		id := l.replica.Status().ID
@@ -237,7 +232,6 @@
 		require.NotEqual(t, id, moved.LeaderID)
 		admin(t, hosts, func(r *Replica) error { return r.Remove(timeout(t), id) })
 		require.Len(t, leader(t, others(hosts, l)...).replica.Status().Members, 2)
-		n.stopAll(t)
 	})
 }
 
@@ -245,21 +239,20 @@
 // well before an election timeout has passed.
 func TestStopHandsOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
+		n := newNetwork(t)
 		hosts := three(t, n)
 		l := leader(t, hosts...)
 		require.NoError(t, l.replica.Stop(timeout(t)))
 		stopped := time.Now()
 		leader(t, others(hosts, l)...)
 		require.Less(t, time.Since(stopped), raft.DefaultElectionTimeout)
-		n.stopAll(t)
 	})
 }
 
 // A replica that lags behind the compacted log gets the snapshot.
 func TestSnapshotCatchUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
+		n := newNetwork(t)
 		small := func(o *Options) {
 			first(1, 2, 3)(o)
 			o.SnapshotEntries = 500
@@ -275,7 +268,6 @@
 		late.open(t, small)
 		eventually(t, "the late replica has all", func() bool { return len(late.state.list()) == len(items) })
 		require.Equal(t, items, late.state.list())
-		n.stopAll(t)
 	})
 }
 
@@ -283,7 +275,7 @@
 // all that was accepted is there.
 func TestFullDisk(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
+		n := newNetwork(t)
 		h := n.start(t, 1, first(1))
 		leader(t, h)
 		h.fs.SetRoom(2000)
@@ -306,6 +298,5 @@
 		_, err = h.replica.Barrier(timeout(t))
 		require.NoError(t, err)
 		require.Equal(t, items, h.state.list()[:len(items)])
-		n.stopAll(t)
 	})
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -63,6 +63,8 @@
 	FS wal.FS
 	// Seed seeds the election timeouts; zero draws one.
 	Seed uint64
+
+	newID func() uint64 // draws replica ids
 }
 
 // DefaultSnapshotEntries is the default of Options.SnapshotEntries.
@@ -131,7 +133,7 @@
 	if err := opt.setDefaults(); err != nil {
 		return nil, fmt.Errorf("replica: open: %w", err)
 	}
-	w, st, err := wal.Open(opt.FS, opt.Dir, newID)
+	w, st, err := wal.Open(opt.FS, opt.Dir, opt.newID)
 	if err != nil {
 		return nil, fmt.Errorf("replica: open: %w", err)
 	}
@@ -164,6 +166,9 @@
 	if o.FS == nil {
 		o.FS = wal.OS{}
 	}
+	if o.newID == nil {
+		o.newID = newID
+	}
 	if o.Seed == 0 {
 		o.Seed = newID()
 	}
