entry: use quota, retry and limit; benchmark the reducer with 1,500 agents

Cause: the reducer had stand-ins for quotas, retry budgets and the limit of a service while the packages were being written. Change: the stand-ins are gone; the limit follows what upstreams finish in time; the pool keeps its sums, so that admission does not walk 1,500 agents.

--- a/entry/agent.go
+++ b/entry/agent.go
@@ -303,9 +303,6 @@
 	for _, id := range a.sentIDs() {
 		e.settle(a, id, a.sent[id], task.Outcome{State: task.Unknown, Reason: why, Where: a.ID})
 	}
-	if a.pooled {
-		a.svc.pool.Changed(&a.Agent)
-	}
 }
 
 // markDirty lets the agent get an update at the end of the step.
--- /dev/null
+++ b/entry/bench_test.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/fireflytray/fireflytray/entry/placement"
+	"github.com/fireflytray/fireflytray/entry/queue"
+	"github.com/fireflytray/fireflytray/fleet"
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+const (
+	benchAgents = 1500
+	benchSlots  = 8
+	benchTeams  = 260
+	benchJob    = 20
+)
+
+// benchFleet is an entry with 1,500 agents connected, and answers from them.
+type benchFleet struct {
+	e    *Entry
+	out  []Effect
+	seq  map[string]uint64
+	now  time.Duration
+	next uint64
+}
+
+func newBenchFleet(order queue.Order) *benchFleet {
+	cfg := &fleet.Config{
+		Index:    1,
+		Services: map[string]fleet.Service{"svc": {Name: "svc", MaxTasks: 1000, Deadline: time.Hour, MaxDeadline: time.Hour, MaxWaiting: 1 << 20}},
+		Teams:    make(map[string]fleet.Team),
+	}
+	for i := range benchTeams {
+		name := teamName(i)
+		cfg.Teams[name] = fleet.Team{Name: name, Weight: 1}
+	}
+	f := &benchFleet{
+		e:   New(Options{Self: wire.Peer{Role: wire.RoleEntry, ID: "e", Incarnation: 1}, Policy: placement.Credits{}, Order: order, Config: cfg}),
+		seq: make(map[string]uint64),
+	}
+	d := wire.Directory{Full: true, Complete: true}
+	for i := range benchAgents {
+		id := fmt.Sprintf("a%04d", i)
+		d.Upserts = append(d.Upserts, wire.Member{
+			Peer:   wire.Peer{Role: wire.RoleAgent, ID: id, Incarnation: 1, Addr: id},
+			Worker: &wire.Worker{Service: "svc", Slots: benchSlots},
+		})
+	}
+	f.step(DirectoryChanged{Directory: d})
+	return f
+}
+
+func teamName(i int) string { return fmt.Sprintf("team-%d", i) }
+
+// step handles an event and everything that the agents answer to it at once.
+func (f *benchFleet) step(ev Event) {
+	f.now += time.Microsecond
+	f.out = f.e.Step(f.now, ev, f.out[:0])
+	for _, eff := range append([]Effect(nil), f.out...) {
+		switch eff := eff.(type) {
+		case Dial:
+			f.seq[eff.Peer.ID]++
+			f.step(Connected{Agent: eff.Peer.ID, Session: eff.Hello.Session, Welcome: &wire.Welcome{
+				From:   eff.Peer,
+				Worker: &wire.Worker{Service: "svc", Slots: benchSlots},
+				Report: &wire.Report{Seq: f.seq[eff.Peer.ID], Credit: benchSlots, Slots: benchSlots},
+			}})
+		case Send:
+			f.finish(eff)
+		}
+	}
+}
+
+// finish reports the tasks of an update as complete.
+func (f *benchFleet) finish(s Send) {
+	f.seq[s.Agent]++
+	r := &wire.Report{Seq: f.seq[s.Agent], Seen: s.Update.Seq, Credit: benchSlots, Slots: benchSlots}
+	for _, t := range s.Update.Tasks {
+		r.Outcomes = append(r.Outcomes, wire.Result{ID: t.ID, Outcome: task.Outcome{State: task.Complete, Ran: 100 * time.Millisecond}})
+	}
+	f.step(Received{Agent: s.Agent, Session: s.Session, Report: r})
+}
+
+func (f *benchFleet) submit(tasks int) {
+	f.next++
+	sub := task.Submission{Service: "svc", Team: teamName(int(f.next) % benchTeams), Job: true, Tasks: make([]task.Spec, tasks)}
+	for i := range sub.Tasks {
+		sub.Tasks[i].Declared = 100 * time.Millisecond
+	}
+	f.step(Submit{ID: task.NewSubmissionID(1, f.next), Sub: sub})
+}
+
+// BenchmarkTasks places tasks on 1,500 agents and takes their outcomes; ns/op
+// is for one task.
+func BenchmarkTasks(b *testing.B) {
+	f := newBenchFleet(queue.LeftOverSlowdown)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for n := 0; n < b.N; n += benchJob {
+		f.submit(benchJob)
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "tasks/s")
+}
+
+// BenchmarkView reports the memory of an entry that knows 1,500 agents and 260
+// teams.
+func BenchmarkView(b *testing.B) {
+	for range b.N {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		f := newBenchFleet(queue.LeftOverSlowdown)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
+		runtime.KeepAlive(f)
+	}
+}
+
+// BenchmarkQueue takes tasks from a queue in which 260 teams wait with ten jobs
+// each, which is the worst case of the order's search.
+func BenchmarkQueue(b *testing.B) {
+	q := queue.New(queue.LeftOverSlowdown)
+	fill := func(i int) {
+		q.Add(&queue.Job{Team: teamName(i % benchTeams), Arrived: time.Duration(i), Longest: time.Duration(1+i%7) * 100 * time.Millisecond}, uint32(1+i%140))
+	}
+	for i := range 10 * benchTeams {
+		fill(i)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		j, _ := q.Head(time.Second)
+		q.Take(j)
+		q.Settle(j.Team, 100*time.Millisecond)
+		if q.Len() < 100*benchTeams {
+			fill(i)
+		}
+	}
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -127,12 +127,7 @@
 // starved reports whether the entry has less than half of its even share of a
 // service's slots.
 func (e *Entry) starved(s *service) bool {
-	slots, held := 0, 0
-	for _, a := range s.pool.Agents() {
-		slots += a.Slots
-		held += a.Outstanding
-	}
-	return 2*held*max(1, len(e.entries)) < slots
+	return 2*s.pool.Outstanding()*max(1, len(e.entries)) < s.pool.Slots()
 }
 
 // tellDemand lets a few random agents that were not told of waiting tasks, or
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,9 @@
 	"github.com/fireflytray/fireflytray/entry/placement"
 	"github.com/fireflytray/fireflytray/entry/queue"
 	"github.com/fireflytray/fireflytray/fleet"
+	"github.com/fireflytray/fireflytray/limit"
+	"github.com/fireflytray/fireflytray/quota"
+	"github.com/fireflytray/fireflytray/retry"
 	"github.com/fireflytray/fireflytray/task"
 	"github.com/fireflytray/fireflytray/wire"
 )
@@ -53,6 +56,11 @@
 	goneAfter = 4 * time.Second
 	// reviewEvery is the time between looks for slow agents.
 	reviewEvery = 250 * time.Millisecond
+	// retryReserve is how many retries a service may make besides its share.
+	retryReserve = 5
+	// defaultMaxWaiting bounds the tasks in the system where the service's
+	// configuration does not.
+	defaultMaxWaiting = 100_000
 	// startMargin is kept from a task's time to start, for its way back.
 	startMargin = 5 * time.Millisecond
 )
@@ -68,7 +76,7 @@
 	entries  map[string]bool // other live entries, by id
 	subs     map[task.SubmissionID]*submission
 	claims   map[uint64]*submission
-	teams    map[string]*teamState
+	quotas   map[string]*quota.Bucket // by team
 	nextReq  uint64
 	sessions uint64 // dials so far, over all agents
 	timers   timers
@@ -91,8 +99,10 @@
 	active  bool
 	poked   bool
 	speed   speed
-	rate    rate
-	budget  float64 // retries that may be made now
+	limit   *limit.Limiter
+	retries *retry.Budget
+	// inSystem counts the tasks admitted and not answered.
+	inSystem int
 }
 
 // New returns an entry with the configuration in o.
@@ -104,7 +114,7 @@
 		entries:  make(map[string]bool),
 		subs:     make(map[task.SubmissionID]*submission),
 		claims:   make(map[uint64]*submission),
-		teams:    make(map[string]*teamState),
+		quotas:   make(map[string]*quota.Bucket),
 		rng:      rand.New(rand.NewPCG(o.Seed, o.Self.Incarnation)),
 	}
 	if e.opts.Policy == nil {
@@ -162,6 +172,7 @@
 	for name, sc := range cfg.Services {
 		s := e.service(name)
 		s.cfg = sc
+		s.retries.SetLimits(cfg.Retry.Budget, retryReserve)
 		for _, t := range cfg.Teams {
 			s.q.SetTeam(t.Name, t.Weight, t.MaxRunning)
 		}
@@ -177,7 +188,8 @@
 			q:    queue.New(e.opts.Order),
 			pool: placement.NewPool(e.opts.Seed ^ uint64(len(e.services)+1)),
 
-			budget: budgetStart,
+			limit:   limit.New(e.now, 1, defaultMaxWaiting),
+			retries: retry.New(0, retryReserve),
 		}
 		e.services[name] = s
 	}
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -31,8 +31,13 @@
 
 	pos     int
 	freePos int
+	// counted is what of the agent is in the pool's sums.
+	counted sums
 }
 
+// sums are totals over the agents of a pool.
+type sums struct{ slots, outstanding int }
+
 func (a *Agent) fits(need task.Resources) bool {
 	return need.Fits(a.Offered.Sub(a.Used))
 }
@@ -53,6 +58,7 @@
 	free   []*Agent // agents that are open
 	rng    *rand.Rand
 	next   int
+	total  sums
 }
 
 // NewPool returns an empty pool whose random choices follow the seed.
@@ -63,6 +69,12 @@
 // Len returns the number of agents.
 func (p *Pool) Len() int { return len(p.agents) }
 
+// Slots returns the sum of the agents' slots.
+func (p *Pool) Slots() int { return p.total.slots }
+
+// Outstanding returns the sum of this entry's tasks at the agents.
+func (p *Pool) Outstanding() int { return p.total.outstanding }
+
 // Free returns the number of agents with credit.
 func (p *Pool) Free() int { return len(p.free) }
 
@@ -80,12 +92,22 @@
 	p.agents[a.pos] = p.agents[last]
 	p.agents[a.pos].pos = a.pos
 	p.agents = p.agents[:last]
+	p.count(a, sums{})
 	p.setFree(a, false)
 }
 
-// Changed must be called after Credit, Outstanding or Slow of an agent in the
-// pool has changed.
-func (p *Pool) Changed(a *Agent) { p.setFree(a, a.open()) }
+// Changed must be called after Credit, Slots, Outstanding or Slow of an agent
+// in the pool has changed.
+func (p *Pool) Changed(a *Agent) {
+	p.count(a, sums{a.Slots, a.Outstanding})
+	p.setFree(a, a.open())
+}
+
+func (p *Pool) count(a *Agent, now sums) {
+	p.total.slots += now.slots - a.counted.slots
+	p.total.outstanding += now.outstanding - a.counted.outstanding
+	a.counted = now
+}
 
 func (p *Pool) setFree(a *Agent, free bool) {
 	if free == (a.freePos >= 0) {
@@ -103,9 +125,6 @@
 	a.freePos = -1
 }
 
-// Agents returns the agents; the caller must not change the slice.
-func (p *Pool) Agents() []*Agent { return p.agents }
-
 // Shuffled returns the agents in a random order.
 func (p *Pool) Shuffled() []*Agent {
 	s := slices.Clone(p.agents)
--- a/entry/report.go
+++ b/entry/report.go
@@ -84,7 +84,7 @@
 	if r.Outcome.State == task.Complete {
 		a.speed.observe(rec.declared, r.Outcome.Ran)
 		a.svc.speed.observeBy(serviceSpeedWeight, rec.declared, r.Outcome.Ran)
-		a.svc.rate.observe(e.now)
+		a.svc.limit.Finished(e.now, rec.at-rec.sub.arrived+r.Waited, r.Outcome.Ran, rec.sub.deadline-rec.sub.arrived)
 	}
 	if r.Outcome.State == task.NotRun {
 		e.stats.Refused++
@@ -105,6 +105,9 @@
 	delete(a.sent, id)
 	a.Outstanding--
 	a.Used = a.Used.Sub(rec.need)
+	if a.pooled {
+		a.svc.pool.Changed(&a.Agent)
+	}
 	s := rec.sub
 	s.svc.q.Settle(s.sub.Team, ranFor(o, e.now-rec.at))
 	if s.answered {
@@ -124,7 +127,7 @@
 		return
 	}
 	if o.State == task.Complete {
-		e.budgetEarn(s.svc)
+		s.svc.retries.Succeeded(e.now)
 	}
 	e.finish(s, rec.index, o)
 }
--- a/entry/stats.go
+++ b/entry/stats.go
@@ -148,7 +148,7 @@
 func (e *Entry) retryAfter(s *submission, why task.Reason) time.Duration {
 	switch why {
 	case task.ReasonDeadline, task.ReasonOverload, task.ReasonBusy, task.ReasonStartExpired:
-		return s.svc.rate.timeFor(s.svc.waiting()+1, e.now)
+		return s.svc.limit.RetryAfter(e.now, s.svc.waiting()+1)
 	case task.ReasonUpstreamGone, task.ReasonAgentGone, task.ReasonAgentRestarted,
 		task.ReasonDraining, task.ReasonSuspended, task.ReasonNeverReceived:
 		return lostRetry
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -161,7 +161,10 @@
 	delete(e.subs, s.id)
 	s.svc.q.Remove(&s.job)
 	s.svc.unblock(&s.job)
-	e.teamDone(s.sub.Team, len(s.tasks))
+	s.svc.inSystem -= len(s.tasks)
+	if a.State == task.NotRun {
+		e.returnQuota(s)
+	}
 	if s.inFlight > 0 {
 		e.cancelSent(s)
 	}
@@ -216,9 +219,13 @@
 }
 
 func (e *Entry) deadlinePassed(s *submission) {
-	if !s.answered {
-		e.answerGivenUp(s, task.ReasonDeadline)
+	if s.answered {
+		return
+	}
+	for range s.left {
+		s.svc.limit.Late(e.now)
 	}
+	e.answerGivenUp(s, task.ReasonDeadline)
 }
 
 // dropHopeless gives up a submission that has tasks waiting and less time than
@@ -250,7 +257,7 @@
 		return !s.sub.Job && s.sub.Idempotent && s.sub.Key == "" &&
 			retryable(o.Reason) &&
 			s.tasks[i].attempt+1 < e.cfg.Retry.MaxAttempts &&
-			e.budgetTake(s.svc)
+			s.svc.retries.Take(e.now)
 	}
 	return false
 }
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -10,6 +10,12 @@
 const (
 	// declaredFactor is by how much declared run times may be off either way.
 	declaredFactor = 4
+	// drainRetry, noUpstreamRetry, lostRetry and claimsRetry are when to come
+	// back for the refusals that no rate can tell of.
+	drainRetry      = time.Second
+	noUpstreamRetry = 2 * time.Second
+	lostRetry       = time.Second
+	claimsRetry     = time.Second
 	// defaultDeadline bounds a submission where neither caller nor service does.
 	defaultDeadline = 30 * time.Second
 )
@@ -36,7 +42,7 @@
 	}
 	s := e.newSubmission(ev, svc, e.deadlineFor(svc, ev.Sub.Deadline))
 	e.subs[s.id] = s
-	e.teamAdmitted(s.sub.Team, len(s.tasks))
+	svc.inSystem += len(s.tasks)
 	if s.sub.Key != "" {
 		e.claim(s)
 		return
@@ -105,20 +111,32 @@
 	return nil
 }
 
-// checkLoad refuses what the queue has no room for, and says when it will.
+// checkLoad refuses what the service can't finish in time, and says when it
+// can.
 func (e *Entry) checkLoad(svc *service, sub *task.Submission) *refusal {
-	room := int(svc.cfg.MaxWaiting)
-	over := svc.waiting() + len(sub.Tasks) - room
-	if room == 0 || over <= 0 {
+	svc.limit.SetBounds(e.limitBounds(svc))
+	ok, after := svc.limit.Admit(e.now, svc.inSystem, len(sub.Tasks))
+	if ok {
 		return nil
 	}
 	return &refusal{
 		reason: task.ReasonOverload,
-		detail: fmt.Sprintf("%d tasks wait for service %q, at most %d may", svc.waiting(), svc.name, room),
-		after:  svc.rate.timeFor(over, e.now),
+		detail: fmt.Sprintf("%d tasks are in the system for service %q, its limit is %d now", svc.inSystem, svc.name, svc.limit.Limit(e.now)),
+		after:  after,
 	}
 }
 
+// limitBounds are the least and the most tasks of a service in the system: the
+// slots must never idle for the limit's sake.
+func (e *Entry) limitBounds(svc *service) (low, high int) {
+	slots := svc.pool.Slots()
+	waiting := int(svc.cfg.MaxWaiting)
+	if waiting == 0 {
+		waiting = defaultMaxWaiting
+	}
+	return 2 * slots, 2*slots + waiting
+}
+
 // deadlineFor returns the time that a submission has.
 func (e *Entry) deadlineFor(svc *service, asked time.Duration) time.Duration {
 	d := asked
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -107,6 +107,12 @@
 	l.waited++
 }
 
+// RetryAfter returns when n more tasks should have finished.
+func (l *Limiter) RetryAfter(now time.Duration, n int) time.Duration {
+	l.advance(now)
+	return l.retryAfter(float64(n))
+}
+
 func (l *Limiter) retryAfter(excess float64) time.Duration {
 	if !l.known || l.rate <= 0 {
 		return unknownRetryAfter
