--- a/entry/queue/queue.go
+++ b/entry/queue/queue.go
@@ -15,6 +15,9 @@
 	// fairWindow is how much service, in seconds of one slot by weight 1, a
 	// team may be ahead of the team that has had least before it must wait.
 	fairWindow = 4.0
+	// rankKeep is how long a team's first job and its rank are kept while
+	// nothing of the team changes; ranks fall slowly with age.
+	rankKeep = 10 * time.Millisecond
 	// assumedRun is charged for a task until its real run time is known.
 	assumedRun = 300 * time.Millisecond
 	classWords = (maxClass + 64) / 64
@@ -47,8 +50,13 @@
 	running int // tasks taken and not settled
 	limit   int // bound on running, 0 for none
 	pos     int // index in Queue.due, -1 if nothing waits
-	classes [maxClass + 1]classHeap
-	used    [classWords]uint64
+	// first is the team's first job and its rank, as of firstAt; nil if it must
+	// be looked for.
+	first     *Job
+	firstRank float64
+	firstAt   time.Duration
+	classes   [maxClass + 1]classHeap
+	used      [classWords]uint64
 }
 
 // Queue holds waiting jobs. It is not safe for concurrent use.
@@ -204,12 +212,14 @@
 func (t *team) full() bool { return t.limit > 0 && t.running >= t.limit }
 
 func (q *Queue) insert(t *team, j *Job) {
+	t.first = nil
 	j.class = q.order.class(j)
 	t.classes[j.class].push(j)
 	t.used[j.class/64] |= 1 << (j.class % 64)
 }
 
 func (t *team) remove(j *Job) {
+	t.first = nil
 	h := &t.classes[j.class]
 	h.remove(j)
 	if len(*h) == 0 {
@@ -218,8 +228,16 @@
 }
 
 // head returns the team's first job. Within a class the oldest job ranks first,
-// so only the head of each class is compared.
+// so only the first of each class is compared.
 func (t *team) head(o Order, now time.Duration) (*Job, float64) {
+	if t.first == nil || now >= t.firstAt+rankKeep {
+		t.first, t.firstRank = t.search(o, now)
+		t.firstAt = now
+	}
+	return t.first, t.firstRank
+}
+
+func (t *team) search(o Order, now time.Duration) (*Job, float64) {
 	var best *Job
 	rank := math.Inf(1)
 	for w, word := range t.used {
