entryd: report the entry's metrics

Cause: the metrics page of a running entry had only the transport's counters; response time over the ideal, wasted messages, refusals, retries, queue and slots were named but never reported. Change: a meter counts answers as they go out and copies the reducer's totals once a second. The ideal is the longest run and the least round trip seen, as an entry does not know the true one. metrics.Agent is gone: agentd has its own.

--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -71,6 +71,7 @@
 	api     *httpapi.Server
 	counter atomic.Uint64
 	ready   atomic.Bool
+	meter   *meter
 
 	mu    sync.Mutex
 	done  map[task.SubmissionID]func(task.Answer)
@@ -91,6 +92,7 @@
 		done:    make(map[task.SubmissionID]func(task.Answer)),
 		links:   make(map[string]*link),
 		drained: make(chan struct{}),
+		meter:   newMeter(o.Scope),
 	}
 	d.state = entry.New(entry.Options{
 		Self:   o.Self,
@@ -117,6 +119,7 @@
 	d.dialCtx = inner
 	g, gctx := errgroup.WithContext(inner)
 	g.Go(func() error { d.loop.Run(gctx); return nil })
+	g.Go(func() error { d.reportState(gctx); return nil })
 	g.Go(func() error { return d.api.Serve(ln) })
 	g.Go(func() error {
 		select {
@@ -180,8 +183,12 @@
 // Submit is part of httpapi.Backend.
 func (d *Daemon) Submit(s task.Submission, done func(task.Answer)) task.SubmissionID {
 	id := task.NewSubmissionID(d.opts.Self.Incarnation, d.counter.Add(1))
+	start := d.loop.Now()
 	d.mu.Lock()
-	d.done[id] = done
+	d.done[id] = func(a task.Answer) {
+		d.meter.answered(&a, d.loop.Now()-start)
+		done(a)
+	}
 	d.mu.Unlock()
 	if !d.loop.Post(entry.Submit{ID: id, Sub: s}) {
 		d.answer(task.Answer{ID: id, State: task.NotRun, Reason: task.ReasonDraining, Detail: "this entry has shut down"})
--- a/examples/run.sh
+++ b/examples/run.sh
@@ -75,6 +75,7 @@
 	name=$1
 	shift
 	if alive "$name"; then
+		echo "$name runs already, with the program it was started with"
 		return
 	fi
 	"$@" --config "$run/$name.ini" >>"$run/log/$name.log" 2>&1 </dev/null &
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -23,9 +23,6 @@
 	entry.Answered(task.NotRun, task.ReasonQuota)
 	entry.Answered(task.NotRun, task.ReasonOverload)
 	entry.Answered(task.Failed, task.ReasonAgentGone)
-	agent := NewAgent(root.Scope())
-	agent.Slots.Update(8)
-	agent.Refused(task.ReasonBusy)
 	require.NoError(t, root.Close())
 	w := httptest.NewRecorder()
 	root.Handler().ServeHTTP(w, httptest.NewRequest("GET", Path, nil))
@@ -40,8 +37,6 @@
 		`fireflytray_entry_refused{` + tags + `,reason="quota",role="entry"} 1`,
 		`fireflytray_entry_refused{` + tags + `,reason="overload",role="entry"} 1`,
 		`fireflytray_entry_failed{` + tags + `,reason="agent_gone",role="entry"} 1`,
-		`fireflytray_agent_slots{` + tags + `,role="entry"} 8`,
-		`fireflytray_agent_refused{` + tags + `,reason="busy",role="entry"} 1`,
 	} {
 		require.Contains(t, w.Body.String(), line)
 	}
--- a/metrics/roles.go
+++ b/metrics/roles.go
@@ -11,7 +11,7 @@
 // overIdealBuckets are bounds of response time over the ideal, as a ratio.
 var overIdealBuckets = tally.ValueBuckets{1, 1.1, 1.25, 1.5, 2, 3, 5, 10, 20, 50, 100, 1000}
 
-// Entry is what an entry reports.
+// Entry is what an entry reports. Agents report from package agentd.
 type Entry struct {
 	// OverIdeal is the response time of complete answers over the ideal.
 	OverIdeal tally.Histogram
@@ -58,32 +58,6 @@
 	}
 }
 
-// Agent is what an agent reports.
-type Agent struct {
-	// Slots, Running and Queue are gauges of the worker.
-	Slots   tally.Gauge
-	Running tally.Gauge
-	Queue   tally.Gauge
-	// Started counts tasks that started.
-	Started tally.Counter
-	refused reasons
-}
-
-// NewAgent returns an agent's metrics under scope.
-func NewAgent(scope tally.Scope) *Agent {
-	s := scope.SubScope("agent")
-	return &Agent{
-		Slots:   s.Gauge("slots"),
-		Running: s.Gauge("running"),
-		Queue:   s.Gauge("queue"),
-		Started: s.Counter("started"),
-		refused: reasons{scope: s, name: "refused"},
-	}
-}
-
-// Refused counts one task that was not run.
-func (a *Agent) Refused(reason task.Reason) { a.refused.count(reason) }
-
 // reasons counts by reason, with one counter made per reason.
 type reasons struct {
 	scope    tally.Scope
