--- a/adminapi/types.go
+++ b/adminapi/types.go
@@ -26,7 +26,7 @@
 )
 
 // MaxBody bounds a request, in bytes.
-const MaxBody = 8 << 20
+const MaxBody = 64 << 20
 
 // Source is one INI file: the base (Site "") or the overlay of a site.
 type Source struct {
--- /dev/null
+++ b/command/admin.go
@@ -0,0 +1,169 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fireflytray/fireflytray/adminapi"
+	"github.com/fireflytray/fireflytray/keys"
+)
+
+const (
+	// baseFile is the name of the base file in a configuration's folder; any
+	// other file NAME.ini there is the overlay of site NAME.
+	baseFile    = "base.ini"
+	iniSuffix   = ".ini"
+	timeLayout  = "2006-01-02 15:04:05"
+	resendPause = 300 * time.Millisecond
+)
+
+// adminOptions say how to reach the control hosts.
+type adminOptions struct {
+	Admin   []string      `long:"admin" env:"FIREFLYTRAY_ADMIN" env-delim:"," value-name:"IP:PORT" description:"Admin address of a control host; more than one are tried in turn"`
+	Keys    string        `long:"keys" env:"FIREFLYTRAY_KEYS" default:"operator" value-name:"FOLDER" description:"Folder of the operator's certificate"`
+	Timeout time.Duration `long:"timeout" default:"30s" description:"How long to try"`
+}
+
+// client returns a client for the control hosts.
+func (o *adminOptions) client() (*adminapi.Client, error) {
+	if len(o.Admin) == 0 {
+		return nil, Exit(ExitUsage, "no control host given, want --admin IP:PORT or FIREFLYTRAY_ADMIN")
+	}
+	id, err := keys.Load(o.Keys)
+	if err != nil {
+		return nil, Exit(ExitUsage, "operator's certificate: %w", err)
+	}
+	return adminapi.NewClient(id, o.Admin), nil
+}
+
+// get asks once for an answer.
+func (o *adminOptions) get(env *Env, path, query string, out any) error {
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(env.Context, o.Timeout)
+	defer cancel()
+	return adminError(client.Get(ctx, path, query, out))
+}
+
+// send posts a request that is idempotent, and sends it again until it is
+// answered or the time is over.
+func (o *adminOptions) send(env *Env, path string, in, out any) error {
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(env.Context, o.Timeout)
+	defer cancel()
+	sent := false
+	for {
+		err := client.Post(ctx, path, in, out)
+		if err == nil || !resendable(err) {
+			return adminError(err)
+		}
+		sent = sent || !neverSent(err)
+		select {
+		case <-time.After(resendPause):
+			continue
+		case <-ctx.Done():
+		}
+		if sent {
+			return Exit(ExitUnknown, "the outcome is unknown: %w", err)
+		}
+		return adminError(err)
+	}
+}
+
+// resendable reports whether another attempt may get an answer.
+func resendable(err error) bool {
+	var p *adminapi.Problem
+	if errors.As(err, &p) {
+		return p.Type == adminapi.TypeNotFresh || p.Type == adminapi.TypeUnknown
+	}
+	return errors.Is(err, adminapi.ErrNoAnswer)
+}
+
+// neverSent reports whether no control host took the request.
+func neverSent(err error) bool {
+	var p *adminapi.Problem
+	var op *net.OpError
+	return errors.As(err, &p) && p.Type == adminapi.TypeNotFresh || errors.As(err, &op) && op.Op == "dial"
+}
+
+// adminError gives an error of the admin interface its exit code.
+func adminError(err error) error {
+	var p *adminapi.Problem
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &p):
+		return Exit(problemCodes[p.Type], "%w", err)
+	case errors.Is(err, adminapi.ErrNoAnswer):
+		return Exit(ExitUnavailable, "%w", err)
+	}
+	return err
+}
+
+var problemCodes = map[string]int{
+	adminapi.TypeInvalid:    ExitUsage,
+	adminapi.TypeBadRequest: ExitUsage,
+	adminapi.TypeNotFound:   ExitFailed,
+	adminapi.TypeRefused:    ExitNotRun,
+	adminapi.TypeUnknown:    ExitUnknown,
+	adminapi.TypeNotFresh:   ExitUnavailable,
+}
+
+// readSources reads the configuration in a folder: base.ini and an overlay
+// SITE.ini for each site.
+func readSources(folder string) ([]adminapi.Source, error) {
+	files, err := filepath.Glob(filepath.Join(folder, "*"+iniSuffix))
+	if err != nil || len(files) == 0 {
+		return nil, Exit(ExitUsage, "folder %s has no %s", folder, baseFile)
+	}
+	slices.Sort(files)
+	var sources []adminapi.Source
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return nil, Exit(ExitUsage, "read configuration: %w", err)
+		}
+		site := ""
+		if name := filepath.Base(file); name != baseFile {
+			site = strings.TrimSuffix(name, iniSuffix)
+		}
+		sources = append(sources, adminapi.Source{Site: site, File: file, Text: string(text)})
+	}
+	return sources, nil
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+// warnStale tells people that an answer may be old.
+func warnStale(env *Env, fresh bool) {
+	if !fresh {
+		fmt.Fprintln(env.Stderr, "warning: the control host has no fresh quorum; this may be old")
+	}
+}
+
+func itoa[T ~uint32 | ~uint64 | ~int](n T) string { return strconv.FormatUint(uint64(n), 10) }
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
--- /dev/null
+++ b/command/config_rollback.go
@@ -0,0 +1,18 @@
+package command
+
+import "github.com/fireflytray/fireflytray/adminapi"
+
+type configRollback struct {
+	env *Env
+	changeOptions
+	Args struct {
+		Version uint64 `positional-arg-name:"version" required:"yes" description:"Version whose content comes back; 0 is the empty one"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute makes a new version with an earlier one's content.
+func (c *configRollback) Execute([]string) error {
+	return c.change(c.env, adminapi.PathRollback, func(base uint64, op string) any {
+		return adminapi.RollbackRequest{Op: op, Base: base, To: c.Args.Version}
+	})
+}
--- /dev/null
+++ b/command/control_list.go
@@ -0,0 +1,35 @@
+package command
+
+import "github.com/fireflytray/fireflytray/adminapi"
+
+type controlList struct {
+	env *Env
+	adminOptions
+}
+
+// Execute lists the control hosts as the first that answers sees them.
+func (c *controlList) Execute([]string) error {
+	var reply adminapi.ControlReply
+	if err := c.get(c.env, adminapi.PathControl, "", &reply); err != nil {
+		return err
+	}
+	warnStale(c.env, reply.Fresh)
+	return printControl(c.env, &reply)
+}
+
+func printControl(env *Env, r *adminapi.ControlReply) error {
+	return env.Print(r, func() Table {
+		t := Table{Header: []string{"replica", "address", "kind", "leader", "answers", "log position", "answered"}}
+		for _, m := range r.Members {
+			kind := "learner"
+			if m.Voter {
+				kind = "voter"
+			}
+			t.Rows = append(t.Rows, []string{m.Replica, m.Addr, kind, yesNo(m.Leader), yesNo(m.Live), itoa(m.Match), yesNo(m.Replica == r.Replica)})
+		}
+		if len(r.Members) == 0 {
+			t.Rows = append(t.Rows, []string{r.Replica, "-", "waits to be added", "-", "-", "-", "yes"})
+		}
+		return t
+	})
+}
--- /dev/null
+++ b/command/control_members.go
@@ -0,0 +1,57 @@
+package command
+
+import "github.com/fireflytray/fireflytray/adminapi"
+
+// replicaArg names a replica.
+type replicaArg struct {
+	Replica string `positional-arg-name:"replica" required:"yes" description:"Replica id, as control list shows it"`
+}
+
+type controlAdd struct {
+	env *Env
+	adminOptions
+	Args struct {
+		replicaArg
+		Addr string `positional-arg-name:"address" required:"yes" description:"Peer address of the new control host"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute adds a learner.
+func (c *controlAdd) Execute([]string) error {
+	return c.members(c.env, adminapi.MemberRequest{Action: "add", Replica: c.Args.Replica, Addr: c.Args.Addr})
+}
+
+type controlPromote struct {
+	env *Env
+	adminOptions
+	Args replicaArg `positional-args:"yes" required:"yes"`
+}
+
+// Execute makes a learner a voter.
+func (c *controlPromote) Execute([]string) error {
+	return c.members(c.env, adminapi.MemberRequest{Action: "promote", Replica: c.Args.Replica})
+}
+
+type controlRemove struct {
+	env *Env
+	adminOptions
+	Args replicaArg `positional-args:"yes" required:"yes"`
+}
+
+// Execute removes a control host.
+func (c *controlRemove) Execute([]string) error {
+	return c.members(c.env, adminapi.MemberRequest{Action: "remove", Replica: c.Args.Replica})
+}
+
+// members sends a change once and prints the control hosts after it.
+func (o *adminOptions) members(env *Env, req adminapi.MemberRequest) error {
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	var reply adminapi.ControlReply
+	if err := client.Post(env.Context, adminapi.PathMembers, req, &reply); err != nil {
+		return adminError(err)
+	}
+	return printControl(env, &reply)
+}
--- a/controlclient/config.go
+++ b/controlclient/config.go
@@ -31,7 +31,7 @@
 
 func newHolder(site string, onConfig func(*fleet.Config)) *holder {
 	h := &holder{site: site, onConfig: onConfig, doc: fleet.Empty()}
-	h.current.Store(&wire.Stamp{})
+	h.current.Store(&wire.Stamp{Digest: h.doc.Digest()})
 	return h
 }
 
--- /dev/null
+++ b/controlclient/config_test.go
@@ -0,0 +1,115 @@
+package controlclient
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/fireflytray/fireflytray/fleet"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// versions returns documents under indices 10, 20, 30 and so on.
+func versions(t require.TestingT, n int) []*fleet.Document {
+	docs := []*fleet.Document{fleet.Empty()}
+	for i := 1; i < n; i++ {
+		doc, err := fleet.FromSections([]wire.ConfigSection{
+			{Name: "service s", Keys: []wire.ConfigPair{{Key: "max_tasks", Value: fmt.Sprint(i)}}},
+		})
+		require.NoError(t, err)
+		docs = append(docs, doc)
+	}
+	return docs
+}
+
+func indexOf(version int) uint64 { return uint64(10 * version) }
+
+func pushOf(docs []*fleet.Document, version, base int, fresh bool) *wire.ConfigPush {
+	var from *fleet.Document
+	if base > 0 {
+		from = docs[base]
+	}
+	msg := docs[version].Push(indexOf(version), from, indexOf(base))
+	msg.Fresh = fresh
+	return msg
+}
+
+// Pushes of any version from hosts with and without a quorum, whole and as
+// differences, doubled and out of order, over restarts of the process: the index
+// handed over never goes down within a run, what is handed over is always the
+// accepted text of its index, and a run that knows of a newer version never
+// starts with an older one from a host without a quorum.
+func TestIndexNeverGoesDown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		docs := versions(t, 8)
+		var h *holder
+		var last, known uint64
+		settled := false
+		restart := func(*rapid.T) {
+			last, known, settled = 0, 0, false
+			h = newHolder("", func(c *fleet.Config) {
+				require.Greater(t, c.Index, last)
+				require.Equal(t, docs[c.Index/10].Digest(), c.Digest)
+				require.Equal(t, uint32(c.Index/10), c.Services["s"].MaxTasks)
+				last = c.Index
+			})
+		}
+		restart(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				version := rapid.IntRange(1, 7).Draw(t, "version")
+				base := rapid.IntRange(0, version-1).Draw(t, "base")
+				fresh := rapid.Bool().Draw(t, "fresh")
+				before := last
+				err := h.push(pushOf(docs, version, base, fresh))
+				index := indexOf(version)
+				switch {
+				case index <= before:
+					require.NoError(t, err)
+					require.Equal(t, before, last)
+				case before == 0 && !fresh && !(settled && index >= known):
+					require.Zero(t, last, "taken from a host without a quorum")
+				case base != 0 && indexOf(base) != before:
+					require.Error(t, err)
+					require.Equal(t, before, last)
+				default:
+					require.NoError(t, err)
+					require.Equal(t, index, last)
+				}
+				known = max(known, index)
+			},
+			"seen": func(t *rapid.T) {
+				index := indexOf(rapid.IntRange(1, 7).Draw(t, "seen"))
+				h.seen(index)
+				known = max(known, index)
+			},
+			"settle": func(t *rapid.T) {
+				before := last
+				h.settle()
+				settled = true
+				require.True(t, last == before || last >= known)
+			},
+			"restart": func(t *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+					restart(t)
+				}
+			},
+			"": func(t *rapid.T) {
+				require.Equal(t, wire.Stamp{Index: last, Digest: docs[last/10].Digest()}, h.stamp())
+			},
+		})
+	})
+}
+
+// A difference whose result has another digest is not taken.
+func TestWrongDigest(t *testing.T) {
+	docs := versions(t, 3)
+	h := newHolder("", func(*fleet.Config) {})
+	require.NoError(t, h.push(pushOf(docs, 1, 0, true)))
+	bad := pushOf(docs, 2, 1, true)
+	bad.Digest++
+	require.Error(t, h.push(bad))
+	require.Equal(t, indexOf(1), h.stamp().Index)
+}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -165,6 +165,16 @@
 	})
 }
 
+// Two lists of sections with the same strings in the same order have different
+// digests.
+func TestDigestSeparatesSections(t *testing.T) {
+	one := newDocument([]wire.ConfigSection{{Site: "a", Name: "b", Keys: []wire.ConfigPair{{Key: "c", Value: "d"}}}})
+	two := newDocument([]wire.ConfigSection{{Site: "a", Name: "b"}, {Site: "c", Name: "d"}})
+	require.NotEqual(t, one.Digest(), two.Digest())
+	three := newDocument([]wire.ConfigSection{{Site: "a", Name: "bc", Keys: []wire.ConfigPair{{Key: "", Value: "d"}}}})
+	require.NotEqual(t, one.Digest(), three.Digest())
+}
+
 // What Format writes is what Parse reads.
 func TestFormatParses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
