controlclient: log why there is no session to a control host

Cause: dial errors were logged for debugging only; an entry with another role's address or another authority's keys went on silently (seen on real processes). Change: a warning once while the reason stays the same, and a line when a session opens.

--- a/controlclient/session.go
+++ b/controlclient/session.go
@@ -29,6 +29,9 @@
 	// left gets the answer to a goodbye.
 	left chan struct{}
 	bye  uint64
+
+	// reported is the error that was logged last; only run uses it.
+	reported string
 }
 
 func newSession(c *Client, addr string) *session {
@@ -47,7 +50,7 @@
 		if time.Since(started) > maxBackoff {
 			backoff = minBackoff
 		}
-		s.client.log.Debug("no session", "control", s.addr, "err", err)
+		s.report(err)
 		select {
 		case <-ctx.Done():
 		case <-time.After(backoff/2 + rand.N(backoff)):
@@ -56,6 +59,17 @@
 	}
 }
 
+// report logs why there is no session, once while the reason stays the same.
+func (s *session) report(err error) {
+	text := err.Error()
+	if text == s.reported {
+		s.client.log.Debug("no session", "control", s.addr, "err", err)
+		return
+	}
+	s.reported = text
+	s.client.log.Warn("no session", "control", s.addr, "err", err)
+}
+
 // serve keeps one connection.
 func (s *session) serve(ctx context.Context) error {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -64,6 +78,8 @@
 	if err != nil {
 		return fmt.Errorf("controlclient: %w", err)
 	}
+	s.client.log.Info("session opened", "control", conn.Peer())
+	s.reported = ""
 	s.set(conn)
 	defer s.set(nil)
 	defer conn.Close("session ended")
