--- a/command/command_test.go
+++ b/command/command_test.go
@@ -75,6 +75,13 @@
 	require.Equal(t, keys.Name{Role: wire.RoleControl, ID: "control-1", Domain: "regina"}, id.Name())
 }
 
+// Arguments are taken one by one: an embedded struct would be one that is lost.
+func TestControlAddTakesReplicaAndAddress(t *testing.T) {
+	r := run("control", "add", "--help")
+	require.Equal(t, ExitOK, r.code, r.stderr)
+	require.Contains(t, r.stdout, "[add-OPTIONS] replica address")
+}
+
 // Help, version and completion go to standard output with status 0.
 func TestInformation(t *testing.T) {
 	for want, args := range map[string][]string{
