controld: a host is fresh only once it has what it missed

Cause: TestCutOffForLong. A host that was cut off for 200 changes says that it has heard from a quorum as soon as the leader reaches it again, before it has applied what it missed; an entry that started then took a configuration 200 versions old from a host that called itself fresh. Ruled out: the client's rule (it takes the first configuration from a fresh host only, as designed) and the replica (Fresh says what it documents). Change: after each time without a quorum the host passes a read barrier before it calls itself fresh.

--- a/controld/controld.go
+++ b/controld/controld.go
@@ -26,6 +26,9 @@
 const (
 	// freshInterval is how often the replicated log is asked for its state.
 	freshInterval = 100 * time.Millisecond
+	// catchUpTimeout bounds one attempt of a host that was cut off to have all
+	// that was accepted meanwhile.
+	catchUpTimeout = 500 * time.Millisecond
 	// lease is how long an announcement to another control host holds.
 	lease = 3 * time.Second
 	// renewals is how many announcements fall into one lease.
@@ -169,11 +172,12 @@
 	defer ticker.Stop()
 	for {
 		status := h.replica.Status()
-		if h.fresh.Swap(status.Fresh) != status.Fresh {
-			h.loop.Post(directory.Event{Quorum: &directory.Quorum{Fresh: status.Fresh}})
-			h.log.Info("quorum changed", "fresh", status.Fresh, "leader", status.LeaderAddr)
-		}
 		h.links.follow(ctx, h.peerAddrs(status))
+		fresh := status.Fresh && (h.fresh.Load() || h.caughtUp(ctx))
+		if h.fresh.Swap(fresh) != fresh {
+			h.loop.Post(directory.Event{Quorum: &directory.Quorum{Fresh: fresh}})
+			h.log.Info("quorum changed", "fresh", fresh, "leader", status.LeaderAddr)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -182,6 +186,16 @@
 	}
 }
 
+// caughtUp reports whether all that was accepted before the call is applied
+// here. A host that was cut off hears from the leader again before it has what
+// it missed.
+func (h *Host) caughtUp(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	_, err := h.replica.Barrier(ctx)
+	return err == nil
+}
+
 // peerAddrs returns the peer addresses of the other control hosts.
 func (h *Host) peerAddrs(s LogStatus) []string {
 	addrs := append([]string(nil), h.opts.Peers...)
