agentd: let a run wait for a connection that a question holds

Cause: under the race detector TestAbandonedRunsFreeTheirConnections failed once: the stops of abandoned runs held both connections, and the next run was refused as busy. Ruled out: connections above the upstream's limit. Change: a run waits for a free connection until its start deadline. Result: 200 runs of that test and 3 of the package pass with -race.

--- a/agentd/runner.go
+++ b/agentd/runner.go
@@ -16,6 +16,8 @@
 	endSlack = 3 * time.Second
 	// stopSlack is how long the answer of a stopped run may take.
 	stopSlack = 200 * time.Millisecond
+	// fullPoolPoll is how often a run looks for a free connection.
+	fullPoolPoll = time.Millisecond
 )
 
 // runner carries out runs at the upstream, one goroutine a run.
@@ -102,7 +104,7 @@
 // before a byte was written has started nothing, so another is tried.
 func (r *runner) perform(x *run) agent.RunEnded {
 	for {
-		c, err := x.pool.get()
+		c, err := r.connect(x)
 		if err != nil {
 			return agent.RunEnded{End: dialEnd(err)}
 		}
@@ -128,6 +130,18 @@
 	}
 }
 
+// connect gets a connection for a run. Questions and stops share the limit with
+// runs and are short, so a run waits for its turn while it may still start.
+func (r *runner) connect(x *run) (*upConn, error) {
+	for {
+		c, err := x.pool.get()
+		if !errors.Is(err, errPoolFull) || x.finished() || r.now() >= x.StartBy {
+			return c, err
+		}
+		time.Sleep(fullPoolPoll)
+	}
+}
+
 func dialEnd(err error) agent.End {
 	if errors.Is(err, errPoolFull) {
 		return agent.EndBusy
