agent: leave a refusing upstream alone; guard an entry's incarnation

Cause: after an agent's death its successor thinks all slots free while the upstream still runs the predecessor's tasks; each refusal gave credit at once, so an entry would send and be refused as fast as the network goes. And a Hello was matched by incarnation alone, whatever the certificate's name. Change: nothing starts and no credit is given for 100 ms after a refusal; a session under another entry's incarnation is closed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -132,7 +132,15 @@
 }
 
 // free returns how many slots neither run nor are awaited by queued tasks.
-func (s *State) free() int { return s.slots() - len(s.running) - s.queue.len() }
+func (s *State) free() int {
+	if s.paused() {
+		return -s.queue.len()
+	}
+	return s.slots() - len(s.running) - s.queue.len()
+}
+
+// paused reports whether the upstream has just refused a task as busy.
+func (s *State) paused() bool { return s.now < s.up.busyUntil }
 
 // room returns how many more tasks may be held: the free slots and the rest of
 // the queue.
--- a/agent/config.go
+++ b/agent/config.go
@@ -33,6 +33,9 @@
 	// between such questions.
 	SilentAfter time.Duration
 	CheckEvery  time.Duration
+	// BusyPause is how long nothing starts after the upstream has refused a
+	// task although a slot seemed free.
+	BusyPause time.Duration
 	// ForgetEntry is how long an entry without a session is remembered.
 	ForgetEntry time.Duration
 	// MaxUnacked bounds the outcomes kept for one entry, MaxUnackedBytes their
@@ -70,6 +73,7 @@
 		StopGrace:       time.Second,
 		SilentAfter:     2 * time.Second,
 		CheckEvery:      time.Second,
+		BusyPause:       100 * time.Millisecond,
 		ForgetEntry:     10 * time.Minute,
 		MaxUnacked:      4096,
 		MaxUnackedBytes: 64 << 20,
@@ -98,6 +102,7 @@
 	setDefault(&c.StopGrace, d.StopGrace)
 	setDefault(&c.SilentAfter, d.SilentAfter)
 	setDefault(&c.CheckEvery, d.CheckEvery)
+	setDefault(&c.BusyPause, d.BusyPause)
 	setDefault(&c.ForgetEntry, d.ForgetEntry)
 	setDefault(&c.MaxUnacked, d.MaxUnacked)
 	setDefault(&c.MaxUnackedBytes, d.MaxUnackedBytes)
--- a/agent/effect.go
+++ b/agent/effect.go
@@ -96,6 +96,7 @@
 // The reasons to end a session.
 const (
 	CloseReplaced CloseReason = "replaced by a newer session"
+	CloseTaken    CloseReason = "incarnation belongs to another entry"
 	CloseStale    CloseReason = "session number is not newer"
 	CloseGap      CloseReason = "update sequence has a gap"
 	CloseBadAck   CloseReason = "acknowledgement of a report not sent"
--- a/agent/naive_test.go
+++ b/agent/naive_test.go
@@ -19,6 +19,7 @@
 	until    time.Duration
 	leaving  bool
 	suspect  bool
+	busy     time.Duration
 	drain    bool
 	failing  map[task.SubmissionID]bool
 	state    string // "", suspended or probation
@@ -297,6 +298,9 @@
 	}
 	queued := n.in(phaseQueued)
 	limit := n.slots() + n.queueLen()
+	if now < n.busy && n.slots() > 0 {
+		limit = n.queueLen() + len(n.in(phaseRunning))
+	}
 	if t.phase == phaseQueued && len(queued)+len(n.in(phaseRunning)) > limit {
 		queued[len(queued)-1].end(task.NotRun, task.ReasonBusy)
 	}
@@ -326,7 +330,7 @@
 
 func (n *naive) dispatch(now time.Duration) {
 	n.expireQueued(now)
-	for len(n.in(phaseRunning)) < n.slots() {
+	for len(n.in(phaseRunning)) < n.slots() && now >= n.busy {
 		t := n.pick(now)
 		if t == nil {
 			return
@@ -355,7 +359,7 @@
 func (n *naive) announce(now time.Duration, a Upstream) {
 	if n.until == 0 || a.Instance != n.up.Instance {
 		n.lose()
-		n.leaving, n.suspect = false, false
+		n.leaving, n.suspect, n.busy = false, false, 0
 		clear(n.failing)
 	}
 	n.up, n.until = a, now+a.Lease
@@ -421,6 +425,7 @@
 		t.end(task.Failed, why)
 	case EndBusy:
 		t.end(task.NotRun, task.ReasonBusy)
+		n.busy = now + n.cfg.BusyPause
 	case EndExpired:
 		t.end(task.NotRun, task.ReasonStartExpired)
 	case EndLost:
--- a/agent/next.go
+++ b/agent/next.go
@@ -67,6 +67,9 @@
 	if !u.leaving || len(s.running) == 0 {
 		t.add(u.until)
 	}
+	if s.paused() {
+		t.add(u.busyUntil)
+	}
 	if u.unreachable && !u.probing {
 		t.add(u.probeAt)
 	}
--- a/agent/run.go
+++ b/agent/run.go
@@ -119,7 +119,7 @@
 func (s *State) dispatch() {
 	s.expireQueued()
 	slots := s.slots()
-	for len(s.running) < slots {
+	for len(s.running) < slots && !s.paused() {
 		r := s.nextFitting()
 		if r == nil {
 			return
@@ -183,8 +183,11 @@
 		s.judge(r, ev.End)
 	}
 	s.end(r, outcome(r, ev))
-	if ev.End == EndRefused {
+	switch ev.End {
+	case EndRefused:
 		s.suspect()
+	case EndBusy:
+		s.up.busyUntil = s.now + s.cfg.BusyPause
 	}
 }
 
--- a/agent/session.go
+++ b/agent/session.go
@@ -43,6 +43,10 @@
 
 func (s *State) open(id SessionID, h *wire.Hello) {
 	e, known := s.entries[h.From.Incarnation]
+	if known && e.peer.ID != h.From.ID {
+		s.emit(CloseSession{Session: id, Why: CloseTaken})
+		return
+	}
 	if known && h.Session <= e.sessionNo {
 		s.emit(CloseSession{Session: id, Why: CloseStale})
 		return
--- a/agent/session_test.go
+++ b/agent/session_test.go
@@ -96,3 +96,32 @@
 	require.Empty(t, s.tasks)
 	require.EqualValues(t, 2, s.Stats().Duplicates)
 }
+
+func TestEntryCantTakeAnothersIncarnation(t *testing.T) {
+	s := newTestState(Config{})
+	s.Step(0, SessionOpened{Session: 1, Hello: hello(1, 1)}, nil)
+	other := hello(1, 2)
+	other.From.ID = "other"
+	require.Equal(t, []Effect{CloseSession{Session: 2, Why: CloseTaken}}, s.Step(0, SessionOpened{Session: 2, Hello: other}, nil))
+	require.Equal(t, SessionID(1), s.order[0].session)
+}
+
+// An upstream that refuses a task although a slot seems free, such as one that
+// still runs tasks of an agent that has died, is left alone for a while.
+func TestRefusingUpstreamIsLeftAlone(t *testing.T) {
+	s := newTestState(Config{})
+	s.Step(0, Announced{testUpstream("a", true)}, nil)
+	s.Step(0, SessionOpened{Session: 1, Hello: hello(1, 1)}, nil)
+	s.Step(0, UpdateReceived{Session: 1, Update: &wire.Update{
+		Seq:    1,
+		Demand: wire.Demand{Waiting: 5},
+		Tasks:  []wire.Assignment{{ID: task.ID{Submission: task.NewSubmissionID(1, 1)}, StartWithin: time.Minute}},
+	}}, nil)
+	rep := s.Step(0, RunEnded{Run: 1, End: EndBusy}, nil)[0].(SendReport).Report
+	require.Equal(t, task.NotRun, rep.Outcomes[0].Outcome.State)
+	require.Zero(t, rep.Credit)
+	at, ok := s.Next()
+	require.True(t, ok)
+	rep = s.Step(at, Tick{}, nil)[0].(SendReport).Report
+	require.EqualValues(t, 3, rep.Credit)
+}
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -16,7 +16,10 @@
 	// until a probe succeeds.
 	unreachable bool
 	probing     bool
-	probeAt     time.Duration
+	// busyUntil is set while the upstream runs tasks that this agent doesn't
+	// know, such as those of its predecessor.
+	busyUntil time.Duration
+	probeAt   time.Duration
 	// spare is what the last measurement leaves free, less what was started
 	// since.
 	spare    task.Resources
