--- a/load/load_test.go
+++ b/load/load_test.go
@@ -238,14 +238,14 @@
 	pages := 0
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		pages++
-		fmt.Fprintf(w, "# TYPE x_messages_sent counter\nx_messages_sent{kind=\"a\"} %d\nx_messages_sent{kind=\"b\"} 5\n", pages*10)
+		fmt.Fprintf(w, "# TYPE fireflytray_x_messages counter\nfireflytray_x_messages{kind=\"a\"} %d\nfireflytray_x_messages{kind=\"b\"} 5\n", pages*10)
 	}))
 	defer s.Close()
 	o := options(workload.Jobs, serve(t, &backend{answer: whole}))
 	o.Metrics = []string{s.URL}
 	r, err := Run(context.Background(), o)
 	require.NoError(t, err)
-	require.Equal(t, []PageChange{{s.URL, "x_messages_sent", 10}}, r.Pages)
+	require.Equal(t, []PageChange{{s.URL, "fireflytray_x_messages", 10}}, r.Pages)
 	var text bytes.Buffer
 	require.NoError(t, r.WriteText(&text))
 	require.Contains(t, text.String(), "over ideal")
--- a/load/pages.go
+++ b/load/pages.go
@@ -61,6 +61,10 @@
 }
 
 func isTraffic(name string) bool {
+	return strings.HasPrefix(name, "fireflytray") && hasTraffic(name)
+}
+
+func hasTraffic(name string) bool {
 	return strings.Contains(name, "message") || strings.Contains(name, "bytes") ||
 		strings.Contains(name, "frames") || strings.Contains(name, "wasted")
 }
