Read back what is written: limits, large records, deaths in the middle

Ruled out: marshal-time limits of the generator, which ignore the fields' own. Change: limits of their own for data and for the entries of a record, checked before writing; a command is at most 4 MB. TestLargeRecords failed first on that fault. The log's property test also kills the process between any two changes of files. Directed tests of raft's single rules, which mutations showed the random cases to miss because other rules mask them.

--- a/raft/leader.go
+++ b/raft/leader.go
@@ -47,6 +47,9 @@
 	if n.role != Leader || n.transferee != None {
 		return 0, 0, ErrNotLeader
 	}
+	if len(command) > n.cfg.MaxCommand {
+		return 0, 0, ErrTooLarge
+	}
 	if n.uncommitted > n.cfg.MaxUncommitted {
 		return 0, 0, ErrBusy
 	}
--- a/raft/node.go
+++ b/raft/node.go
@@ -47,6 +47,7 @@
 	DefaultMaxUncommitted    = 8 << 20
 	DefaultKeepEntries       = 1024
 	DefaultChunkBytes        = 256 << 10
+	DefaultMaxCommand        = 4 << 20
 )
 
 // Errors of proposals and membership changes. Each means that nothing was
@@ -54,6 +55,7 @@
 var (
 	ErrNotLeader     = errors.New("not the leader")
 	ErrBusy          = errors.New("too many changes wait for a commit")
+	ErrTooLarge      = errors.New("the command is too large")
 	ErrChangePending = errors.New("an earlier membership change is not committed yet")
 	ErrNotCaughtUp   = errors.New("the learner has not caught up")
 	ErrUnknownMember = errors.New("no such member")
@@ -82,6 +84,7 @@
 	MaxBatchBytes     int
 	MaxInflight       int
 	MaxUncommitted    int
+	MaxCommand        int
 	// KeepEntries is how many entries before a snapshot stay in memory for
 	// followers that lag a little.
 	KeepEntries uint64
@@ -96,6 +99,7 @@
 	c.MaxInflight = orDefault(c.MaxInflight, DefaultMaxInflight)
 	c.MaxUncommitted = orDefault(c.MaxUncommitted, DefaultMaxUncommitted)
 	c.KeepEntries = orDefault(c.KeepEntries, DefaultKeepEntries)
+	c.MaxCommand = orDefault(c.MaxCommand, DefaultMaxCommand)
 	c.ChunkBytes = orDefault(c.ChunkBytes, DefaultChunkBytes)
 }
 
--- /dev/null
+++ b/raft/node_test.go
@@ -0,0 +1,250 @@
+package raft_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/raft"
+)
+
+// later is past every election timeout of a fuzzNode.
+const later = 2 * time.Second
+
+// kinds returns the kinds of messages.
+func kinds(msgs []raft.Message) []raft.MessageKind {
+	var ks []raft.MessageKind
+	for _, m := range msgs {
+		ks = append(ks, m.Kind)
+	}
+	return ks
+}
+
+// ack is a follower's answer that it holds the leader's log up to an index.
+func ack(from, term, index uint64, round uint64) raft.Message {
+	return raft.Message{
+		Kind: raft.MsgAppendResp, From: from, To: 1, Term: term, Index: index,
+		SentAt: later, Round: round,
+	}
+}
+
+// A vote and an acknowledgement leave only once they are durable.
+func TestPromisesWaitForTheDisk(t *testing.T) {
+	cases := map[raft.MessageKind]raft.Message{
+		raft.MsgVoteResp:   {Kind: raft.MsgVote, From: 3, To: 1, Term: 5, Index: 9, LogTerm: 4, Force: true},
+		raft.MsgAppendResp: {Kind: raft.MsgAppend, From: 2, To: 1, Term: 2, Index: 1, LogTerm: 1, Entries: []raft.Entry{{Index: 2, Term: 2}}},
+	}
+	for want, m := range cases {
+		n := fuzzNode(t, false)
+		n.Step(later, m)
+		rd := n.Ready()
+		require.NotNil(t, rd.Save)
+		require.Empty(t, rd.Messages)
+		if want == raft.MsgVoteResp {
+			require.Equal(t, uint64(3), rd.Save.Hard.Vote)
+		}
+		rd = n.Ready()
+		require.Empty(t, rd.Messages, "released before the save is durable")
+		n.Advance()
+		require.Equal(t, []raft.MessageKind{want}, kinds(n.Ready().Messages))
+	}
+}
+
+// A vote in a term that is known already has to be saved too, and is not
+// given twice.
+func TestOneVotePerTerm(t *testing.T) {
+	n := fuzzNode(t, false)
+	n.Step(later, raft.Message{Kind: raft.MsgAppendResp, From: 3, To: 1, Term: 5})
+	settleNode(n)
+	vote := raft.Message{Kind: raft.MsgVote, From: 3, To: 1, Term: 5, Index: 9, LogTerm: 4, Force: true}
+	n.Step(later, vote)
+	rd := n.Ready()
+	require.NotNil(t, rd.Save, "the vote has to be saved")
+	require.Equal(t, uint64(3), rd.Save.Hard.Vote)
+	n.Advance()
+	require.False(t, n.Ready().Messages[0].Reject)
+	vote.From = 2
+	n.Step(later, vote)
+	require.True(t, n.Ready().Messages[0].Reject)
+}
+
+// A replica grants no vote to a candidate whose log is behind.
+func TestVoteNeedsWholeLog(t *testing.T) {
+	n := fuzzNode(t, false)
+	n.Step(later, raft.Message{
+		Kind: raft.MsgAppend, From: 2, To: 1, Term: 2, Index: 1, LogTerm: 1,
+		Entries: []raft.Entry{{Index: 2, Term: 2}},
+	})
+	settleNode(n)
+	n.Step(later, raft.Message{Kind: raft.MsgVote, From: 3, To: 1, Term: 5, Index: 9, LogTerm: 1, Force: true})
+	n.Ready()
+	n.Advance()
+	msgs := n.Ready().Messages
+	require.Equal(t, []raft.MessageKind{raft.MsgVoteResp}, kinds(msgs))
+	require.True(t, msgs[0].Reject)
+}
+
+// A leader's own entry counts only once it is durable here.
+func TestOwnEntryCountsOnceDurable(t *testing.T) {
+	n := fuzzNode(t, true)
+	index, term, err := n.Propose([]byte("x"))
+	require.NoError(t, err)
+	require.NotNil(t, n.Ready().Save)
+	n.Step(later, ack(2, term, index, 0))
+	require.Less(t, n.Status(later).Commit, index)
+	n.Advance()
+	require.Equal(t, index, n.Status(later).Commit)
+}
+
+// An entry of an earlier term that a quorum holds is committed only with one
+// of the leader's own term: until then another leader may replace it.
+func TestEarlierTermIsNotCommittedByCounting(t *testing.T) {
+	members := []raft.Member{{ID: 1, Voter: true}, {ID: 2, Voter: true}, {ID: 3, Voter: true}}
+	n, err := raft.New(raft.Config{
+		ID: 1, Hard: raft.HardState{Term: 3, Commit: 1},
+		Snapshot: raft.Snapshot{Index: 1, Term: 1, Members: members},
+		Entries:  []raft.Entry{{Index: 2, Term: 2, Kind: raft.EntryCommand}},
+	})
+	require.NoError(t, err)
+	n.Tick(later)
+	settleNode(n)
+	n.Step(later, raft.Message{Kind: raft.MsgPreVoteResp, From: 2, To: 1, Term: 4})
+	settleNode(n)
+	n.Step(later, raft.Message{Kind: raft.MsgVoteResp, From: 2, To: 1, Term: 4})
+	settleNode(n)
+	require.Equal(t, raft.Leader, n.Status(later).Role)
+	n.Step(later, ack(2, 4, 2, 0))
+	require.Equal(t, uint64(1), n.Status(later).Commit)
+	n.Step(later, ack(2, 4, 3, 0))
+	require.Equal(t, uint64(3), n.Status(later).Commit)
+}
+
+// A read is answered after a quorum has confirmed the leader in a round that
+// began after the read.
+func TestReadWaitsForARound(t *testing.T) {
+	n := fuzzNode(t, true)
+	n.Step(later, ack(2, 2, 2, 0))
+	settleNode(n)
+	require.NoError(t, n.Read(7))
+	require.Empty(t, n.Ready().Reads)
+	n.Step(later, ack(3, 2, 2, 0))
+	require.Empty(t, n.Ready().Reads, "an answer to an earlier round counts for nothing")
+	n.Step(later, ack(3, 2, 2, 1))
+	require.Equal(t, []raft.ReadState{{ID: 7, Index: 2}}, n.Ready().Reads)
+}
+
+// One membership change at a time, and none before the leader's first entry
+// is committed.
+func TestOneChangeAtATime(t *testing.T) {
+	n := fuzzNode(t, true)
+	add := raft.Change{Kind: raft.AddLearner, ID: 4}
+	_, _, err := n.ProposeChange(add)
+	require.ErrorIs(t, err, raft.ErrChangePending)
+	n.Step(later, ack(2, 2, 2, 0))
+	_, _, err = n.ProposeChange(add)
+	require.NoError(t, err)
+	settleNode(n)
+	_, _, err = n.ProposeChange(raft.Change{Kind: raft.AddLearner, ID: 5})
+	require.ErrorIs(t, err, raft.ErrChangePending)
+	n.Step(later, ack(2, 2, 3, 0))
+	_, _, err = n.ProposeChange(raft.Change{Kind: raft.AddLearner, ID: 5})
+	require.NoError(t, err)
+}
+
+// A replica that has just started or has just heard from a leader leaves the
+// term and its vote alone; one whom the old leader sends is heard.
+func TestNoVoteWithinTheLease(t *testing.T) {
+	vote := raft.Message{Kind: raft.MsgVote, From: 3, To: 1, Term: 9, Index: 9, LogTerm: 9}
+	pre := vote
+	pre.Kind = raft.MsgPreVote
+	n := fuzzNode(t, false)
+	n.Step(later, vote)
+	require.True(t, ptr(n.Ready()).Empty())
+	n.Step(later, pre)
+	require.True(t, n.Ready().Messages[0].Reject)
+	vote.Force = true
+	n.Step(later, vote)
+	require.NotNil(t, n.Ready().Save)
+
+	fresh, err := raft.New(raft.Config{ID: 1, Hard: raft.HardState{Term: 1}})
+	require.NoError(t, err)
+	vote.Force = false
+	fresh.Step(time.Millisecond, vote)
+	require.True(t, ptr(fresh.Ready()).Empty())
+	fresh.Step(later, vote)
+	require.NotNil(t, fresh.Ready().Save)
+}
+
+func ptr(rd raft.Ready) *raft.Ready { return &rd }
+
+// A leader that no quorum answers steps down, and its lease ends before.
+func TestCutOffLeaderStepsDown(t *testing.T) {
+	n := fuzzNode(t, true)
+	n.Step(later, ack(2, 2, 2, 0))
+	require.True(t, n.Status(later).Fresh)
+	n.Tick(later + raft.DefaultElectionTimeout*95/100)
+	s := n.Status(later + raft.DefaultElectionTimeout*95/100)
+	require.False(t, s.Fresh)
+	require.Equal(t, raft.Leader, s.Role)
+	n.Tick(later + raft.DefaultElectionTimeout)
+	require.Equal(t, raft.Follower, n.Status(later).Role)
+}
+
+// The window bounds what is under way to one follower, and the limits bound
+// what a caller can queue.
+func TestFlowControl(t *testing.T) {
+	n := fuzzNode(t, true)
+	n.Step(later, ack(2, 2, 2, 0))
+	settleNode(n)
+	_, _, err := n.Propose(make([]byte, raft.DefaultMaxCommand+1))
+	require.ErrorIs(t, err, raft.ErrTooLarge)
+	sent := 0
+	for range 200 {
+		_, _, err = n.Propose(make([]byte, raft.DefaultMaxBatchBytes))
+		if err != nil {
+			break
+		}
+		for _, m := range n.Ready().Messages {
+			if m.To == 2 && len(m.Entries) > 0 {
+				sent++
+			}
+		}
+	}
+	require.ErrorIs(t, err, raft.ErrBusy)
+	require.Equal(t, raft.DefaultMaxInflight, sent)
+}
+
+// A membership that came with a replaced entry is gone with it.
+func TestReplacedMembershipIsRolledBack(t *testing.T) {
+	n := fuzzNode(t, false)
+	before := n.Members()
+	grown := append(append([]raft.Member(nil), before...), raft.Member{ID: 4})
+	n.Step(later, raft.Message{
+		Kind: raft.MsgAppend, From: 2, To: 1, Term: 2, Index: 1, LogTerm: 1,
+		Entries: []raft.Entry{{Index: 2, Term: 2, Kind: raft.EntryMembers, Members: grown}},
+	})
+	require.Len(t, n.Members(), 4)
+	n.Step(later, raft.Message{
+		Kind: raft.MsgAppend, From: 3, To: 1, Term: 3, Index: 1, LogTerm: 1,
+		Entries: []raft.Entry{{Index: 2, Term: 3}},
+	})
+	require.Equal(t, before, n.Members())
+}
+
+// A transfer that nobody has taken up ends the leadership: its order may
+// still arrive, so that the lease could not be counted on.
+func TestAbandonedTransferEndsLeadership(t *testing.T) {
+	n := fuzzNode(t, true)
+	n.Step(later, ack(2, 2, 2, 0))
+	require.NoError(t, n.Transfer(2))
+	require.False(t, n.Status(later).Fresh)
+	_, _, err := n.Propose(nil)
+	require.ErrorIs(t, err, raft.ErrNotLeader)
+	end := later + raft.DefaultElectionTimeout
+	alive := ack(2, 2, 2, 0)
+	alive.SentAt = end
+	n.Step(end, alive)
+	n.Tick(end)
+	require.Equal(t, raft.Follower, n.Status(end).Role)
+}
--- a/raft/property_test.go
+++ b/raft/property_test.go
@@ -49,13 +49,14 @@
 	{"write anywhere", 3, true, func(a *actor) { a.onUp(a.write) }},
 	{"read", 6, true, func(a *actor) { a.onUp(a.read) }},
 	{"restart", 12, true, (*actor).restart},
-	{"heal", 4, true, func(a *actor) { clear(a.groups) }},
+	{"heal", 4, true, func(a *actor) { a.heal() }},
 	{"crash", 4, false, func(a *actor) { a.onUp((*host).crash) }},
 	{"crash leader", 2, false, func(a *actor) { a.onLeader((*host).crash) }},
 	{"power cut", 1, false, (*actor).powerCut},
 	{"network", 3, false, (*actor).network},
 	{"partition", 3, false, (*actor).partition},
 	{"cut off leader", 2, false, func(a *actor) { a.onLeader(func(h *host) { a.groups[h.id] = 1 }) }},
+	{"cut link", 4, false, (*actor).cutLink},
 	{"freeze", 1, false, func(a *actor) { a.onUp(func(h *host) { h.frozen = true }) }},
 	{"freeze leader", 1, false, func(a *actor) { a.onLeader(func(h *host) { h.frozen = true }) }},
 	{"snapshot", 4, false, func(a *actor) { a.onUp((*host).snapshot) }},
@@ -121,6 +122,15 @@
 	}
 }
 
+// cutLink cuts a link in one direction or in both.
+func (a *actor) cutLink() {
+	x, y := a.hosts[a.rng.IntN(len(a.hosts))].id, a.hosts[a.rng.IntN(len(a.hosts))].id
+	a.cut[link{x, y}] = true
+	if a.rng.IntN(2) == 0 {
+		a.cut[link{y, x}] = true
+	}
+}
+
 // restart brings back one host that is down or frozen.
 func (a *actor) restart() {
 	from := a.rng.IntN(len(a.hosts))
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -30,6 +30,7 @@
 
 	wires   []wire
 	groups  map[uint64]int // hosts of different groups can't talk
+	cut     map[link]bool  // cut in one direction
 	drop    int            // percent
 	double  int            // percent
 	slow    time.Duration
@@ -40,6 +41,9 @@
 	readsAnswered int
 }
 
+// link is one direction between two hosts.
+type link struct{ from, to uint64 }
+
 // wire is a message on its way.
 type wire struct {
 	at time.Duration
@@ -49,7 +53,7 @@
 func newSim(t require.TestingT, seed uint64, voters int) *sim {
 	s := &sim{
 		t: t, rng: rand.New(rand.NewPCG(seed, 3)), truth: newTruth(),
-		groups: map[uint64]int{}, leaders: map[uint64]uint64{}, slow: 2 * time.Millisecond,
+		groups: map[uint64]int{}, cut: map[link]bool{}, leaders: map[uint64]uint64{}, slow: 2 * time.Millisecond,
 	}
 	var members []raft.Member
 	for range voters {
@@ -125,6 +129,11 @@
 	s.now = end
 }
 
+func (s *sim) heal() {
+	clear(s.groups)
+	clear(s.cut)
+}
+
 func (s *sim) nextEvent() (at time.Duration, h *host, w int) {
 	at, w = never, -1
 	for _, c := range s.hosts {
@@ -142,7 +151,7 @@
 
 func (s *sim) deliver(m raft.Message) {
 	h := s.find(m.To)
-	if h == nil || s.groups[m.From] != s.groups[m.To] {
+	if h == nil || s.groups[m.From] != s.groups[m.To] || s.cut[link{m.From, m.To}] {
 		return
 	}
 	h.receive(m)
@@ -244,7 +253,7 @@
 // settle ends all faults and holds that the hosts agree in the end.
 func (s *sim) settle() {
 	s.drop, s.double, s.slow = 0, 0, 2*time.Millisecond
-	clear(s.groups)
+	s.heal()
 	for _, h := range s.hosts {
 		switch {
 		case h.lost:
--- a/raft/types.go
+++ b/raft/types.go
@@ -38,7 +38,7 @@
 	Index   uint64
 	Term    uint64
 	Kind    EntryKind
-	Data    []byte
+	Data    []byte `msg:"Data,limit=268435456"`
 	Members []Member
 }
 
@@ -55,7 +55,7 @@
 	Index   uint64
 	Term    uint64
 	Members []Member
-	Data    []byte
+	Data    []byte `msg:"Data,limit=268435456"`
 }
 
 // Chunk is a part of a snapshot on its way to a follower.
@@ -65,7 +65,7 @@
 	Members []Member
 	// Offset is the position of Data in the snapshot's data.
 	Offset uint64
-	Data   []byte
+	Data   []byte `msg:"Data,limit=268435456"`
 	Last   bool
 }
 
--- a/raft/types_gen.go
+++ b/raft/types_gen.go
@@ -108,7 +108,7 @@
 		err = msgp.WrapError(err, "Data")
 		return
 	}
-	if zb0004 > z94b1f360limitArrays {
+	if zb0004 > 268435456 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
@@ -199,7 +199,7 @@
 		err = msgp.WrapError(err, "Data")
 		return
 	}
-	if zb0003 > z94b1f360limitArrays {
+	if zb0003 > 268435456 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
@@ -698,7 +698,7 @@
 		err = msgp.WrapError(err, "Data")
 		return
 	}
-	if zb0004 > z94b1f360limitArrays {
+	if zb0004 > 268435456 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -104,11 +104,18 @@
 }
 
 func newNetwork(t *testing.T) *network {
-	n := &network{hosts: map[string]*host{}, cut: map[string]bool{}, rng: rand.New(rand.NewPCG(1, 5))}
+	n := newHosts()
 	t.Cleanup(func() { n.stopAll(t) })
 	return n
 }
 
+func newHosts() *network {
+	return &network{
+		hosts: map[string]*host{}, cut: map[string]bool{},
+		rng: rand.New(rand.NewPCG(1, 5)),
+	}
+}
+
 func addr(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i) }
 
 // start opens a replica at an address with an empty folder.
--- a/wal/format.go
+++ b/wal/format.go
@@ -35,8 +35,13 @@
 	fileHeaderSize  = len(magic) + 4 + 1 + 8 + 8 + 4
 	frameHeaderSize = 4 + 4 + 8
 	maxFrame        = 512 << 20
+	maxSnapshot     = 256 << 20
 )
 
+// maxEntries is the number of entries that one record may hold; the tag on
+// frame.Entries repeats it.
+const maxEntries = 1 << 20
+
 // fileKind tells the files of a folder apart.
 type fileKind uint8
 
@@ -89,7 +94,7 @@
 // frame is one record of a segment: all that one Save makes durable.
 type frame struct {
 	Hard    raft.HardState
-	Entries []raft.Entry
+	Entries []raft.Entry `msg:"Entries,limit=1048576"`
 	// Reset drops every earlier entry: a snapshot has replaced the log.
 	Reset bool
 }
--- a/wal/format_gen.go
+++ b/wal/format_gen.go
@@ -199,7 +199,7 @@
 		err = msgp.WrapError(err, "Entries")
 		return
 	}
-	if zb0002 > z95d4eaf5limitArrays {
+	if zb0002 > 1048576 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
--- a/wal/main_test.go
+++ b/wal/main_test.go
@@ -14,6 +14,9 @@
 	if !*long && flag.Lookup("rapid.seed").Value.String() == "0" {
 		flag.Set("rapid.seed", "1")
 	}
+	if flag.Lookup("rapid.checks").Value.String() == "100" {
+		flag.Set("rapid.checks", "1000")
+	}
 	flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -22,6 +22,9 @@
 // the replica has to be started again once there is room.
 var ErrFull = errors.New("the disk is full")
 
+// errTooLarge keeps a record from being written that could not be read back.
+var errTooLarge = errors.New("more than the format allows")
+
 // WAL is an open data folder. It is not safe for concurrent use.
 type WAL struct {
 	fs   FS
@@ -112,10 +115,16 @@
 			return err
 		}
 	}
+	if len(ents) > maxEntries {
+		return fmt.Errorf("%d entries in one record: %w", len(ents), errTooLarge)
+	}
 	payload, err := (&frame{Hard: hard, Entries: ents}).MarshalMsg(nil)
 	if err != nil {
 		return err
 	}
+	if len(payload) > maxFrame {
+		return fmt.Errorf("a record of %d bytes: %w", len(payload), errTooLarge)
+	}
 	w.buf = appendFrame(w.buf[:0], w.seq+1, payload)
 	if err := writeAndSync(w.tail, w.buf); err != nil {
 		return err
@@ -188,6 +197,9 @@
 	if err != nil {
 		return err
 	}
+	if len(payload) > maxSnapshot {
+		return fmt.Errorf("a snapshot of %d bytes: %w", len(payload), errTooLarge)
+	}
 	b := fileHeader(kindSnapshot, w.ident.Replica, s.Index)
 	name := w.path(fileName(s.Index, snapshotSuffix))
 	if err := writeFile(w.fs, name, appendFrame(b, 0, payload)); err != nil {
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -79,6 +80,7 @@
 			"install":  m.install,
 			"crash":    m.crash,
 			"full":     m.full,
+			"die":      m.die,
 		})
 		m.crash(t)
 	})
@@ -116,20 +118,27 @@
 	if len(m.ents) == 0 {
 		t.Skip("nothing to compact")
 	}
-	n := rapid.IntRange(1, len(m.ents)).Draw(t, "applied")
+	m.cutAt(rapid.IntRange(1, len(m.ents)).Draw(t, "applied"))
+	require.NoError(t, m.wal.SaveSnapshot(m.snap))
+}
+
+// cutAt puts a snapshot in place of the first n entries.
+func (m *model) cutAt(n int) {
 	e := m.ents[n-1]
 	m.snap = raft.Snapshot{Index: e.Index, Term: e.Term, Data: []byte("state")}
 	m.ents = m.ents[n:]
-	require.NoError(t, m.wal.SaveSnapshot(m.snap))
 }
 
-func (m *model) install(t *rapid.T) {
+func (m *model) install(t *rapid.T) { require.NoError(t, m.wal.Save(m.nextInstall(t))) }
+
+func (m *model) nextInstall(t *rapid.T) *raft.Save {
 	m.term++
 	index := m.snap.Index + uint64(rapid.IntRange(1, 9).Draw(t, "ahead"))
 	m.snap = raft.Snapshot{Index: index, Term: m.term, Data: []byte("leader's state")}
 	m.ents = nil
 	m.hard.Term = m.term
-	require.NoError(t, m.wal.Save(&raft.Save{Hard: m.hard, Snapshot: &m.snap}))
+	snap := m.snap
+	return &raft.Save{Hard: m.hard, Snapshot: &snap}
 }
 
 func (m *model) crash(t *rapid.T) {
@@ -137,6 +146,10 @@
 	m.fs.SetRoom(-1)
 	w, st := open(t, m.fs)
 	m.wal = w
+	m.compare(t, st)
+}
+
+func (m *model) compare(t *rapid.T, st wal.State) {
 	require.Equal(t, m.hard, st.Hard)
 	require.Equal(t, m.snap, st.Snapshot)
 	require.Equal(t, len(m.ents), len(st.Entries))
@@ -161,6 +174,51 @@
 	m.crash(t)
 }
 
+// die does one of the above while the process dies in the middle. What was
+// reported done is there; what was not is there wholly or not at all.
+func (m *model) die(t *rapid.T) {
+	before := *m
+	before.ents = slices.Clone(m.ents)
+	m.fs.DieAfter(rapid.IntRange(0, 25).Draw(t, "steps"))
+	after := *m
+	after.ents = slices.Clone(m.ents)
+	err := after.one(t)
+	m.fs.Crash()
+	w, st := open(t, m.fs)
+	if err != nil && !after.isIn(st) {
+		tried := after
+		after = before
+		after.term = tried.term
+		// The snapshot may be there before the hard state is.
+		if st.Snapshot.Index != before.snap.Index {
+			after.snap, after.ents = tried.snap, nil
+		}
+	}
+	*m = after
+	m.wal = w
+	m.compare(t, st)
+}
+
+// one does one random thing and returns its error; m tells the state after it.
+func (m *model) one(t *rapid.T) error {
+	switch kind := rapid.IntRange(0, 2).Draw(t, "kind"); {
+	case kind == 0:
+		s := m.next(t)
+		m.keep(s)
+		return m.wal.Save(s)
+	case kind == 1 && len(m.ents) > 0:
+		m.cutAt(rapid.IntRange(1, len(m.ents)).Draw(t, "applied"))
+		return m.wal.SaveSnapshot(m.snap)
+	default:
+		return m.wal.Save(m.nextInstall(t))
+	}
+}
+
+func (m *model) isIn(st wal.State) bool {
+	return m.hard == st.Hard && m.snap.Index == st.Snapshot.Index && m.snap.Term == st.Snapshot.Term &&
+		len(m.ents) == len(st.Entries)
+}
+
 func TestDamagedMiddleIsRefused(t *testing.T) {
 	size := filled(t).Size(segment(1))
 	for off := range size {
@@ -208,6 +266,24 @@
 	}
 }
 
+// Large and many entries and a large snapshot are read as they were written.
+func TestLargeRecords(t *testing.T) {
+	const count, size = 100_000, 1 << 20
+	fs := waltest.New(1)
+	w, _ := open(t, fs)
+	many := entries(1, count, 1)
+	require.NoError(t, w.Save(&raft.Save{Entries: many}))
+	large := []raft.Entry{{Index: count + 1, Term: 1, Data: make([]byte, size)}}
+	require.NoError(t, w.Save(&raft.Save{Entries: large}))
+	snap := raft.Snapshot{Index: count, Term: 1, Data: make([]byte, size)}
+	require.NoError(t, w.SaveSnapshot(snap))
+	fs.Crash()
+	_, st := open(t, fs)
+	require.Len(t, st.Snapshot.Data, size)
+	require.Len(t, st.Entries, 1)
+	require.Len(t, st.Entries[0].Data, size)
+}
+
 func TestMissingSegmentIsRefused(t *testing.T) {
 	fs := waltest.New(1)
 	w, _ := open(t, fs)
--- a/wal/waltest/fs.go
+++ b/wal/waltest/fs.go
@@ -29,6 +29,8 @@
 	room    int
 	limited bool
 	failing bool
+	steps   int
+	dying   bool
 	epoch   int
 }
 
@@ -67,12 +69,36 @@
 	f.failing = fail
 }
 
+// ErrDied is the error of everything after a death that DieAfter brings.
+var ErrDied = errors.New("the process has died")
+
+// DieAfter lets n more changes of files and names happen; all later ones fail
+// until Crash, as if the process had died before them.
+func (f *FS) DieAfter(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.steps, f.dying = n, true
+}
+
+// step counts one change; the caller holds the lock.
+func (f *FS) step() error {
+	if !f.dying {
+		return nil
+	}
+	if f.steps == 0 {
+		return ErrDied
+	}
+	f.steps--
+	return nil
+}
+
 // Crash ends the process: locks and open files are gone, unsynced names are
 // kept or lost at random, and unsynced bytes are lost, cut or garbled.
 func (f *FS) Crash() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.epoch++
+	f.dying = false
 	f.locked = map[string]*lock{}
 	for _, name := range f.changedNames() {
 		if f.rng.IntN(2) == 0 {
@@ -184,6 +210,9 @@
 func (f *FS) Create(name string) (wal.File, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.step(); err != nil {
+		return nil, err
+	}
 	node := &inode{}
 	f.names[name] = node
 	return &file{fs: f, node: node, epoch: f.epoch}, nil
@@ -204,6 +233,9 @@
 func (f *FS) Rename(from, to string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.step(); err != nil {
+		return err
+	}
 	node := f.names[from]
 	if node == nil {
 		return &fs.PathError{Op: "rename", Path: from, Err: fs.ErrNotExist}
@@ -217,6 +249,9 @@
 func (f *FS) Remove(name string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.step(); err != nil {
+		return err
+	}
 	if f.names[name] == nil {
 		return &fs.PathError{Op: "remove", Path: name, Err: fs.ErrNotExist}
 	}
@@ -228,6 +263,9 @@
 func (f *FS) SyncDir(dir string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.step(); err != nil {
+		return err
+	}
 	for _, name := range f.changedNames() {
 		if filepath.Dir(name) == filepath.Clean(dir) {
 			f.setDurable(name, f.names[name])
@@ -272,6 +310,9 @@
 	if h.epoch != f.epoch {
 		return 0, fs.ErrClosed
 	}
+	if err := f.step(); err != nil {
+		return 0, err
+	}
 	n := len(p)
 	if f.limited {
 		n = min(n, f.room)
@@ -289,6 +330,9 @@
 	f := h.fs
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.step(); err != nil {
+		return err
+	}
 	switch {
 	case h.epoch != f.epoch:
 		return fs.ErrClosed
@@ -307,6 +351,9 @@
 	if h.epoch != f.epoch {
 		return fs.ErrClosed
 	}
+	if err := f.step(); err != nil {
+		return err
+	}
 	h.node.data = slices.Clone(h.node.data[:size])
 	return nil
 }
