--- a/raft/log.go
+++ b/raft/log.go
@@ -90,15 +90,19 @@
 	}
 }
 
-// compact makes s the latest snapshot and keeps up to keep entries before it.
-func (l *memLog) compact(s Snapshot, keep uint64) {
+// compact makes s the latest snapshot and keeps up to keep entries and
+// keepBytes of data before it.
+func (l *memLog) compact(s Snapshot, keep uint64, keepBytes int) {
 	l.snap = s
-	if s.Index <= l.baseIndex+keep {
-		return
+	base := s.Index
+	for size := 0; base > l.baseIndex && s.Index-base < keep; base-- {
+		size += entrySize(&l.ents[base-l.baseIndex-1])
+		if size > keepBytes {
+			break
+		}
 	}
-	base := s.Index - keep
 	term, ok := l.term(base)
-	if !ok {
+	if !ok || base == l.baseIndex {
 		return
 	}
 	rest := l.ents[base-l.baseIndex:]
--- a/raft/node.go
+++ b/raft/node.go
@@ -46,8 +46,9 @@
 	DefaultMaxInflight       = 32
 	DefaultMaxUncommitted    = 8 << 20
 	DefaultKeepEntries       = 1024
+	DefaultKeepBytes         = 4 << 20
 	DefaultChunkBytes        = 256 << 10
-	DefaultMaxCommand        = 4 << 20
+	DefaultMaxCommand        = 512 << 10
 )
 
 // Errors of proposals and membership changes. Each means that nothing was
@@ -85,9 +86,10 @@
 	MaxInflight       int
 	MaxUncommitted    int
 	MaxCommand        int
-	// KeepEntries is how many entries before a snapshot stay in memory for
-	// followers that lag a little.
+	// KeepEntries and KeepBytes bound the entries before a snapshot that stay
+	// in memory for followers that lag a little.
 	KeepEntries uint64
+	KeepBytes   int
 	// ChunkBytes is the data of one snapshot message.
 	ChunkBytes int
 }
@@ -99,6 +101,7 @@
 	c.MaxInflight = orDefault(c.MaxInflight, DefaultMaxInflight)
 	c.MaxUncommitted = orDefault(c.MaxUncommitted, DefaultMaxUncommitted)
 	c.KeepEntries = orDefault(c.KeepEntries, DefaultKeepEntries)
+	c.KeepBytes = orDefault(c.KeepBytes, DefaultKeepBytes)
 	c.MaxCommand = orDefault(c.MaxCommand, DefaultMaxCommand)
 	c.ChunkBytes = orDefault(c.ChunkBytes, DefaultChunkBytes)
 }
--- a/raft/node_test.go
+++ b/raft/node_test.go
@@ -248,3 +248,23 @@
 	n.Tick(end)
 	require.Equal(t, raft.Follower, n.Status(end).Role)
 }
+
+// A learner that answers but lacks a committed entry is not promoted; once it
+// holds all of them, it is.
+func TestPromotionNeedsEveryCommittedEntry(t *testing.T) {
+	n := fuzzNode(t, true)
+	n.Step(later, ack(2, 2, 2, 0))
+	n.Step(later, ack(3, 2, 2, 0))
+	_, _, err := n.ProposeChange(raft.Change{Kind: raft.AddLearner, ID: 4})
+	require.NoError(t, err)
+	settleNode(n)
+	n.Step(later, ack(2, 2, 3, 0))
+	require.Equal(t, uint64(3), n.Status(later).Commit)
+	promote := raft.Change{Kind: raft.Promote, ID: 4}
+	n.Step(later, ack(4, 2, 2, 0))
+	_, _, err = n.ProposeChange(promote)
+	require.ErrorIs(t, err, raft.ErrNotCaughtUp)
+	n.Step(later, ack(4, 2, 3, 0))
+	_, _, err = n.ProposeChange(promote)
+	require.NoError(t, err)
+}
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -146,6 +146,6 @@
 	if s.Index <= n.log.snap.Index {
 		return
 	}
-	n.log.compact(s, n.cfg.KeepEntries)
+	n.log.compact(s, n.cfg.KeepEntries, n.cfg.KeepBytes)
 	n.conf.forget(n.log.baseIndex)
 }
--- a/replica/bench_test.go
+++ b/replica/bench_test.go
@@ -142,3 +142,45 @@
 		require.NoError(b, <-done)
 	}
 }
+
+// BenchmarkLeaderLost measures from the moment at which the leader is cut off
+// to the next accepted change.
+func BenchmarkLeaderLost(b *testing.B) {
+	n, rs := benchHosts(b, 3, nil)
+	for b.Loop() {
+		b.StopTimer()
+		l := waitLeader(b, rs)
+		waitFresh(b, rs)
+		addr := l.Status().LeaderAddr
+		b.StartTimer()
+		n.setCut(addr, true)
+		proposeAnywhere(b, rs, l)
+		b.StopTimer()
+		n.setCut(addr, false)
+		b.StartTimer()
+	}
+	stopAll(rs)
+}
+
+func waitFresh(b *testing.B, rs []*Replica) {
+	for _, r := range rs {
+		for !r.Status().Fresh {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// proposeAnywhere tries every replica but one until a change is accepted.
+func proposeAnywhere(b *testing.B, rs []*Replica, lost *Replica) {
+	for {
+		for _, r := range rs {
+			if r == lost {
+				continue
+			}
+			if _, _, err := r.Propose(context.Background(), []byte("next")); err == nil {
+				return
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/replica/handle.go
+++ b/replica/handle.go
@@ -30,13 +30,18 @@
 	case e.Intro != nil:
 		l.sendTo(e.From, e.FromAddr, envelope{Exists: &exists{Initial: l.ident.Initial}})
 	case e.Raft != nil && e.Cluster == l.ident.Cluster && e.From != l.ident.Replica:
-		if len(l.addrs) < maxAddrs {
-			l.addrs[e.From] = e.FromAddr
-		}
+		l.learnAddr(e.From, e.FromAddr)
 		l.node.Step(l.now(), *e.Raft)
 	}
 }
 
+// learnAddr notes where a replica spoke from; its host may have moved.
+func (l *loop) learnAddr(id uint64, addr string) {
+	if _, known := l.addrs[id]; known || len(l.addrs) < maxAddrs {
+		l.addrs[id] = addr
+	}
+}
+
 // handleOutside takes a message to a replica that belongs to none.
 func (l *loop) handleOutside(e *envelope) {
 	switch {
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -75,6 +75,7 @@
 	handovers []handover
 
 	snapshotAt   uint64 // index of the last snapshot
+	appliedBytes int    // since then
 	snapshotting bool
 	stopping     bool
 	failure      error
@@ -302,6 +303,7 @@
 			data = l.opt.StateMachine.Apply(e.Index, e.Data)
 		}
 		l.applied = e.Index
+		l.appliedBytes += len(e.Data)
 		if w, ok := l.waiters[e.Index]; ok {
 			delete(l.waiters, e.Index)
 			w.req.answer(outcome(w, e, data))
@@ -335,9 +337,11 @@
 }
 
 func (l *loop) maybeSnapshot() {
-	if l.snapshotting || l.failure != nil || l.applied < l.snapshotAt+l.opt.SnapshotEntries {
+	due := l.applied >= l.snapshotAt+l.opt.SnapshotEntries || l.appliedBytes >= l.opt.SnapshotBytes
+	if l.snapshotting || l.failure != nil || !due {
 		return
 	}
+	l.appliedBytes = 0
 	data, err := l.opt.StateMachine.Snapshot()
 	if err != nil {
 		l.opt.Log("can't take a snapshot", "error", err)
--- a/replica/repair_test.go
+++ b/replica/repair_test.go
@@ -30,7 +30,9 @@
 func (h *host) crash(t *testing.T) {
 	h.net.setCut(h.addr, true)
 	h.fs.Crash()
-	h.replica.Stop(context.Background())
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	h.replica.Stop(ctx)
 	h.net.setCut(h.addr, false)
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -52,8 +52,10 @@
 
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
-	// SnapshotEntries is how many entries are applied between two snapshots.
+	// SnapshotEntries and SnapshotBytes are how many entries and bytes of
+	// commands are applied between two snapshots at most.
 	SnapshotEntries uint64
+	SnapshotBytes   int
 
 	Transport    Transport
 	StateMachine StateMachine
@@ -67,8 +69,11 @@
 	newID func() uint64 // draws replica ids
 }
 
-// DefaultSnapshotEntries is the default of Options.SnapshotEntries.
-const DefaultSnapshotEntries = 8192
+// Defaults of Options.
+const (
+	DefaultSnapshotEntries = 8192
+	DefaultSnapshotBytes   = 16 << 20
+)
 
 // Errors of the calls below.
 var (
@@ -181,6 +186,9 @@
 	if o.SnapshotEntries == 0 {
 		o.SnapshotEntries = DefaultSnapshotEntries
 	}
+	if o.SnapshotBytes == 0 {
+		o.SnapshotBytes = DefaultSnapshotBytes
+	}
 	return nil
 }
 
