Space heartbeats for 24 control hosts

Cause: 23 followers at 10 heartbeats a second of 101 bytes cost the leader 23 KB/s each way, over the 21 KB/s that control may cost a node. Ruled out: slower beats with the old election timeout of 600 ms (three lost beats would end a leader).

--- a/raft/leader.go
+++ b/raft/leader.go
@@ -69,9 +69,27 @@
 		return
 	}
 	n.heartbeatAt = n.now + n.cfg.HeartbeatInterval
-	n.replicateAll(true)
+	n.beats++
+	if n.beats%learnerBeats == 0 {
+		n.replicateAll(beatAll)
+		return
+	}
+	n.replicateAll(beatVoters)
 }
 
+// learnerBeats is how many heartbeats of voters there are to one of learners,
+// of which a large fleet has many.
+const learnerBeats = 3
+
+// beat says who gets a message even if there is nothing new for it.
+type beat uint8
+
+const (
+	beatNone beat = iota
+	beatVoters
+	beatAll
+)
+
 // quorumHeardAt returns the time since which a quorum is known to have
 // followed this leader, itself included.
 func (n *Node) quorumHeardAt() (at time.Duration, ok bool) {
@@ -119,10 +137,10 @@
 // percent.
 const leaseShare = 90
 
-func (n *Node) replicateAll(heartbeat bool) {
+func (n *Node) replicateAll(b beat) {
 	for _, m := range n.conf.current() {
 		if p := n.peers[m.ID]; p != nil {
-			n.replicateTo(m.ID, p, heartbeat)
+			n.replicateTo(m.ID, p, b == beatAll || (b == beatVoters && m.Voter))
 		}
 	}
 }
--- a/raft/node.go
+++ b/raft/node.go
@@ -40,8 +40,8 @@
 
 // Defaults of Config.
 const (
-	DefaultElectionTimeout   = 600 * time.Millisecond
-	DefaultHeartbeatInterval = 100 * time.Millisecond
+	DefaultElectionTimeout   = 900 * time.Millisecond
+	DefaultHeartbeatInterval = 200 * time.Millisecond
 	DefaultMaxBatchBytes     = 64 << 10
 	DefaultMaxInflight       = 32
 	DefaultMaxUncommitted    = 8 << 20
@@ -138,6 +138,7 @@
 	// State of a leader.
 	peers       map[uint64]*progress
 	heartbeatAt time.Duration
+	beats       uint64
 	electedAt   time.Duration
 	uncommitted int
 	round       uint64
--- a/raft/read.go
+++ b/raft/read.go
@@ -52,7 +52,7 @@
 		n.reads = append(n.reads, r)
 	}
 	n.newReads = nil
-	n.replicateAll(true)
+	n.replicateAll(beatVoters)
 	n.confirmReads()
 }
 
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -43,7 +43,7 @@
 	}
 	if n.role == Leader {
 		n.startReads()
-		n.replicateAll(false)
+		n.replicateAll(beatNone)
 	}
 	rd.Restore, rd.Committed = n.takeApply()
 	rd.Messages, n.out = n.out, nil
