--- a/raft/node_test.go
+++ b/raft/node_test.go
@@ -268,3 +268,52 @@
 	_, _, err = n.ProposeChange(promote)
 	require.NoError(t, err)
 }
+
+// A snapshot from the leader is restored, and acknowledged, only once it is
+// durable.
+func TestSnapshotIsDurableBeforeRestore(t *testing.T) {
+	n := fuzzNode(t, false)
+	n.Step(later, raft.Message{
+		Kind: raft.MsgSnapshot, From: 2, To: 1, Term: 2,
+		Chunk: &raft.Chunk{Index: 9, Term: 2, Members: n.Members(), Data: []byte("state"), Last: true},
+	})
+	rd := n.Ready()
+	require.NotNil(t, rd.Save)
+	require.Equal(t, uint64(9), rd.Save.Snapshot.Index)
+	require.Nil(t, rd.Restore)
+	require.Empty(t, rd.Messages)
+	n.Advance()
+	rd = n.Ready()
+	require.Equal(t, "state", string(rd.Restore.Data))
+	require.Equal(t, []raft.MessageKind{raft.MsgAppendResp}, kinds(rd.Messages))
+}
+
+// Chunks of a snapshot that another leader has begun are not continued.
+func TestChunksOfOneLeaderOnly(t *testing.T) {
+	n := fuzzNode(t, false)
+	chunk := raft.Chunk{Index: 9, Term: 2, Members: n.Members(), Data: []byte("first half, ")}
+	n.Step(later, raft.Message{Kind: raft.MsgSnapshot, From: 2, To: 1, Term: 2, Chunk: &chunk})
+	settleNode(n)
+	other := chunk
+	other.Offset, other.Data, other.Last = uint64(len(chunk.Data)), []byte("other half"), true
+	n.Step(later, raft.Message{Kind: raft.MsgSnapshot, From: 3, To: 1, Term: 3, Chunk: &other})
+	rd := n.Ready()
+	require.Nil(t, rd.Save.Snapshot)
+	n.Advance()
+	answer := n.Ready().Messages[0]
+	require.Equal(t, raft.MsgSnapshotResp, answer.Kind)
+	require.Zero(t, answer.Offset)
+}
+
+// A follower applies an entry that the leader has committed only once it is
+// durable here too.
+func TestAppliedIsDurable(t *testing.T) {
+	n := fuzzNode(t, false)
+	n.Step(later, raft.Message{
+		Kind: raft.MsgAppend, From: 2, To: 1, Term: 2, Index: 1, LogTerm: 1, Commit: 2,
+		Entries: []raft.Entry{{Index: 2, Term: 2}},
+	})
+	require.Empty(t, n.Ready().Committed)
+	n.Advance()
+	require.Len(t, n.Ready().Committed, 1)
+}
