entry: give a slow agent a task only now and then

Cause: with one worker ten times slower p99 was 9.9, although the worker was known to be slow: it got the next task as soon as the last had ended. Ruled out: the frozen and the failing worker (p99 without the slow one is that of 8 workers). Change: a slow agent's tasks are spaced from 2 s to 60 s; one that took no longer than elsewhere brings the next at once.

--- a/entry/agent.go
+++ b/entry/agent.go
@@ -54,6 +54,10 @@
 	wanted   uint32
 	wantedAt time.Duration
 	speed    speed
+	// probeAt is when a slow agent gets its next task, probeWait how long it
+	// waits after that.
+	probeAt   time.Duration
+	probeWait time.Duration
 }
 
 // sentRec is a task at an agent.
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -58,6 +58,9 @@
 	a.tasks = append(a.tasks, e.assignment(s, i, rank))
 	a.Outstanding++
 	a.Credit--
+	if a.Slow {
+		a.probed(e.now)
+	}
 	a.Used = a.Used.Add(spec.Need)
 	a.svc.pool.Changed(&a.Agent)
 	e.stats.Placed++
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -10,7 +10,7 @@
 	"github.com/fireflytray/fireflytray/task"
 )
 
-// Agent is what an entry knows of one agent. Credit, Slots and Slow change
+// Agent is what an entry knows of one agent. Credit, Slots, Slow and Probe change
 // through the Pool only.
 type Agent struct {
 	ID string
@@ -22,9 +22,10 @@
 	Slots int
 	// Others counts the tasks of other entries there, as last reported.
 	Others int
-	// Slow marks an agent whose tasks take far longer than elsewhere; it is
-	// given one task at a time.
+	// Slow marks an agent whose tasks take far longer than elsewhere. It gets a
+	// task only while Probe is set, one at a time.
 	Slow    bool
+	Probe   bool
 	Offered task.Resources
 	// Used is what this entry's tasks at the agent declared.
 	Used task.Resources
@@ -49,7 +50,7 @@
 
 // open reports whether the agent may be sent a task on its credit.
 func (a *Agent) open() bool {
-	return a.Credit > 0 && (!a.Slow || a.Outstanding == 0)
+	return a.Credit > 0 && (!a.Slow || a.Probe && a.Outstanding == 0)
 }
 
 // Pool is the set of agents of one service that are connected.
@@ -96,8 +97,8 @@
 	p.setFree(a, false)
 }
 
-// Changed must be called after Credit, Slots, Outstanding or Slow of an agent
-// in the pool has changed.
+// Changed must be called after Credit, Slots, Outstanding, Slow or Probe of
+// an agent in the pool has changed.
 func (p *Pool) Changed(a *Agent) {
 	p.count(a, sums{a.Slots, a.Outstanding})
 	p.setFree(a, a.open())
--- a/entry/report.go
+++ b/entry/report.go
@@ -81,6 +81,9 @@
 	}
 	if r.Outcome.State == task.Complete {
 		a.speed.observe(rec.declared, r.Outcome.Ran)
+		if a.Slow {
+			a.probeEnded(e.now, rec.declared, r.Outcome.Ran)
+		}
 		a.svc.speed.observeBy(serviceSpeedWeight, rec.declared, r.Outcome.Ran)
 		a.svc.limit.Finished(e.now, rec.at-rec.sub.arrived+r.Waited, r.Outcome.Ran, rec.sub.deadline-rec.sub.arrived)
 	}
--- a/entry/speed.go
+++ b/entry/speed.go
@@ -15,6 +15,10 @@
 	// slowRatio is how many times longer than elsewhere tasks take at an agent
 	// that counts as slow.
 	slowRatio = 3.0
+	// minProbeWait and maxProbeWait bound the time between two tasks that a
+	// slow agent gets to show whether it still is.
+	minProbeWait = 2 * time.Second
+	maxProbeWait = time.Minute
 	// overdueRatio is how many times its declared run time, itself off by up
 	// to declaredFactor, a task may take before it counts as overdue.
 	overdueRatio = 2 * declaredFactor
@@ -60,13 +64,40 @@
 
 func (e *Entry) reviewAgent(a *agent) {
 	slow := a.speed.slower(&a.svc.speed) || e.overdue(a)
-	if slow == a.Slow {
+	switch {
+	case !slow && !a.Slow:
 		return
+	case !slow:
+		a.Slow, a.Probe = false, false
+	case !a.Slow:
+		a.Slow, a.Probe = true, false
+		a.probeWait = minProbeWait
+		a.probeAt = e.now + a.probeWait
+	case e.now >= a.probeAt:
+		a.Probe = true
 	}
-	a.Slow = slow
 	a.svc.pool.Changed(&a.Agent)
 }
 
+// probed notes that a slow agent was given a task; the next one has to wait
+// longer.
+func (a *agent) probed(now time.Duration) {
+	a.Probe = false
+	a.probeWait = min(2*a.probeWait, maxProbeWait)
+	a.probeAt = now + a.probeWait
+}
+
+// probeEnded lets a slow agent whose task took no longer than elsewhere have
+// the next one soon.
+func (a *agent) probeEnded(now time.Duration, declared, ran time.Duration) {
+	one := speed{n: speedSamples}
+	one.observeBy(1, declared, ran)
+	if !one.slower(&a.svc.speed) {
+		a.probeWait = minProbeWait
+		a.probeAt = now
+	}
+}
+
 // overdue reports whether half or more of the tasks at an agent are overdue.
 func (e *Entry) overdue(a *agent) bool {
 	n := 0
