Let settings choose order and credit; drain by the settings' time

Change: [placement] order, [credit] policy and queue-share; node passes drain-timeout on; a drained entry acknowledges what is left and shuts its sessions down after agents have read that.

--- a/cmd/fireflytray-agent/main.go
+++ b/cmd/fireflytray-agent/main.go
@@ -3,8 +3,10 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 
+	"github.com/fireflytray/fireflytray/agent"
 	"github.com/fireflytray/fireflytray/daemon"
 	"github.com/fireflytray/fireflytray/node"
 	"github.com/fireflytray/fireflytray/settings"
@@ -23,11 +25,16 @@
 }
 
 func run(ctx context.Context, rt daemon.Runtime, s *settings.Agent) error {
+	policy, ok := agent.PolicyByName(s.Credit)
+	if !ok {
+		return fmt.Errorf("credit policy %q is unknown", s.Credit)
+	}
 	return node.RunAgent(ctx, node.AgentOptions{
 		Common:   common(rt, s),
 		Peers:    s.Peers,
 		Upstream: s.Upstream,
 		Rack:     s.Rack,
+		Agent:    agent.Config{Policy: policy, QueueShare: s.QueueShare},
 		Offered: task.Resources{
 			MilliCPU:     s.Processors * 1000,
 			MemoryMB:     s.MemoryMB,
@@ -38,12 +45,13 @@
 
 func common(rt daemon.Runtime, s *settings.Agent) node.Common {
 	return node.Common{
-		ID:       s.ID,
-		Domain:   s.Domain,
-		Site:     s.Site,
-		Identity: rt.Identity,
-		Logs:     rt.Logs,
-		Scope:    rt.Metrics.Scope(),
-		Controls: s.Control,
+		ID:          s.ID,
+		Domain:      s.Domain,
+		Site:        s.Site,
+		DrainWithin: s.DrainTimeout,
+		Identity:    rt.Identity,
+		Logs:        rt.Logs,
+		Scope:       rt.Metrics.Scope(),
+		Controls:    s.Control,
 	}
 }
--- a/cmd/fireflytray-control/main.go
+++ b/cmd/fireflytray-control/main.go
@@ -34,12 +34,13 @@
 
 func common(rt daemon.Runtime, s *settings.Control) node.Common {
 	return node.Common{
-		ID:       s.ID,
-		Domain:   s.Domain,
-		Site:     s.Site,
-		Identity: rt.Identity,
-		Logs:     rt.Logs,
-		Scope:    rt.Metrics.Scope(),
-		Controls: s.Initial,
+		ID:          s.ID,
+		Domain:      s.Domain,
+		Site:        s.Site,
+		DrainWithin: s.DrainTimeout,
+		Identity:    rt.Identity,
+		Logs:        rt.Logs,
+		Scope:       rt.Metrics.Scope(),
+		Controls:    s.Initial,
 	}
 }
--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -29,23 +29,28 @@
 	if err != nil {
 		return err
 	}
+	order, err := queue.ParseOrder(s.Order)
+	if err != nil {
+		return err
+	}
 	return node.RunEntry(ctx, node.EntryOptions{
 		Common:  common(rt, s),
 		Callers: s.Callers,
 		HTTP:    httpapi.Config{MaxBody: s.MaxBody},
 		Policy:  policy,
-		Order:   queue.LeftOverSlowdown,
+		Order:   order,
 	})
 }
 
 func common(rt daemon.Runtime, s *settings.Entry) node.Common {
 	return node.Common{
-		ID:       s.ID,
-		Domain:   s.Domain,
-		Site:     s.Site,
-		Identity: rt.Identity,
-		Logs:     rt.Logs,
-		Scope:    rt.Metrics.Scope(),
-		Controls: s.Control,
+		ID:          s.ID,
+		Domain:      s.Domain,
+		Site:        s.Site,
+		DrainWithin: s.DrainTimeout,
+		Identity:    rt.Identity,
+		Logs:        rt.Logs,
+		Scope:       rt.Metrics.Scope(),
+		Controls:    s.Control,
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,7 +11,9 @@
 package entry
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fireflytray/fireflytray/entry/placement"
@@ -204,9 +206,17 @@
 	}
 }
 
+// checkDrained acknowledges what is left once nothing is in flight, so that no
+// agent keeps outcomes for an entry that is gone.
 func (e *Entry) checkDrained() {
-	if e.draining && !e.drained && len(e.subs) == 0 {
-		e.drained = true
-		e.emit(Drained{})
+	if !e.draining || e.drained || len(e.subs) > 0 {
+		return
+	}
+	e.drained = true
+	for _, id := range slices.Sorted(maps.Keys(e.agents)) {
+		if a := e.agents[id]; a.link == linkOpen && a.told < a.seen {
+			e.sendUpdate(a)
+		}
 	}
+	e.emit(Drained{})
 }
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -32,8 +32,8 @@
 	claimWithin = 5 * time.Second
 	// viewWithin bounds the wait for a copy of the state.
 	viewWithin = time.Second
-	// drainWithin bounds a graceful shutdown.
-	drainWithin = 60 * time.Second
+	// defaultDrainWithin bounds a graceful shutdown where the options don't.
+	defaultDrainWithin = 30 * time.Second
 )
 
 // Control is the entry's side of the control hosts.
@@ -55,7 +55,9 @@
 	Seed     uint64
 	Poke     int
 	Config   *fleet.Config
-	Control  Control
+	// DrainWithin bounds a graceful shutdown.
+	DrainWithin time.Duration
+	Control     Control
 	// Transport dials agents; its Identity and Stamp must be set.
 	Transport transport.Options
 	Log       *log.Logger
@@ -86,6 +88,9 @@
 	if o.Log == nil {
 		o.Log = log.Default()
 	}
+	if o.DrainWithin == 0 {
+		o.DrainWithin = defaultDrainWithin
+	}
 	d := &Daemon{
 		opts:    o,
 		log:     o.Log,
@@ -108,7 +113,7 @@
 }
 
 // Run serves until ctx ends, then drains: no request in flight is cut off
-// within drainWithin.
+// within Options.DrainWithin.
 func (d *Daemon) Run(ctx context.Context) error {
 	ln, err := d.listen()
 	if err != nil {
@@ -152,7 +157,7 @@
 // drain stops the intake, lets what is in flight end and says goodbye.
 func (d *Daemon) drain() error {
 	d.log.Info("draining")
-	ctx, cancel := context.WithTimeout(context.Background(), drainWithin)
+	ctx, cancel := context.WithTimeout(context.Background(), d.opts.DrainWithin)
 	defer cancel()
 	if err := d.api.Shutdown(ctx); err != nil {
 		return fmt.Errorf("drain: %w", err)
@@ -163,7 +168,7 @@
 	case <-ctx.Done():
 		return fmt.Errorf("drain: %w", ctx.Err())
 	}
-	d.closeLinks()
+	d.closeLinks(ctx)
 	d.log.Info("drained")
 	return nil
 }
--- a/entryd/link.go
+++ b/entryd/link.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
+	"sync"
 
 	"github.com/fireflytray/fireflytray/entry"
 	"github.com/fireflytray/fireflytray/transport"
@@ -132,10 +135,18 @@
 	}
 }
 
-func (d *Daemon) closeLinks() {
+// closeLinks ends every session once its agent has read what was sent.
+func (d *Daemon) closeLinks(ctx context.Context) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, l := range d.links {
-		l.conn.Close("entry shuts down")
-	}
+	links := slices.Collect(maps.Values(d.links))
+	d.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, l := range links {
+		wg.Go(func() {
+			if err := l.conn.Shutdown(ctx); err != nil {
+				d.log.Debug("session not shut down", "agent", l.conn.Peer(), "err", err)
+			}
+		})
+	}
+	wg.Wait()
 }
--- a/node/agent.go
+++ b/node/agent.go
@@ -29,6 +29,7 @@
 // RunAgent runs an agent until ctx ends and it has drained.
 func RunAgent(ctx context.Context, o AgentOptions) error {
 	self := o.peer(wire.RoleAgent, o.Peers)
+	o.Agent.DrainWithin = o.DrainWithin
 	board := &board{self: wire.Announce{From: self}}
 	logger := o.Logs.For(logging.PartAgent)
 	client := controlclient.New(controlclient.Options{
--- a/node/entry.go
+++ b/node/entry.go
@@ -47,18 +47,19 @@
 	t := o.transport()
 	t.Stamp = client.Stamp
 	d = entryd.New(entryd.Options{
-		Self:      self,
-		Callers:   o.Callers,
-		Listener:  o.Listener,
-		HTTP:      o.HTTP,
-		Policy:    o.Policy,
-		Order:     o.Order,
-		Seed:      self.Incarnation,
-		Poke:      o.Poke,
-		Control:   client,
-		Transport: t,
-		Log:       logger,
-		Scope:     o.Scope,
+		Self:        self,
+		Callers:     o.Callers,
+		Listener:    o.Listener,
+		HTTP:        o.HTTP,
+		Policy:      o.Policy,
+		Order:       o.Order,
+		Seed:        self.Incarnation,
+		Poke:        o.Poke,
+		DrainWithin: o.DrainWithin,
+		Control:     client,
+		Transport:   t,
+		Log:         logger,
+		Scope:       o.Scope,
 	})
 	return withClient(ctx, client, d.Run)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -32,6 +32,8 @@
 	Identity *keys.Identity
 	Logs     *logging.Root
 	Scope    tally.Scope
+	// DrainWithin bounds how long a shutdown waits for work in flight.
+	DrainWithin time.Duration
 	// Controls lists the peer addresses of control hosts.
 	Controls []string
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -55,6 +55,8 @@
 	MaxSubmissions uint32
 	// Placement is the placement policy.
 	Placement string
+	// Order is the order of waiting jobs.
+	Order string
 }
 
 // Agent is the settings of an agent.
@@ -74,6 +76,10 @@
 	MemoryMB uint32
 	// Accelerators is the worker's count of accelerators.
 	Accelerators uint32
+	// Credit is the policy by which free slots are granted to entries.
+	Credit string
+	// QueueShare is the length of the local queue as a share of the slots.
+	QueueShare float64
 }
 
 // Upstream is the settings of the stand-in upstream.
@@ -112,6 +118,22 @@
 	PlacementRandom           = "random"
 )
 
+// The orders of waiting jobs.
+const (
+	OrderLeftOverSlowdown = "left-over-slowdown"
+	OrderLeftOverAge      = "left-over-age"
+	OrderFewestLeft       = "fewest-left"
+	OrderFIFO             = "fifo"
+)
+
+// The policies of credit.
+const (
+	CreditLend   = "lend"
+	CreditSplit  = "split"
+	CreditSticky = "sticky"
+	CreditRank   = "rank"
+)
+
 // The kinds of work of the stand-in upstream.
 const (
 	WorkSleep = "sleep"
@@ -130,6 +152,7 @@
 	minLease       = 200 * time.Millisecond
 	maxLease       = time.Minute
 	maxSlowdown    = 1000
+	maxQueueShare  = 1000
 	maxSeed        = 1<<32 - 1
 )
 
@@ -171,6 +194,8 @@
 		count(&e.MaxSubmissions, "limits", "max-submissions", "Requests and jobs in flight.", 1, maxSubmissions).or("100000"),
 		oneOf(&e.Placement, "placement", "policy", "How tasks are placed on agents.",
 			PlacementCredits, PlacementLeastOutstanding, PlacementTwoChoices, PlacementRandom).or(PlacementCredits),
+		oneOf(&e.Order, "placement", "order", "Order of the jobs that wait.",
+			OrderLeftOverSlowdown, OrderLeftOverAge, OrderFewestLeft, OrderFIFO).or(OrderLeftOverSlowdown),
 	)
 }
 
@@ -182,6 +207,9 @@
 		label(&a.Rack, "worker", "rack", "Rack of the worker.").require(),
 		count(&a.Processors, "worker", "processors", "Cores of the worker.", 1, maxCores).require(),
 		count(&a.MemoryMB, "worker", "memory-mb", "Memory of the worker, in units of 1,000,000 bytes.", 1, maxMemoryMB).require(),
+		oneOf(&a.Credit, "credit", "policy", "How free slots are granted to entries.",
+			CreditLend, CreditSplit, CreditSticky, CreditRank).or(CreditLend),
+		number(&a.QueueShare, "credit", "queue-share", "Tasks that may wait at the agent, as a share of the slots.", 0, maxQueueShare).or("0.5"),
 		count(&a.Accelerators, "worker", "accelerators", "Accelerators of the worker.", 0, maxDevices).or("0"),
 	)
 }
