--- a/load/load_test.go
+++ b/load/load_test.go
@@ -108,7 +108,7 @@
 		r, err := Run(context.Background(), o)
 		require.NoError(t, err)
 		require.NoError(t, r.Clean())
-		require.Equal(t, []Count{{Outcome{"complete", ""}, n}}, r.Counts)
+		require.Equal(t, []Count{{Outcome{"complete", ""}, n, ""}}, r.Counts)
 		require.Equal(t, tasks, r.TasksDone)
 		require.EqualValues(t, n, r.Over.Count)
 		require.EqualValues(t, 2*tasks, r.Messages)
@@ -182,13 +182,14 @@
 		if n%2 == 0 {
 			return whole(n, s)
 		}
-		return task.Answer{State: task.NotRun, Reason: task.ReasonQuota, Messages: 3, Wasted: 1}
+		return task.Answer{State: task.NotRun, Reason: task.ReasonQuota, Detail: "no more today"}
 	}}
 	r, err := Run(context.Background(), options(workload.Requests, serve(t, b)))
 	require.NoError(t, err)
 	require.NoError(t, r.Clean(), "a refusal is a whole answer")
 	require.Len(t, r.Counts, 2)
 	require.Equal(t, Outcome{"not_run", task.ReasonQuota}, r.Counts[1].Outcome)
+	require.Equal(t, "no more today", r.Counts[1].Example)
 	require.Equal(t, r.Submissions, r.Counts[0].Count+r.Counts[1].Count)
 }
 
--- a/load/result.go
+++ b/load/result.go
@@ -22,6 +22,8 @@
 type Count struct {
 	Outcome
 	Count int `json:"count"`
+	// Example is the detail of the first of them.
+	Example string `json:"example,omitempty"`
 }
 
 // Quantiles are of response times over the ideal.
@@ -114,7 +116,7 @@
 		r.WastedPerTask = float64(st.wasted) / float64(st.tasks)
 	}
 	for o, n := range st.counts {
-		r.Counts = append(r.Counts, Count{o, n})
+		r.Counts = append(r.Counts, Count{o, n, st.examples[o]})
 	}
 	slices.SortFunc(r.Counts, func(a, b Count) int {
 		return cmp.Or(cmp.Compare(a.State, b.State), cmp.Compare(a.Reason, b.Reason))
@@ -139,7 +141,7 @@
 	fmt.Fprintf(w, "submissions\t%d with %d tasks (%.1f tasks/s)\n",
 		r.Submissions, r.Tasks, float64(r.Tasks)/max(r.Length.Seconds(), 1e-9))
 	for _, c := range r.Counts {
-		fmt.Fprintf(w, "  %s %s\t%d\n", c.State, c.Reason, c.Count)
+		fmt.Fprintf(w, "  %s %s\t%d  %s\n", c.State, c.Reason, c.Count, c.Example)
 	}
 	fmt.Fprintf(w, "over ideal\t%s\n", r.Over)
 	fmt.Fprintf(w, "response time\tp50 %.1f ms  p99 %.1f ms  p99.9 %.1f ms  max %.1f ms\n",
--- a/load/stats.go
+++ b/load/stats.go
@@ -60,6 +60,7 @@
 	latency  *hdrhistogram.Histogram
 	teams    map[string]*teamStats
 	counts   map[Outcome]int
+	examples map[Outcome]string
 	seconds  []second
 	inFlight int
 	total    int
@@ -86,6 +87,8 @@
 		latency: hdrhistogram.New(1, maxLatency.Microseconds(), precision),
 		teams:   map[string]*teamStats{},
 		counts:  map[Outcome]int{},
+
+		examples: map[Outcome]string{},
 	}
 }
 
@@ -110,7 +113,7 @@
 	if a.reason != reasonNotSent {
 		st.inFlight--
 	}
-	st.counts[Outcome{a.state, a.reason}]++
+	st.count(Outcome{a.state, a.reason}, a.detail)
 	st.messages += a.messages
 	st.wasted += a.wasted
 	st.note(s, a)
@@ -139,6 +142,13 @@
 	_ = st.latency.RecordValue(min(max(took, time.Microsecond), maxLatency).Microseconds())
 }
 
+func (st *stats) count(o Outcome, detail string) {
+	if st.counts[o] == 0 {
+		st.examples[o] = detail
+	}
+	st.counts[o]++
+}
+
 // note keeps the details of the first answers that were lost or not whole.
 func (st *stats) note(s *workload.Submission, a answer) {
 	if a.reason != reasonNotWhole && a.reason != reasonNoAnswer {
