--- a/raft/ready.go
+++ b/raft/ready.go
@@ -43,7 +43,7 @@
 	}
 	if n.role == Leader {
 		n.startReads()
-		n.replicateAll(false)
+		n.replicateAll(beatNone)
 	}
 	rd.Restore, rd.Committed = n.takeApply()
 	rd.Messages, n.out = n.out, nil
@@ -146,6 +146,6 @@
 	if s.Index <= n.log.snap.Index {
 		return
 	}
-	n.log.compact(s, n.cfg.KeepEntries)
+	n.log.compact(s, n.cfg.KeepEntries, n.cfg.KeepBytes)
 	n.conf.forget(n.log.baseIndex)
 }
