proof: keyed requests may be marked idempotent too

Cause: a mutation that retries a keyed request after an unknown outcome passed TestAllFaultsTogether, as no keyed request in it was idempotent. Change: the mark is drawn for keyed requests.

--- a/proof/faults_test.go
+++ b/proof/faults_test.go
@@ -88,7 +88,8 @@
 	k := rapid.IntRange(1, 3).Draw(c.t, "key")
 	c.submit(task.Submission{
 		Service: "svc", Team: "t1", Key: fmt.Sprintf("key-%d", k), Deadline: 15 * time.Second,
-		Tasks: []task.Spec{{Payload: payload(time.Duration(k) * 300 * time.Millisecond)}},
+		Tasks:      []task.Spec{{Payload: payload(time.Duration(k) * 300 * time.Millisecond)}},
+		Idempotent: rapid.Bool().Draw(c.t, "idempotent"),
 	})
 }
 
@@ -182,7 +183,7 @@
 		for i := range r.sub.Tasks {
 			n := c.w.startsOf[startKey{r.id, uint32(i)}]
 			starts += n
-			if r.sub.Job || !r.sub.Idempotent {
+			if r.sub.Job || !r.sub.Idempotent || r.sub.Key != "" {
 				require.LessOrEqual(c.t, n, 1, "task %d of %s started %d times", i, r.id, n)
 			}
 		}
