--- a/adminapi/client.go
+++ b/adminapi/client.go
@@ -78,13 +78,21 @@
 // quorum is passed over as long as another is left.
 func (c *Client) do(ctx context.Context, method, path string, body []byte, out any) error {
 	var errs []error
+	answered := false
 	for _, addr := range c.addrs {
-		err := c.ask(ctx, addr, method, path, body, out)
-		if err == nil || final(err) || ctx.Err() != nil {
+		fresh, err := c.ask(ctx, addr, method, path, body, out)
+		if err == nil && fresh {
+			return nil
+		}
+		if err != nil && (final(err) || ctx.Err() != nil) {
 			return err
 		}
+		answered = answered || err == nil
 		errs = append(errs, err)
 	}
+	if answered {
+		return nil
+	}
 	if len(errs) == 1 {
 		return errs[0]
 	}
@@ -97,7 +105,7 @@
 	return errors.As(err, &p) && p.Type != TypeNotFresh && p.Type != TypeUnknown
 }
 
-func (c *Client) ask(ctx context.Context, addr, method, path string, body []byte, out any) error {
+func (c *Client) ask(ctx context.Context, addr, method, path string, body []byte, out any) (fresh bool, err error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -109,12 +117,12 @@
 		deadline = d
 	}
 	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
-		return fmt.Errorf("%w: %s %s at %s: %w", ErrNoAnswer, method, path, addr, err)
+		return false, fmt.Errorf("%w: %s %s at %s: %w", ErrNoAnswer, method, path, addr, err)
 	}
 	if err := decode(resp, out); err != nil {
-		return fmt.Errorf("%s %s at %s: %w", method, path, addr, err)
+		return false, fmt.Errorf("%s %s at %s: %w", method, path, addr, err)
 	}
-	return nil
+	return string(resp.Header.Peek(HeaderFresh)) != "false", nil
 }
 
 func decode(resp *fasthttp.Response, out any) error {
--- a/adminapi/types.go
+++ b/adminapi/types.go
@@ -25,6 +25,9 @@
 	PathFleet    = "/v1/fleet"
 )
 
+// HeaderFresh is "false" in an answer of a control host without a fresh quorum.
+const HeaderFresh = "Fireflytray-Fresh"
+
 // MaxBody bounds a request, in bytes.
 const MaxBody = 64 << 20
 
--- a/command/control_backup.go
+++ b/command/control_backup.go
@@ -13,7 +13,8 @@
 type controlBackup struct {
 	env *Env
 	adminOptions
-	Args struct {
+	Stale bool `long:"stale" description:"Take what the host has although it has no quorum, after a majority is lost"`
+	Args  struct {
 		File string `positional-arg-name:"file" required:"yes" description:"File to write; it must not exist"`
 	} `positional-args:"yes" required:"yes"`
 }
@@ -30,7 +31,11 @@
 	if err != nil {
 		return err
 	}
-	raw, err := client.GetRaw(c.env.Context, adminapi.PathBackup)
+	path := adminapi.PathBackup
+	if c.Stale {
+		path += "?stale=true"
+	}
+	raw, err := client.GetRaw(c.env.Context, path)
 	if err != nil {
 		return adminError(err)
 	}
--- a/command/control_list.go
+++ b/command/control_list.go
@@ -25,7 +25,12 @@
 			if m.Voter {
 				kind = "voter"
 			}
-			t.Rows = append(t.Rows, []string{m.Replica, m.Addr, kind, yesNo(m.Leader), yesNo(m.Live), itoa(m.Match), yesNo(m.Replica == r.Replica)})
+			// Only the leader knows how the others are.
+			answers, position := "-", "-"
+			if r.Leader == r.Replica {
+				answers, position = yesNo(m.Live), itoa(m.Match)
+			}
+			t.Rows = append(t.Rows, []string{m.Replica, m.Addr, kind, yesNo(m.Leader), answers, position, yesNo(m.Replica == r.Replica)})
 		}
 		if len(r.Members) == 0 {
 			t.Rows = append(t.Rows, []string{r.Replica, "-", "waits to be added", "-", "-", "-", "yes"})
--- a/command/control_members.go
+++ b/command/control_members.go
@@ -11,8 +11,8 @@
 	env *Env
 	adminOptions
 	Args struct {
-		replicaArg
-		Addr string `positional-arg-name:"address" required:"yes" description:"Peer address of the new control host"`
+		Replica string `positional-arg-name:"replica" required:"yes" description:"Replica id, as control list shows it"`
+		Addr    string `positional-arg-name:"address" required:"yes" description:"Peer address of the new control host"`
 	} `positional-args:"yes" required:"yes"`
 }
 
--- a/command/control_test.go
+++ b/command/control_test.go
@@ -174,8 +174,15 @@
 	code, _, stderr := nobody.run("control", "list")
 	require.Equal(t, ExitUnavailable, code)
 	require.Contains(t, stderr, "no control host answered")
-	code, _, _ = op.run("control", "remove", "0000000000000001")
-	require.Equal(t, ExitNotRun, code)
+	code, _, stderr = op.run("control", "remove", "0000000000000001")
+	require.Equal(t, ExitNotRun, code, stderr)
+	code, _, stderr = op.run("control", "add", "0000000000000002", "127.0.0.1:2")
+	require.Equal(t, ExitNotRun, code, stderr)
+	var audit adminapi.AuditReply
+	op.json(&audit, "audit", "--action", "control add")
+	require.Len(t, audit.Entries, 2)
+	require.Contains(t, audit.Entries[0].Detail, "replica 0000000000000002 127.0.0.1:2: requested")
+	require.False(t, audit.Entries[1].Accepted)
 }
 
 // A backup of one cluster is restored into a new one.
--- a/controld/admin.go
+++ b/controld/admin.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -117,6 +118,7 @@
 		}
 		c.by = control.Operator{Name: name.ID, Addr: rc.RemoteAddr().String()}
 		out, err := run(c)
+		rc.Response.Header.Set(adminapi.HeaderFresh, strconv.FormatBool(h.fresh.Load()))
 		c.answer(out, err)
 	}
 }
--- a/controld/admin_fleet.go
+++ b/controld/admin_fleet.go
@@ -20,6 +20,10 @@
 	self := wire.Member{Peer: h.opts.Self, ConfigIndex: h.machine.Stamp().Index}
 	select {
 	case m := <-ch:
+		// Other control hosts vouch for this one too.
+		m = slices.DeleteFunc(m, func(one wire.Member) bool {
+			return one.Peer.Role == self.Peer.Role && one.Peer.ID == self.Peer.ID
+		})
 		m = append(m, self)
 		slices.SortFunc(m, func(a, b wire.Member) int {
 			return cmp.Or(cmp.Compare(a.Peer.Role, b.Peer.Role), cmp.Compare(a.Peer.ID, b.Peer.ID))
@@ -155,8 +159,14 @@
 	return err
 }
 
-// adminBackup returns the whole replicated state.
+// adminBackup returns the whole replicated state. With stale set it returns
+// what this host has, without a quorum and so without an audit entry: that is
+// all that is left once a majority is lost.
 func (h *Host) adminBackup(c *call) (any, error) {
+	if c.QueryArgs().Has("stale") {
+		h.log.Warn("stale backup taken", "by", c.by.Name, "from", c.by.Addr)
+		return h.machine.Snapshot()
+	}
 	if !h.current(c.ctx) {
 		return nil, errNotFresh
 	}
--- a/directory/reducer.go
+++ b/directory/reducer.go
@@ -21,7 +21,7 @@
 	// upsertDelay gathers announcements into one message to each watcher.
 	upsertDelay = 100 * time.Millisecond
 	// quietDelay gathers changes of configuration indices.
-	quietDelay = time.Second
+	quietDelay = 250 * time.Millisecond
 	never      = time.Duration(1<<63 - 1)
 )
 
