--- a/entry/agent.go
+++ b/entry/agent.go
@@ -54,6 +54,10 @@
 	wanted   uint32
 	wantedAt time.Duration
 	speed    speed
+	// probeAt is when a slow agent gets its next task, probeWait how long it
+	// waits after that.
+	probeAt   time.Duration
+	probeWait time.Duration
 }
 
 // sentRec is a task at an agent.
@@ -303,9 +307,6 @@
 	for _, id := range a.sentIDs() {
 		e.settle(a, id, a.sent[id], task.Outcome{State: task.Unknown, Reason: why, Where: a.ID})
 	}
-	if a.pooled {
-		a.svc.pool.Changed(&a.Agent)
-	}
 }
 
 // markDirty lets the agent get an update at the end of the step.
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -58,6 +58,9 @@
 	a.tasks = append(a.tasks, e.assignment(s, i, rank))
 	a.Outstanding++
 	a.Credit--
+	if a.Slow {
+		a.probed(e.now)
+	}
 	a.Used = a.Used.Add(spec.Need)
 	a.svc.pool.Changed(&a.Agent)
 	e.stats.Placed++
@@ -127,12 +130,7 @@
 // starved reports whether the entry has less than half of its even share of a
 // service's slots.
 func (e *Entry) starved(s *service) bool {
-	slots, held := 0, 0
-	for _, a := range s.pool.Agents() {
-		slots += a.Slots
-		held += a.Outstanding
-	}
-	return 2*held*max(1, len(e.entries)) < slots
+	return 2*s.pool.Outstanding()*max(1, len(e.entries)) < s.pool.Slots()
 }
 
 // tellDemand lets a few random agents that were not told of waiting tasks, or
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -46,6 +46,12 @@
 	req   *request
 }
 
+// handover is a request that waits until another replica leads.
+type handover struct {
+	until time.Duration
+	req   *request
+}
+
 // loop is the goroutine that owns a replica's state.
 type loop struct {
 	r     *Replica
@@ -66,9 +72,10 @@
 	reads     map[uint64]*request
 	readsDone []readWait
 	readID    uint64
-	handovers []*request
+	handovers []handover
 
 	snapshotAt   uint64 // index of the last snapshot
+	appliedBytes int    // since then
 	snapshotting bool
 	stopping     bool
 	failure      error
@@ -296,6 +303,7 @@
 			data = l.opt.StateMachine.Apply(e.Index, e.Data)
 		}
 		l.applied = e.Index
+		l.appliedBytes += len(e.Data)
 		if w, ok := l.waiters[e.Index]; ok {
 			delete(l.waiters, e.Index)
 			w.req.answer(outcome(w, e, data))
@@ -329,9 +337,11 @@
 }
 
 func (l *loop) maybeSnapshot() {
-	if l.snapshotting || l.failure != nil || l.applied < l.snapshotAt+l.opt.SnapshotEntries {
+	due := l.applied >= l.snapshotAt+l.opt.SnapshotEntries || l.appliedBytes >= l.opt.SnapshotBytes
+	if l.snapshotting || l.failure != nil || !due {
 		return
 	}
+	l.appliedBytes = 0
 	data, err := l.opt.StateMachine.Snapshot()
 	if err != nil {
 		l.opt.Log("can't take a snapshot", "error", err)
@@ -350,8 +360,8 @@
 // shutDown answers what is still open and closes the files.
 func (l *loop) shutDown() {
 	l.failWaiters(ErrUnknownOutcome)
-	for _, req := range l.handovers {
-		req.answer(result{err: ErrStopped})
+	for _, h := range l.handovers {
+		h.req.answer(result{err: ErrStopped})
 	}
 	var err error
 	if l.saver != nil {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -52,8 +52,10 @@
 
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
-	// SnapshotEntries is how many entries are applied between two snapshots.
+	// SnapshotEntries and SnapshotBytes are how many entries and bytes of
+	// commands are applied between two snapshots at most.
 	SnapshotEntries uint64
+	SnapshotBytes   int
 
 	Transport    Transport
 	StateMachine StateMachine
@@ -63,10 +65,15 @@
 	FS wal.FS
 	// Seed seeds the election timeouts; zero draws one.
 	Seed uint64
+
+	newID func() uint64 // draws replica ids
 }
 
-// DefaultSnapshotEntries is the default of Options.SnapshotEntries.
-const DefaultSnapshotEntries = 8192
+// Defaults of Options.
+const (
+	DefaultSnapshotEntries = 8192
+	DefaultSnapshotBytes   = 16 << 20
+)
 
 // Errors of the calls below.
 var (
@@ -131,7 +138,7 @@
 	if err := opt.setDefaults(); err != nil {
 		return nil, fmt.Errorf("replica: open: %w", err)
 	}
-	w, st, err := wal.Open(opt.FS, opt.Dir, newID)
+	w, st, err := wal.Open(opt.FS, opt.Dir, opt.newID)
 	if err != nil {
 		return nil, fmt.Errorf("replica: open: %w", err)
 	}
@@ -164,6 +171,9 @@
 	if o.FS == nil {
 		o.FS = wal.OS{}
 	}
+	if o.newID == nil {
+		o.newID = newID
+	}
 	if o.Seed == 0 {
 		o.Seed = newID()
 	}
@@ -176,6 +186,9 @@
 	if o.SnapshotEntries == 0 {
 		o.SnapshotEntries = DefaultSnapshotEntries
 	}
+	if o.SnapshotBytes == 0 {
+		o.SnapshotBytes = DefaultSnapshotBytes
+	}
 	return nil
 }
 
