--- a/proof/grant_test.go
+++ b/proof/grant_test.go
@@ -15,7 +15,7 @@
 // BenchmarkGrants compares the agents' policies of granting slots to entries
 // under one load, in virtual time.
 func BenchmarkGrants(b *testing.B) {
-	for _, p := range []agent.Policy{agent.Sticky{Factor: 2}, agent.ByRank{}, agent.Split{}, agent.Lend{Keep: 1}} {
+	for _, p := range []agent.Policy{agent.Sticky{Factor: 2}, agent.ByRank{}, agent.Split{}, agent.Lend{Keep: 1}, agent.DefaultLend} {
 		for _, load := range []float64{0.8, 0.9} {
 			b.Run(fmt.Sprintf("%s/load=%.2f", p.Name(), load), func(b *testing.B) {
 				for range b.N {
