--- a/entry/report.go
+++ b/entry/report.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"time"
-
 	"github.com/fireflytray/fireflytray/task"
 	"github.com/fireflytray/fireflytray/wire"
 )
@@ -83,6 +81,9 @@
 	}
 	if r.Outcome.State == task.Complete {
 		a.speed.observe(rec.declared, r.Outcome.Ran)
+		if a.Slow {
+			a.probeEnded(e.now, rec.declared, r.Outcome.Ran)
+		}
 		a.svc.speed.observeBy(serviceSpeedWeight, rec.declared, r.Outcome.Ran)
 		a.svc.limit.Finished(e.now, rec.at-rec.sub.arrived+r.Waited, r.Outcome.Ran, rec.sub.deadline-rec.sub.arrived)
 	}
@@ -99,8 +100,7 @@
 	return awaited && o.State != task.NotRun
 }
 
-// settle ends one attempt: the agent holds it no longer, the team's charge is
-// corrected, and the submission gets its outcome or another attempt.
+// settle ends one attempt: the agent holds it no longer, and the submission gets its outcome or another attempt.
 func (e *Entry) settle(a *agent, id task.ID, rec sentRec, o task.Outcome) {
 	delete(a.sent, id)
 	a.Outstanding--
@@ -109,7 +109,7 @@
 		a.svc.pool.Changed(&a.Agent)
 	}
 	s := rec.sub
-	s.svc.q.Settle(s.sub.Team, ranFor(o, e.now-rec.at))
+	s.svc.q.Settle(s.sub.Team)
 	if s.answered {
 		e.stats.Abandoned++
 		return
@@ -131,14 +131,3 @@
 	}
 	e.finish(s, rec.index, o)
 }
-
-// ranFor is the slot time to charge for an attempt.
-func ranFor(o task.Outcome, held time.Duration) time.Duration {
-	switch o.State {
-	case task.NotRun:
-		return 0
-	case task.Unknown:
-		return held
-	}
-	return o.Ran
-}
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -32,8 +32,8 @@
 	claimWithin = 5 * time.Second
 	// viewWithin bounds the wait for a copy of the state.
 	viewWithin = time.Second
-	// drainWithin bounds a graceful shutdown.
-	drainWithin = 60 * time.Second
+	// defaultDrainWithin bounds a graceful shutdown where the options don't.
+	defaultDrainWithin = 30 * time.Second
 )
 
 // Control is the entry's side of the control hosts.
@@ -55,7 +55,9 @@
 	Seed     uint64
 	Poke     int
 	Config   *fleet.Config
-	Control  Control
+	// DrainWithin bounds a graceful shutdown.
+	DrainWithin time.Duration
+	Control     Control
 	// Transport dials agents; its Identity and Stamp must be set.
 	Transport transport.Options
 	Log       *log.Logger
@@ -71,6 +73,7 @@
 	api     *httpapi.Server
 	counter atomic.Uint64
 	ready   atomic.Bool
+	meter   *meter
 
 	mu    sync.Mutex
 	done  map[task.SubmissionID]func(task.Answer)
@@ -85,12 +88,16 @@
 	if o.Log == nil {
 		o.Log = log.Default()
 	}
+	if o.DrainWithin == 0 {
+		o.DrainWithin = defaultDrainWithin
+	}
 	d := &Daemon{
 		opts:    o,
 		log:     o.Log,
 		done:    make(map[task.SubmissionID]func(task.Answer)),
 		links:   make(map[string]*link),
 		drained: make(chan struct{}),
+		meter:   newMeter(o.Scope),
 	}
 	d.state = entry.New(entry.Options{
 		Self:   o.Self,
@@ -106,7 +113,7 @@
 }
 
 // Run serves until ctx ends, then drains: no request in flight is cut off
-// within drainWithin.
+// within Options.DrainWithin.
 func (d *Daemon) Run(ctx context.Context) error {
 	ln, err := d.listen()
 	if err != nil {
@@ -117,6 +124,7 @@
 	d.dialCtx = inner
 	g, gctx := errgroup.WithContext(inner)
 	g.Go(func() error { d.loop.Run(gctx); return nil })
+	g.Go(func() error { d.reportState(gctx); return nil })
 	g.Go(func() error { return d.api.Serve(ln) })
 	g.Go(func() error {
 		select {
@@ -149,7 +157,7 @@
 // drain stops the intake, lets what is in flight end and says goodbye.
 func (d *Daemon) drain() error {
 	d.log.Info("draining")
-	ctx, cancel := context.WithTimeout(context.Background(), drainWithin)
+	ctx, cancel := context.WithTimeout(context.Background(), d.opts.DrainWithin)
 	defer cancel()
 	if err := d.api.Shutdown(ctx); err != nil {
 		return fmt.Errorf("drain: %w", err)
@@ -160,7 +168,7 @@
 	case <-ctx.Done():
 		return fmt.Errorf("drain: %w", ctx.Err())
 	}
-	d.closeLinks()
+	d.closeLinks(ctx)
 	d.log.Info("drained")
 	return nil
 }
@@ -180,8 +188,12 @@
 // Submit is part of httpapi.Backend.
 func (d *Daemon) Submit(s task.Submission, done func(task.Answer)) task.SubmissionID {
 	id := task.NewSubmissionID(d.opts.Self.Incarnation, d.counter.Add(1))
+	start := d.loop.Now()
 	d.mu.Lock()
-	d.done[id] = done
+	d.done[id] = func(a task.Answer) {
+		d.meter.answered(&a, d.loop.Now()-start)
+		done(a)
+	}
 	d.mu.Unlock()
 	if !d.loop.Post(entry.Submit{ID: id, Sub: s}) {
 		d.answer(task.Answer{ID: id, State: task.NotRun, Reason: task.ReasonDraining, Detail: "this entry has shut down"})
--- a/raft/node.go
+++ b/raft/node.go
@@ -40,13 +40,15 @@
 
 // Defaults of Config.
 const (
-	DefaultElectionTimeout   = 600 * time.Millisecond
-	DefaultHeartbeatInterval = 100 * time.Millisecond
+	DefaultElectionTimeout   = 900 * time.Millisecond
+	DefaultHeartbeatInterval = 200 * time.Millisecond
 	DefaultMaxBatchBytes     = 64 << 10
 	DefaultMaxInflight       = 32
 	DefaultMaxUncommitted    = 8 << 20
 	DefaultKeepEntries       = 1024
+	DefaultKeepBytes         = 4 << 20
 	DefaultChunkBytes        = 256 << 10
+	DefaultMaxCommand        = 512 << 10
 )
 
 // Errors of proposals and membership changes. Each means that nothing was
@@ -54,6 +56,7 @@
 var (
 	ErrNotLeader     = errors.New("not the leader")
 	ErrBusy          = errors.New("too many changes wait for a commit")
+	ErrTooLarge      = errors.New("the command is too large")
 	ErrChangePending = errors.New("an earlier membership change is not committed yet")
 	ErrNotCaughtUp   = errors.New("the learner has not caught up")
 	ErrUnknownMember = errors.New("no such member")
@@ -82,9 +85,11 @@
 	MaxBatchBytes     int
 	MaxInflight       int
 	MaxUncommitted    int
-	// KeepEntries is how many entries before a snapshot stay in memory for
-	// followers that lag a little.
+	MaxCommand        int
+	// KeepEntries and KeepBytes bound the entries before a snapshot that stay
+	// in memory for followers that lag a little.
 	KeepEntries uint64
+	KeepBytes   int
 	// ChunkBytes is the data of one snapshot message.
 	ChunkBytes int
 }
@@ -96,6 +101,8 @@
 	c.MaxInflight = orDefault(c.MaxInflight, DefaultMaxInflight)
 	c.MaxUncommitted = orDefault(c.MaxUncommitted, DefaultMaxUncommitted)
 	c.KeepEntries = orDefault(c.KeepEntries, DefaultKeepEntries)
+	c.KeepBytes = orDefault(c.KeepBytes, DefaultKeepBytes)
+	c.MaxCommand = orDefault(c.MaxCommand, DefaultMaxCommand)
 	c.ChunkBytes = orDefault(c.ChunkBytes, DefaultChunkBytes)
 }
 
@@ -131,6 +138,7 @@
 	// State of a leader.
 	peers       map[uint64]*progress
 	heartbeatAt time.Duration
+	beats       uint64
 	electedAt   time.Duration
 	uncommitted int
 	round       uint64
