--- a/raft/node_test.go
+++ b/raft/node_test.go
@@ -273,9 +273,10 @@
 // durable.
 func TestSnapshotIsDurableBeforeRestore(t *testing.T) {
 	n := fuzzNode(t, false)
+	members := append([]raft.Member{{ID: 8}}, n.Members()...)
 	n.Step(later, raft.Message{
 		Kind: raft.MsgSnapshot, From: 2, To: 1, Term: 2,
-		Chunk: &raft.Chunk{Index: 9, Term: 2, Members: n.Members(), Data: []byte("state"), Last: true},
+		Chunk: &raft.Chunk{Index: 9, Term: 2, Members: members, Data: []byte("state"), Last: true},
 	})
 	rd := n.Ready()
 	require.NotNil(t, rd.Save)
@@ -285,6 +286,7 @@
 	n.Advance()
 	rd = n.Ready()
 	require.Equal(t, "state", string(rd.Restore.Data))
+	require.Equal(t, members, n.Members())
 	require.Equal(t, []raft.MessageKind{raft.MsgAppendResp}, kinds(rd.Messages))
 }
 
@@ -317,3 +319,18 @@
 	n.Advance()
 	require.Len(t, n.Ready().Committed, 1)
 }
+
+// Entries that differ from committed ones are ignored, whoever sends them.
+func TestCommittedEntriesStay(t *testing.T) {
+	n := fuzzNode(t, false)
+	m := raft.Message{
+		Kind: raft.MsgAppend, From: 2, To: 1, Term: 2, Index: 1, LogTerm: 1, Commit: 2,
+		Entries: []raft.Entry{{Index: 2, Term: 2, Data: []byte("kept")}},
+	}
+	n.Step(later, m)
+	settleNode(n)
+	m.From, m.Term = 3, 3
+	m.Entries = []raft.Entry{{Index: 2, Term: 3, Data: []byte("other")}}
+	n.Step(later, m)
+	require.Equal(t, "kept", string(n.Log()[0].Data))
+}
--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -23,11 +23,20 @@
 type counter struct {
 	mu    sync.Mutex
 	items []string
+	count int
+}
+
+// applies is how many commands were applied one by one.
+func (c *counter) applies() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.count
 }
 
 func (c *counter) Apply(index uint64, command []byte) []byte {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.count++
 	c.items = append(c.items, string(command))
 	return binary.BigEndian.AppendUint64(nil, uint64(len(c.items)))
 }
--- a/replica/loop_test.go
+++ b/replica/loop_test.go
@@ -53,3 +53,11 @@
 		require.Equal(t, raft.Leader, h.replica.Status().Role)
 	})
 }
+
+// A change whose place in the log another leader's entry has taken is not
+// reported as accepted.
+func TestReplacedChangeIsNotAccepted(t *testing.T) {
+	w := waiter{term: 2}
+	require.ErrorIs(t, outcome(w, raft.Entry{Index: 5, Term: 3}, nil).err, ErrUnknownOutcome)
+	require.NoError(t, outcome(w, raft.Entry{Index: 5, Term: 2}, nil).err)
+}
--- a/replica/repair_test.go
+++ b/replica/repair_test.go
@@ -270,6 +270,7 @@
 		late.open(t, small)
 		eventually(t, "the late replica has all", func() bool { return len(late.state.list()) == len(items) })
 		require.Equal(t, items, late.state.list())
+		require.Less(t, late.state.applies(), len(items), "the snapshot stands for most changes")
 	})
 }
 
