Test that only a leader brings a replica in

Cause: a replica outside any cluster that joined on a vote request passed all tests. Change: one table of messages and the phases that they lead to.

--- a/replica/form_test.go
+++ b/replica/form_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/fireflytray/fireflytray/raft"
 	"github.com/fireflytray/fireflytray/wal"
 )
 
@@ -151,3 +152,24 @@
 		require.False(t, c.replica.Status().Fresh)
 	})
 }
+
+// A replica outside any cluster follows a leader that names its id, and gives
+// no vote.
+func TestOnlyALeaderBringsAReplicaIn(t *testing.T) {
+	cases := []struct {
+		msg  raft.Message
+		want wal.Phase
+	}{
+		{raft.Message{Kind: raft.MsgVote, To: 1}, wal.PhaseNew},
+		{raft.Message{Kind: raft.MsgPreVote, To: 1}, wal.PhaseNew},
+		{raft.Message{Kind: raft.MsgAppend, To: 2}, wal.PhaseNew},
+		{raft.Message{Kind: raft.MsgAppend, To: 1}, wal.PhaseMember},
+		{raft.Message{Kind: raft.MsgSnapshot, To: 1}, wal.PhaseMember},
+	}
+	for _, c := range cases {
+		f := newFormer(wal.Identity{Replica: 1}, addr(1), nil)
+		eff := f.adopt(&envelope{Cluster: 5, From: 9, Raft: &c.msg})
+		require.Equal(t, c.want, f.ident.Phase)
+		require.Equal(t, c.want == wal.PhaseMember, eff.save)
+	}
+}
