--- a/command/upstream.go
+++ b/command/upstream.go
@@ -42,6 +42,7 @@
 		Slowdown:    s.Slowdown,
 		FailShare:   s.FailShare,
 		Seed:        uint64(s.Seed),
+		Journal:     s.Journal,
 		Log:         logs.For(logging.PartUpstream),
 	})
 }
--- /dev/null
+++ b/e2e/caller_test.go
@@ -0,0 +1,291 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/httpapi"
+	"github.com/fireflytray/fireflytray/upstream"
+)
+
+// The states of an answer.
+const (
+	complete = "complete"
+	failed   = "failed"
+	notRun   = "not_run"
+	unknown  = "unknown"
+)
+
+// answer is what a caller got for a job or request.
+type answer struct {
+	// err is set if the connection broke; the rest is empty then.
+	err      error
+	status   int
+	header   http.Header
+	state    string
+	problem  httpapi.Problem
+	id       string
+	replayed bool
+	// outcomes holds one body a task of a complete answer.
+	outcomes [][]byte
+	tokens   []string
+}
+
+func (a answer) String() string {
+	return fmt.Sprintf("id %s, status %d, state %s, reason %s (%s), error %v", a.id, a.status, a.state, a.problem.Reason, a.problem.Detail, a.err)
+}
+
+// tokens tells callers' tasks apart.
+var tokens atomic.Uint64
+
+func newToken() string { return fmt.Sprintf("token-%d", tokens.Add(1)) }
+
+func payload(token string, runMS int) []byte {
+	return fmt.Appendf(nil, `{"run_ms":%d,"echo":%q}`, runMS, token)
+}
+
+// post sends a body to an entry and reads the answer.
+func (c *cluster) post(entry int, path string, header map[string]string, body []byte) answer {
+	req, err := http.NewRequest(http.MethodPost, "http://"+c.callers[entry]+path, bytes.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Header.Set(httpapi.HeaderTeam, team)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	return c.do(req)
+}
+
+func (c *cluster) do(req *http.Request) answer {
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return answer{err: err}
+	}
+	a := answer{status: resp.StatusCode, header: resp.Header, id: resp.Header.Get(httpapi.HeaderSubmission), state: resp.Header.Get(httpapi.HeaderState)}
+	if resp.StatusCode >= http.StatusBadRequest {
+		if err := json.Unmarshal(text, &a.problem); err != nil {
+			return answer{err: fmt.Errorf("decode problem %q: %w", text, err)}
+		}
+		a.state, a.id = a.problem.State, a.problem.ID
+		return a
+	}
+	a.outcomes = [][]byte{text}
+	a.replayed = resp.Header.Get(httpapi.HeaderReplayed) == "true"
+	return a
+}
+
+// request runs one task; a key makes it one to be resent.
+func (c *cluster) request(entry, runMS int, key string) answer {
+	return c.send(entry, newToken(), runMS, key)
+}
+
+// send is request with the caller's token.
+func (c *cluster) send(entry int, token string, runMS int, key string) answer {
+	header := map[string]string{}
+	if key != "" {
+		header[httpapi.HeaderKey] = key
+	}
+	a := c.post(entry, "/v1/services/"+service+"/requests", header, payload(token, runMS))
+	a.tokens = []string{token}
+	return a
+}
+
+func jobBody(wait bool, tokens []string, runMS int) []byte {
+	tasks := make([]string, len(tokens))
+	for i, token := range tokens {
+		tasks[i] = fmt.Sprintf(`{"payload":%s,"declared_ms":%d}`, payload(token, runMS), runMS)
+	}
+	return fmt.Appendf(nil, `{"wait":%v,"tasks":[%s]}`, wait, strings.Join(tasks, ","))
+}
+
+// job runs a job and waits for its answer.
+func (c *cluster) job(entry, tasks, runMS int) answer {
+	list := make([]string, tasks)
+	for i := range list {
+		list[i] = newToken()
+	}
+	a := c.post(entry, "/v1/services/"+service+"/jobs", nil, jobBody(true, list, runMS))
+	a.tokens = list
+	if a.err == nil && a.status == http.StatusOK {
+		a.readJob()
+	}
+	return a
+}
+
+// readJob takes the outcomes out of a job's answer.
+func (a *answer) readJob() {
+	var j httpapi.JobAnswer
+	if a.err = json.Unmarshal(a.outcomes[0], &j); a.err != nil {
+		return
+	}
+	a.id, a.state, a.outcomes = j.ID, j.State, nil
+	for _, o := range j.Outcomes {
+		a.outcomes = append(a.outcomes, o.Body)
+	}
+}
+
+// inBackground runs n calls at once and returns a function that waits for the
+// answers.
+func inBackground(n int, call func(i int) answer) (wait func() []answer) {
+	type numbered struct {
+		i int
+		a answer
+	}
+	got := make(chan numbered, n)
+	for i := range n {
+		go func() { got <- numbered{i, call(i)} }()
+	}
+	return func() []answer {
+		list := make([]answer, n)
+		for range n {
+			x := <-got
+			list[x.i] = x.a
+		}
+		return list
+	}
+}
+
+// started returns how often each task, named submission.index, was started, by
+// upstream or by all if none is named.
+func (c *cluster) started(upstreams ...int) map[string]int {
+	if len(upstreams) == 0 {
+		for i := range agents {
+			upstreams = append(upstreams, i)
+		}
+	}
+	counts := make(map[string]int)
+	for _, i := range upstreams {
+		text, err := os.ReadFile(c.path(fmt.Sprintf("upstream-%d.journal", i+1)))
+		if !errors.Is(err, fs.ErrNotExist) {
+			require.NoError(c.t, err)
+		}
+		for line := range strings.Lines(string(text)) {
+			// A line may be half written.
+			var e upstream.JournalEntry
+			if json.Unmarshal([]byte(line), &e) == nil {
+				counts[e.ID[:strings.LastIndexByte(e.ID, '.')]]++
+			}
+		}
+	}
+	return counts
+}
+
+// awaitStarts waits until an upstream has started n tasks more than before.
+func (c *cluster) awaitStarts(up, before, n int) {
+	c.t.Helper()
+	poll(c.t, c.upstreams[up].name+" starts tasks", func() string {
+		if got := len(c.started(up)); got < before+n {
+			return fmt.Sprintf("%d of %d", got-before, n)
+		}
+		return ""
+	})
+}
+
+// awaitWork sends requests until an upstream has started one more.
+func (c *cluster) awaitWork(up int) {
+	c.t.Helper()
+	before := len(c.started(up))
+	poll(c.t, c.upstreams[up].name+" gets work", func() string {
+		answers := inBackground(2*slots, func(i int) answer { return c.request(i%entries, 20, "") })()
+		if len(c.started(up)) == before {
+			return answers[0].String()
+		}
+		return ""
+	})
+}
+
+// check compares answers with what was started: nothing twice, all tasks of a
+// complete answer once and with their own outcome, none of one not run. A job
+// is complete, failed or not run.
+func (c *cluster) check(answers []answer) {
+	c.t.Helper()
+	starts := c.started()
+	for id, n := range starts {
+		assert.Equal(c.t, 1, n, "starts of task %s", id)
+	}
+	for _, a := range answers {
+		if a.err != nil {
+			continue
+		}
+		switch a.state {
+		case complete:
+			c.checkComplete(a, starts)
+		case notRun:
+			assert.Zero(c.t, startsOf(a.id, starts), "starts of %v", a)
+		case failed, unknown:
+			assert.False(c.t, len(a.tokens) > 1 && a.state == unknown, "answer of a job: %v", a)
+		default:
+			assert.Fail(c.t, "answer without a state", a.String())
+		}
+	}
+}
+
+func (c *cluster) checkComplete(a answer, starts map[string]int) {
+	c.t.Helper()
+	if !assert.Len(c.t, a.outcomes, len(a.tokens), "outcomes of %v", a) {
+		return
+	}
+	for i, body := range a.outcomes {
+		var got upstream.Answer
+		assert.NoError(c.t, json.Unmarshal(body, &got))
+		assert.Equal(c.t, a.tokens[i], got.Echo, "outcome %d of %v", i, a)
+	}
+	if !a.replayed {
+		assert.Equal(c.t, len(a.tokens), startsOf(a.id, starts), "starts of %v", a)
+	}
+}
+
+// startsOf counts the tasks of a submission that were started.
+func startsOf(id string, starts map[string]int) int {
+	n := 0
+	for name := range starts {
+		if strings.HasPrefix(name, id+".") {
+			n++
+		}
+	}
+	return n
+}
+
+// count returns how many answers have a state.
+func count(answers []answer, state string) int {
+	n := 0
+	for _, a := range answers {
+		if a.err == nil && a.state == state {
+			n++
+		}
+	}
+	return n
+}
+
+// answered requires that every caller got an answer.
+func (c *cluster) answered(answers []answer) {
+	c.t.Helper()
+	for _, a := range answers {
+		require.NoError(c.t, a.err)
+	}
+}
+
+// allComplete requires that every answer is complete.
+func (c *cluster) allComplete(answers []answer) {
+	c.t.Helper()
+	for _, a := range answers {
+		require.Equal(c.t, complete, a.state, a.String())
+	}
+}
--- /dev/null
+++ b/e2e/cluster_test.go
@@ -0,0 +1,282 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/adminapi"
+	"github.com/fireflytray/fireflytray/httpapi"
+	"github.com/fireflytray/fireflytray/keys"
+	"github.com/fireflytray/fireflytray/upstream"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+const (
+	controls = 3
+	entries  = 2
+	agents   = 3
+	// slots is what each upstream runs at a time.
+	slots     = 4
+	service   = "sample"
+	team      = "team-a"
+	domain    = "domain-a"
+	site      = "site-a"
+	adminTime = 10 * time.Second
+)
+
+// fleetConfig is the configuration in force; the deadline varies by version.
+const fleetConfig = `[service ` + service + `]
+max_tasks = 140
+max_body = 65536
+deadline = %s
+max_deadline = 60s
+key_keep = 1h
+
+[team ` + team + `]
+weight = 1
+`
+
+const defaultDeadline = "25s"
+
+// busy bounds how many fleets run at a time.
+var busy = make(chan struct{}, 3)
+
+// cluster is a fleet of separate processes.
+type cluster struct {
+	t         *testing.T
+	dir       string
+	controls  []*process
+	entries   []*process
+	agents    []*process
+	upstreams []*process
+	// peers and admin are the control hosts' addresses, callers those of the
+	// entries, announce and tasks those of agents and upstreams.
+	peers    []string
+	admin    []string
+	callers  []string
+	announce []string
+	tasks    []string
+	operator *keys.Identity
+	client   *http.Client
+	all      []*process
+}
+
+// newCluster starts a fleet and waits until every slot can be used.
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := layOut(t)
+	for _, p := range c.all {
+		p.start(t)
+	}
+	c.awaitReady(agents)
+	return c
+}
+
+// layOut writes keys and settings, and starts nothing.
+func layOut(t *testing.T) *cluster {
+	t.Helper()
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	t.Parallel()
+	busy <- struct{}{}
+	t.Cleanup(func() { <-busy })
+	dir, err := os.MkdirTemp("", "fireflytray-e2e-")
+	require.NoError(t, err)
+	c := &cluster{t: t, dir: dir, client: &http.Client{Timeout: processLife, Transport: &http.Transport{DisableKeepAlives: true}}}
+	t.Cleanup(c.close)
+	require.NoError(t, keys.Init(c.path("authority")))
+	c.operator = c.identity(wire.RoleOperator, "operator")
+	for range controls {
+		c.peers = append(c.peers, freeAddr(t))
+	}
+	for i := range controls {
+		c.addControl(i)
+	}
+	for i := range agents {
+		c.addAgent(i)
+		c.addUpstream(i)
+	}
+	for i := range entries {
+		c.addEntry(i)
+	}
+	return c
+}
+
+// close kills every process; the folder stays if the test has failed.
+func (c *cluster) close() {
+	for _, p := range c.all {
+		p.kill()
+	}
+	if c.t.Failed() {
+		c.t.Logf("settings, logs and journals are in %s", c.dir)
+		return
+	}
+	os.RemoveAll(c.dir)
+}
+
+func (c *cluster) path(parts ...string) string {
+	return filepath.Join(append([]string{c.dir}, parts...)...)
+}
+
+// issue writes keys and returns their folder.
+func (c *cluster) issue(role wire.Role, id string) string {
+	dir := c.path("keys", id)
+	name := keys.Name{Role: role, ID: id, Domain: domain}
+	require.NoError(c.t, keys.Issue(c.path("authority"), name, keys.DefaultValidity, dir))
+	return dir
+}
+
+func (c *cluster) identity(role wire.Role, id string) *keys.Identity {
+	identity, err := keys.Load(c.issue(role, id))
+	require.NoError(c.t, err)
+	return identity
+}
+
+// daemonText is the part of a settings file that all daemons share.
+func daemonText(id string) string {
+	return fmt.Sprintf("[process]\nid = %s\ndomain = %s\nsite = %s\ndrain-timeout = 20s\n[keys]\nfolder = keys/%s\n", id, domain, site, id)
+}
+
+// add writes a settings file and returns the process that it is for.
+func (c *cluster) add(name, text string, program ...string) *process {
+	path := c.path(name + ".ini")
+	require.NoError(c.t, os.WriteFile(path, []byte(text), fileMode))
+	args := append([]string{binary(program[0])}, program[1:]...)
+	p := &process{name: name, args: append(args, "--config", path), log: c.path(name + ".log")}
+	c.all = append(c.all, p)
+	return p
+}
+
+func (c *cluster) addControl(i int) {
+	id, admin := fmt.Sprintf("control-%d", i+1), freeAddr(c.t)
+	c.issue(wire.RoleControl, id)
+	text := daemonText(id) + fmt.Sprintf("[listen]\npeers = %s\nadmin = %s\n[data]\nfolder = data/%s\n[cluster]\ninitial = %s\n",
+		c.peers[i], admin, id, strings.Join(c.peers, ", "))
+	c.admin = append(c.admin, admin)
+	c.controls = append(c.controls, c.add(id, text, "fireflytray-control"))
+}
+
+func (c *cluster) addEntry(i int) {
+	id, callers := fmt.Sprintf("entry-%d", i+1), freeAddr(c.t)
+	c.issue(wire.RoleEntry, id)
+	text := daemonText(id) + fmt.Sprintf("[listen]\ncallers = %s\n[control]\naddresses = %s\n[limits]\nmax-body = 256KiB\n",
+		callers, strings.Join(c.peers, ", "))
+	c.callers = append(c.callers, callers)
+	c.entries = append(c.entries, c.add(id, text, "fireflytray-entry"))
+}
+
+func (c *cluster) addAgent(i int) {
+	id, announce := agentID(i), freeAddr(c.t)
+	c.issue(wire.RoleAgent, id)
+	text := daemonText(id) + fmt.Sprintf("[listen]\npeers = %s\nupstream = %s\n[control]\naddresses = %s\n[worker]\nrack = rack-%d\nprocessors = 8\nmemory-mb = 16000\n",
+		freeAddr(c.t), announce, strings.Join(c.peers, ", "), i+1)
+	c.announce = append(c.announce, announce)
+	c.agents = append(c.agents, c.add(id, text, "fireflytray-agent"))
+}
+
+func agentID(i int) string { return fmt.Sprintf("agent-%d", i+1) }
+
+func (c *cluster) addUpstream(i int) {
+	id, tasks := fmt.Sprintf("upstream-%d", i+1), freeAddr(c.t)
+	text := fmt.Sprintf("[process]\nid = %s\n[listen]\ntasks = %s\n[agent]\naddress = %s\n[service]\nname = %s\nslots = %d\n[behaviour]\njournal = %s.journal\n",
+		id, tasks, c.announce[i], service, slots, id)
+	c.tasks = append(c.tasks, tasks)
+	c.upstreams = append(c.upstreams, c.add(id, text, "fireflytray", "upstream"))
+}
+
+// awaitReady applies the first configuration and waits until each entry has it
+// and sees the slots of as many agents.
+func (c *cluster) awaitReady(agents int) {
+	c.t.Helper()
+	poll(c.t, "apply the first configuration", func() string {
+		reply, err := c.apply("first", 0, defaultDeadline)
+		if err != nil {
+			return err.Error()
+		}
+		if !reply.Accepted {
+			return reply.Detail
+		}
+		return ""
+	})
+	for i := range c.entries {
+		c.awaitSlots(i, agents)
+	}
+}
+
+// awaitSlots waits until entry i is ready and sees as many agents with slots.
+func (c *cluster) awaitSlots(i, agents int) {
+	c.t.Helper()
+	poll(c.t, c.entries[i].name+" is ready", func() string {
+		s, err := c.status(i)
+		if err != nil {
+			return err.Error()
+		}
+		n := 0
+		for _, a := range s.Agents {
+			if a.Slots > 0 {
+				n++
+			}
+		}
+		if !s.Ready || n < agents {
+			return fmt.Sprintf("ready %v (%s), %d of %d agents with slots", s.Ready, s.Why, n, agents)
+		}
+		return ""
+	})
+}
+
+// adminClient asks control hosts in the order of their numbers, all if none is
+// named.
+func (c *cluster) adminClient(hosts ...int) *adminapi.Client {
+	addrs := c.admin
+	if len(hosts) > 0 {
+		addrs = nil
+		for _, i := range hosts {
+			addrs = append(addrs, c.admin[i])
+		}
+	}
+	return adminapi.NewClient(c.operator, addrs)
+}
+
+// apply asks for a configuration with a deadline in place of version base.
+func (c *cluster) apply(op string, base uint64, deadline string) (adminapi.ChangeReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), adminTime)
+	defer cancel()
+	var reply adminapi.ChangeReply
+	err := c.adminClient().Post(ctx, adminapi.PathApply, adminapi.ApplyRequest{
+		Op:      op,
+		Base:    base,
+		Sources: []adminapi.Source{{File: "base.ini", Text: fmt.Sprintf(fleetConfig, deadline)}},
+	}, &reply)
+	return reply, err
+}
+
+// status reads an entry's status page.
+func (c *cluster) status(i int) (httpapi.Status, error) {
+	var s httpapi.Status
+	resp, err := c.client.Get("http://" + c.callers[i] + "/v1/status")
+	if err != nil {
+		return s, err
+	}
+	defer resp.Body.Close()
+	return s, json.NewDecoder(resp.Body).Decode(&s)
+}
+
+// fault puts a fault into force at an upstream.
+func (c *cluster) fault(i int, mode string) {
+	c.t.Helper()
+	resp, err := c.client.Post("http://"+c.tasks[i]+upstream.PathFault, "application/json",
+		strings.NewReader(fmt.Sprintf(`{"mode":%q}`, mode)))
+	require.NoError(c.t, err)
+	defer resp.Body.Close()
+	require.Equal(c.t, http.StatusOK, resp.StatusCode)
+}
--- /dev/null
+++ b/e2e/control_test.go
@@ -0,0 +1,283 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/adminapi"
+	"github.com/fireflytray/fireflytray/task"
+)
+
+// Every change that was accepted while the leading control host died is in the
+// audit trail and in the history, the last one is in force at every entry, and
+// no entry ever went back.
+func TestKilledLeaderDuringChanges(t *testing.T) {
+	const (
+		changes   = 24
+		killAfter = 8
+	)
+	c := newCluster(t)
+	stop := c.watchIndices()
+	leader := c.leader()
+	base := c.version().Index
+	accepted := map[string]uint64{}
+	for i := range changes {
+		if i == killAfter {
+			go c.controls[leader].kill()
+		}
+		op := fmt.Sprintf("change-%d", i)
+		base = c.change(op, base, fmt.Sprintf("%ds", 20+i))
+		accepted[op] = base
+	}
+	for i := range c.entries {
+		c.awaitIndex(i, base)
+	}
+	stop()
+	c.checkAudit(accepted)
+	require.Equal(t, base, c.version().Index)
+	<-c.controls[leader].ended
+	c.controls[leader].start(t)
+	c.awaitVoters()
+	require.Equal(t, base, c.version().Index)
+	answers := []answer{c.job(0, 8, 50), c.job(1, 8, 50)}
+	c.allComplete(answers)
+	c.check(answers)
+}
+
+// Without control hosts, requests without a key run and those with one are
+// refused as not run; when the hosts are back, all works by itself.
+func TestAllControlHostsKilled(t *testing.T) {
+	c := newCluster(t)
+	before := c.version()
+	first := c.request(0, 50, "statement-1")
+	require.Equal(t, complete, first.state, first.String())
+	for _, p := range c.controls {
+		p.kill()
+	}
+	unkeyed := inBackground(20, func(i int) answer { return c.request(i%entries, 100, "") })
+	keyed := inBackground(6, func(i int) answer { return c.request(i%entries, 100, fmt.Sprintf("key-%d", i)) })
+	answers := append(unkeyed(), c.job(0, 10, 50))
+	c.allComplete(answers)
+	for _, a := range keyed() {
+		c.isRefusedForNow(a)
+		answers = append(answers, a)
+	}
+	for _, p := range c.controls {
+		p.start(t)
+	}
+	poll(t, "keyed requests run again", func() string {
+		a := c.request(1, 50, "key-after")
+		answers = append(answers, a)
+		if a.state == complete {
+			return ""
+		}
+		return a.String()
+	})
+	c.awaitAnnounced()
+	require.Equal(t, before.Index, c.version().Index)
+	again := c.send(1, first.tokens[0], 50, "statement-1")
+	require.True(t, again.replayed, again.String())
+	last := []answer{first, again, c.job(0, 12, 50), c.job(1, 12, 50)}
+	c.allComplete(last)
+	c.check(append(answers, last...))
+}
+
+// isRefusedForNow requires a refusal that is not run and says when to come back.
+func (c *cluster) isRefusedForNow(a answer) {
+	c.t.Helper()
+	require.NoError(c.t, a.err)
+	require.Equal(c.t, http.StatusServiceUnavailable, a.status, a.String())
+	require.Equal(c.t, notRun, a.state, a.String())
+	require.Equal(c.t, task.ReasonClaimsDown, a.problem.Reason, a.String())
+	after, err := strconv.Atoi(a.header.Get("Retry-After"))
+	require.NoError(c.t, err, "Retry-After of %v", a)
+	require.Positive(c.t, after)
+}
+
+// change applies a configuration, resending until it is accepted, and returns
+// its version.
+func (c *cluster) change(op string, base uint64, deadline string) uint64 {
+	c.t.Helper()
+	var reply adminapi.ChangeReply
+	poll(c.t, "apply "+op, func() string {
+		var err error
+		if reply, err = c.apply(op, base, deadline); err != nil {
+			return err.Error()
+		}
+		return ""
+	})
+	require.True(c.t, reply.Accepted, "%s: %+v", op, reply)
+	require.Greater(c.t, reply.Index, base)
+	return reply.Index
+}
+
+// get reads an admin page, from any control host with a fresh quorum.
+func (c *cluster) get(path, query string, out any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), adminTime)
+	defer cancel()
+	return c.adminClient().Get(ctx, path, query, out)
+}
+
+// version returns the version in force.
+func (c *cluster) version() adminapi.Version {
+	c.t.Helper()
+	var s adminapi.ConfigStatus
+	poll(c.t, "a fresh control host", func() string {
+		if err := c.get(adminapi.PathStatus, "", &s); err != nil {
+			return err.Error()
+		}
+		if !s.Fresh {
+			return "not fresh"
+		}
+		return ""
+	})
+	return s.Version
+}
+
+// leader returns the number of the leading control host.
+func (c *cluster) leader() int {
+	c.t.Helper()
+	found := -1
+	poll(c.t, "a leader", func() string {
+		for i := range c.controls {
+			if r, err := c.controlView(i); err == nil && r.Leader == r.Replica {
+				found = i
+				return ""
+			}
+		}
+		return "none"
+	})
+	return found
+}
+
+func (c *cluster) controlView(i int) (adminapi.ControlReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), adminTime)
+	defer cancel()
+	var r adminapi.ControlReply
+	return r, c.adminClient(i).Get(ctx, adminapi.PathControl, "", &r)
+}
+
+// awaitVoters waits until the leader sees every control host as a live voter
+// that has the whole log.
+func (c *cluster) awaitVoters() {
+	c.t.Helper()
+	poll(c.t, "all control hosts are live voters", func() string {
+		r, err := c.controlView(c.leader())
+		if err != nil {
+			return err.Error()
+		}
+		n := 0
+		for _, m := range r.Members {
+			if m.Voter && m.Live && m.Match >= r.Commit {
+				n++
+			}
+		}
+		if n < controls {
+			return fmt.Sprintf("%d of %d: %+v", n, controls, r)
+		}
+		return ""
+	})
+}
+
+// awaitAnnounced waits until every process but the upstreams is on the fleet's
+// list, the agents with slots.
+func (c *cluster) awaitAnnounced() {
+	c.t.Helper()
+	poll(c.t, "all processes are announced", func() string {
+		var f adminapi.FleetReply
+		if err := c.get(adminapi.PathFleet, "", &f); err != nil {
+			return err.Error()
+		}
+		withSlots, entryCount := 0, 0
+		for _, p := range f.Processes {
+			if p.Slots > 0 {
+				withSlots++
+			}
+			if p.Role == "entry" {
+				entryCount++
+			}
+		}
+		if withSlots < agents || entryCount < entries {
+			return fmt.Sprintf("%d agents with slots, %d entries", withSlots, entryCount)
+		}
+		return ""
+	})
+}
+
+func (c *cluster) awaitIndex(i int, index uint64) {
+	c.t.Helper()
+	poll(c.t, c.entries[i].name+" has the version in force", func() string {
+		s, err := c.status(i)
+		if err != nil {
+			return err.Error()
+		}
+		if s.ConfigIndex != index {
+			return fmt.Sprintf("%d, want %d", s.ConfigIndex, index)
+		}
+		return ""
+	})
+}
+
+// watchIndices looks at every entry's version until stop is called; it must
+// never go down.
+func (c *cluster) watchIndices() (stop func()) {
+	done := make(chan struct{})
+	var watchers sync.WaitGroup
+	for i := range c.entries {
+		watchers.Go(func() {
+			var highest uint64
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(pollEvery):
+				}
+				s, err := c.status(i)
+				if err != nil {
+					continue
+				}
+				assert.GreaterOrEqual(c.t, s.ConfigIndex, highest, "version at entry %d", i+1)
+				highest = max(highest, s.ConfigIndex)
+			}
+		})
+	}
+	return func() {
+		close(done)
+		watchers.Wait()
+	}
+}
+
+// checkAudit requires each accepted change once in the audit trail and in the
+// history, under the version that its operator was told.
+func (c *cluster) checkAudit(accepted map[string]uint64) {
+	c.t.Helper()
+	var trail adminapi.AuditReply
+	require.NoError(c.t, c.get(adminapi.PathAudit, "", &trail))
+	require.True(c.t, trail.Fresh)
+	require.True(c.t, trail.Verified, trail.Problem)
+	audited := map[string]int{}
+	for _, e := range trail.Entries {
+		if e.Accepted {
+			audited[e.Op]++
+		}
+	}
+	var history adminapi.HistoryReply
+	require.NoError(c.t, c.get(adminapi.PathHistory, "", &history))
+	versions := map[string]uint64{}
+	for _, v := range history.Versions {
+		versions[v.Op] = v.Index
+	}
+	for op, index := range accepted {
+		require.Equal(c.t, 1, audited[op], "audit entries of %s", op)
+		require.Equal(c.t, index, versions[op], "version of %s", op)
+	}
+}
+
--- /dev/null
+++ b/e2e/entry_test.go
@@ -0,0 +1,130 @@
+package e2e
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/task"
+)
+
+// A keyed request whose entry is killed while it runs is never run again,
+// however often and wherever its caller resends it.
+func TestKilledEntryAndResend(t *testing.T) {
+	c := newCluster(t)
+	token := newToken()
+	wait := inBackground(1, func(int) answer { return c.send(0, token, longRunMS, "payout-1") })
+	poll(t, "the request starts", func() string {
+		if len(c.started()) == 0 {
+			return "no start"
+		}
+		return ""
+	})
+	c.entries[0].kill()
+	require.Error(t, wait()[0].err, "the caller of a killed entry")
+	var answers []answer
+	for range 5 {
+		answers = append(answers, c.send(1, token, longRunMS, "payout-1"))
+		time.Sleep(settle / 4)
+	}
+	c.entries[0].start(t)
+	c.awaitSlots(0, agents)
+	answers = append(answers, c.send(0, token, longRunMS, "payout-1"))
+	c.answered(answers)
+	for _, a := range answers {
+		require.True(t, a.replayed || a.state == unknown && a.problem.Reason == task.ReasonClaimed, a.String())
+	}
+	time.Sleep(settle)
+	require.Len(t, c.started(), 1, "starts of one keyed request")
+	c.check(nil)
+}
+
+// A key sent through both entries at the same time starts one task; a resend
+// gets its outcome.
+func TestSameKeyThroughBothEntries(t *testing.T) {
+	const keyCount = 12
+	c := newCluster(t)
+	bodies := make([]string, keyCount)
+	for i := range bodies {
+		bodies[i] = newToken()
+	}
+	send := func(i int) answer {
+		k := i / entries
+		return c.send(i%entries, bodies[k], 300, fmt.Sprintf("alert-%d", k))
+	}
+	answers := inBackground(keyCount*entries, send)()
+	c.answered(answers)
+	for i, a := range answers {
+		require.True(t, a.state == complete || a.state == unknown && a.problem.Reason == task.ReasonClaimed, "%d: %v", i, a)
+	}
+	require.Equal(t, keyCount, count(answers, complete))
+	for i, a := range inBackground(keyCount*entries, send)() {
+		require.Equal(t, complete, a.state, "%d: %v", i, a)
+		require.True(t, a.replayed, "%d: %v", i, a)
+		answers = append(answers, a)
+	}
+	require.Len(t, c.started(), keyCount, "one start a key")
+	c.check(answers)
+}
+
+// SIGTERM of an entry answers all that is in flight; what it takes no more is
+// refused as not run, and in the end nobody listens.
+func TestEntryDrains(t *testing.T) {
+	const inFlight = 2 * agents * slots
+	c := newCluster(t)
+	wait := inBackground(inFlight, func(i int) answer { return c.request(0, longRunMS, "") })
+	poll(t, "all requests are taken in", func() string {
+		s, err := c.status(0)
+		if err != nil {
+			return err.Error()
+		}
+		if s.InFlight < inFlight {
+			return fmt.Sprintf("%d of %d in flight", s.InFlight, inFlight)
+		}
+		return ""
+	})
+	c.entries[0].signal(t, syscall.SIGTERM)
+	poll(t, "the entry is not ready", func() string {
+		resp, err := c.client.Get("http://" + c.callers[0] + "/readyz")
+		if err != nil {
+			return ""
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return "still ready"
+		}
+		return ""
+	})
+	later := c.untilRefused(0)
+	answers := wait()
+	c.answered(answers)
+	c.allComplete(answers)
+	require.Zero(t, c.entries[0].awaitExit(t), c.entries[0].output(t))
+	conn, err := net.Dial("tcp", c.callers[0])
+	if err == nil {
+		conn.Close()
+	}
+	require.Error(t, err, "a drained entry listens")
+	c.check(append(answers, later...))
+}
+
+// untilRefused sends requests to a draining entry until it takes none: each is
+// answered as a whole, the last one as not run, or its connection is refused.
+func (c *cluster) untilRefused(entry int) []answer {
+	c.t.Helper()
+	var list []answer
+	poll(c.t, "requests are refused", func() string {
+		a := c.request(entry, 0, "")
+		list = append(list, a)
+		if a.err != nil || a.state == notRun && a.problem.Reason == task.ReasonDraining {
+			return ""
+		}
+		return a.String()
+	})
+	return list
+}
--- a/settings/binding.go
+++ b/settings/binding.go
@@ -140,6 +140,16 @@
 	}
 }
 
+// optionalFile is the path of a file, or empty; a relative one starts at the
+// settings file's folder.
+func optionalFile(dst *string, base, section, name, help string) key {
+	k := folder(dst, base, section, name, help)
+	k.valid += ", or empty for none"
+	set := k.set
+	k.set = func(v string) bool { return set(v) || v == "" }
+	return k
+}
+
 func boolean(dst *bool, section, name, help string) key {
 	return key{
 		section: section, name: name, help: help,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -102,6 +102,8 @@
 	FailShare float64
 	// Seed seeds the choice of failing tasks.
 	Seed uint32
+	// Journal is the file to which each start is appended; empty for none.
+	Journal string
 }
 
 // The placement policies.
@@ -186,7 +188,7 @@
 	)
 }
 
-func (u *Upstream) keys(string) []key {
+func (u *Upstream) keys(base string) []key {
 	return append(logKeys(&u.LogLevel, &u.LogFormat),
 		label(&u.ID, "process", "id", "Name of the upstream.").require(),
 		hostPort(&u.Tasks, "listen", "tasks", "HTTP address for tasks.").require(),
@@ -199,5 +201,6 @@
 		number(&u.Slowdown, "behaviour", "slowdown", "Factor on every run time.", 0, maxSlowdown).or("1"),
 		number(&u.FailShare, "behaviour", "fail-share", "Share of tasks that fail at once.", 0, 1).or("0"),
 		count(&u.Seed, "behaviour", "seed", "Seed of the choice of failing tasks.", 0, maxSeed).or("1"),
+		optionalFile(&u.Journal, base, "behaviour", "journal", "File to which each start of a task is appended.").or(""),
 	)
 }
