Renew announcements every 3 s; acknowledge a draining agent at once

Cause: docs/CAPACITY.md has a control host of 125 agents at three times its processor budget, for renewals once a second and a probe with each; an agent's drain waited its full time for acknowledgements that found nothing to ride on. Ruled out: longer leases than 10 s (the directory's bound). Change: controlclient.DefaultLease 9 s, renewed in thirds; a goodbye and a change are still sent at once, and entries judge an agent by its session. An entry answers outcomes at once where the report has no slots.

--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -23,7 +23,7 @@
 
 const (
 	// DefaultLease is how long an announcement holds.
-	DefaultLease = 3 * time.Second
+	DefaultLease = 9 * time.Second
 	// renewals is how many announcements fall into one lease.
 	renewals = 3
 	// settleTime is how long a process without any configuration waits for a
--- a/entry/report.go
+++ b/entry/report.go
@@ -39,7 +39,11 @@
 	default:
 		e.stats.Wasted.Credits++
 	}
-	if len(r.Outcomes) > 0 && !a.ackArmed {
+	switch {
+	case len(r.Outcomes) == 0 || a.ackArmed:
+	case r.Slots == 0:
+		e.markDirty(a) // it may be draining, and then waits for this
+	default:
 		a.ackArmed = true
 		e.arm(timer{at: e.now + ackDelay, kind: timerAck, ag: a})
 	}
