fleet: read INI through package inifile; inifile: refuse multi-line quotes

Cause: the line scan stood twice, in fleet and in inifile. The fleet test of quotes found that inifile takes an unclosed triple quote for an empty value. Change: fleet's scan is gone; inifile refuses a value that opens with a triple quote.

--- a/fleet/parse.go
+++ b/fleet/parse.go
@@ -6,14 +6,10 @@
 	"slices"
 	"strings"
 
-	"gopkg.in/ini.v1"
-
+	"github.com/fireflytray/fireflytray/inifile"
 	"github.com/fireflytray/fireflytray/wire"
 )
 
-// maxSource bounds the text of one file, in bytes.
-const maxSource = 4 << 20
-
 // Source is one INI file: the base (Site "") or the overlay of a site.
 type Source struct {
 	Site string
@@ -149,51 +145,26 @@
 	}
 }
 
-// parse reads one file. The line scan comes first: it accepts a subset of INI
-// in which the library can't see more than the scan does.
+// parse reads one file.
 func (c *checker) parse(src Source) {
-	if len(src.Text) > maxSource {
-		c.problems = append(c.problems, Problem{File: src.File, Reason: "the file is too large",
-			Valid: fmt.Sprintf("at most %d bytes", maxSource)})
-		return
-	}
-	scan := scanLines(src)
-	if len(scan.problems) > 0 {
-		c.problems = append(c.problems, scan.problems...)
-		return
-	}
-	file, err := ini.LoadSources(loadOptions, src.Text)
-	if err != nil {
-		c.problems = append(c.problems, Problem{File: src.File, Reason: err.Error()})
-		return
+	file, problems := inifile.Parse(src.File, src.Text)
+	for _, p := range problems {
+		c.problems = append(c.problems, Problem{File: p.File, Line: p.Line, Section: p.Section, Key: p.Key, Reason: p.Text})
 	}
 	if c.where == nil {
 		c.where = map[place]position{}
 	}
-	for at, line := range scan.lines {
-		c.where[at] = position{src.File, line}
-	}
-	for _, sec := range file.Sections() {
-		if sec.Name() == ini.DefaultSection {
-			continue
-		}
-		out := wire.ConfigSection{Site: src.Site, Name: sec.Name()}
-		for _, key := range sec.Keys() {
-			out.Keys = append(out.Keys, wire.ConfigPair{Key: key.Name(), Value: key.Value()})
+	for _, sec := range file.Sections {
+		out := wire.ConfigSection{Site: src.Site, Name: sec.Name}
+		c.where[place{src.Site, sec.Name, ""}] = position{src.File, sec.Line}
+		for _, key := range sec.Keys {
+			c.where[place{src.Site, sec.Name, key.Name}] = position{src.File, key.Line}
+			out.Keys = append(out.Keys, wire.ConfigPair{Key: key.Name, Value: key.Value})
 		}
 		c.sections = append(c.sections, out)
 	}
 }
 
-// loadOptions turn off what spans lines or refers to other keys.
-var loadOptions = ini.LoadOptions{
-	IgnoreContinuation:      true,
-	KeyValueDelimiters:      "=",
-	ChildSectionDelimiter:   "\x00",
-	PreserveSurroundedQuote: true,
-	SkipUnrecognizableLines: false,
-}
-
 // check verifies names, keys, values and references of a whole document.
 func (c *checker) check(doc *Document) {
 	for i, s := range doc.sections {
--- a/inifile/inifile.go
+++ b/inifile/inifile.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"cmp"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -184,9 +185,18 @@
 	sc.current.Keys = append(sc.current.Keys, Key{Name: name, Value: value, Line: n})
 }
 
+// multiLineQuote opens a value that the library reads over several lines, and
+// takes for empty if it is not closed.
+const multiLineQuote = `"""`
+
+var errMultiLine = errors.New("a value over several lines")
+
 // parseValue reads the value of one key = value line, without quotes and
 // trailing comment.
 func parseValue(text string) (string, error) {
+	if _, raw, _ := strings.Cut(text, "="); strings.HasPrefix(strings.TrimSpace(raw), multiLineQuote) {
+		return "", errMultiLine
+	}
 	f, err := ini.LoadSources(ini.LoadOptions{
 		IgnoreContinuation:       true,
 		SpaceBeforeInlineComment: true,
