controld: names of certificates, metrics

Change: an announcement's failure domain must be the certificate's; a test that wrong names and roles end the connection; gauges and counters by tally.

--- a/controld/admin_config.go
+++ b/controld/admin_config.go
@@ -137,6 +137,7 @@
 	if reply.Change == nil {
 		return nil, errors.New("the log gave no answer")
 	}
+	h.meters.changed(reply.Change.Accepted)
 	return changeReply(reply.Change), nil
 }
 
--- a/controld/cluster_test.go
+++ b/controld/cluster_test.go
@@ -27,21 +27,34 @@
 
 var nextPort atomic.Uint32
 
-// freeAddr returns a loopback address whose UDP port is free and stays so.
+// freeAddr returns a loopback address whose port is free and stays so.
 func freeAddr(t *testing.T) string {
 	t.Helper()
 	offset := uint32(os.Getpid())
 	for {
 		port := firstPort + (offset*37+nextPort.Add(1))%(lastPort-firstPort)
-		conn, err := net.ListenPacket("udp", fmt.Sprint("127.0.0.1:", port))
-		if err != nil {
-			continue
+		addr := fmt.Sprint("127.0.0.1:", port)
+		if free(addr) {
+			return addr
 		}
-		defer conn.Close()
-		return conn.LocalAddr().String()
 	}
 }
 
+// free reports whether an address can be listened on for peers and operators.
+func free(addr string) bool {
+	udp, err := net.ListenPacket("udp", addr)
+	if err != nil {
+		return false
+	}
+	defer udp.Close()
+	tcp, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false
+	}
+	defer tcp.Close()
+	return true
+}
+
 // cluster is a set of control hosts with data folders.
 type cluster struct {
 	t         *testing.T
--- a/controld/controld.go
+++ b/controld/controld.go
@@ -79,6 +79,7 @@
 	requests chan struct{}
 	seq      atomic.Uint64
 	clock    func() time.Time
+	meters   *meters
 }
 
 // Run serves until ctx ends.
@@ -101,6 +102,7 @@
 	h := &Host{
 		opts: o, log: o.Log.WithPrefix("controld"), sessions: newSessions(),
 		changed: make(chan struct{}, 1), requests: make(chan struct{}, maxRequests), clock: time.Now,
+		meters: newMeters(o.Transport.Scope),
 	}
 	h.machine = control.NewMachine(func(uint64) { signal(h.changed) })
 	h.loop = loop.New[directory.Event, directory.Effect](directory.NewReducer(0), directory.Event{}, h.effect)
@@ -178,6 +180,7 @@
 			h.loop.Post(directory.Event{Quorum: &directory.Quorum{Fresh: fresh}})
 			h.log.Info("quorum changed", "fresh", fresh, "leader", status.LeaderAddr)
 		}
+		h.meters.observe(h.machine, h.sessions.count(), fresh)
 		select {
 		case <-ctx.Done():
 			return
--- a/controld/controld_test.go
+++ b/controld/controld_test.go
@@ -248,3 +248,38 @@
 	require.Equal(t, wire.ClaimDone, reply.State)
 	require.Equal(t, &done, reply.Outcome)
 }
+
+// A process can't announce another one, nor do what its role does not allow:
+// the control host ends the connection and nothing comes of the message.
+func TestWrongNames(t *testing.T) {
+	a := newAuthority(t)
+	h := startHost(t, a, "control-1", "127.0.0.1:0")
+	peer := func(role wire.Role, id, domain string) wire.Peer {
+		return wire.Peer{Role: role, ID: id, Incarnation: 1, Domain: domain}
+	}
+	tests := map[string]wire.Message{
+		"another id":     &wire.Announce{From: peer(wire.RoleAgent, "agent-2", "sv-a"), Seq: 1, Lease: time.Second},
+		"another role":   &wire.Announce{From: peer(wire.RoleEntry, "agent-1", "sv-a"), Seq: 1, Lease: time.Second},
+		"another domain": &wire.Announce{From: peer(wire.RoleAgent, "agent-1", "sv-b"), Seq: 1, Lease: time.Second},
+		"claim":          &wire.Claim{Team: "night-nurses", Key: "k"},
+		"resolve":        &wire.Resolve{Team: "night-nurses", Key: "k"},
+		"propose":        &wire.Propose{Command: []byte{1}},
+		"raft":           &wire.Raft{Body: []byte{1}},
+		"config push":    &wire.ConfigPush{Index: 9},
+	}
+	for name, m := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			conn, err := transport.Dial(ctx, h.Addr(), wire.RoleControl, transport.Options{Identity: identity(t, a, wire.RoleAgent, "agent-1")})
+			require.NoError(t, err)
+			require.NoError(t, conn.Send(m))
+			_, _, err = conn.Recv(ctx)
+			require.ErrorIs(t, err, transport.ErrClosed)
+		})
+	}
+	members, err := h.members(context.Background())
+	require.NoError(t, err)
+	require.Len(t, members, 1, "the control host itself")
+	require.Zero(t, h.machine.Index())
+}
--- /dev/null
+++ b/controld/metrics.go
@@ -0,0 +1,69 @@
+package controld
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/fireflytray/fireflytray/control"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// meters are the metrics of a control host.
+type meters struct {
+	configIndex, fresh, applied, sessions tally.Gauge
+	accepted, refused                     tally.Counter
+	claims                                map[wire.ClaimState]tally.Counter
+}
+
+// claimNames are the values of the tag state.
+var claimNames = map[wire.ClaimState]string{
+	wire.ClaimGranted: "granted", wire.ClaimPending: "pending", wire.ClaimDone: "done",
+	wire.ClaimMismatch: "mismatch", wire.ClaimUnavailable: "unavailable",
+}
+
+func newMeters(scope tally.Scope) *meters {
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+	scope = scope.SubScope("control")
+	m := &meters{
+		configIndex: scope.Gauge("config_index"),
+		fresh:       scope.Gauge("fresh"),
+		applied:     scope.Gauge("log_applied"),
+		sessions:    scope.Gauge("sessions"),
+		accepted:    scope.Counter("changes_accepted"),
+		refused:     scope.Counter("changes_refused"),
+		claims:      map[wire.ClaimState]tally.Counter{},
+	}
+	for state, name := range claimNames {
+		m.claims[state] = scope.Tagged(map[string]string{"state": name}).Counter("claims")
+	}
+	return m
+}
+
+// observe sets the gauges.
+func (m *meters) observe(machine *control.Machine, sessions int, fresh bool) {
+	m.configIndex.Update(float64(machine.Stamp().Index))
+	m.applied.Update(float64(machine.Index()))
+	m.sessions.Update(float64(sessions))
+	value := 0.0
+	if fresh {
+		value = 1
+	}
+	m.fresh.Update(value)
+}
+
+// claimed counts the answer to a claim.
+func (m *meters) claimed(state wire.ClaimState) {
+	if c, ok := m.claims[state]; ok {
+		c.Inc(1)
+	}
+}
+
+// changed counts the answer to an operator's change.
+func (m *meters) changed(accepted bool) {
+	if accepted {
+		m.accepted.Inc(1)
+		return
+	}
+	m.refused.Inc(1)
+}
--- a/controld/propose.go
+++ b/controld/propose.go
@@ -168,8 +168,10 @@
 	reply, err := h.propose(ctx, &control.Command{Claim: m})
 	if err != nil || reply.Claim == nil {
 		h.log.Warn("claim not decided", "team", m.Team, "err", err)
+		h.meters.claimed(wire.ClaimUnavailable)
 		return unavailable(m.Request)
 	}
+	h.meters.claimed(reply.Claim.State)
 	return reply.Claim
 }
 
--- a/controld/session.go
+++ b/controld/session.go
@@ -82,6 +82,12 @@
 	return t.byID[id]
 }
 
+func (t *sessions) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.byID)
+}
+
 func (t *sessions) all() []*session {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -133,7 +139,7 @@
 	role := s.conn.Peer().Role
 	switch m := m.(type) {
 	case *wire.Announce:
-		if m.From.Role != role || m.From.ID != s.conn.Peer().ID {
+		if !named(s.conn.Peer(), m.From) {
 			return false
 		}
 		h.loop.Post(directory.Event{Announce: &directory.Announced{Conn: s.id, Msg: m, Index: stamp.Index}})
@@ -168,6 +174,11 @@
 	return true
 }
 
+// named reports whether a process announces what its certificate says.
+func named(cert transport.Peer, p wire.Peer) bool {
+	return cert.Role == p.Role && cert.ID == p.ID && cert.Domain == p.Domain
+}
+
 // push sends the configuration in force to a peer that is behind.
 func (h *Host) push(s *session) {
 	if have, due := s.due(h.machine.Stamp().Index, time.Now()); due {
