--- a/replica/replica.go
+++ b/replica/replica.go
@@ -229,10 +229,13 @@
 		case ctx.Err() != nil || errors.Is(res.err, ErrStopped):
 			return 0, fmt.Errorf("replica: barrier: %w", res.err)
 		}
-		pause(ctx, r.opt.HeartbeatInterval)
+		pause(ctx, readRetry)
 	}
 }
 
+// readRetry is the pause after a read point that could not be had.
+const readRetry = 20 * time.Millisecond
+
 // read makes one attempt at a read point; its messages may be lost.
 func (r *Replica) read(ctx context.Context) result {
 	attempt, cancel := context.WithTimeout(ctx, r.opt.ElectionTimeout)
