--- a/controlclient/calls.go
+++ b/controlclient/calls.go
@@ -15,8 +15,10 @@
 	callTimeout = 1500 * time.Millisecond
 	// callPause is the wait after all control hosts were tried.
 	callPause = 100 * time.Millisecond
-	// releaseTime bounds the attempts to free a claim that got no answer.
-	releaseTime = 5 * time.Second
+	// releaseTime bounds the attempts to free a claim that got no answer, and
+	// maxReleases how many are under way.
+	releaseTime = time.Hour
+	maxReleases = 10_000
 )
 
 // calls pairs replies with the claims and resolutions that wait for them.
@@ -57,45 +59,58 @@
 // for the owner; the client then tries to free it, so the owner must not run.
 func (c *Client) Claim(ctx context.Context, m wire.Claim) (wire.ClaimReply, error) {
 	request := m.Request
-	reply, err := c.call(ctx, func(id uint64) wire.Message { m.Request = id; return &m })
+	reply, asked, err := c.call(ctx, func(id uint64) wire.Message { m.Request = id; return &m })
 	if err != nil {
-		go c.release(m)
+		if asked {
+			c.release(m)
+		}
 		return wire.ClaimReply{}, fmt.Errorf("controlclient: claim key of team %s: %w", m.Team, err)
 	}
 	reply.Request = request
 	return *reply, nil
 }
 
-// release frees a claim whose owner will not run.
+// release frees a claim whose owner will not run, in the background. A key
+// that stays reserved would keep its caller from ever running the request.
 func (c *Client) release(m wire.Claim) {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
-	defer cancel()
-	r := wire.Resolve{Team: m.Team, Service: m.Service, Key: m.Key, Owner: m.Owner, Outcome: task.Outcome{State: task.NotRun, Reason: task.ReasonClaimsDown}}
-	if err := c.Resolve(ctx, r); err != nil {
-		c.log.Warn("claim not freed", "team", m.Team, "err", err)
+	select {
+	case c.releases <- struct{}{}:
+	default:
+		c.log.Warn("claim not freed, too many others are to be freed", "team", m.Team)
+		return
 	}
+	go func() {
+		defer func() { <-c.releases }()
+		ctx, cancel := context.WithTimeout(c.life, releaseTime)
+		defer cancel()
+		r := wire.Resolve{Team: m.Team, Service: m.Service, Key: m.Key, Owner: m.Owner, Outcome: task.Outcome{State: task.NotRun, Reason: task.ReasonClaimsDown}}
+		if err := c.Resolve(ctx, r); err != nil {
+			c.log.Warn("claim not freed", "team", m.Team, "err", err)
+		}
+	}()
 }
 
 // Resolve records the outcome of a granted claim. It tries one control host
 // after another until one confirms or ctx ends.
 func (c *Client) Resolve(ctx context.Context, m wire.Resolve) error {
-	if _, err := c.call(ctx, func(id uint64) wire.Message { m.Request = id; return &m }); err != nil {
+	if _, _, err := c.call(ctx, func(id uint64) wire.Message { m.Request = id; return &m }); err != nil {
 		return fmt.Errorf("controlclient: resolve key of team %s: %w", m.Team, err)
 	}
 	return nil
 }
 
 // call sends a request to one control host after another until one answers
-// other than that it can't say.
-func (c *Client) call(ctx context.Context, build func(id uint64) wire.Message) (*wire.ClaimReply, error) {
+// other than that it can't say. Asked is false if it was sent to none.
+func (c *Client) call(ctx context.Context, build func(id uint64) wire.Message) (reply *wire.ClaimReply, asked bool, err error) {
 	for {
 		for _, s := range c.sessions {
-			reply := c.try(ctx, s, build)
+			reply, sent := c.try(ctx, s, build)
+			asked = asked || sent
 			if reply != nil && !undecided(reply) {
-				return reply, nil
+				return reply, asked, nil
 			}
 			if ctx.Err() != nil {
-				return nil, fmt.Errorf("%w: %w", ErrNoControl, ctx.Err())
+				return nil, asked, fmt.Errorf("%w: %w", ErrNoControl, ctx.Err())
 			}
 		}
 		select {
@@ -111,19 +126,21 @@
 	return r.State == wire.ClaimUnavailable && r.RetryAfter == 0
 }
 
-func (c *Client) try(ctx context.Context, s *session, build func(id uint64) wire.Message) *wire.ClaimReply {
+// try sends a request to one control host and waits for its answer; sent is
+// false if there is no session.
+func (c *Client) try(ctx context.Context, s *session, build func(id uint64) wire.Message) (reply *wire.ClaimReply, sent bool) {
 	id, ch := c.calls.open()
 	defer c.calls.close(id)
 	if !s.send(build(id)) {
-		return nil
+		return nil, false
 	}
 	timer := time.NewTimer(callTimeout)
 	defer timer.Stop()
 	select {
 	case reply := <-ch:
-		return reply
+		return reply, true
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return nil
+	return nil, true
 }
--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -67,6 +67,11 @@
 	sessions []*session
 	calls    *calls
 	leaving  atomic.Bool
+	// life ends with Run, and with it the attempts to free claims; releases
+	// counts them.
+	life     context.Context
+	end      context.CancelFunc
+	releases chan struct{}
 
 	mu    sync.Mutex
 	table *directory.Table
@@ -87,6 +92,8 @@
 		o.Log = log.Default()
 	}
 	c := &Client{opts: o, log: o.Log.WithPrefix("controlclient"), start: time.Now(), calls: newCalls(), table: directory.NewTable()}
+	c.life, c.end = context.WithCancel(context.Background())
+	c.releases = make(chan struct{}, maxReleases)
 	c.config = newHolder(o.Site, c.adopted)
 	c.opts.Transport.Stamp = c.Stamp
 	for _, addr := range o.Controls {
@@ -97,6 +104,7 @@
 
 // Run keeps the sessions until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
+	defer c.end()
 	g, ctx := errgroup.WithContext(ctx)
 	for _, s := range c.sessions {
 		g.Go(func() error { s.run(ctx); return nil })
--- a/e2e/control_test.go
+++ b/e2e/control_test.go
@@ -16,6 +16,10 @@
 	"github.com/fireflytray/fireflytray/task"
 )
 
+// outage is how long all control hosts are down, beyond the wait of an entry
+// for one claim.
+const outage = 8 * time.Second
+
 // Every change that was accepted while the leading control host died is in the
 // audit trail and in the history, the last one is in force at every entry, and
 // no entry ever went back.
@@ -57,11 +61,18 @@
 func TestAllControlHostsKilled(t *testing.T) {
 	c := newCluster(t)
 	before := c.version()
-	first := c.request(0, 50, "statement-1")
-	require.Equal(t, complete, first.state, first.String())
+	token := newToken()
+	running := inBackground(1, func(int) answer { return c.send(0, token, longRunMS, "statement-1") })
+	poll(t, "the keyed request starts", func() string {
+		if len(c.started()) == 0 {
+			return "no start"
+		}
+		return ""
+	})
 	for _, p := range c.controls {
 		p.kill()
 	}
+	back := time.After(outage)
 	unkeyed := inBackground(20, func(i int) answer { return c.request(i%entries, 100, "") })
 	keyed := inBackground(6, func(i int) answer { return c.request(i%entries, 100, fmt.Sprintf("key-%d", i)) })
 	answers := append(unkeyed(), c.job(0, 10, 50))
@@ -70,6 +81,9 @@
 		c.isRefusedForNow(a)
 		answers = append(answers, a)
 	}
+	first := running()[0]
+	require.Equal(t, complete, first.state, first.String())
+	<-back
 	for _, p := range c.controls {
 		p.start(t)
 	}
@@ -83,13 +97,26 @@
 	})
 	c.awaitAnnounced()
 	require.Equal(t, before.Index, c.version().Index)
-	again := c.send(1, first.tokens[0], 50, "statement-1")
-	require.True(t, again.replayed, again.String())
+	again := c.awaitReplay(1, token, "statement-1")
 	last := []answer{first, again, c.job(0, 12, 50), c.job(1, 12, 50)}
 	c.allComplete(last)
 	c.check(append(answers, last...))
 }
 
+// awaitReplay resends a keyed request until it gets the outcome of the first.
+func (c *cluster) awaitReplay(entry int, token, key string) answer {
+	c.t.Helper()
+	var a answer
+	poll(c.t, "the outcome of "+key, func() string {
+		a = c.send(entry, token, longRunMS, key)
+		if a.replayed {
+			return ""
+		}
+		return a.String()
+	})
+	return a
+}
+
 // isRefusedForNow requires a refusal that is not run and says when to come back.
 func (c *cluster) isRefusedForNow(a answer) {
 	c.t.Helper()
@@ -280,4 +307,3 @@
 		require.Equal(c.t, index, versions[op], "version of %s", op)
 	}
 }
-
--- /dev/null
+++ b/e2e/refusal_test.go
@@ -0,0 +1,133 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/adminapi"
+	"github.com/fireflytray/fireflytray/daemon"
+	"github.com/fireflytray/fireflytray/httpapi"
+	"github.com/fireflytray/fireflytray/keys"
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// What keeps a program from starting is said, with its exit code.
+func TestProgramsRefuseToStart(t *testing.T) {
+	c := layOut(t)
+	stray := func(p *process) string { return "[process]\nid = a b\n[listen]\nspeed = 3\n" }
+	otherRole := func(p *process) string {
+		return replaced(t, c, p, "folder = keys/"+p.name, "folder = keys/operator")
+	}
+	for _, x := range []struct {
+		name string
+		p    *process
+		text func(*process) string
+		code int
+		want []string
+	}{
+		{"control settings", c.controls[0], stray, daemon.ExitUsage, []string{"bad.ini:2: [process] id", "bad.ini:4: [listen] speed"}},
+		{"entry settings", c.entries[0], stray, daemon.ExitUsage, []string{"bad.ini:2: [process] id", "bad.ini:4: [listen] speed"}},
+		{"agent settings", c.agents[0], stray, daemon.ExitUsage, []string{"bad.ini:2: [process] id", "bad.ini:4: [listen] speed"}},
+		{"upstream settings", c.upstreams[0], stray, daemon.ExitUsage, []string{"bad.ini:2: [process] id", "bad.ini:4: [listen] speed"}},
+		{"control keys", c.controls[0], otherRole, daemon.ExitFailed, []string{"names operator operator (domain-a), settings name control control-1 (domain-a)"}},
+		{"entry keys", c.entries[0], otherRole, daemon.ExitFailed, []string{"names operator operator (domain-a), settings name entry entry-1 (domain-a)"}},
+		{"agent keys", c.agents[0], otherRole, daemon.ExitFailed, []string{"names operator operator (domain-a), settings name agent agent-1 (domain-a)"}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			path := c.path("bad.ini")
+			require.NoError(t, os.WriteFile(path, []byte(x.text(x.p)), fileMode))
+			args := append([]string(nil), x.p.args[:len(x.p.args)-1]...)
+			bad := &process{name: "bad", args: append(args, path), log: c.path("bad-" + x.p.name + "-" + time.Now().Format("150405.000000") + ".log")}
+			bad.start(t)
+			defer bad.kill()
+			require.Equal(t, x.code, bad.awaitExit(t), bad.output(t))
+			for _, want := range x.want {
+				require.Contains(t, bad.output(t), want)
+			}
+		})
+	}
+}
+
+// replaced is the text of a process's settings with one part replaced.
+func replaced(t *testing.T, c *cluster, p *process, old, new string) string {
+	t.Helper()
+	text, err := os.ReadFile(c.path(p.name + ".ini"))
+	require.NoError(t, err)
+	require.Contains(t, string(text), old)
+	return string(bytes.Replace(text, []byte(old), []byte(new), 1))
+}
+
+// A second control daemon on a data folder in use ends with an error, and the
+// first goes on.
+func TestSecondControlOnSameData(t *testing.T) {
+	c := newCluster(t)
+	text := replaced(t, c, c.controls[0], c.peers[0], freeAddr(t))
+	text = string(bytes.Replace([]byte(text), []byte(c.admin[0]), []byte(freeAddr(t)), 1))
+	second := c.add("control-1-again", text, "fireflytray-control")
+	second.start(t)
+	require.Equal(t, daemon.ExitFailed, second.awaitExit(t), second.output(t))
+	require.Contains(t, second.output(t), c.path("data", "control-1"))
+	require.Contains(t, second.output(t), "in use by another process")
+	require.True(t, c.controls[0].running())
+	c.awaitVoters()
+}
+
+// A request that can't be taken is refused as not run, with its fault; a
+// certificate of another role reaches no operator's page.
+func TestBadRequests(t *testing.T) {
+	c := newCluster(t)
+	jobs := "/v1/services/" + service + "/jobs"
+	requests := "/v1/services/" + service + "/requests"
+	for _, x := range []struct {
+		name   string
+		path   string
+		header map[string]string
+		body   []byte
+		status int
+		reason task.Reason
+		detail string
+	}{
+		{"malformed job", jobs, nil, []byte("{\n\"tasks\": [}"), http.StatusBadRequest, httpapi.ReasonBadRequest, "line 2"},
+		{"unknown field", jobs, nil, []byte(`{"taks":[]}`), http.StatusBadRequest, httpapi.ReasonBadRequest, "taks"},
+		{"bad deadline", requests, map[string]string{httpapi.HeaderDeadline: "soon"}, nil, http.StatusBadRequest, httpapi.ReasonBadRequest, httpapi.HeaderDeadline},
+		{"unknown service", "/v1/services/other/requests", nil, nil, http.StatusNotFound, task.ReasonUnknownService, "other"},
+		{"unknown team", requests, map[string]string{httpapi.HeaderTeam: "nobody"}, nil, http.StatusForbidden, task.ReasonUnknownTeam, "nobody"},
+		{"body above the entry's limit", requests, nil, make([]byte, 1<<20), http.StatusRequestEntityTooLarge, task.ReasonTooLarge, ""},
+		{"body above the service's limit", requests, nil, make([]byte, 1<<17), http.StatusRequestEntityTooLarge, task.ReasonTooLarge, "65536"},
+		{"never fits", requests, map[string]string{httpapi.HeaderNeed: "accelerators=9"}, nil, http.StatusUnprocessableEntity, task.ReasonNeverFits, "accelerators"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			a := c.post(0, x.path, x.header, x.body)
+			require.NoError(t, a.err)
+			require.Equal(t, x.status, a.status, a.String())
+			require.Equal(t, x.reason, a.problem.Reason, a.String())
+			require.Equal(t, notRun, a.state, a.String())
+			require.Contains(t, a.problem.Detail, x.detail)
+		})
+	}
+	require.Empty(t, c.started())
+	c.refusesRole("agent-1")
+	c.refusesRole("entry-1")
+}
+
+// refusesRole requires that the operators' interface refuses a process's
+// certificate.
+func (c *cluster) refusesRole(id string) {
+	c.t.Helper()
+	identity, err := keys.Load(c.path("keys", id))
+	require.NoError(c.t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), adminTime)
+	defer cancel()
+	var r adminapi.ControlReply
+	err = adminapi.NewClient(identity, c.admin[:1]).Get(ctx, adminapi.PathControl, "", &r)
+	require.Error(c.t, err)
+	require.Contains(c.t, err.Error(), "bad certificate")
+	require.NotEqual(c.t, wire.RoleOperator, identity.Name().Role)
+}
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -28,7 +28,7 @@
 )
 
 const (
-	// claimWithin bounds one claim or resolve at control.
+	// claimWithin bounds one claim at control.
 	claimWithin = 5 * time.Second
 	// viewWithin bounds the wait for a copy of the state.
 	viewWithin = time.Second
@@ -79,6 +79,8 @@
 
 	drained chan struct{}
 	dialCtx context.Context
+
+	resolver *resolver
 }
 
 // New returns a daemon; Run starts it.
@@ -94,6 +96,7 @@
 		drained: make(chan struct{}),
 		meter:   newMeter(o.Scope),
 	}
+	d.resolver = newResolver(o.Control, d.log)
 	d.state = entry.New(entry.Options{
 		Self:   o.Self,
 		Policy: o.Policy,
@@ -164,6 +167,7 @@
 		return fmt.Errorf("drain: %w", ctx.Err())
 	}
 	d.closeLinks()
+	d.resolver.drain()
 	d.log.Info("drained")
 	return nil
 }
@@ -246,7 +250,7 @@
 	case entry.SendClaim:
 		go d.claim(eff.Claim)
 	case entry.SendResolve:
-		go d.resolve(eff.Resolve)
+		d.resolver.record(eff.Resolve)
 	case entry.Drained:
 		close(d.drained)
 	}
@@ -263,11 +267,3 @@
 	r.Request = c.Request
 	d.loop.Post(entry.ClaimReplied{Reply: r})
 }
-
-func (d *Daemon) resolve(r wire.Resolve) {
-	ctx, cancel := context.WithTimeout(d.dialCtx, claimWithin)
-	defer cancel()
-	if err := d.opts.Control.Resolve(ctx, r); err != nil {
-		d.log.Warn("claim not resolved", "owner", r.Owner, "err", err)
-	}
-}
--- a/transport/relay_test.go
+++ b/transport/relaytest/relay.go
@@ -1,4 +1,6 @@
-package transport
+// Package relaytest is a UDP relay for tests that loses track of open flows, as
+// a middlebox does.
+package relaytest
 
 import (
 	"net"
@@ -9,9 +11,9 @@
 	"github.com/stretchr/testify/require"
 )
 
-// relay forwards UDP between dialling sides and one target, as a middlebox
+// Relay forwards UDP between dialling sides and one target, as a middlebox
 // that keeps state per flow does.
-type relay struct {
+type Relay struct {
 	front  *net.UDPConn
 	target *net.UDPAddr
 	mu     sync.Mutex
@@ -24,22 +26,24 @@
 	forgotten bool
 }
 
-func newRelay(t *testing.T, target string) *relay {
+// New starts a relay to a target; it ends with the test.
+func New(t *testing.T, target string) *Relay {
 	t.Helper()
 	addr, err := net.ResolveUDPAddr("udp", target)
 	require.NoError(t, err)
 	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	require.NoError(t, err)
-	r := &relay{front: front, target: addr, flows: make(map[netip.AddrPort]*flow)}
+	r := &Relay{front: front, target: addr, flows: make(map[netip.AddrPort]*flow)}
 	t.Cleanup(r.close)
 	go r.run()
 	return r
 }
 
-func (r *relay) addr() string { return r.front.LocalAddr().String() }
+// Addr is where to dial the target through the relay.
+func (r *Relay) Addr() string { return r.front.LocalAddr().String() }
 
-// forget drops the state of every flow; new ones work.
-func (r *relay) forget() {
+// Forget drops the state of every flow; new ones work.
+func (r *Relay) Forget() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, f := range r.flows {
@@ -47,7 +51,7 @@
 	}
 }
 
-func (r *relay) close() {
+func (r *Relay) close() {
 	r.front.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -56,7 +60,7 @@
 	}
 }
 
-func (r *relay) run() {
+func (r *Relay) run() {
 	buf := make([]byte, 1<<16)
 	for {
 		n, from, err := r.front.ReadFromUDPAddrPort(buf)
@@ -70,7 +74,7 @@
 }
 
 // flow returns the flow to forward to, or nil to drop the packet.
-func (r *relay) flow(from netip.AddrPort) *flow {
+func (r *Relay) flow(from netip.AddrPort) *flow {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f, ok := r.flows[from]
@@ -89,7 +93,7 @@
 	return f
 }
 
-func (r *relay) answer(f *flow, to netip.AddrPort) {
+func (r *Relay) answer(f *flow, to netip.AddrPort) {
 	buf := make([]byte, 1<<16)
 	for {
 		n, err := f.back.Read(buf)
--- a/transport/silent_test.go
+++ b/transport/silent_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/fireflytray/fireflytray/transport/relaytest"
 	"github.com/fireflytray/fireflytray/wire"
 )
 
@@ -31,20 +32,20 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := newPair(t, silentOptions())
-			r := newRelay(t, p.listener.Addr())
+			r := relaytest.New(t, p.listener.Addr())
 			o := silentOptions()
 			o.Identity = identity(t, p.authority, wire.RoleEntry, "entry-1")
-			first, err := Dial(context.Background(), r.addr(), wire.RoleAgent, o)
+			first, err := Dial(context.Background(), r.Addr(), wire.RoleAgent, o)
 			require.NoError(t, err)
 			_, err = p.listener.Accept(context.Background())
 			require.NoError(t, err)
-			r.forget()
+			r.Forget()
 			require.NoError(t, act(first))
 			<-first.Done()
 			require.ErrorIs(t, first.Err(), ErrSilent)
 			require.ErrorContains(t, first.Err(), "no packet for")
 
-			second, err := Dial(context.Background(), r.addr(), wire.RoleAgent, o)
+			second, err := Dial(context.Background(), r.Addr(), wire.RoleAgent, o)
 			require.NoError(t, err)
 			defer second.Close("test over")
 			require.NotEqual(t, first.LocalAddr(), second.LocalAddr())
@@ -88,12 +89,12 @@
 // A port at which nobody answers is a silent one.
 func TestDialNobody(t *testing.T) {
 	p := newPair(t, silentOptions())
-	r := newRelay(t, "127.0.0.1:9")
+	r := relaytest.New(t, "127.0.0.1:9")
 	o := silentOptions()
 	o.Identity = identity(t, p.authority, wire.RoleEntry, "entry-1")
-	_, err := Dial(context.Background(), r.addr(), wire.RoleAgent, o)
+	_, err := Dial(context.Background(), r.Addr(), wire.RoleAgent, o)
 	require.ErrorIs(t, err, ErrSilent)
-	require.ErrorContains(t, err, "transport: dial agent "+r.addr())
+	require.ErrorContains(t, err, "transport: dial agent "+r.Addr())
 }
 
 // A quiet connection is kept alive a full period after the last frame, however
