Test the entry's queue against a naive search, and its refusals

Cause: order, fairness, refusals and cancellation waves were covered by benchmarks and by TestAllFaultsTogether only as a whole.

--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,173 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/entry/queue"
+	"github.com/fireflytray/fireflytray/task"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// fixture is an entry with agents whose messages the test writes itself.
+type fixture struct {
+	t   *testing.T
+	e   *Entry
+	now time.Duration
+	seq map[string]uint64
+}
+
+func newFixture(t *testing.T, agents ...string) *fixture {
+	b := newBenchFleet(queue.LeftOverSlowdown)
+	f := &fixture{t: t, seq: make(map[string]uint64)}
+	f.e = New(Options{Self: wire.Peer{Role: wire.RoleEntry, ID: "e", Incarnation: 1}, Order: queue.LeftOverSlowdown, Config: b.e.cfg})
+	d := wire.Directory{Full: true, Complete: true}
+	for _, id := range agents {
+		d.Upserts = append(d.Upserts, wire.Member{
+			Peer:   wire.Peer{Role: wire.RoleAgent, ID: id, Incarnation: 1, Addr: id},
+			Worker: &wire.Worker{Service: "svc"},
+		})
+	}
+	for _, eff := range f.step(DirectoryChanged{Directory: d}) {
+		if dial, ok := eff.(Dial); ok {
+			f.welcome(dial)
+		}
+	}
+	return f
+}
+
+func (f *fixture) welcome(d Dial) {
+	f.step(Connected{Agent: d.Peer.ID, Session: d.Hello.Session, Welcome: &wire.Welcome{
+		From:   d.Peer,
+		Worker: &wire.Worker{Service: "svc", Slots: benchSlots, Offered: task.Resources{MilliCPU: 8000, MemoryMB: 16000}},
+		Report: f.report(d.Peer.ID, benchSlots),
+	}})
+}
+
+func (f *fixture) report(agent string, credit uint32, results ...wire.Result) *wire.Report {
+	f.seq[agent]++
+	return &wire.Report{Seq: f.seq[agent], Credit: credit, Slots: benchSlots, Outcomes: results}
+}
+
+func (f *fixture) step(ev Event) []Effect {
+	f.now += time.Millisecond
+	return f.e.Step(f.now, ev, nil)
+}
+
+func (f *fixture) submit(n uint64, sub task.Submission) []Effect {
+	sub.Service, sub.Team = "svc", teamName(0)
+	return f.step(Submit{ID: task.NewSubmissionID(1, n), Sub: sub})
+}
+
+func job(tasks int) task.Submission {
+	return task.Submission{Job: true, Tasks: make([]task.Spec, tasks)}
+}
+
+func answers(effects []Effect) []task.Answer {
+	var out []task.Answer
+	for _, eff := range effects {
+		if a, ok := eff.(Answer); ok {
+			out = append(out, a.Answer)
+		}
+	}
+	return out
+}
+
+func sends(effects []Effect) []Send {
+	var out []Send
+	for _, eff := range effects {
+		if s, ok := eff.(Send); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// A job that no announced worker could ever run is refused at once as not run,
+// and coming back does not help.
+func TestNeverFits(t *testing.T) {
+	f := newFixture(t, "a1", "a2")
+	sub := job(3)
+	sub.Tasks[1].Need = task.Resources{MilliCPU: 9000}
+	got := answers(f.submit(1, sub))
+	require.Len(t, got, 1)
+	require.Equal(t, task.NotRun, got[0].State)
+	require.Equal(t, task.ReasonNeverFits, got[0].Reason)
+	require.Zero(t, got[0].RetryAfter)
+	require.Contains(t, got[0].Detail, "task 1 needs 9000 mCPU")
+}
+
+// A wave of cancellations costs one message an agent, each submission gets its
+// one answer at once, and waiting tasks are never sent.
+func TestCancelWaveIsOneMessageAnAgent(t *testing.T) {
+	f := newFixture(t, "a1", "a2")
+	var ids []task.SubmissionID
+	for n := range uint64(20) {
+		f.submit(n+1, job(4))
+		ids = append(ids, task.NewSubmissionID(1, n+1))
+	}
+	out := f.step(Cancel{IDs: ids})
+	require.Len(t, answers(out), 20)
+	got := sends(out)
+	require.Len(t, got, 2)
+	cancelled := 0
+	for _, s := range got {
+		require.Empty(t, s.Update.Tasks)
+		cancelled += len(s.Update.Cancel)
+	}
+	require.Equal(t, 2*benchSlots, cancelled)
+	require.Zero(t, f.e.View().Waiting["svc"])
+	require.Empty(t, answers(f.step(Cancel{IDs: ids})))
+}
+
+// A refused task goes to another agent as its next attempt, and the job
+// completes once.
+func TestRefusedTaskIsSentAgain(t *testing.T) {
+	f := newFixture(t, "a1", "a2")
+	first := sends(f.submit(1, job(1)))
+	require.Len(t, first, 1)
+	sent := first[0].Update.Tasks[0]
+	refused := wire.Result{ID: sent.ID, Outcome: task.Outcome{State: task.NotRun, Reason: task.ReasonBusy}}
+	second := sends(f.step(Received{Agent: first[0].Agent, Session: first[0].Session, Report: f.report(first[0].Agent, 0, refused)}))
+	require.Len(t, second, 1)
+	require.NotEqual(t, first[0].Agent, second[0].Agent)
+	again := second[0].Update.Tasks[0]
+	require.Equal(t, sent.ID.Attempt+1, again.ID.Attempt)
+	done := wire.Result{ID: again.ID, Outcome: task.Outcome{State: task.Complete, Body: []byte("x")}}
+	got := answers(f.step(Received{Agent: second[0].Agent, Session: second[0].Session, Report: f.report(second[0].Agent, 1, done)}))
+	require.Len(t, got, 1)
+	require.Equal(t, task.Complete, got[0].State)
+}
+
+// What is over a team's quota is refused as not run, and waiting as told is
+// enough.
+func TestQuotaSaysWhenToComeBack(t *testing.T) {
+	f := newFixture(t, "a1")
+	cfg := *f.e.cfg
+	cfg.Index++
+	limited := cfg.Teams[teamName(0)]
+	limited.Rate, limited.Burst = 10, 5
+	cfg.Teams[teamName(0)] = limited
+	f.step(ConfigChanged{Config: &cfg})
+	require.Empty(t, answers(f.submit(1, job(5))))
+	got := answers(f.submit(2, job(3)))
+	require.Len(t, got, 1)
+	require.Equal(t, task.ReasonQuota, got[0].Reason)
+	require.Equal(t, task.NotRun, got[0].State)
+	f.now += got[0].RetryAfter
+	require.Empty(t, answers(f.submit(3, job(3))))
+}
+
+// An older configuration is ignored.
+func TestConfigurationNeverReverts(t *testing.T) {
+	f := newFixture(t, "a1")
+	newer := *f.e.cfg
+	newer.Index = 9
+	f.step(ConfigChanged{Config: &newer})
+	older := newer
+	older.Index = 8
+	f.step(ConfigChanged{Config: &older})
+	require.Equal(t, uint64(9), f.e.View().ConfigIndex)
+}
--- /dev/null
+++ b/entry/queue/queue_test.go
@@ -0,0 +1,139 @@
+package queue
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of property tests unless the command line names one.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// naive is a list of jobs that is searched whole.
+type naive struct {
+	order Order
+	jobs  []*Job
+}
+
+func (n *naive) best(now time.Duration) float64 {
+	best := math.Inf(1)
+	for _, j := range n.jobs {
+		if j.Waiting() > 0 {
+			best = min(best, n.order.Rank(j, now))
+		}
+	}
+	return best
+}
+
+// classError is by how much the ranks of two jobs of one class may differ
+// besides their ages: LeftOverSlowdown tells sizes apart by steps.
+func classError(o Order) float64 {
+	if o == LeftOverSlowdown {
+		return math.Pow(2, 1.0/classesPerOctave) * 1.001
+	}
+	return 1
+}
+
+// The queue's first job is that of a search through all of them, up to the
+// width of a class, whatever was added, taken, put back and removed.
+func TestHeadAgreesWithNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := Order(rapid.IntRange(int(FIFO), int(LeftOverSlowdown)).Draw(t, "order"))
+		q, n := New(o), &naive{order: o}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(10, 500).Draw(t, "ms")) * time.Millisecond
+			act(t, q, n, now)
+			check(t, q, n, now)
+		}
+	})
+}
+
+func act(t *rapid.T, q *Queue, n *naive, now time.Duration) {
+	j := pick(t, n)
+	switch k := rapid.IntRange(0, 5).Draw(t, "act"); {
+	case j == nil || k <= 1:
+		j = &Job{
+			Team:    fmt.Sprintf("t%d", rapid.IntRange(0, 3).Draw(t, "team")),
+			Arrived: now,
+			Longest: time.Duration(rapid.IntRange(0, 5000).Draw(t, "longestMS")) * time.Millisecond,
+		}
+		n.jobs = append(n.jobs, j)
+		q.Add(j, uint32(rapid.IntRange(1, 140).Draw(t, "tasks")))
+	case k == 2:
+		q.Remove(j)
+	case k == 3:
+		q.Add(j, 1)
+	default:
+		if first, _ := q.Head(now); first != nil {
+			q.Take(first)
+			q.Settle(first.Team)
+		}
+	}
+}
+
+func pick(t *rapid.T, n *naive) *Job {
+	if len(n.jobs) == 0 {
+		return nil
+	}
+	return rapid.SampledFrom(n.jobs).Draw(t, "job")
+}
+
+func check(t *rapid.T, q *Queue, n *naive, now time.Duration) {
+	waiting := 0
+	for _, j := range n.jobs {
+		waiting += int(j.Waiting())
+	}
+	require.Equal(t, waiting, q.Len())
+	j, rank := q.Head(now)
+	if waiting == 0 {
+		require.Nil(t, j)
+		return
+	}
+	require.NotNil(t, j)
+	require.LessOrEqual(t, rank, n.best(now)*classError(n.order)+1e-9)
+}
+
+// A team that has long used all slots goes behind one that has not, although
+// its jobs are older and smaller.
+func TestOverusingTeamGoesBehind(t *testing.T) {
+	q := New(LeftOverSlowdown)
+	greedy := &Job{Team: "greedy", Longest: time.Second}
+	q.Add(greedy, 100)
+	for range 80 {
+		q.Take(greedy)
+	}
+	q.Head(2 * useTime)
+	modest := &Job{Team: "modest", Arrived: 2 * useTime, Longest: time.Second}
+	q.Add(modest, 100)
+	j, _ := q.Head(2*useTime + time.Millisecond)
+	require.Same(t, modest, j)
+}
+
+// A team at its bound on running tasks gets none until one is settled.
+func TestRunningBound(t *testing.T) {
+	q := New(FIFO)
+	q.SetTeam("a", 1, 2)
+	j := &Job{Team: "a"}
+	q.Add(j, 5)
+	q.Take(j)
+	q.Take(j)
+	first, _ := q.Head(0)
+	require.Nil(t, first)
+	q.Settle("a")
+	first, _ = q.Head(0)
+	require.Same(t, j, first)
+}
