httpapi: a lost caller stops no request that must not run twice

Cause: a lost connection cancelled every submission, and a cancellation stops what runs: a payout would be left in doubt, and a resend with its key would find no outcome. Ruled out: asking the backend for what has not started; it has no such call. Change: only idempotent requests and jobs without a key are cancelled.

--- a/httpapi/submit.go
+++ b/httpapi/submit.go
@@ -84,7 +84,7 @@
 }
 
 // run submits and waits for the answer. It returns false if the caller went
-// away first; the submission is then cancelled.
+// away first; the submission is then cancelled if it may be.
 func (s *Server) run(ctx *fasthttp.RequestCtx, sub task.Submission) (task.Answer, bool) {
 	answer := make(chan task.Answer, 1)
 	id := s.backend.Submit(sub, func(a task.Answer) { answer <- a })
@@ -97,7 +97,9 @@
 		case <-check.C:
 		}
 		if callerGone(ctx.Conn()) {
-			s.backend.Cancel([]task.SubmissionID{id})
+			if mayAbandon(&sub) {
+				s.backend.Cancel([]task.SubmissionID{id})
+			}
 			ctx.SetConnectionClose()
 			<-answer
 			return task.Answer{}, false
@@ -105,6 +107,14 @@
 	}
 }
 
+// mayAbandon reports whether a submission whose caller went away may be
+// cancelled. A cancellation stops what runs, so a request that must not run
+// twice goes on; so does one with a key, whose caller may come back for its
+// outcome.
+func mayAbandon(sub *task.Submission) bool {
+	return sub.Key == "" && (sub.Job || sub.Idempotent)
+}
+
 // detach submits a job whose answer is collected later.
 func (s *Server) detach(ctx *fasthttp.RequestCtx, sub task.Submission) {
 	if wait, ok := s.jobs.reserve(); !ok {
