--- a/controld/links.go
+++ b/controld/links.go
@@ -117,8 +117,7 @@
 	ticker := time.NewTicker(lease / renewals)
 	defer ticker.Stop()
 	for {
-		msg := &wire.Announce{From: t.host.opts.Self, Seq: t.host.seq.Add(1), Lease: lease, Watch: true}
-		if err := conn.Send(msg); err != nil {
+		if err := conn.Send(t.announcement()); err != nil {
 			return
 		}
 		conn.Expect(true)
@@ -130,6 +129,28 @@
 	}
 }
 
+func (t *links) announcement() *wire.Announce {
+	return &wire.Announce{From: t.host.opts.Self, Seq: t.host.seq.Add(1), Lease: lease, Watch: true}
+}
+
+// announceNow tells every other control host at once which configuration is in
+// force here; a link that is down tells it when it is up again.
+func (t *links) announceNow() {
+	for _, addr := range t.addrs() {
+		_ = t.send(addr, t.announcement())
+	}
+}
+
+func (t *links) addrs() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]string, 0, len(t.byAddr))
+	for addr := range t.byAddr {
+		out = append(out, addr)
+	}
+	return out
+}
+
 func (t *links) handle(l *link, conn *transport.Conn, m wire.Message) {
 	switch m := m.(type) {
 	case *wire.Announced:
--- a/controld/session.go
+++ b/controld/session.go
@@ -205,5 +205,6 @@
 				h.push(s)
 			}
 		}
+		h.links.announceNow()
 	}
 }
