--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -32,6 +32,7 @@
 	admins   []string
 	control  []*process
 	entry    *process
+	more     []*process // further entries
 	agents   []*process
 	admin    *adminapi.Client
 	pages    *fasthttp.Client
@@ -121,17 +122,42 @@
 }
 
 func (f *testFleet) startEntry(ctx context.Context) error {
-	s, err := f.spec(wire.RoleEntry, "entry-1")
-	if err != nil {
+	var err error
+	if f.entry, err = f.newEntry(ctx, 1); err != nil {
 		return err
 	}
+	return poll(ctx, "apply the first configuration", func() error { return f.change(ctx) })
+}
+
+func (f *testFleet) newEntry(ctx context.Context, n int) (*process, error) {
+	s, err := f.spec(wire.RoleEntry, fmt.Sprintf("entry-%d", n))
+	if err != nil {
+		return nil, err
+	}
 	if s.Callers, err = f.ports.tcp(); err != nil {
-		return err
+		return nil, err
 	}
-	if f.entry, err = startProcess(ctx, f.dir, s); err != nil {
-		return err
+	return startProcess(ctx, f.dir, s)
+}
+
+// growEntries starts entries until there are n.
+func (f *testFleet) growEntries(ctx context.Context, n int) error {
+	for len(f.more)+1 < n {
+		p, err := f.newEntry(ctx, len(f.more)+2)
+		if err != nil {
+			return err
+		}
+		f.more = append(f.more, p)
 	}
-	return poll(ctx, "apply the first configuration", func() error { return f.change(ctx) })
+	return nil
+}
+
+// stopMoreEntries ends all entries but the first.
+func (f *testFleet) stopMoreEntries() {
+	for _, p := range f.more {
+		p.stop()
+	}
+	f.more = nil
 }
 
 // change applies a configuration that differs from the last in one weight.
@@ -224,6 +250,7 @@
 
 // stop ends every process.
 func (f *testFleet) stop() {
+	f.stopMoreEntries()
 	all := append(append([]*process{}, f.agents...), f.control...)
 	if f.entry != nil {
 		all = append(all, f.entry)
--- a/measure/page_test.go
+++ b/measure/page_test.go
@@ -13,6 +13,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/load/workload"
 )
 
 const (
@@ -165,6 +167,8 @@
 	require.NoError(t, err)
 	page := string(b)
 	names, estimated := pageNames(t, page)
+	brief := workload.Default(reducerSeed)
+	requireClose(t, brief.MeanTasks(), names["job_mean"], "job_mean")
 	rows := readTable(t, page, "Results")
 	require.NotEmpty(t, rows)
 	for _, row := range rows {
--- a/measure/result.go
+++ b/measure/result.go
@@ -32,6 +32,7 @@
 // The axes.
 const (
 	AxisAgents  Axis = "agents"
+	AxisEntries Axis = "entries"
 	AxisStarts  Axis = "task starts/s"
 	AxisChanges Axis = "changes"
 	AxisClaims  Axis = "claims"
--- a/measure/run.go
+++ b/measure/run.go
@@ -44,10 +44,11 @@
 	timedChanges = 5
 )
 
-// loadStarts are the task starts a second, changeCounts the changes in a row,
-// at which the fleet of processes is measured.
+// loadStarts are the task starts a second, entryCounts the entries and
+// changeCounts the changes in a row at which the fleet of processes is measured.
 var (
 	loadStarts   = []float64{100, 400, 1200}
+	entryCounts  = []int{1, 4, 12}
 	changeCounts = []int{10, 30, 90}
 )
 
@@ -163,7 +164,7 @@
 		return err
 	}
 	if m.kind == fleetSpread {
-		return nil
+		return m.entries(ctx, n)
 	}
 	if err := m.spread(ctx, n); err != nil {
 		return err
@@ -228,6 +229,30 @@
 	return "agents"
 }
 
+// entries measures idle agents against the entries that know them.
+func (m *fleetRun) entries(ctx context.Context, n int) error {
+	if n != loadAgents {
+		return nil
+	}
+	defer m.f.stopMoreEntries()
+	for _, entries := range entryCounts {
+		m.say("%d entries: idle for %v", entries, m.opts.Window)
+		if err := m.f.growEntries(ctx, entries); err != nil {
+			return err
+		}
+		pause(ctx, 2*settle)
+		use, seconds, err := m.f.during(ctx, func(ctx context.Context) error {
+			pause(ctx, m.opts.Window)
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+		m.c.addUsage("agent", "entries", AxisEntries, "/s", float64(entries), use.rates(seconds).agent)
+	}
+	return nil
+}
+
 // spread times changes until they are in force everywhere.
 func (m *fleetRun) spread(ctx context.Context, n int) error {
 	var longest time.Duration
