--- a/raft/node_test.go
+++ b/raft/node_test.go
@@ -334,3 +334,35 @@
 	n.Step(later, m)
 	require.Equal(t, "kept", string(n.Log()[0].Data))
 }
+
+// An entry that replaces one whose save is under way is saved as well.
+func TestReplacedDuringSaveIsSavedAgain(t *testing.T) {
+	n := fuzzNode(t, false)
+	m := raft.Message{
+		Kind: raft.MsgAppend, From: 2, To: 1, Term: 2, Index: 1, LogTerm: 1,
+		Entries: []raft.Entry{{Index: 2, Term: 2}, {Index: 3, Term: 2}},
+	}
+	n.Step(later, m)
+	require.Len(t, n.Ready().Save.Entries, 2)
+	m.From, m.Term = 3, 3
+	m.Entries = []raft.Entry{{Index: 2, Term: 3}}
+	n.Step(later, m)
+	n.Advance()
+	save := n.Ready().Save
+	require.Len(t, save.Entries, 1)
+	require.Equal(t, uint64(3), save.Entries[0].Term)
+}
+
+// A follower commits no entry that the leader's message does not vouch for.
+func TestCommitStopsAtTheMatch(t *testing.T) {
+	n := fuzzNode(t, false)
+	m := raft.Message{
+		Kind: raft.MsgAppend, From: 2, To: 1, Term: 2, Index: 1, LogTerm: 1,
+		Entries: []raft.Entry{{Index: 2, Term: 2}, {Index: 3, Term: 2}},
+	}
+	n.Step(later, m)
+	settleNode(n)
+	m.From, m.Term, m.Entries, m.Commit = 3, 3, nil, 3
+	n.Step(later, m)
+	require.Equal(t, uint64(1), n.Status(later).Commit)
+}
