--- a/raft/change.go
+++ b/raft/change.go
@@ -179,13 +179,12 @@
 
 // Status describes a replica.
 type Status struct {
-	ID        uint64
-	Role      Role
-	Term      uint64
-	Leader    uint64
-	Commit    uint64
-	Last      uint64
-	FirstKept uint64
+	ID     uint64
+	Role   Role
+	Term   uint64
+	Leader uint64
+	Commit uint64
+	Last   uint64
 	// Fresh says that the replica has heard from a quorum within the lease,
 	// directly or by its leader's word.
 	Fresh        bool
@@ -198,7 +197,7 @@
 	n.now = max(n.now, now)
 	s := Status{
 		ID: n.id, Role: n.role, Term: n.term, Leader: n.leader,
-		Commit: n.log.commit, Last: n.log.last(), FirstKept: n.log.baseIndex + 1,
+		Commit: n.log.commit, Last: n.log.last(),
 		Fresh: n.holdsLease(), Transferring: n.transferee != None,
 	}
 	if n.role == Follower && n.leader != None {
