measure: read the pages of the test's processes once they are written

Cause: TestFleetOfProcesses failed now and then ('0 is not positive'): a process writes its counters to its page once a second, and a load of a second can end before the first writing. Ruled out: a count that is lost; the same run shows it a second later. Change: the test's load ends two intervals before the pages are read.

--- a/measure/fleet_test.go
+++ b/measure/fleet_test.go
@@ -7,10 +7,15 @@
 	"os/signal"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
+// pageDelay is by how much a process's page may be behind: two of the intervals
+// at which it is written.
+const pageDelay = 2 * time.Second
+
 // TestMain runs this program as a process of a measurement if it is started as
 // one.
 func TestMain(m *testing.M) {
@@ -42,7 +47,11 @@
 		if err := f.awaitInForce(ctx); err != nil {
 			return err
 		}
-		return m.send(ctx, 20)
+		if err := m.send(ctx, 20); err != nil {
+			return err
+		}
+		time.Sleep(pageDelay)
+		return nil
 	})
 	require.NoError(t, err)
 	require.Positive(t, use.entry.kinds["update"].Messages)
