--- a/agent/config.go
+++ b/agent/config.go
@@ -66,7 +66,7 @@
 		QueueMin:        2,
 		Policy:          DefaultLend,
 		GrantHold:       25 * time.Millisecond,
-		DemandKeep:      300 * time.Millisecond,
+		DemandKeep:      100 * time.Millisecond,
 		TellEvery:       100 * time.Millisecond,
 		BypassAfter:     200 * time.Millisecond,
 		MaxRun:          10 * time.Minute,
--- a/agent/policy.go
+++ b/agent/policy.go
@@ -113,7 +113,7 @@
 }
 
 // DefaultLend is the policy of DefaultConfig.
-var DefaultLend = Lend{Keep: 1, KeepFor: 100 * time.Millisecond}
+var DefaultLend = Lend{Keep: 1, KeepFor: 250 * time.Millisecond}
 
 // Name returns "lend".
 func (Lend) Name() string { return "lend" }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -99,7 +99,7 @@
 }
 
 // poke tells a few agents of waiting tasks, at the start of each spell of
-// waiting and then, while the entry has less than its share of the slots,
+// waiting and then, while the entry has far less than its share of the slots,
 // at intervals: messages that are sent anyway may be long in coming, and agents
 // heed a demand for a short time only.
 func (e *Entry) poke(s *service) {
@@ -127,10 +127,10 @@
 	e.arm(timer{at: e.now + pokeEvery, kind: timerPoke, svc: s})
 }
 
-// starved reports whether the entry has less than its even share of a service's
-// slots.
+// starved reports whether the entry has less than half of its even share of a
+// service's slots.
 func (e *Entry) starved(s *service) bool {
-	return s.pool.Outstanding()*max(1, len(e.entries)) < s.pool.Slots()
+	return 2*s.pool.Outstanding()*max(1, len(e.entries)) < s.pool.Slots()
 }
 
 // tellDemand lets a few random agents that were not told of waiting tasks, or
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,11 +40,11 @@
 }
 
 // DefaultPoke is the default of Options.Poke.
-const DefaultPoke = 2
+const DefaultPoke = 3
 
 const (
 	// pokeEvery is the time between two pokes while the entry is starved.
-	pokeEvery = 300 * time.Millisecond
+	pokeEvery = 100 * time.Millisecond
 	// ackDelay is how long an acknowledgement waits for a message to ride on.
 	ackDelay = 30 * time.Second
 	// dialWithin bounds a dial up to the welcome.
