fleet: write keys with hyphens, as settings do

Cause: settings said max-body, the fleet's configuration max_body; a newcomer has to guess. Ruled out: accepting both (two spellings of one key in an overlay). Result: tests of the packages concerned pass.

--- a/command/control_test.go
+++ b/command/control_test.go
@@ -89,15 +89,15 @@
 // the audit trail names each step and its operator.
 func TestConfigCommands(t *testing.T) {
 	op := startControl(t)
-	first := folder(t, map[string]string{"base.ini": "[service alert-core]\nmax_tasks = 10\n"})
+	first := folder(t, map[string]string{"base.ini": "[service alert-core]\nmax-tasks = 10\n"})
 	second := folder(t, map[string]string{
-		"base.ini": "[service alert-core]\nmax_tasks = 20\n[team night]\n", "sv-b.ini": "[team night]\nweight = 3\n",
+		"base.ini": "[service alert-core]\nmax-tasks = 20\n[team night]\n", "sv-b.ini": "[team night]\nweight = 3\n",
 	})
 
 	var diff adminapi.Difference
 	op.json(&diff, "config", "diff", first)
 	require.Equal(t, []adminapi.SectionChange{{Section: "service alert-core", Change: "added",
-		Keys: []adminapi.KeyChange{{Key: "max_tasks", New: "10"}}}}, diff.Sections)
+		Keys: []adminapi.KeyChange{{Key: "max-tasks", New: "10"}}}}, diff.Sections)
 
 	var one, two, again adminapi.ChangeReply
 	op.json(&one, "config", "apply", first, "--op", "op-1", "--wait")
--- a/control/bounds_test.go
+++ b/control/bounds_test.go
@@ -31,7 +31,7 @@
 }
 
 func teams(keys int) []wire.ConfigSection {
-	return []wire.ConfigSection{{Name: "team day", Keys: []wire.ConfigPair{{Key: "max_keys", Value: fmt.Sprint(keys)}}}}
+	return []wire.ConfigSection{{Name: "team day", Keys: []wire.ConfigPair{{Key: "max-keys", Value: fmt.Sprint(keys)}}}}
 }
 
 func (f *feeder) config(op string, base uint64, keys int) *ChangeReply {
--- a/control/machine_test.go
+++ b/control/machine_test.go
@@ -208,10 +208,10 @@
 }
 
 func (w *world) applyConfig(t *rapid.T) {
-	tasks, keys := rapid.IntRange(1, 4).Draw(t, "max_tasks"), rapid.IntRange(0, 4).Draw(t, "max_keys")
+	tasks, keys := rapid.IntRange(1, 4).Draw(t, "max-tasks"), rapid.IntRange(0, 4).Draw(t, "max-keys")
 	sections := []wire.ConfigSection{
-		{Name: "service alert-core", Keys: []wire.ConfigPair{{Key: "max_tasks", Value: fmt.Sprint(tasks)}}},
-		{Name: "team day", Keys: []wire.ConfigPair{{Key: "max_keys", Value: fmt.Sprint(keys)}}},
+		{Name: "service alert-core", Keys: []wire.ConfigPair{{Key: "max-tasks", Value: fmt.Sprint(tasks)}}},
+		{Name: "team day", Keys: []wire.ConfigPair{{Key: "max-keys", Value: fmt.Sprint(keys)}}},
 		{Name: "team night"},
 	}
 	doc, err := fleet.FromSections(sections)
--- a/controlclient/config_test.go
+++ b/controlclient/config_test.go
@@ -16,7 +16,7 @@
 	docs := []*fleet.Document{fleet.Empty()}
 	for i := 1; i < n; i++ {
 		doc, err := fleet.FromSections([]wire.ConfigSection{
-			{Name: "service s", Keys: []wire.ConfigPair{{Key: "max_tasks", Value: fmt.Sprint(i)}}},
+			{Name: "service s", Keys: []wire.ConfigPair{{Key: "max-tasks", Value: fmt.Sprint(i)}}},
 		})
 		require.NoError(t, err)
 		docs = append(docs, doc)
--- a/controld/controld_test.go
+++ b/controld/controld_test.go
@@ -177,7 +177,7 @@
 
 func sections(maxTasks int) []wire.ConfigSection {
 	return []wire.ConfigSection{
-		{Name: "service alert-core", Keys: []wire.ConfigPair{{Key: "max_tasks", Value: fmt.Sprint(maxTasks)}}},
+		{Name: "service alert-core", Keys: []wire.ConfigPair{{Key: "max-tasks", Value: fmt.Sprint(maxTasks)}}},
 		{Name: "team night-nurses"},
 	}
 }
--- a/controld/kill_test.go
+++ b/controld/kill_test.go
@@ -116,7 +116,7 @@
 	d.t.Helper()
 	var reply adminapi.ChangeReply
 	d.post(adminapi.PathApply, adminapi.ApplyRequest{Op: op, Base: base, Sources: []adminapi.Source{
-		{File: "base.ini", Text: fmt.Sprintf("[service alert-core]\nmax_tasks = %d\n", maxTasks)},
+		{File: "base.ini", Text: fmt.Sprintf("[service alert-core]\nmax-tasks = %d\n", maxTasks)},
 	}}, &reply)
 	return reply
 }
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -44,9 +44,9 @@
 
 // config is the fleet's configuration.
 const config = `[service ` + Service + `]
-max_tasks = 140
+max-tasks = 140
 deadline = 30s
-max_deadline = 60s
+max-deadline = 60s
 
 [team ` + Team + `]
 weight = 1
--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -35,11 +35,11 @@
 
 // fleetConfig is the configuration in force; the deadline varies by version.
 const fleetConfig = `[service ` + service + `]
-max_tasks = 140
-max_body = 65536
+max-tasks = 140
+max-body = 65536
 deadline = %s
-max_deadline = 60s
-key_keep = 1h
+max-deadline = 60s
+key-keep = 1h
 
 [team ` + team + `]
 weight = 1
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -16,7 +16,7 @@
 const base = `# alert dispatch
 [service alert-core]
 deadline = 2s
-max_deadline = 5s ; longest
+max-deadline = 5s ; longest
 [team night-nurses]
 weight = 10
 services = alert-core
@@ -27,7 +27,7 @@
 const overlaySvB = `[service alert-core]
 deadline = 1s
 [retry]
-max_attempts = 1
+max-attempts = 1
 `
 
 func sources() []Source {
@@ -61,7 +61,7 @@
 		want                string
 	}{
 		{"unknown section", "[servise a]\n", "", "base.ini:1: [servise a]: unknown section; valid: [service NAME]"},
-		{"unknown key", "[service a]\n\ndedline = 1s\n", "", "base.ini:3: [service a] dedline: unknown key; valid: one of max_tasks"},
+		{"unknown key", "[service a]\n\ndedline = 1s\n", "", "base.ini:3: [service a] dedline: unknown key; valid: one of max-tasks"},
 		{"not a duration", "[service a]\ndeadline = 5\n", "", `base.ini:2: [service a] deadline: "5" is not a duration; valid: a duration from 1ms`},
 		{"out of range", "[retry]\nbudget = 1.5\n", "", "base.ini:2: [retry] budget: 1.5 is outside 0 to 1; valid: a number from 0 to 1"},
 		{"key twice", "[retry]\nbudget=0\nbudget=1\n", "", "base.ini:3: [retry] budget: key appears twice, first on line 2"},
@@ -70,8 +70,8 @@
 		{"open quotes", "[team a]\nservices = \"\"\"\nx\n", "", "base.ini:2: [team a] services: value can't be read, want plain text or text in closed quotes"},
 		{"no key", "[team a]\nx\n", "", `base.ini:2: [team a]: line "x": want key = value`},
 		{"no such service", "[team a]\nweight = 2\nservices = b\n", "", "base.ini:3: [team a] services: there is no service b"},
-		{"deadlines cross", "[service a]\ndeadline = 2m\n", "", "base.ini:2: [service a] deadline: deadline 2m0s is above max_deadline 1m0s"},
-		{"deadlines cross in overlay", "[service a]\n", "[service a]\nmax_deadline = 1s\n", "sv-b.ini:2: [service a] max_deadline: deadline 10s is above"},
+		{"deadlines cross", "[service a]\ndeadline = 2m\n", "", "base.ini:2: [service a] deadline: deadline 2m0s is above max-deadline 1m0s"},
+		{"deadlines cross in overlay", "[service a]\n", "[service a]\nmax-deadline = 1s\n", "sv-b.ini:2: [service a] max-deadline: deadline 10s is above"},
 		{"overlay adds", "[service a]\n", "[service b]\n", "sv-b.ini:1: [service b]: the base has no service b, and an overlay only changes what exists; valid: sections of the base: service a"},
 		{"not a header", "[service a\n", "", `section header "[service a": want [name]`},
 		{"NaN", "[retry]\nbudget = nan\n", "", `"nan" is not a number`},
@@ -88,7 +88,7 @@
 // All problems of all files are told at once.
 func TestProblemsAllAtOnce(t *testing.T) {
 	_, err := Parse([]Source{
-		{File: "base.ini", Text: []byte("[service a]\ndeadline = x\nmax_tasks = 0\n")},
+		{File: "base.ini", Text: []byte("[service a]\ndeadline = x\nmax-tasks = 0\n")},
 		{Site: "sv-b", File: "sv-b.ini", Text: []byte("[service a]\nnope = 1\n")},
 	})
 	require.Len(t, Problems(err), 3)
@@ -127,9 +127,9 @@
 	s := wire.ConfigSection{Site: site, Name: name}
 	kind, _, _ := splitSection(name)
 	values := map[string][]string{
-		kindService: {"max_tasks", "max_waiting"},
-		kindTeam:    {"weight", "max_running"},
-		kindRetry:   {"max_attempts"},
+		kindService: {"max-tasks", "max-waiting"},
+		kindTeam:    {"weight", "max-running"},
+		kindRetry:   {"max-attempts"},
 	}
 	for _, key := range values[kind] {
 		if n := rapid.IntRange(0, 3).Draw(t, key); n > 0 {
@@ -195,7 +195,7 @@
 	f.Add(base)
 	f.Add(overlaySvB)
 	f.Add("[retry]\nbudget = `1`\n")
-	f.Add("[service a]\n; x\nmax_tasks = 7 # y\n")
+	f.Add("[service a]\n; x\nmax-tasks = 7 # y\n")
 	f.Fuzz(func(t *testing.T, text string) {
 		doc, err := Parse([]Source{{File: "f", Text: []byte(text)}})
 		if err != nil {
--- a/fleet/parse.go
+++ b/fleet/parse.go
@@ -223,12 +223,12 @@
 		s := conf.Services[name]
 		section := kindService + " " + name
 		if s.Deadline > s.MaxDeadline {
-			c.problem(doc.origin(site, section, "deadline", "max_deadline"),
-				fmt.Sprintf("deadline %s is above max_deadline %s", s.Deadline, s.MaxDeadline), "deadline up to max_deadline")
+			c.problem(doc.origin(site, section, "deadline", "max-deadline"),
+				fmt.Sprintf("deadline %s is above max-deadline %s", s.Deadline, s.MaxDeadline), "deadline up to max-deadline")
 		}
 		if s.KeyKeep < s.MaxDeadline {
-			c.problem(doc.origin(site, section, "key_keep", "max_deadline"),
-				fmt.Sprintf("key_keep %s is below max_deadline %s", s.KeyKeep, s.MaxDeadline), "key_keep from max_deadline up")
+			c.problem(doc.origin(site, section, "key-keep", "max-deadline"),
+				fmt.Sprintf("key-keep %s is below max-deadline %s", s.KeyKeep, s.MaxDeadline), "key-keep from max-deadline up")
 		}
 	}
 	for _, name := range sortedKeys(conf.Teams) {
--- a/fleet/schema.go
+++ b/fleet/schema.go
@@ -40,21 +40,21 @@
 }
 
 var serviceFields = []field[Service]{
-	{Key{"max_tasks", "1000", "a whole number from 1 to 100000", "Most tasks of one job."},
+	{Key{"max-tasks", "1000", "a whole number from 1 to 100000", "Most tasks of one job."},
 		func(s *Service, v string) error { return setUint(&s.MaxTasks, v, 1, maxTasksLimit) }},
-	{Key{"max_body", "1048576", "a whole number of bytes from 1 to 16777216", "Largest request body or task payload."},
+	{Key{"max-body", "1048576", "a whole number of bytes from 1 to 16777216", "Largest request body or task payload."},
 		func(s *Service, v string) error { return setUint(&s.MaxBody, v, 1, maxBodyLimit) }},
 	{Key{"deadline", "10s", "a duration from 1ms to 1h, such as 750ms or 10s", "Deadline of a request or job whose caller names none."},
 		func(s *Service, v string) error {
 			return setDuration(&s.Deadline, v, time.Millisecond, maxDeadlineLimit)
 		}},
-	{Key{"max_deadline", "60s", "a duration from 1ms to 1h, not below deadline", "Longest deadline that a caller may name."},
+	{Key{"max-deadline", "60s", "a duration from 1ms to 1h, not below deadline", "Longest deadline that a caller may name."},
 		func(s *Service, v string) error {
 			return setDuration(&s.MaxDeadline, v, time.Millisecond, maxDeadlineLimit)
 		}},
-	{Key{"max_waiting", "10000", "a whole number from 1 to 10000000", "Most tasks that wait at one entry."},
+	{Key{"max-waiting", "10000", "a whole number from 1 to 10000000", "Most tasks that wait at one entry."},
 		func(s *Service, v string) error { return setUint(&s.MaxWaiting, v, 1, maxWaitingLimit) }},
-	{Key{"key_keep", "24h", "a duration from 1m to 168h, not below max_deadline", "How long an idempotency key is remembered."},
+	{Key{"key-keep", "24h", "a duration from 1m to 168h, not below max-deadline", "How long an idempotency key is remembered."},
 		func(s *Service, v string) error { return setDuration(&s.KeyKeep, v, time.Minute, maxKeyKeep) }},
 }
 
@@ -65,9 +65,9 @@
 		func(t *Team, v string) error { return setFloat(&t.Rate, v, 0, maxRate) }},
 	{Key{"burst", "0", "a number from 0 to 10000000", "Tasks that may come at once above rate."},
 		func(t *Team, v string) error { return setFloat(&t.Burst, v, 0, maxRate) }},
-	{Key{"max_running", "0", "a whole number from 0 to 1000000; 0 means no bound", "Tasks of the team in flight at one entry."},
+	{Key{"max-running", "0", "a whole number from 0 to 1000000; 0 means no bound", "Tasks of the team in flight at one entry."},
 		func(t *Team, v string) error { return setUint(&t.MaxRunning, v, 0, maxRunningLimit) }},
-	{Key{"max_keys", "10000", "a whole number from 0 to 1000000", "Idempotency keys remembered for the team at a time."},
+	{Key{"max-keys", "10000", "a whole number from 0 to 1000000", "Idempotency keys remembered for the team at a time."},
 		func(t *Team, v string) error { return setUint(&t.MaxKeys, v, 0, maxKeysLimit) }},
 	{Key{"services", "", "names of services of this configuration, separated by commas; empty means all", "What the team may call."},
 		func(t *Team, v string) error { return setNames(&t.Services, v) }},
@@ -76,7 +76,7 @@
 var retryFields = []field[Retry]{
 	{Key{"budget", "0.1", "a number from 0 to 1", "Share of recent successes that may be retried."},
 		func(r *Retry, v string) error { return setFloat(&r.Budget, v, 0, 1) }},
-	{Key{"max_attempts", "3", "a whole number from 1 to 10", "Most sends of one idempotent request."},
+	{Key{"max-attempts", "3", "a whole number from 1 to 10", "Most sends of one idempotent request."},
 		func(r *Retry, v string) error { return setUint(&r.MaxAttempts, v, 1, maxAttemptsLimit) }},
 }
 
--- a/measure/control.go
+++ b/measure/control.go
@@ -59,7 +59,7 @@
 // weight that counts changes.
 func configSections(change int) []wire.ConfigSection {
 	sections := []wire.ConfigSection{{Name: "service " + service, Keys: []wire.ConfigPair{
-		{Key: "max_tasks", Value: "140"}, {Key: "deadline", Value: "5s"}, {Key: "max_deadline", Value: "60s"},
+		{Key: "max-tasks", Value: "140"}, {Key: "deadline", Value: "5s"}, {Key: "max-deadline", Value: "60s"},
 	}}}
 	for i := range configTeams {
 		weight := 1
--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -17,7 +17,7 @@
 	controls    = 3
 	keysValid   = 24 * time.Hour
 	operator    = "operator"
-	baseConfig  = "[service " + service + "]\nmax_tasks = 140\nmax_body = 1048576\ndeadline = 60s\nmax_deadline = 120s\nmax_waiting = 100000\n"
+	baseConfig  = "[service " + service + "]\nmax-tasks = 140\nmax-body = 1048576\ndeadline = 60s\nmax-deadline = 120s\nmax-waiting = 100000\n"
 	adminWithin = 10 * time.Second
 )
 
