transport: let only the dialling side probe after a send

Cause: a control host's answer to a renewal, and an agent's report, counted as messages that await an answer; half a second later the accepting side pinged. Ruled out: a longer step (finds silent connections later on both sides). Change: a send arms the probe on the dialling side only. That side expects answers while it awaits any, so a silent connection is found as before.

--- a/transport/conn.go
+++ b/transport/conn.go
@@ -101,12 +101,16 @@
 }
 
 // Send encodes m and queues it; it never blocks. M may be reused afterwards.
-// An error means that m was not queued.
+// An error means that m was not queued. Only the dialling side takes a message
+// for one that awaits an answer: the other side's messages mostly are answers,
+// and it is for the dialling side to find the connection silent and dial again.
 func (c *Conn) Send(m wire.Message) error {
 	if err := c.enqueue(m); err != nil {
 		return err
 	}
-	c.probe.sent()
+	if c.dialed {
+		c.probe.sent()
+	}
 	return nil
 }
 
