entry: count only waiting tasks as late for the limit

Ruled out: a higher floor of the limit (it hides real overload). Result: TestLongRunsDontShrinkTheLimit failed before and passes.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -171,3 +171,19 @@
 	f.step(ConfigChanged{Config: &older})
 	require.Equal(t, uint64(9), f.e.View().ConfigIndex)
 }
+
+// Tasks that run beyond their deadline without having waited don't shrink the
+// service's limit.
+func TestLongRunsDontShrinkTheLimit(t *testing.T) {
+	f := newFixture(t, "a1")
+	before := f.e.services["svc"].limit.Limit(f.now)
+	for n := range uint64(50) {
+		sub := job(1)
+		sub.Deadline = 100 * time.Millisecond
+		f.submit(n+1, sub)
+		f.now += 200 * time.Millisecond
+		require.Len(t, answers(f.step(Tick{})), 1)
+		f.step(Received{Agent: "a1", Session: 1, Report: f.report("a1", benchSlots)})
+	}
+	require.Equal(t, before, f.e.services["svc"].limit.Limit(f.now))
+}
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -218,11 +218,13 @@
 	})
 }
 
+// deadlinePassed gives a submission up. Only tasks that still wait say that the
+// service is overloaded; one that runs may just be longer than its deadline.
 func (e *Entry) deadlinePassed(s *submission) {
 	if s.answered {
 		return
 	}
-	for range s.left {
+	for range s.ready {
 		s.svc.limit.Late(e.now)
 	}
 	e.answerGivenUp(s, task.ReasonDeadline)
