--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -176,14 +176,19 @@
 // service's limit.
 func TestLongRunsDontShrinkTheLimit(t *testing.T) {
 	f := newFixture(t, "a1")
-	before := f.e.services["svc"].limit.Limit(f.now)
+	limit := f.e.services["svc"].limit
+	limit.SetBounds(f.e.limitBounds(f.e.services["svc"]))
+	before := limit.Limit(f.now)
 	for n := range uint64(50) {
 		sub := job(1)
 		sub.Deadline = 100 * time.Millisecond
-		f.submit(n+1, sub)
+		sent := sends(f.submit(n+1, sub))
+		require.Len(t, sent, 1)
 		f.now += 200 * time.Millisecond
 		require.Len(t, answers(f.step(Tick{})), 1)
-		f.step(Received{Agent: "a1", Session: 1, Report: f.report("a1", benchSlots)})
+		r := f.report("a1", benchSlots)
+		r.Seen = sent[0].Update.Seq
+		f.step(Received{Agent: "a1", Session: sent[0].Session, Report: r})
 	}
-	require.Equal(t, before, f.e.services["svc"].limit.Limit(f.now))
+	require.Equal(t, before, limit.Limit(f.now))
 }
