--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -184,9 +184,11 @@
 		sub.Deadline = 100 * time.Millisecond
 		sent := sends(f.submit(n+1, sub))
 		require.Len(t, sent, 1)
+		require.Len(t, sent[0].Update.Tasks, 1)
 		f.now += 200 * time.Millisecond
 		require.Len(t, answers(f.step(Tick{})), 1)
-		r := f.report("a1", benchSlots)
+		stopped := task.Outcome{State: task.Failed, Reason: task.ReasonDeadline}
+		r := f.report("a1", benchSlots, wire.Result{ID: sent[0].Update.Tasks[0].ID, Outcome: stopped})
 		r.Seen = sent[0].Update.Seq
 		f.step(Received{Agent: "a1", Session: sent[0].Session, Report: r})
 	}
