Fix the random cases of property tests in one place

Change: internal/propertytest; defaults, -long and what the command line names work the same everywhere.

--- a/agent/main_test.go
+++ b/agent/main_test.go
@@ -1,20 +1,12 @@
 package agent
 
 import (
-	"flag"
-	"os"
 	"testing"
-)
 
-// ciSeed makes a plain go test the same every time; -rapid.seed overrides it.
-const ciSeed = "1"
+	"github.com/fireflytray/fireflytray/internal/propertytest"
+)
 
+// TestMain fixes the random cases of property tests.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		if err := flag.Set("rapid.seed", ciSeed); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	propertytest.Main(m, propertytest.Defaults{Seed: 1})
 }
--- a/control/main_test.go
+++ b/control/main_test.go
@@ -1,18 +1,12 @@
 package control
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/fireflytray/fireflytray/internal/propertytest"
 )
 
-// TestMain fixes the seed and the length of property tests, unless the command
-// line names others.
+// TestMain fixes the random cases of property tests.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.steps": "100", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	propertytest.Main(m, propertytest.Defaults{Seed: 20261203, Steps: 100})
 }
--- a/entry/queue/queue_test.go
+++ b/entry/queue/queue_test.go
@@ -1,25 +1,20 @@
 package queue
 
 import (
-	"flag"
 	"fmt"
 	"math"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/fireflytray/fireflytray/internal/propertytest"
 )
 
-// TestMain fixes the seed of property tests unless the command line names one.
+// TestMain fixes the random cases of property tests.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	propertytest.Main(m, propertytest.Defaults{Seed: 1})
 }
 
 // naive is a list of jobs that is searched whole.
--- a/retry/main_test.go
+++ b/retry/main_test.go
@@ -1,15 +1,12 @@
 package retry
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/fireflytray/fireflytray/internal/propertytest"
 )
 
-// TestMain fixes the seed of property tests, unless the command line names one.
+// TestMain fixes the random cases of property tests.
 func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20261203"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
+	propertytest.Main(m, propertytest.Defaults{Seed: 20261203})
 }
