entry: count a task once that comes back to a job set aside

Cause: a job whose next task fits no agent steps aside; a task of it that an agent refuses meanwhile was added to the queue, and again with the rest when the job came back, so that the job had more tasks in the queue than it had, and the entry crashed. Found by reading; the random tests had no task that needs anything. Change: only what is not in the queue is added; TestAllFaultsTogether draws needs. Result: TestJobSetAsideTakesTaskBack crashed before and passes.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -73,13 +73,20 @@
 	s.q.Remove(j)
 }
 
+// unblockAll lets the jobs set aside wait again.
 func (s *service) unblockAll() {
 	for _, j := range s.blocked {
-		s.q.Add(j, uint32(len(j.Owner.(*submission).ready)))
+		s.q.Add(j, aside(j))
 	}
 	s.blocked = s.blocked[:0]
 }
 
+// aside counts the tasks of a job set aside that are not in the queue; a task
+// that came back since is.
+func aside(j *queue.Job) uint32 {
+	return uint32(len(j.Owner.(*submission).ready)) - j.Waiting()
+}
+
 func (s *service) unblock(j *queue.Job) {
 	for i, b := range s.blocked {
 		if b == j {
@@ -93,13 +100,13 @@
 func (s *service) waiting() int {
 	n := s.q.Len()
 	for _, j := range s.blocked {
-		n += len(j.Owner.(*submission).ready)
+		n += int(aside(j))
 	}
 	return n
 }
 
 // poke tells a few agents of waiting tasks, at the start of each spell of
-// waiting and then, while the entry has far less than its share of the slots,
+// waiting and then, while the entry has less than half of its share of the slots,
 // at intervals: messages that are sent anyway may be long in coming, and agents
 // heed a demand for a short time only.
 func (e *Entry) poke(s *service) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,7 +12,6 @@
 
 import (
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -84,7 +83,6 @@
 	timers   timers
 	dirty    []*agent // agents to flush at the end of the step
 	active   []*service
-	rng      *rand.Rand
 	draining bool
 	drained  bool
 	stats    Stats
@@ -117,7 +115,6 @@
 		subs:     make(map[task.SubmissionID]*submission),
 		claims:   make(map[uint64]*submission),
 		quotas:   make(map[string]*quota.Bucket),
-		rng:      rand.New(rand.NewPCG(o.Seed, o.Self.Incarnation)),
 	}
 	if e.opts.Policy == nil {
 		e.opts.Policy = placement.Credits{}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -194,3 +194,27 @@
 	}
 	require.Equal(t, before, limit.Limit(f.now))
 }
+
+// A job whose next task fits no agent now steps aside; a task that comes back
+// to it meanwhile is counted once.
+func TestJobSetAsideTakesTaskBack(t *testing.T) {
+	f := newFixture(t, "a1")
+	other := job(1)
+	other.Tasks[0].Need = task.Resources{MilliCPU: 4000}
+	first := sends(f.submit(1, other))[0]
+	sub := job(3)
+	sub.Tasks[0].Need = task.Resources{MilliCPU: 4000}
+	sub.Tasks[1].Need = task.Resources{MilliCPU: 1000}
+	sub.Tasks[2].Need = task.Resources{MilliCPU: 1000}
+	second := sends(f.submit(2, sub))[0]
+	require.Len(t, second.Update.Tasks, 1)
+	require.Equal(t, 2, f.e.View().Waiting["svc"])
+	r := f.report("a1", benchSlots,
+		wire.Result{ID: first.Update.Tasks[0].ID, Outcome: task.Outcome{State: task.Complete}},
+		wire.Result{ID: second.Update.Tasks[0].ID, Outcome: task.Outcome{State: task.NotRun, Reason: task.ReasonBusy}})
+	r.Seen = second.Update.Seq
+	third := sends(f.step(Received{Agent: "a1", Session: second.Session, Report: r}))
+	require.Len(t, third, 1)
+	require.Len(t, third[0].Update.Tasks, 3)
+	require.Zero(t, f.e.View().Waiting["svc"])
+}
--- a/entry/queue/queue.go
+++ b/entry/queue/queue.go
@@ -88,9 +88,6 @@
 // Len returns how many tasks wait in all.
 func (q *Queue) Len() int { return q.waiting }
 
-// Teams returns how many teams have waiting tasks.
-func (q *Queue) Teams() int { return len(q.due) }
-
 // SetTeam sets a team's share, 1 by default, and the bound on its tasks taken
 // and not settled, 0 for none.
 func (q *Queue) SetTeam(name string, weight, limit uint32) {
--- a/proof/faults_test.go
+++ b/proof/faults_test.go
@@ -71,7 +71,8 @@
 	sub := task.Submission{Service: "svc", Team: "t0", Job: true, Deadline: 20 * time.Second}
 	for i := range n {
 		run := time.Duration(rapid.IntRange(1, 3000).Draw(c.t, "runMS"))*time.Millisecond + time.Duration(i)
-		sub.Tasks = append(sub.Tasks, task.Spec{Payload: payload(run), Declared: run / 2})
+		need := task.Resources{MilliCPU: rapid.SampledFrom([]uint32{0, 0, 8000, 40000, 64000}).Draw(c.t, "need")}
+		sub.Tasks = append(sub.Tasks, task.Spec{Payload: payload(run), Declared: run / 2, Need: need})
 	}
 	c.submit(sub)
 }
