load: print the entries' own count of messages and waste

Cause: 'messages a task 2.000, wasted 0.0000' comes from the answers, where a message with several tasks counts for each, while the entries' counters showed 2.05 and 1.2%; 'not clean 0' read as a verdict. Change: a line that sums the entries' pages; the counts say what they are.

--- a/load/result.go
+++ b/load/result.go
@@ -133,6 +133,12 @@
 
 const columnGap = 2
 
+// The entries' counters of messages, as their pages name them.
+const (
+	entryMessages = "fireflytray_entry_messages"
+	entryWasted   = "fireflytray_entry_wasted_messages"
+)
+
 // WriteText writes the result for people.
 func (r *Result) WriteText(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, columnGap, ' ', 0)
@@ -146,13 +152,15 @@
 	fmt.Fprintf(w, "over ideal\t%s\n", r.Over)
 	fmt.Fprintf(w, "response time\tp50 %.1f ms  p99 %.1f ms  p99.9 %.1f ms  max %.1f ms\n",
 		r.Latency.P50, r.Latency.P99, r.Latency.P999, r.Latency.Max)
-	fmt.Fprintf(w, "messages a task\t%.3f, wasted %.4f\n", r.MessagesPerTask, r.WastedPerTask)
+	fmt.Fprintf(w, "messages a task\t%.3f, wasted %.4f, by the answers: a message that carries several tasks counts for each\n",
+		r.MessagesPerTask, r.WastedPerTask)
 	for _, t := range r.Teams {
 		fmt.Fprintf(w, "team %s\t%d sent, %d complete, over ideal %s\n", t.Team, t.Sent, t.Complete, t.Over)
 	}
 	for _, p := range r.Pages {
 		fmt.Fprintf(w, "%s\t%s +%.0f\n", p.Page, p.Name, p.Change)
 	}
+	r.writeEntries(w)
 	r.writeFaults(w)
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("load: write result: %w", err)
@@ -160,12 +168,29 @@
 	return nil
 }
 
+// writeEntries sums the counters of the entries' pages, if there are any.
+func (r *Result) writeEntries(w io.Writer) {
+	var messages, wasted float64
+	for _, p := range r.Pages {
+		switch p.Name {
+		case entryMessages:
+			messages += p.Change
+		case entryWasted:
+			wasted += p.Change
+		}
+	}
+	if messages == 0 || r.TasksDone == 0 {
+		return
+	}
+	fmt.Fprintf(w, "entries\t%.3f messages a task, %.2f%% of them wasted\n", messages/float64(r.TasksDone), 100*wasted/messages)
+}
+
 func (r *Result) writeFaults(w io.Writer) {
 	if r.Journal != nil {
 		fmt.Fprintf(w, "journals\t%d starts of %d tasks, %d tasks started more than once\n",
 			r.Journal.Starts, r.Journal.Tasks, r.Journal.Doubled)
 	}
-	fmt.Fprintf(w, "not clean\t%d answers lost or not whole\n", r.NotClean)
+	fmt.Fprintf(w, "lost or not whole\t%d answers\n", r.NotClean)
 	for _, f := range r.Faults {
 		fmt.Fprintf(w, "  \t%s\n", f)
 	}
