config status: group processes by site

Cause: operators ask for each site's index, but a process announced its failure domain only, so that a site of four domains showed as four. Change: wire.Peer carries the site of the settings; status groups by it.

--- a/controld/admin_fleet.go
+++ b/controld/admin_fleet.go
@@ -58,8 +58,11 @@
 	return out, nil
 }
 
-// adminStatus says where the version in force is in force. Sites are failure
-// domains.
+// siteOf names the site of a process; one without belongs to its failure
+// domain.
+func siteOf(p wire.Peer) string { return cmp.Or(p.Site, p.Domain) }
+
+// adminStatus says where the version in force is in force, by site.
 func (h *Host) adminStatus(c *call) (any, error) {
 	fresh := h.current(c.ctx)
 	members, err := h.members(c.ctx)
@@ -74,10 +77,11 @@
 	out := &adminapi.ConfigStatus{Fresh: fresh, Complete: true, Version: version(info)}
 	sites := map[string]*adminapi.Site{}
 	for _, m := range members {
-		s, ok := sites[m.Peer.Domain]
+		site := siteOf(m.Peer)
+		s, ok := sites[site]
 		if !ok {
-			s = &adminapi.Site{Site: m.Peer.Domain, Lowest: m.ConfigIndex}
-			sites[m.Peer.Domain] = s
+			s = &adminapi.Site{Site: site, Lowest: m.ConfigIndex}
+			sites[site] = s
 		}
 		countMember(s, m, want)
 		out.Complete = out.Complete && m.ConfigIndex >= want
--- a/node/node.go
+++ b/node/node.go
@@ -44,6 +44,7 @@
 		ID:          c.ID,
 		Incarnation: agentd.NewIncarnation(),
 		Domain:      c.Domain,
+		Site:        c.Site,
 		Addr:        addr,
 	}
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -65,6 +65,8 @@
 	Incarnation uint64 `msg:"n"`
 	// Domain is the failure domain.
 	Domain string `msg:"d"`
+	// Site is the site whose overlay of the configuration is in force.
+	Site string `msg:"s"`
 	// Addr is the host:port on which the process listens for its peers.
 	Addr string `msg:"a"`
 }
--- a/wire/wire_gen.go
+++ b/wire/wire_gen.go
@@ -1606,9 +1606,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Peer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "r"
-	o = append(o, 0x85, 0xa1, 0x72)
+	o = append(o, 0x86, 0xa1, 0x72)
 	o = msgp.AppendString(o, string(z.Role))
 	// string "i"
 	o = append(o, 0xa1, 0x69)
@@ -1619,6 +1619,9 @@
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendString(o, z.Domain)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Site)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Addr)
@@ -1675,6 +1678,12 @@
 				err = msgp.WrapError(err, "Domain")
 				return
 			}
+		case "s":
+			z.Site, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Site")
+				return
+			}
 		case "a":
 			z.Addr, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1695,7 +1704,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Peer) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Role)) + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Domain) + 2 + msgp.StringPrefixSize + len(z.Addr)
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Role)) + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Domain) + 2 + msgp.StringPrefixSize + len(z.Site) + 2 + msgp.StringPrefixSize + len(z.Addr)
 	return
 }
 
