--- a/dev/dev.go
+++ b/dev/dev.go
@@ -183,8 +183,10 @@
 	if err != nil {
 		return fmt.Errorf("dev: %w", err)
 	}
+	stopControl, control := f.runControl(ctx)
+	defer stopControl()
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return node.RunControl(ctx, f.initial) })
+	g.Go(func() error { return control.failed(ctx) })
 	for _, a := range f.agents {
 		g.Go(func() error { return node.RunAgent(ctx, a) })
 	}
@@ -206,12 +208,43 @@
 		return ready(ctx)
 	})
 	err = g.Wait()
+	stopControl()
+	<-control.ended
 	if errors.Is(err, ErrDone) || ctx.Err() != nil && errors.Is(err, context.Canceled) {
 		return nil
 	}
 	return err
 }
 
+// controlRun is a control host that outlives the processes that announce
+// themselves to it.
+type controlRun struct {
+	ended chan struct{}
+	err   error
+}
+
+// runControl starts the control host; it runs until stop is called.
+func (f *Fleet) runControl(ctx context.Context) (stop context.CancelFunc, c *controlRun) {
+	ctx, stop = context.WithCancel(context.WithoutCancel(ctx))
+	c = &controlRun{ended: make(chan struct{})}
+	go func() {
+		defer close(c.ended)
+		c.err = node.RunControl(ctx, f.initial)
+	}()
+	return stop, c
+}
+
+// failed waits until ctx ends or the control host ends by itself, and returns
+// why it did.
+func (c *controlRun) failed(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-c.ended:
+		return fmt.Errorf("dev: control host ended: %w", c.err)
+	}
+}
+
 // ErrDone is what ready returns to end the fleet without an error.
 var ErrDone = errors.New("done")
 
