--- a/proof/load_test.go
+++ b/proof/load_test.go
@@ -295,15 +295,26 @@
 	}
 }
 
-// BenchmarkKill measures p99 in each second around the death of a worker.
+// BenchmarkKill measures p99 before, right after and later after the death of a
+// worker, over several seeds.
 func BenchmarkKill(b *testing.B) {
+	const seeds = 20
+	const killed = 29 * time.Second // since the first arrival
 	for range b.N {
-		s := loadSpec{world: sveaWorld(1), load: 0.6, duration: 60 * time.Second}
-		s.faults = func(w *world) { w.at(30*time.Second, func() { w.killAgent("a03") }) }
-		r := runLoad(s)
-		report(b, r)
-		for from := 26; from < 44; from += 2 {
-			b.ReportMetric(quantile(r.between(time.Duration(from)*time.Second, time.Duration(from+2)*time.Second), 0.99), fmt.Sprintf("p99@%ds", from))
+		var before, first, later []float64
+		failed := 0
+		for seed := range uint64(seeds) {
+			s := loadSpec{world: sveaWorld(seed + 1), load: 0.6, duration: 60 * time.Second}
+			s.faults = func(w *world) { w.at(time.Second+killed, func() { w.killAgent("a03") }) }
+			r := runLoad(s)
+			before = append(before, r.between(10*time.Second, killed)...)
+			first = append(first, r.between(killed, killed+5*time.Second)...)
+			later = append(later, r.between(killed+5*time.Second, killed+25*time.Second)...)
+			failed += r.failed
 		}
+		b.ReportMetric(quantile(before, 0.99), "p99-before")
+		b.ReportMetric(quantile(first, 0.99), "p99-first-5s")
+		b.ReportMetric(quantile(later, 0.99), "p99-after-5s")
+		b.ReportMetric(float64(failed), "failed")
 	}
 }
