--- a/agent/agent.go
+++ b/agent/agent.go
@@ -22,9 +22,11 @@
 	running []*record
 	lastRun RunID
 
-	up     upstream
-	health health
-	drain  drain
+	up upstream
+	// typical is a running mean of what tasks need.
+	typical need
+	health  health
+	drain   drain
 
 	announced wire.Worker
 	claims    []Claimant
@@ -90,6 +92,10 @@
 		s.runChecked(ev)
 	case Probed:
 		s.probed(ev)
+	case Silent:
+		if ev.Instance == s.up.Instance {
+			s.suspect()
+		}
 	case Usage:
 		s.up.usage(ev.InUse, s.now-ev.Age, s.running)
 	case Drain:
@@ -128,6 +134,9 @@
 	case s.health.probation:
 		return 1
 	}
+	if s.up.Leased {
+		return s.up.slotsOf(s.typical)
+	}
 	return int(min(s.up.Slots, s.up.Connections))
 }
 
--- a/agent/effect.go
+++ b/agent/effect.go
@@ -30,8 +30,10 @@
 
 // StartRun starts a task at the upstream.
 type StartRun struct {
-	Run     RunID
-	ID      task.ID
+	Run RunID
+	ID  task.ID
+	// Name is what the task is called at the upstream; empty for its id.
+	Name    string
 	Payload []byte
 	// StartBy is the time, by the clock of Step, after which the request must
 	// not be written any more; RunBy bounds the end of the run.
--- a/agent/event.go
+++ b/agent/event.go
@@ -57,6 +57,9 @@
 	OK       bool
 }
 
+// Silent says that the upstream answers no calls.
+type Silent struct{ Instance string }
+
 // Usage is what the platform measured on the worker some time ago.
 type Usage struct {
 	InUse task.Resources
@@ -78,6 +81,7 @@
 func (RunEnded) event()       {}
 func (RunChecked) event()     {}
 func (Probed) event()         {}
+func (Silent) event()         {}
 func (Usage) event()          {}
 func (Tick) event()           {}
 func (Drain) event()          {}
@@ -98,13 +102,16 @@
 	CanStatus bool
 	// CanStop says that the upstream can stop a running task.
 	CanStop bool
+	// Leased says that runs end by themselves unless they are held, and that
+	// the end of each is always learned. Resources bound them, not slots.
+	Leased bool
 }
 
 // End says how an attempt to run a task ended.
 type End uint8
 
-// The ends. Only EndRefused, EndBusy and EndExpired promise that the upstream
-// started nothing.
+// The ends. Only EndRefused, EndBusy, EndRejected and EndExpired promise
+// that the upstream started nothing.
 const (
 	// EndComplete means that the upstream answered with success.
 	EndComplete End = iota + 1
@@ -119,6 +126,12 @@
 	EndRefused
 	// EndBusy means that the upstream refused the task without starting it.
 	EndBusy
+	// EndRejected means that the upstream surely never started the task, for a
+	// reason that says nothing of its health or load.
+	EndRejected
+	// EndCutOff means that the upstream ended the task before it was done, and
+	// that it surely runs no more.
+	EndCutOff
 	// EndExpired means that the start deadline passed before the request was
 	// written.
 	EndExpired
--- a/agent/next.go
+++ b/agent/next.go
@@ -81,6 +81,7 @@
 	}
 	for _, r := range s.running {
 		switch {
+		case r.stopWhy != task.ReasonNone && s.up.Leased:
 		case r.stopWhy != task.ReasonNone:
 			t.add(r.stopAt + s.cfg.StopGrace)
 		case r.checkAt > 0:
--- a/agent/record.go
+++ b/agent/record.go
@@ -22,6 +22,7 @@
 	phase   phase
 	rank    float64
 	need    task.Resources
+	name    string
 	payload []byte
 	arrived time.Duration
 	startBy time.Duration
--- a/agent/run.go
+++ b/agent/run.go
@@ -24,6 +24,7 @@
 		phase:   phaseQueued,
 		rank:    a.Rank,
 		need:    a.Spec.Need,
+		name:    a.Spec.Name,
 		payload: a.Spec.Payload,
 		arrived: s.now,
 		startBy: s.now + min(a.StartWithin, maxWait) - lag,
@@ -31,6 +32,7 @@
 	}
 	s.tasks[r.id] = r
 	e.held++
+	s.typical.observe(r.need)
 	if why := s.refusal(r); why != task.ReasonNone {
 		s.refuse(r, why)
 		return
@@ -147,10 +149,12 @@
 	s.lastRun++
 	s.stats.Started++
 	r.phase, r.run, r.started = phaseRunning, s.lastRun, s.now
-	r.checkAt = s.now + s.cfg.SilentAfter
+	if !s.up.Leased {
+		r.checkAt = s.now + s.cfg.SilentAfter
+	}
 	s.up.taken(r.need)
 	s.running = append(s.running, r)
-	s.emit(StartRun{Run: r.run, ID: r.id, Payload: r.payload, StartBy: r.startBy, RunBy: r.runBy})
+	s.emit(StartRun{Run: r.run, ID: r.id, Name: r.name, Payload: r.payload, StartBy: r.startBy, RunBy: r.runBy})
 	r.payload = nil
 }
 
@@ -202,8 +206,10 @@
 		return task.Outcome{State: task.Failed, Reason: failure(r), Ran: ev.Ran}
 	case EndRefused:
 		return task.Outcome{State: task.NotRun, Reason: task.ReasonUpstreamGone}
-	case EndBusy:
+	case EndBusy, EndRejected:
 		return task.Outcome{State: task.NotRun, Reason: task.ReasonBusy}
+	case EndCutOff:
+		return task.Outcome{State: task.Failed, Reason: task.ReasonCutOff, Ran: ev.Ran}
 	case EndExpired:
 		return task.Outcome{State: task.NotRun, Reason: task.ReasonStartExpired}
 	}
@@ -303,7 +309,7 @@
 func (s *State) expireRun(r *record) bool {
 	switch {
 	case r.stopWhy != task.ReasonNone:
-		if s.now < r.stopAt+s.cfg.StopGrace {
+		if s.up.Leased || s.now < r.stopAt+s.cfg.StopGrace {
 			return false
 		}
 		s.abandon(r, task.Outcome{State: task.Unknown, Reason: r.stopWhy, Ran: s.now - r.started})
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"math"
 	"time"
 
 	"github.com/fireflytray/fireflytray/task"
@@ -150,3 +151,38 @@
 		s.refuse(s.queue.last(), why)
 	}
 }
+
+// needWeight is the share of a new task in the mean of what tasks need.
+const needWeight = 0.05
+
+// need is a mean of the resources that tasks take.
+type need struct{ cpu, memory, accelerators float64 }
+
+func (n *need) observe(r task.Resources) {
+	if *n == (need{}) {
+		*n = need{float64(r.MilliCPU), float64(r.MemoryMB), float64(r.Accelerators)}
+		return
+	}
+	n.cpu += needWeight * (float64(r.MilliCPU) - n.cpu)
+	n.memory += needWeight * (float64(r.MemoryMB) - n.memory)
+	n.accelerators += needWeight * (float64(r.Accelerators) - n.accelerators)
+}
+
+// slotsOf returns how many tasks of a typical need fit, as an estimate: each
+// start is checked against the resources themselves.
+func (u *upstream) slotsOf(n need) int {
+	slots := math.Inf(1)
+	for _, part := range [][2]float64{
+		{float64(u.Offered.MilliCPU), n.cpu},
+		{float64(u.Offered.MemoryMB), n.memory},
+		{float64(u.Offered.Accelerators), n.accelerators},
+	} {
+		if part[1] > 0 {
+			slots = min(slots, part[0]/part[1])
+		}
+	}
+	if math.IsInf(slots, 1) {
+		return int(u.Slots)
+	}
+	return max(1, int(math.Round(slots)))
+}
--- a/agentd/agentd.go
+++ b/agentd/agentd.go
@@ -31,11 +31,24 @@
 	announce net.Listener
 	http     *fasthttp.Server
 	sessions *sessions
-	runner   *runner
+	runner   upstreamRunner
+	leased   *LeasedRunner
 	meter    *meter
 	drained  chan struct{}
 }
 
+// upstreamRunner carries out runs at one kind of upstream.
+type upstreamRunner interface {
+	use(agent.Upstream)
+	start(agent.StartRun)
+	stop(agent.StopRun)
+	abandon(agent.AbandonRun)
+	check(agent.CheckRun)
+	probe(agent.ProbeUpstream)
+	connections() (open, idle int)
+	close()
+}
+
 // Run runs an agent until ctx ends and it has drained: running tasks have
 // ended and their outcomes are delivered, as far as time allows.
 func Run(ctx context.Context, o Options) error {
@@ -58,10 +71,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("agent: %w", err)
 	}
-	ln, err := net.Listen("tcp", o.Upstream)
+	ln, err := listenUpstream(o)
 	if err != nil {
 		peers.Close()
-		return nil, fmt.Errorf("agent: listen for upstream on %s: %w", o.Upstream, err)
+		return nil, err
 	}
 	if o.Self.Addr == "" {
 		o.Self.Addr = peers.Addr()
@@ -77,6 +90,10 @@
 	d.loop = loop.New[agent.Event, agent.Effect](state, agent.Tick{}, d.exec)
 	d.sessions = newSessions(d.loop.Post, o.Log)
 	d.runner = newRunner(d.loop.Post, d.loop.Now)
+	if o.Leased != nil {
+		d.leased = newLeasedRunner(*o.Leased, d.loop.Post, o.Log)
+		d.runner = d.leased
+	}
 	d.http = &fasthttp.Server{
 		Handler:               d.handle,
 		Name:                  "agent",
@@ -87,6 +104,19 @@
 	return d, nil
 }
 
+// listenUpstream opens the address for announcements; a leased upstream has
+// another.
+func listenUpstream(o Options) (net.Listener, error) {
+	if o.Leased != nil {
+		return nil, nil
+	}
+	ln, err := net.Listen("tcp", o.Upstream)
+	if err != nil {
+		return nil, fmt.Errorf("agent: listen for upstream on %s: %w", o.Upstream, err)
+	}
+	return ln, nil
+}
+
 func onStamp(f func(wire.Stamp)) func(transport.Peer, wire.Stamp) {
 	if f == nil {
 		return nil
@@ -100,14 +130,14 @@
 	g, hard := errgroup.WithContext(hard)
 	g.Go(func() error { d.loop.Run(hard); return nil })
 	g.Go(func() error { return d.sessions.accept(hard, d.peers) })
-	g.Go(func() error { return d.serveHTTP(hard) })
+	g.Go(func() error { return d.serveUpstream(hard, g) })
 	g.Go(func() error {
 		defer stop()
 		return d.drainAfter(ctx, hard)
 	})
-	d.opts.Log.Info("agent is ready", "peers", d.peers.Addr(), "upstream", d.announce.Addr(), "incarnation", d.opts.Self.Incarnation)
+	d.opts.Log.Info("agent is ready", "peers", d.peers.Addr(), "upstream", d.announceAddr(), "incarnation", d.opts.Self.Incarnation)
 	if d.opts.Ready != nil {
-		d.opts.Ready(d.peers.Addr(), d.announce.Addr().String())
+		d.opts.Ready(d.peers.Addr(), d.announceAddr())
 	}
 	return g.Wait()
 }
@@ -129,6 +159,22 @@
 	return nil
 }
 
+func (d *daemon) announceAddr() string {
+	if d.announce == nil {
+		return d.opts.Upstream
+	}
+	return d.announce.Addr().String()
+}
+
+// serveUpstream takes the upstream's announcements until ctx ends.
+func (d *daemon) serveUpstream(ctx context.Context, g *errgroup.Group) error {
+	if d.leased == nil {
+		return d.serveHTTP(ctx)
+	}
+	g.Go(func() error { d.leased.run(ctx); return nil })
+	return d.opts.Leased.Serve(ctx, d.leased)
+}
+
 func (d *daemon) serveHTTP(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { d.announce.Close() })
 	defer stop()
@@ -140,7 +186,9 @@
 }
 
 func (d *daemon) close() {
-	d.announce.Close()
+	if d.announce != nil {
+		d.announce.Close()
+	}
 	d.peers.Close()
 	d.runner.close()
 }
--- /dev/null
+++ b/agentd/leased.go
@@ -0,0 +1,92 @@
+package agentd
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/fireflytray/fireflytray/agent"
+	"github.com/fireflytray/fireflytray/lease"
+	"github.com/fireflytray/fireflytray/loop"
+)
+
+// Executor makes the calls that drive a leased upstream. Its methods block and
+// are called from many goroutines.
+type Executor interface {
+	Start(lease.StartCall) lease.StartAnswered
+	Stop(lease.StopCall) lease.StopAnswered
+	// Hold may take as long as the call's wait and within together.
+	Hold(c lease.HoldCall, within time.Duration) lease.HoldAnswered
+}
+
+// Leased makes an agent drive a leased upstream.
+type Leased struct {
+	Executor Executor
+	Config   lease.Config
+	// Serve takes the upstream's announcements until ctx ends.
+	Serve func(ctx context.Context, to *LeasedRunner) error
+}
+
+// LeasedRunner carries out runs at a leased upstream.
+type LeasedRunner struct {
+	exec   Executor
+	within time.Duration
+	post   func(agent.Event) bool
+	log    *log.Logger
+	loop   *loop.Loop[lease.Event, lease.Effect]
+}
+
+func newLeasedRunner(o Leased, post func(agent.Event) bool, l *log.Logger) *LeasedRunner {
+	r := &LeasedRunner{exec: o.Executor, within: o.Config.AnswerWithin, post: post, log: l}
+	if r.within == 0 {
+		r.within = lease.DefaultConfig().AnswerWithin
+	}
+	// The time of day only has to be above a predecessor's; the reducer raises
+	// a token that is not.
+	fence := uint64(time.Now().UnixMilli())
+	r.loop = loop.New[lease.Event, lease.Effect](lease.New(o.Config, fence), lease.Tick{}, r.carryOut)
+	return r
+}
+
+func (r *LeasedRunner) run(ctx context.Context) { r.loop.Run(ctx) }
+
+// Announce takes an announcement; false means that the agent ends.
+func (r *LeasedRunner) Announce(ev lease.Announced) bool { return r.loop.Post(ev) }
+
+// Leave takes a goodbye; false means that the agent ends.
+func (r *LeasedRunner) Leave(id string) bool { return r.loop.Post(lease.Left{ID: id}) }
+
+// carryOut carries out one effect on the loop's goroutine.
+func (r *LeasedRunner) carryOut(eff lease.Effect) {
+	switch eff := eff.(type) {
+	case lease.StartCall:
+		go func() { r.loop.Post(r.exec.Start(eff)) }()
+	case lease.StopCall:
+		go func() { r.loop.Post(r.exec.Stop(eff)) }()
+	case lease.HoldCall:
+		go func() { r.loop.Post(r.exec.Hold(eff, r.within)) }()
+	case lease.Notify:
+		r.post(eff.Event)
+	case lease.Note:
+		r.log.Info(eff.Text, eff.KeyVals...)
+	}
+}
+
+// use does nothing: the reducer knows its upstream.
+func (r *LeasedRunner) use(agent.Upstream) {}
+
+func (r *LeasedRunner) start(eff agent.StartRun)     { r.loop.Post(lease.Start{Run: eff}) }
+func (r *LeasedRunner) stop(eff agent.StopRun)       { r.loop.Post(lease.Stop{Run: eff.Run}) }
+func (r *LeasedRunner) abandon(eff agent.AbandonRun) { r.loop.Post(lease.Stop{Run: eff.Run}) }
+
+// check does nothing: the lists of each hold tell of every run.
+func (r *LeasedRunner) check(agent.CheckRun) {}
+
+func (r *LeasedRunner) probe(eff agent.ProbeUpstream) {
+	r.loop.Post(lease.Probe{Instance: eff.Instance})
+}
+
+func (r *LeasedRunner) connections() (open, idle int) { return 0, 0 }
+
+func (r *LeasedRunner) close() {}
--- a/agentd/options.go
+++ b/agentd/options.go
@@ -39,6 +39,9 @@
 	Rack    string
 	// Agent tunes the reducer.
 	Agent agent.Config
+	// Leased is set if the upstream's runs live under a lease; Upstream is then
+	// only named in logs.
+	Leased *Leased
 	// Control may be nil.
 	Control Control
 	// Stamp and OnStamp handle the configuration index on each message.
--- a/cmd/fireflytray-agent/main.go
+++ b/cmd/fireflytray-agent/main.go
@@ -7,8 +7,11 @@
 	"os"
 
 	"github.com/fireflytray/fireflytray/agent"
+	"github.com/fireflytray/fireflytray/agentd"
 	"github.com/fireflytray/fireflytray/daemon"
+	"github.com/fireflytray/fireflytray/lease"
 	"github.com/fireflytray/fireflytray/node"
+	"github.com/fireflytray/fireflytray/platform"
 	"github.com/fireflytray/fireflytray/settings"
 	"github.com/fireflytray/fireflytray/task"
 	"github.com/fireflytray/fireflytray/wire"
@@ -34,6 +37,7 @@
 		Peers:    s.Peers,
 		Upstream: s.Upstream,
 		Rack:     s.Rack,
+		Leased:   leased(s),
 		Agent:    agent.Config{Policy: policy, QueueShare: s.QueueShare},
 		Offered: task.Resources{
 			MilliCPU:     s.Processors * 1000,
@@ -43,6 +47,20 @@
 	})
 }
 
+// leased returns how to drive the platform's upstream, nil if there is none.
+func leased(s *settings.Agent) *agentd.Leased {
+	if s.Heartbeats == "" {
+		return nil
+	}
+	return &agentd.Leased{
+		Executor: platform.NewRuns(),
+		Config:   lease.Config{Lease: s.Lease},
+		Serve: func(ctx context.Context, to *agentd.LeasedRunner) error {
+			return platform.ServeUpstreams(ctx, s.Heartbeats, to)
+		},
+	}
+}
+
 func common(rt daemon.Runtime, s *settings.Agent) node.Common {
 	return node.Common{
 		ID:          s.ID,
@@ -52,6 +70,6 @@
 		Identity:    rt.Identity,
 		Logs:        rt.Logs,
 		Scope:       rt.Metrics.Scope(),
-		Controls:    s.Control,
+		Controls:    settings.ReplacePort(s.Control, s.PeerPort),
 	}
 }
--- a/cmd/fireflytray-control/main.go
+++ b/cmd/fireflytray-control/main.go
@@ -4,9 +4,12 @@
 import (
 	"context"
 	"os"
+	"slices"
 
+	"github.com/fireflytray/fireflytray/controld"
 	"github.com/fireflytray/fireflytray/daemon"
 	"github.com/fireflytray/fireflytray/node"
+	"github.com/fireflytray/fireflytray/platform"
 	"github.com/fireflytray/fireflytray/settings"
 	"github.com/fireflytray/fireflytray/wire"
 )
@@ -22,16 +25,39 @@
 }
 
 func run(ctx context.Context, rt daemon.Runtime, s *settings.Control) error {
+	initial := settings.ReplacePort(s.Initial, s.PeerPort)
 	return node.RunControl(ctx, node.ControlOptions{
 		Common:  common(rt, s),
 		Peers:   s.Peers,
 		Admin:   s.Admin,
 		Data:    s.Data,
-		Initial: s.Initial,
-		Join:    s.Join,
+		Initial: initial,
+		Join:    s.Join || s.JoinUnlisted && !slices.Contains(initial, s.Peers),
+		Serve:   platformInterfaces(s),
 	})
 }
 
+// platformInterfaces returns the interfaces of the platform that the settings
+// ask for.
+func platformInterfaces(s *settings.Control) []func(context.Context, *controld.Host) error {
+	if s.Operators == "" {
+		return nil
+	}
+	return []func(context.Context, *controld.Host) error{
+		func(ctx context.Context, h *controld.Host) error {
+			return platform.ServeOperators(ctx, s.Operators, operators{h})
+		},
+	}
+}
+
+// operators hands the platform's documents to a control host.
+type operators struct{ *controld.Host }
+
+// Publish implements platform.Operators.
+func (o operators) Publish(ctx context.Context, by string, doc *platform.Document) (string, error) {
+	return o.Host.Publish(ctx, by, doc.Version, doc.Sections, doc.Source)
+}
+
 func common(rt daemon.Runtime, s *settings.Control) node.Common {
 	return node.Common{
 		ID:          s.ID,
@@ -41,6 +67,6 @@
 		Identity:    rt.Identity,
 		Logs:        rt.Logs,
 		Scope:       rt.Metrics.Scope(),
-		Controls:    s.Initial,
+		Controls:    settings.ReplacePort(s.Initial, s.PeerPort),
 	}
 }
--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -8,8 +8,10 @@
 	"github.com/fireflytray/fireflytray/daemon"
 	"github.com/fireflytray/fireflytray/entry/placement"
 	"github.com/fireflytray/fireflytray/entry/queue"
+	"github.com/fireflytray/fireflytray/entryd"
 	"github.com/fireflytray/fireflytray/httpapi"
 	"github.com/fireflytray/fireflytray/node"
+	"github.com/fireflytray/fireflytray/platform"
 	"github.com/fireflytray/fireflytray/settings"
 	"github.com/fireflytray/fireflytray/wire"
 )
@@ -39,9 +41,27 @@
 		HTTP:    httpapi.Config{MaxBody: s.MaxBody},
 		Policy:  policy,
 		Order:   order,
+		Serve:   platformInterfaces(s),
 	})
 }
 
+// platformInterfaces returns the interfaces of the platform that the settings
+// ask for.
+func platformInterfaces(s *settings.Entry) []func(context.Context, *entryd.Daemon) error {
+	var list []func(context.Context, *entryd.Daemon) error
+	if s.Clients != "" {
+		list = append(list, func(ctx context.Context, d *entryd.Daemon) error {
+			return platform.NewClients(d).Serve(ctx, s.Clients)
+		})
+	}
+	if s.Readiness != "" {
+		list = append(list, func(ctx context.Context, d *entryd.Daemon) error {
+			return platform.ServeReadiness(ctx, s.Readiness, d)
+		})
+	}
+	return list
+}
+
 func common(rt daemon.Runtime, s *settings.Entry) node.Common {
 	return node.Common{
 		ID:          s.ID,
@@ -51,6 +71,6 @@
 		Identity:    rt.Identity,
 		Logs:        rt.Logs,
 		Scope:       rt.Metrics.Scope(),
-		Controls:    s.Control,
+		Controls:    settings.ReplacePort(s.Control, s.PeerPort),
 	}
 }
--- a/control/command.go
+++ b/control/command.go
@@ -35,6 +35,7 @@
 	Claim    *wire.Claim   `msg:"c"`
 	Resolve  *wire.Resolve `msg:"r"`
 	Restore  *Restore      `msg:"s"`
+	Publish  *Publish      `msg:"p"`
 }
 
 // Apply replaces the configuration if the version in force is Base.
@@ -48,6 +49,18 @@
 	Sections []wire.ConfigSection `msg:"s"`
 }
 
+// Publish replaces the services and routes by those of a document that carries
+// a version of its own. The highest version wins: one that is not above the
+// version in force is acknowledged and changes nothing.
+type Publish struct {
+	Version uint64   `msg:"v"`
+	By      Operator `msg:"w"`
+	// Sections are the document's services and routes.
+	Sections []wire.ConfigSection `msg:"s"`
+	// Source is the document as it was received, for those who read it back.
+	Source []byte `msg:"d"`
+}
+
 // Rollback makes a new version with the content of version To.
 type Rollback struct {
 	Op   string   `msg:"o"`
@@ -85,6 +98,7 @@
 	Change  *ChangeReply     `msg:"c"`
 	Claim   *wire.ClaimReply `msg:"k"`
 	Restore *RestoreReply    `msg:"s"`
+	Publish *PublishReply    `msg:"p"`
 	Refusal string           `msg:"e"`
 }
 
@@ -103,6 +117,19 @@
 	Resent bool `msg:"s"`
 }
 
+// PublishReply answers Publish.
+type PublishReply struct {
+	// Accepted is set for every valid document, also for one that a higher
+	// version has overtaken.
+	Accepted bool `msg:"k"`
+	// Detail says why a document is invalid.
+	Detail string `msg:"d"`
+	// Newest is the version in force.
+	Newest uint64 `msg:"n"`
+	// Index is the configuration index in force.
+	Index uint64 `msg:"i"`
+}
+
 // VersionInfo says which change made a version.
 type VersionInfo struct {
 	Index  uint64   `msg:"i"`
@@ -137,7 +164,7 @@
 		return nil, fmt.Errorf("control: decode command: %w", err)
 	}
 	set := 0
-	for _, there := range []bool{c.Apply != nil, c.Rollback != nil, c.Note != nil, c.Claim != nil, c.Resolve != nil, c.Restore != nil} {
+	for _, there := range []bool{c.Apply != nil, c.Rollback != nil, c.Note != nil, c.Claim != nil, c.Resolve != nil, c.Restore != nil, c.Publish != nil} {
 		if there {
 			set++
 		}
--- a/control/control_gen.go
+++ b/control/control_gen.go
@@ -640,9 +640,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Command) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "t"
-	o = append(o, 0x87, 0xa1, 0x74)
+	o = append(o, 0x88, 0xa1, 0x74)
 	o = msgp.AppendInt64(o, z.At)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
@@ -710,6 +710,17 @@
 			return
 		}
 	}
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	if z.Publish == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Publish.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Publish")
+			return
+		}
+	}
 	return
 }
 
@@ -843,6 +854,23 @@
 					return
 				}
 			}
+		case "p":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Publish = nil
+			} else {
+				if z.Publish == nil {
+					z.Publish = new(Publish)
+				}
+				bts, err = z.Publish.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Publish")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -893,6 +921,12 @@
 	} else {
 		s += z.Restore.Msgsize()
 	}
+	s += 2
+	if z.Publish == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Publish.Msgsize()
+	}
 	return
 }
 
@@ -1203,6 +1237,336 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Publish) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "v"
+	o = append(o, 0x84, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.Version)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.By.Name)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.By.Addr)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Sections)))
+	for za0001 := range z.Sections {
+		o, err = z.Sections[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Sections", za0001)
+			return
+		}
+	}
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBytes(o, z.Source)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Publish) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "v":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "w":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "By")
+				return
+			}
+			if zb0002 > zfe1bd8eflimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "By")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "n":
+					z.By.Name, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "By", "Name")
+						return
+					}
+				case "a":
+					z.By.Addr, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "By", "Addr")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "By")
+						return
+					}
+				}
+			}
+		case "s":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sections")
+				return
+			}
+			if zb0003 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Sections) >= int(zb0003) {
+				z.Sections = (z.Sections)[:zb0003]
+			} else {
+				z.Sections = make([]wire.ConfigSection, zb0003)
+			}
+			for za0001 := range z.Sections {
+				bts, err = z.Sections[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Sections", za0001)
+					return
+				}
+			}
+		case "d":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Source")
+				return
+			}
+			if zb0004 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Source == nil || uint32(cap(z.Source)) < zb0004 {
+				z.Source = make([]byte, zb0004)
+			} else {
+				z.Source = z.Source[:zb0004]
+			}
+			if uint32(len(bts)) < zb0004 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Source, bts[:zb0004])
+			bts = bts[zb0004:]
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Publish) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.StringPrefixSize + len(z.By.Name) + 2 + msgp.StringPrefixSize + len(z.By.Addr) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Sections {
+		s += z.Sections[za0001].Msgsize()
+	}
+	s += 2 + msgp.BytesPrefixSize + len(z.Source)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PublishReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "k"
+	o = append(o, 0x84, 0xa1, 0x6b)
+	o = msgp.AppendBool(o, z.Accepted)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendString(o, z.Detail)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Newest)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.Index)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PublishReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "k":
+			z.Accepted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accepted")
+				return
+			}
+		case "d":
+			z.Detail, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Detail")
+				return
+			}
+		case "n":
+			z.Newest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Newest")
+				return
+			}
+		case "i":
+			z.Index, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Index")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PublishReply) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Detail) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Published) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "v"
+	o = append(o, 0x82, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.Version)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBytes(o, z.Source)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Published) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "v":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "d":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Source")
+				return
+			}
+			if zb0002 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Source == nil || uint32(cap(z.Source)) < zb0002 {
+				z.Source = make([]byte, zb0002)
+			} else {
+				z.Source = z.Source[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Source, bts[:zb0002])
+			bts = bts[zb0002:]
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Published) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Source)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Refusal) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1234,9 +1598,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Reply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "c"
-	o = append(o, 0x84, 0xa1, 0x63)
+	o = append(o, 0x85, 0xa1, 0x63)
 	if z.Change == nil {
 		o = msgp.AppendNil(o)
 	} else {
@@ -1270,6 +1634,17 @@
 		o = append(o, 0xa1, 0x69)
 		o = msgp.AppendUint64(o, z.Restore.Index)
 	}
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	if z.Publish == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Publish.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Publish")
+			return
+		}
+	}
 	// string "e"
 	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendString(o, z.Refusal)
@@ -1382,6 +1757,23 @@
 					}
 				}
 			}
+		case "p":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Publish = nil
+			} else {
+				if z.Publish == nil {
+					z.Publish = new(PublishReply)
+				}
+				bts, err = z.Publish.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Publish")
+					return
+				}
+			}
 		case "e":
 			z.Refusal, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1420,6 +1812,12 @@
 	} else {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Restore.Refusal) + 2 + msgp.Uint64Size
 	}
+	s += 2
+	if z.Publish == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Publish.Msgsize()
+	}
 	s += 2 + msgp.StringPrefixSize + len(z.Refusal)
 	return
 }
@@ -1761,9 +2159,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
+	// map header, size 13
 	// string "f"
-	o = append(o, 0x8c, 0xa1, 0x66)
+	o = append(o, 0x8d, 0xa1, 0x66)
 	o = msgp.AppendUint32(o, z.Format)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
@@ -1852,6 +2250,15 @@
 	// string "u"
 	o = append(o, 0xa1, 0x75)
 	o = msgp.AppendBytes(o, (z.StagedSum)[:])
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	// map header, size 2
+	// string "v"
+	o = append(o, 0x82, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.Published.Version)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBytes(o, z.Published.Source)
 	return
 }
 
@@ -2122,6 +2529,61 @@
 				err = msgp.WrapError(err, "StagedSum")
 				return
 			}
+		case "p":
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Published")
+				return
+			}
+			if zb0010 > zfe1bd8eflimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			for zb0010 > 0 {
+				zb0010--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Published")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "v":
+					z.Published.Version, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Published", "Version")
+						return
+					}
+				case "d":
+					var zb0011 uint32
+					zb0011, bts, err = msgp.ReadBytesHeader(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Published", "Source")
+						return
+					}
+					if zb0011 > zfe1bd8eflimitArrays {
+						err = msgp.ErrLimitExceeded
+						return
+					}
+					if z.Published.Source == nil || uint32(cap(z.Published.Source)) < zb0011 {
+						z.Published.Source = make([]byte, zb0011)
+					} else {
+						z.Published.Source = z.Published.Source[:zb0011]
+					}
+					if uint32(len(bts)) < zb0011 {
+						err = msgp.ErrShortBytes
+						return
+					}
+					copy(z.Published.Source, bts[:zb0011])
+					bts = bts[zb0011:]
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Published")
+						return
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2156,7 +2618,7 @@
 	for za0005 := range z.Audit {
 		s += z.Audit[za0005].Msgsize()
 	}
-	s += 2 + msgp.ArrayHeaderSize + (sha256.Size * (msgp.ByteSize)) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Staged) + 2 + msgp.ArrayHeaderSize + (sha256.Size * (msgp.ByteSize))
+	s += 2 + msgp.ArrayHeaderSize + (sha256.Size * (msgp.ByteSize)) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Staged) + 2 + msgp.ArrayHeaderSize + (sha256.Size * (msgp.ByteSize)) + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Published.Source)
 	return
 }
 
--- a/control/machine.go
+++ b/control/machine.go
@@ -23,7 +23,9 @@
 	claims  *claims
 	trail   *trail
 	staged  staging
-	onIndex func(index uint64)
+	// published is the document with the highest version.
+	published Published
+	onIndex   func(index uint64)
 }
 
 // NewMachine returns an empty machine. Whenever the version in force changes,
@@ -72,6 +74,8 @@
 	case cmd.Resolve != nil:
 		m.claims.resolve(m.now, cmd.Resolve)
 		return &Reply{}
+	case cmd.Publish != nil:
+		return &Reply{Publish: m.publish(index, cmd.Publish)}
 	case cmd.Restore != nil:
 		reply := m.restore(index, cmd.Restore)
 		return &Reply{Restore: &reply}
--- /dev/null
+++ b/control/publish.go
@@ -0,0 +1,87 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/fireflytray/fireflytray/fleet"
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// Published is a document with a version of its own, as Publish brought it.
+type Published struct {
+	Version uint64 `msg:"v"`
+	Source  []byte `msg:"d"`
+}
+
+// Published returns the document with the highest version; the zero value if
+// there was none.
+func (m *Machine) Published() Published {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.published
+}
+
+// publish puts a document in force if its version is the highest so far. What
+// is invalid is refused whatever its version.
+func (m *Machine) publish(index uint64, p *Publish) *PublishReply {
+	reply := &PublishReply{Newest: m.published.Version, Index: m.configs.current().Index}
+	doc, err := fleet.FromSections(m.withPublished(p.Sections))
+	if err != nil {
+		reply.Detail = err.Error()
+		m.auditPublish(index, p, reply)
+		return reply
+	}
+	reply.Accepted = true
+	if p.Version <= m.published.Version {
+		m.auditPublish(index, p, reply)
+		return reply
+	}
+	m.published = Published{Version: p.Version, Source: p.Source}
+	info := m.configs.replace(index, m.now, doc, p)
+	reply.Newest, reply.Index = p.Version, info.Index
+	m.auditPublish(index, p, reply)
+	return reply
+}
+
+// withPublished returns the sections in force with the services and routes of
+// the base replaced.
+func (m *Machine) withPublished(sections []wire.ConfigSection) []wire.ConfigSection {
+	kept := slices.DeleteFunc(slices.Clone(m.configs.doc.Sections()), func(s wire.ConfigSection) bool {
+		kind, _, _ := strings.Cut(s.Name, " ")
+		return s.Site == "" && (kind == "service" || kind == "route")
+	})
+	return append(kept, sections...)
+}
+
+// replace puts a document in force without regard to the version before it.
+func (c *configs) replace(index uint64, now int64, doc *fleet.Document, p *Publish) VersionInfo {
+	diff, undo := fleet.Diff(c.doc, doc), fleet.Diff(doc, c.doc)
+	cur := c.current()
+	info := VersionInfo{
+		Index: max(index, cur.Index+1), Digest: doc.Digest(), Base: cur.Index, Op: publishOp(p), By: p.By,
+		At: now, Action: fmt.Sprintf("publish %d", p.Version), Changed: changedRefs(diff),
+	}
+	c.push(Version{info, Undo{undo.Sections, undo.Removed}})
+	c.doc = doc
+	return info
+}
+
+func publishOp(p *Publish) string { return fmt.Sprintf("publish-%d", p.Version) }
+
+func (m *Machine) auditPublish(index uint64, p *Publish, reply *PublishReply) {
+	e := AuditEntry{
+		Index: index, At: m.now, By: p.By, Action: "config publish", Op: publishOp(p),
+		Accepted: reply.Accepted, Digest: m.configs.doc.Digest(), Reason: reply.Detail,
+	}
+	switch {
+	case !reply.Accepted:
+		e.Detail = fmt.Sprintf("version %d", p.Version)
+	case reply.Newest > p.Version:
+		e.Detail = fmt.Sprintf("version %d changes nothing, version %d is in force", p.Version, reply.Newest)
+	default:
+		e.Detail = fmt.Sprintf("version %d is in force", p.Version)
+	}
+	m.trail.add(e)
+}
--- /dev/null
+++ b/control/publish_test.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+func published(version uint64, timeout string) *Publish {
+	return &Publish{
+		Version: version,
+		Source:  []byte(timeout),
+		Sections: []wire.ConfigSection{
+			{Name: "service s"},
+			{Name: "route r", Keys: []wire.ConfigPair{
+				{Key: "host", Value: "a.example"}, {Key: "prefix", Value: "/x/"},
+				{Key: "service", Value: "s"}, {Key: "timeout", Value: timeout},
+			}},
+		},
+	}
+}
+
+// publishTo applies one Publish and returns the reply.
+func publishTo(t *testing.T, m *Machine, index uint64, p *Publish) *PublishReply {
+	t.Helper()
+	body, err := (&Command{Publish: p}).Encode()
+	require.NoError(t, err)
+	reply, err := DecodeReply(m.Apply(index, body))
+	require.NoError(t, err)
+	return reply.Publish
+}
+
+func TestHighestPublishedVersionWins(t *testing.T) {
+	m := NewMachine(nil)
+	require.Equal(t, uint64(7), publishTo(t, m, 1, published(7, "1s")).Newest)
+	before := m.Stamp()
+	for _, version := range []uint64{3, 7} {
+		reply := publishTo(t, m, 2+version, published(version, "2s"))
+		require.True(t, reply.Accepted)
+		require.Equal(t, uint64(7), reply.Newest)
+		require.Equal(t, "1s", string(m.Published().Source))
+		require.Equal(t, before, m.Stamp(), "other content under an old version changes nothing")
+	}
+	require.True(t, publishTo(t, m, 20, published(8, "2s")).Accepted)
+	require.Equal(t, "2s", string(m.Published().Source))
+	require.Greater(t, m.Stamp().Index, before.Index)
+}
+
+func TestInvalidPublishIsRefusedWhateverItsVersion(t *testing.T) {
+	m := NewMachine(nil)
+	publishTo(t, m, 1, published(7, "1s"))
+	for _, version := range []uint64{1, 7, 9} {
+		p := published(version, "1s")
+		p.Sections = p.Sections[1:]
+		reply := publishTo(t, m, 2+version, p)
+		require.False(t, reply.Accepted)
+		require.Contains(t, reply.Detail, "there is no service")
+	}
+	require.Equal(t, uint64(7), m.Published().Version)
+}
+
+func TestPublishedDocumentSurvivesASnapshot(t *testing.T) {
+	m := NewMachine(nil)
+	publishTo(t, m, 1, published(7, "1s"))
+	snapshot, err := m.Snapshot()
+	require.NoError(t, err)
+	other := NewMachine(nil)
+	require.NoError(t, other.Restore(1, snapshot))
+	require.Equal(t, m.Published(), other.Published())
+	require.Equal(t, m.Stamp(), other.Stamp())
+}
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -22,6 +22,8 @@
 	// Staged is a backup of which some parts have been restored.
 	Staged    []byte `msg:"b"`
 	StagedSum Hash   `msg:"u"`
+	// Published is the document with the highest version.
+	Published Published `msg:"p"`
 }
 
 // Snapshot returns the state. Machines that applied the same commands return
@@ -35,6 +37,7 @@
 		Claims: m.claims.records(),
 		Audit:  m.trail.entries, Anchor: m.trail.anchor, AuditSeq: m.trail.seq,
 		Staged: m.staged.data, StagedSum: m.staged.sum,
+		Published: m.published,
 	}
 	b, err := s.MarshalMsg(nil)
 	if err != nil {
@@ -103,7 +106,7 @@
 // load takes configuration, claims and audit trail out of a state. Time does
 // not go backwards.
 func (m *Machine) load(s *State, c *configs) {
-	m.now, m.configs = max(m.now, s.Now), c
+	m.now, m.configs, m.published = max(m.now, s.Now), c, s.Published
 	m.trail = &trail{entries: s.Audit, anchor: s.Anchor, seq: s.AuditSeq}
 	m.claims = newClaims()
 	for i := range s.Claims {
--- a/controld/admin.go
+++ b/controld/admin.go
@@ -15,7 +15,6 @@
 	"github.com/fireflytray/fireflytray/adminapi"
 	"github.com/fireflytray/fireflytray/control"
 	"github.com/fireflytray/fireflytray/fleet"
-	"github.com/fireflytray/fireflytray/keys"
 	"github.com/fireflytray/fireflytray/wire"
 )
 
@@ -111,7 +110,7 @@
 			return
 		}
 		state := rc.TLSConnectionState()
-		name, err := keys.PeerName(*state)
+		name, err := h.opts.Identity.PeerName(*state)
 		if err != nil {
 			c.problem(badRequest(err))
 			return
--- a/controld/controld.go
+++ b/controld/controld.go
@@ -60,7 +60,9 @@
 	// log's members are added to them.
 	Peers     []string
 	Transport transport.Options
-	Log       *log.Logger
+	// Serve lists further interfaces; they run until their context ends.
+	Serve []func(context.Context, *Host) error
+	Log   *log.Logger
 }
 
 // Host is a running control host.
@@ -151,6 +153,9 @@
 	g.Go(func() error { h.pushChanges(ctx); return nil })
 	g.Go(func() error { h.watchLog(ctx); return nil })
 	g.Go(func() error { return h.serveAdmin(ctx) })
+	for _, serve := range h.opts.Serve {
+		g.Go(func() error { return serve(ctx, h) })
+	}
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -22,8 +22,10 @@
 type taskRec struct {
 	state   taskState
 	attempt uint32
-	ag      *agent // holds the task while it is sent
-	outcome task.Outcome
+	// failures counts runs that failed by themselves.
+	failures uint32
+	ag       *agent // holds the task while it is sent
+	outcome  task.Outcome
 }
 
 // submission is one submission from its admission to its answer.
@@ -255,6 +257,12 @@
 	switch o.State {
 	case task.NotRun:
 		return o.Reason != task.ReasonCancelled && o.Reason != task.ReasonNeverFits
+	case task.Failed:
+		if s.sub.Restart {
+			return e.restart(s, i, o)
+		}
+	}
+	switch o.State {
 	case task.Unknown, task.Failed:
 		return !s.sub.Job && s.sub.Idempotent && s.sub.Key == "" &&
 			retryable(o.Reason) &&
@@ -264,6 +272,19 @@
 	return false
 }
 
+// restart reports whether a task whose run has failed is run again. Only
+// failures of the run itself count as attempts.
+func (e *Entry) restart(s *submission, i uint32, o task.Outcome) bool {
+	if o.Reason == task.ReasonCutOff {
+		return true
+	}
+	if o.Reason != task.ReasonUpstreamError {
+		return false
+	}
+	s.tasks[i].failures++
+	return s.tasks[i].failures < s.sub.MaxAttempts
+}
+
 func retryable(r task.Reason) bool {
 	switch r {
 	case task.ReasonUpstreamError, task.ReasonUpstreamGone, task.ReasonAgentGone, task.ReasonAgentRestarted:
--- a/entry/team.go
+++ b/entry/team.go
@@ -27,6 +27,9 @@
 
 // checkTeam refuses teams that are not configured, or not for the service.
 func (e *Entry) checkTeam(sub *task.Submission) *refusal {
+	if sub.Team == "" && sub.Route != "" {
+		return nil
+	}
 	t, ok := e.cfg.Teams[sub.Team]
 	if !ok {
 		return &refusal{reason: task.ReasonUnknownTeam, detail: fmt.Sprintf("team %q is not configured", sub.Team)}
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -57,7 +57,10 @@
 	Config   *fleet.Config
 	// DrainWithin bounds a graceful shutdown.
 	DrainWithin time.Duration
-	Control     Control
+	// Serve lists further interfaces for callers; they run until their context
+	// ends.
+	Serve   []func(context.Context, *Daemon) error
+	Control Control
 	// Transport dials agents; its Identity and Stamp must be set.
 	Transport transport.Options
 	Log       *log.Logger
@@ -73,6 +76,9 @@
 	api     *httpapi.Server
 	counter atomic.Uint64
 	ready   atomic.Bool
+	config  atomic.Pointer[fleet.Config]
+	jobs    *jobs
+	leaving atomic.Bool
 	meter   *meter
 
 	mu    sync.Mutex
@@ -100,6 +106,7 @@
 		links:   make(map[string]*link),
 		drained: make(chan struct{}),
 		meter:   newMeter(o.Scope),
+		jobs:    newJobs(),
 	}
 	d.resolver = newResolver(o.Control, d.log)
 	d.state = entry.New(entry.Options{
@@ -129,6 +136,9 @@
 	g.Go(func() error { d.loop.Run(gctx); return nil })
 	g.Go(func() error { d.reportState(gctx); return nil })
 	g.Go(func() error { return d.api.Serve(ln) })
+	for _, serve := range d.opts.Serve {
+		g.Go(func() error { return serve(gctx, d) })
+	}
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -160,6 +170,7 @@
 // drain stops the intake, lets what is in flight end and says goodbye.
 func (d *Daemon) drain() error {
 	d.log.Info("draining")
+	d.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), d.opts.DrainWithin)
 	defer cancel()
 	if err := d.api.Shutdown(ctx); err != nil {
@@ -185,6 +196,7 @@
 // OnConfig puts a configuration in force.
 func (d *Daemon) OnConfig(cfg *fleet.Config) {
 	d.loop.Post(entry.ConfigChanged{Config: cfg})
+	d.config.Store(cfg)
 	d.ready.Store(true)
 	d.log.Info("configuration in force", "index", cfg.Index)
 }
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -15,7 +15,9 @@
 	Digest   uint64
 	Services map[string]Service
 	Teams    map[string]Team
-	Retry    Retry
+	// Routes lead callers' requests to services; see Route.
+	Routes *Routes
+	Retry  Retry
 }
 
 // Service is what callers may run.
--- a/fleet/document.go
+++ b/fleet/document.go
@@ -123,30 +123,35 @@
 func (d *Document) Effective(site string) *Config {
 	conf := &Config{Digest: d.digest, Services: map[string]Service{}, Teams: map[string]Team{}}
 	setDefaults(&conf.Retry, retryFields)
+	routes := map[string]Route{}
 	for _, s := range d.sections {
 		if s.Site == "" {
-			conf.set(s)
+			conf.set(s, routes)
 		}
 	}
-	if site == "" {
-		return conf
-	}
 	for _, s := range d.sections {
-		if s.Site == site {
-			conf.set(s)
+		if s.Site == site && site != "" {
+			conf.set(s, routes)
 		}
 	}
+	conf.Routes = &Routes{byHost: map[string][]*Route{}}
+	for _, name := range sortedKeys(routes) {
+		conf.Routes.add(routes[name])
+	}
+	conf.Routes.sort()
 	return conf
 }
 
 // set stores one section over what is there. The section has been checked.
-func (c *Config) set(s wire.ConfigSection) {
+func (c *Config) set(s wire.ConfigSection, routes map[string]Route) {
 	kind, name, _ := splitSection(s.Name)
 	switch kind {
 	case kindService:
 		c.Services[name] = overlay(c.Services, name, Service{Name: name}, serviceFields, s.Keys)
 	case kindTeam:
 		c.Teams[name] = overlay(c.Teams, name, Team{Name: name}, teamFields, s.Keys)
+	case kindRoute:
+		routes[name] = overlay(routes, name, Route{Name: name}, routeFields, s.Keys)
 	case kindRetry:
 		setPairs(&c.Retry, retryFields, s.Keys)
 	}
--- a/fleet/parse.go
+++ b/fleet/parse.go
@@ -231,6 +231,7 @@
 				fmt.Sprintf("key-keep %s is below max-deadline %s", s.KeyKeep, s.MaxDeadline), "key-keep from max-deadline up")
 		}
 	}
+	c.checkRoutes(doc, site, conf)
 	for _, name := range sortedKeys(conf.Teams) {
 		for _, service := range conf.Teams[name].Services {
 			if _, ok := conf.Services[service]; !ok {
@@ -241,6 +242,26 @@
 	}
 }
 
+// checkRoutes verifies that each route leads to a service, and no two routes
+// from the same place.
+func (c *checker) checkRoutes(doc *Document, site string, conf *Config) {
+	for _, host := range sortedKeys(conf.Routes.byHost) {
+		var before *Route
+		for _, r := range conf.Routes.byHost[host] {
+			section := kindRoute + " " + r.Name
+			if _, ok := conf.Services[r.Service]; !ok {
+				c.problem(doc.origin(site, section, "service"),
+					fmt.Sprintf("there is no service %q", r.Service), "services: "+strings.Join(sortedKeys(conf.Services), ", "))
+			}
+			if before != nil && before.Prefix == r.Prefix {
+				c.problem(doc.origin(site, section, "prefix", "host"),
+					fmt.Sprintf("route %s has the same host and prefix", before.Name), "each host and prefix once")
+			}
+			before = r
+		}
+	}
+}
+
 // validNames says what may name a service, team or site.
 const validNames = "lower-case letters, digits, - and _, at most 64"
 
@@ -253,7 +274,7 @@
 	if !found || !validName(name) {
 		return "", "", false
 	}
-	return kind, name, kind == kindService || kind == kindTeam
+	return kind, name, kind == kindService || kind == kindTeam || kind == kindRoute
 }
 
 func keyNames(keys []Key) string {
--- a/fleet/schema.go
+++ b/fleet/schema.go
@@ -20,6 +20,11 @@
 	maxRunningLimit  = 1_000_000
 	maxKeysLimit     = 1_000_000
 	maxAttemptsLimit = 10
+	maxHost          = 253 // bytes, as in DNS
+	maxPrefix        = 2048
+	maxPriority      = 1000
+	maxLatencyFactor = 1000
+	maxRouteAttempts = 1000
 )
 
 // Key describes one configuration key. The tables below are the one place
@@ -73,6 +78,29 @@
 		func(t *Team, v string) error { return setNames(&t.Services, v) }},
 }
 
+var routeFields = []field[Route]{
+	{Key{"host", "", "a host name", "Host of the requests."},
+		func(r *Route, v string) error { return setText(&r.Host, v, maxHost) }},
+	{Key{"prefix", "/", "a path that begins with /", "What the path of the requests begins with."},
+		func(r *Route, v string) error { return setPrefix(&r.Prefix, v) }},
+	{Key{"service", "", "a service of this configuration", "What runs the tasks."},
+		func(r *Route, v string) error { return setText(&r.Service, v, maxName) }},
+	{Key{"timeout", "10s", "a duration from 1ms to 1h", "Longest time to an answer."},
+		func(r *Route, v string) error {
+			return setDuration(&r.Timeout, v, time.Millisecond, maxDeadlineLimit)
+		}},
+	{Key{"target-latency", "0s", "a duration from 0s to 1h", "Part of the latency objective beside the work itself."},
+		func(r *Route, v string) error { return setDuration(&r.TargetLatency, v, 0, maxDeadlineLimit) }},
+	{Key{"latency-factor", "1", "a number from 0 to 1000", "Latency objective over the longest chain of work."},
+		func(r *Route, v string) error { return setFloat(&r.LatencyFactor, v, 0, maxLatencyFactor) }},
+	{Key{"priority", "0", "a whole number from 0 to 1000", "Order among routes, 0 first."},
+		func(r *Route, v string) error { return setUint(&r.Priority, v, 0, maxPriority) }},
+	{Key{"max-attempts", "1", "a whole number from 1 to 1000", "Most runs of a task that end in failure."},
+		func(r *Route, v string) error { return setUint(&r.MaxAttempts, v, 1, maxRouteAttempts) }},
+	{Key{"idempotent", "false", "true or false", "Whether requests may be repeated."},
+		func(r *Route, v string) error { return setBool(&r.Idempotent, v) }},
+}
+
 var retryFields = []field[Retry]{
 	{Key{"budget", "0.1", "a number from 0 to 1", "Share of recent successes that may be retried."},
 		func(r *Retry, v string) error { return setFloat(&r.Budget, v, 0, 1) }},
@@ -84,20 +112,23 @@
 const (
 	kindService = "service"
 	kindTeam    = "team"
+	kindRoute   = "route"
 	kindRetry   = "retry"
 )
 
 // validSections says which section headers are accepted.
-const validSections = "[service NAME], [team NAME] and [retry]"
+const validSections = "[service NAME], [team NAME], [route NAME] and [retry]"
 
-// Keys returns the documented keys of a kind of section: service, team or
-// retry. It returns nil for any other kind.
+// Keys returns the documented keys of a kind of section: service, team,
+// route or retry. It returns nil for any other kind.
 func Keys(kind string) []Key {
 	switch kind {
 	case kindService:
 		return keysOf(serviceFields)
 	case kindTeam:
 		return keysOf(teamFields)
+	case kindRoute:
+		return keysOf(routeFields)
 	case kindRetry:
 		return keysOf(retryFields)
 	}
@@ -119,6 +150,8 @@
 		return setField(new(Service), serviceFields, key, value)
 	case kindTeam:
 		return setField(new(Team), teamFields, key, value)
+	case kindRoute:
+		return setField(new(Route), routeFields, key, value)
 	case kindRetry:
 		return setField(new(Retry), retryFields, key, value)
 	}
@@ -178,6 +211,29 @@
 	return nil
 }
 
+func setText(dst *string, v string, limit int) error {
+	if len(v) > limit || strings.ContainsAny(v, "\r\n") {
+		return fmt.Errorf("%q is not one line of at most %d bytes", v, limit)
+	}
+	*dst = v
+	return nil
+}
+
+func setPrefix(dst *string, v string) error {
+	if !strings.HasPrefix(v, "/") {
+		return fmt.Errorf("%q does not begin with /", v)
+	}
+	return setText(dst, v, maxPrefix)
+}
+
+func setBool(dst *bool, v string) error {
+	if v != "true" && v != "false" {
+		return fmt.Errorf("%q is neither true nor false", v)
+	}
+	*dst = v == "true"
+	return nil
+}
+
 func setNames(dst *[]string, v string) error {
 	*dst = nil
 	if v == "" {
--- a/keys/identity.go
+++ b/keys/identity.go
@@ -23,6 +23,8 @@
 	name Name
 	pair *tls.Certificate
 	pool *x509.CertPool
+	// unverified lets peers name themselves; see SelfSigned.
+	unverified bool
 }
 
 // Load reads the identity in a process's folder.
@@ -108,13 +110,17 @@
 
 func (id *Identity) serverConfig(accept []wire.Role) *tls.Config {
 	m := id.current.Load()
+	auth := tls.RequireAndVerifyClientCert
+	if m.unverified {
+		auth = tls.RequireAnyClientCert
+	}
 	return &tls.Config{
 		MinVersion:             tls.VersionTLS13,
 		Certificates:           []tls.Certificate{*m.pair},
-		ClientAuth:             tls.RequireAndVerifyClientCert,
+		ClientAuth:             auth,
 		ClientCAs:              m.pool,
 		SessionTicketsDisabled: true,
-		VerifyConnection:       verifyRole(accept),
+		VerifyConnection:       id.verifyRole(accept),
 	}
 }
 
@@ -126,14 +132,15 @@
 		Certificates:           []tls.Certificate{*m.pair},
 		RootCAs:                m.pool,
 		ServerName:             serverName(want),
+		InsecureSkipVerify:     m.unverified,
 		SessionTicketsDisabled: true,
-		VerifyConnection:       verifyRole([]wire.Role{want}),
+		VerifyConnection:       id.verifyRole([]wire.Role{want}),
 	}
 }
 
-func verifyRole(accept []wire.Role) func(tls.ConnectionState) error {
+func (id *Identity) verifyRole(accept []wire.Role) func(tls.ConnectionState) error {
 	return func(state tls.ConnectionState) error {
-		n, err := PeerName(state)
+		n, err := id.PeerName(state)
 		if err != nil {
 			return err
 		}
@@ -144,9 +151,11 @@
 	}
 }
 
-// PeerName returns whom the peer's verified certificate names.
-func PeerName(state tls.ConnectionState) (Name, error) {
-	if len(state.VerifiedChains) == 0 || len(state.PeerCertificates) == 0 {
+// PeerName returns whom the peer's certificate names; it must be verified
+// unless this identity trusts every peer.
+func (id *Identity) PeerName(state tls.ConnectionState) (Name, error) {
+	verified := len(state.VerifiedChains) > 0 || id.current.Load().unverified
+	if !verified || len(state.PeerCertificates) == 0 {
 		return Name{}, fmt.Errorf("keys: peer has no verified certificate")
 	}
 	return NameOf(state.PeerCertificates[0])
--- /dev/null
+++ b/lease/state.go
@@ -0,0 +1,338 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/fireflytray/fireflytray/agent"
+)
+
+// Config tunes a State.
+type Config struct {
+	// Lease is how long a hold lasts; the upstream allows no more.
+	Lease time.Duration
+	// Wait is how long a hold may wait for an end.
+	Wait time.Duration
+	// AnswerWithin is how long an answer may take beyond that.
+	AnswerWithin time.Duration
+}
+
+// DefaultConfig returns the configuration that applies to unset fields.
+func DefaultConfig() Config {
+	return Config{
+		Lease:        time.Second,
+		Wait:         250 * time.Millisecond,
+		AnswerWithin: 400 * time.Millisecond,
+	}
+}
+
+const (
+	// clockSlack is the share by which the upstream's clock may be slow.
+	clockSlack = 0.02
+	// lapseMargin is added to a lease before its runs count as gone.
+	lapseMargin = 20 * time.Millisecond
+	// retryPause is the wait before a call that failed is made again.
+	retryPause = 50 * time.Millisecond
+	// fenceJump raises a token that was lower than one that the upstream has
+	// seen, say from a predecessor whose time of day was ahead.
+	fenceJump = 1 << 16
+	// failuresToSuspect is how many holds without an answer make the upstream
+	// unreachable.
+	failuresToSuspect = 2
+	// idleAckDelay is how long the last ends may wait for their
+	// acknowledgement.
+	idleAckDelay = 100 * time.Millisecond
+)
+
+// phase is how far a run has come.
+type phase uint8
+
+const (
+	// phaseStarting: the start is under way.
+	phaseStarting phase = iota
+	// phaseDoubtful: the start got no answer.
+	phaseDoubtful
+	// phaseRunning: the run is known to be there.
+	phaseRunning
+)
+
+// run is a run that is not known to have ended.
+type run struct {
+	agent.StartRun
+	key   runKey
+	phase phase
+	call  CallID
+	begun time.Duration
+	// since is when the last call about the run was answered or sent; only the
+	// list in the answer to a later hold counts.
+	since CallID
+	// fence is the least token that, once seen by the upstream, rules out a
+	// start that got no answer.
+	fence uint64
+	stop  bool
+}
+
+// hold is a hold under way.
+type hold struct {
+	call  CallID
+	by    time.Duration
+	fence uint64
+	long  bool
+	probe string
+}
+
+// State is the reducer.
+type State struct {
+	cfg Config
+
+	up agent.Upstream
+	// last is the newest announcement.
+	last   Announced
+	known  bool
+	target Target
+	// clean is set once the lists showed no run of a predecessor.
+	clean bool
+	// foreign lists runs that nobody here asked for, told to stop.
+	foreign map[runKey]bool
+
+	fence uint64
+	calls CallID
+	runs  map[runKey]*run
+	byRun map[agent.RunID]*run
+	holds []hold
+	// seen is the last end handled, told the last one acknowledged.
+	seen, told uint64
+	// failures counts holds without an answer since the last answer.
+	failures int
+	retryAt  time.Duration
+	ackAt    time.Duration
+
+	// clock is the upstream's clock at clockAt of ours.
+	clock   time.Duration
+	clockAt time.Duration
+	// until is the latest end of lease that any call carried.
+	until time.Duration
+
+	now time.Duration
+	out []Effect
+}
+
+// New returns the state of an agent that knows no upstream. Fence has to be
+// above every token that a predecessor used.
+func New(cfg Config, fence uint64) *State {
+	d := DefaultConfig()
+	if cfg.Lease == 0 {
+		cfg.Lease = d.Lease
+	}
+	if cfg.Wait == 0 {
+		cfg.Wait = d.Wait
+	}
+	if cfg.AnswerWithin == 0 {
+		cfg.AnswerWithin = d.AnswerWithin
+	}
+	return &State{
+		cfg: cfg, fence: fence,
+		runs: map[runKey]*run{}, byRun: map[agent.RunID]*run{}, foreign: map[runKey]bool{},
+	}
+}
+
+// Step changes the state by one event and appends the effects to out.
+func (s *State) Step(now time.Duration, ev Event, out []Effect) []Effect {
+	s.now, s.out = max(s.now, now), out
+	switch ev := ev.(type) {
+	case Announced:
+		s.announced(ev)
+	case Left:
+		s.left(ev.ID)
+	case Start:
+		s.start(ev.Run)
+	case Stop:
+		s.stop(ev.Run)
+	case Probe:
+		s.probe(ev.Instance)
+	case StartAnswered:
+		s.startAnswered(ev)
+	case StopAnswered:
+		s.stopAnswered(ev)
+	case HoldAnswered:
+		s.holdAnswered(ev)
+	case Tick:
+	}
+	s.expire()
+	s.keepHolding()
+	out, s.out = s.out, nil
+	return out
+}
+
+func (s *State) emit(eff Effect)          { s.out = append(s.out, eff) }
+func (s *State) notify(ev agent.Event)    { s.emit(Notify{Event: ev}) }
+func (s *State) note(t string, kv ...any) { s.emit(Note{Text: t, KeyVals: kv}) }
+
+func (s *State) nextCall() CallID {
+	s.calls++
+	return s.calls
+}
+
+// announced takes an announcement. Another life of the process ends every run
+// of the one before; it serves once its lists have shown no foreign run.
+func (s *State) announced(ev Announced) {
+	up := ev.Upstream
+	if ev.Born < s.last.Born || ev.Born == s.last.Born && ev.ID == s.last.ID && ev.Seq <= s.last.Seq {
+		s.note("late announcement is ignored", "instance", up.Instance, "seq", ev.Seq)
+		return
+	}
+	s.last = ev
+	if !s.known || up.Instance != s.up.Instance {
+		s.note("upstream has a new instance", "instance", up.Instance, "before", s.up.Instance)
+		s.forget()
+		s.known, s.clean = true, false
+		s.clock, s.clockAt, s.until = 0, 0, 0
+		s.seen, s.told = 0, 0
+	}
+	s.up = up
+	s.target = Target{Addr: up.Addr, Instance: up.Instance}
+	if s.clean {
+		s.notify(agent.Announced{Upstream: up})
+		return
+	}
+	s.look()
+}
+
+func (s *State) left(id string) {
+	if !s.known || s.last.ID != id {
+		return
+	}
+	s.note("upstream has left", "instance", s.up.Instance)
+	s.notify(agent.Left{Instance: s.up.Instance})
+	s.forget()
+	s.known = false
+}
+
+// forget ends every run: the process that ran them is gone.
+func (s *State) forget() {
+	for _, r := range s.sorted() {
+		s.end(r, agent.EndLost)
+	}
+	s.holds = s.holds[:0]
+	clear(s.foreign)
+	s.failures, s.retryAt, s.ackAt = 0, 0, 0
+}
+
+// start begins a run. A start that is already too late is not sent.
+func (s *State) start(eff agent.StartRun) {
+	r := &run{StartRun: eff, key: keyOf(eff), begun: s.now}
+	switch {
+	case !s.known || !s.clean:
+		s.notify(agent.RunEnded{Run: eff.Run, End: agent.EndRejected})
+		return
+	case s.now >= eff.StartBy:
+		s.notify(agent.RunEnded{Run: eff.Run, End: agent.EndExpired})
+		return
+	case s.runs[r.key] != nil || s.foreign[r.key]:
+		s.notify(agent.RunEnded{Run: eff.Run, End: agent.EndRejected})
+		return
+	}
+	s.runs[r.key], s.byRun[eff.Run] = r, r
+	s.sendStart(r)
+}
+
+func (s *State) sendStart(r *run) {
+	r.phase, r.call = phaseStarting, s.nextCall()
+	r.since = r.call
+	s.emit(StartCall{
+		Call: r.call, Target: s.target, Task: r.key.task, Run: r.key.run,
+		Payload: r.Payload, Until: s.lease(), Fence: s.fence,
+	})
+}
+
+// lease returns the end of a lease that begins now, on the upstream's clock.
+func (s *State) lease() time.Duration {
+	if s.clockAt == 0 {
+		return 0
+	}
+	until := s.clock + (s.now - s.clockAt) + s.cfg.Lease
+	s.until = max(s.until, until)
+	return until
+}
+
+func (s *State) startAnswered(ev StartAnswered) {
+	r := s.byCall(ev.Call)
+	if r == nil {
+		return
+	}
+	s.observe(ev.Clock)
+	switch ev.Result {
+	case StartTaken:
+		r.phase, r.since = phaseRunning, s.calls
+		if r.stop {
+			s.sendStop(r.key)
+		}
+	case StartLost:
+		s.doubt(r)
+	case StartFenced:
+		s.fence += fenceJump
+		s.note("fencing token was too low", "task", r.key.task, "token", s.fence)
+		s.sendStart(r)
+	case StartOld:
+		s.end(r, agent.EndRejected)
+	case StartExpired:
+		s.end(r, agent.EndRejected)
+		s.look()
+	case StartNoRoom:
+		s.end(r, agent.EndBusy)
+	case StartUnhealthy:
+		s.end(r, agent.EndRefused)
+	case StartInvalid:
+		s.end(r, agent.EndFailed)
+	case StartOtherLife:
+		s.end(r, agent.EndRejected)
+	}
+}
+
+// doubt keeps a run whose start got no answer until the upstream has seen a
+// higher token.
+func (s *State) doubt(r *run) {
+	s.fence++
+	r.phase, r.fence = phaseDoubtful, s.fence
+	s.note("start got no answer", "task", r.key.task, "run", r.key.run, "token", s.fence)
+	s.look()
+}
+
+func (s *State) byCall(call CallID) *run {
+	for _, r := range s.runs {
+		if r.call == call && r.phase == phaseStarting {
+			return r
+		}
+	}
+	return nil
+}
+
+func (s *State) stop(id agent.RunID) {
+	r := s.byRun[id]
+	if r == nil || r.stop {
+		return
+	}
+	r.stop = true
+	if r.phase == phaseRunning {
+		s.sendStop(r.key)
+	}
+}
+
+func (s *State) sendStop(key runKey) {
+	s.emit(StopCall{Call: s.nextCall(), Target: s.target, Task: key.task, Run: key.run, Fence: s.fence})
+}
+
+// stopAnswered raises the token after a stop without an answer: carried out
+// late, it must not meet a newer run of the task.
+func (s *State) stopAnswered(ev StopAnswered) {
+	if !ev.OK {
+		s.fence++
+	}
+	s.look()
+}
+
+// end settles a run.
+func (s *State) end(r *run, how agent.End) {
+	delete(s.runs, r.key)
+	delete(s.byRun, r.Run)
+	s.notify(agent.RunEnded{Run: r.Run, End: how, Ran: s.now - r.begun})
+}
--- a/node/agent.go
+++ b/node/agent.go
@@ -22,6 +22,8 @@
 	Offered  task.Resources
 	Rack     string
 	Agent    agent.Config
+	// Leased is set if the upstream's runs live under a lease.
+	Leased *agentd.Leased
 	// Ready is called once both addresses are open.
 	Ready func(peers, upstream string)
 }
@@ -49,6 +51,7 @@
 			Offered:  o.Offered,
 			Rack:     o.Rack,
 			Agent:    o.Agent,
+			Leased:   o.Leased,
 			Control:  board,
 			Stamp:    client.Stamp,
 			OnStamp:  client.Seen,
--- a/node/control.go
+++ b/node/control.go
@@ -24,6 +24,8 @@
 	Initial []string
 	// Join makes an empty data folder wait to be added.
 	Join bool
+	// Serve lists further interfaces.
+	Serve []func(context.Context, *controld.Host) error
 }
 
 // RunControl runs a control host until ctx ends.
@@ -41,6 +43,7 @@
 			Join:    o.Join,
 		}),
 		Peers:     o.Initial,
+		Serve:     o.Serve,
 		Transport: o.transport(),
 		Log:       o.Logs.For(logging.PartControl),
 	})
--- a/node/entry.go
+++ b/node/entry.go
@@ -25,6 +25,8 @@
 	Policy   placement.Policy
 	Order    queue.Order
 	Poke     int
+	// Serve lists further interfaces for callers.
+	Serve []func(context.Context, *entryd.Daemon) error
 }
 
 // RunEntry runs an entry until ctx ends and it has drained.
@@ -56,6 +58,7 @@
 		Seed:        self.Incarnation,
 		Poke:        o.Poke,
 		DrainWithin: o.DrainWithin,
+		Serve:       o.Serve,
 		Control:     client,
 		Transport:   t,
 		Log:         logger,
--- a/settings/load.go
+++ b/settings/load.go
@@ -146,7 +146,7 @@
 
 // check reports a first control host that does not list itself.
 func (c *Control) check() []rule {
-	if c.Join || slices.Contains(c.Initial, c.Peers) {
+	if c.Join || c.JoinUnlisted || slices.Contains(c.Initial, c.Peers) {
 		return nil
 	}
 	return []rule{{"cluster", "initial", fmt.Sprintf("lacks this host's own address %s, want it in the list or join = true", c.Peers)}}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,6 +4,7 @@
 package settings
 
 import (
+	"net/netip"
 	"time"
 )
 
@@ -20,6 +21,9 @@
 	DrainTimeout time.Duration
 	// Keys is the folder of the process's certificate and key.
 	Keys string
+	// SelfSigned makes the process use a certificate of its own and trust
+	// every peer; Keys is not read then.
+	SelfSigned bool
 	// Metrics is the host:port of the metrics page; empty for none.
 	Metrics string
 }
@@ -38,6 +42,13 @@
 	// Join makes an empty data folder join a running cluster as a learner
 	// rather than start one with Initial.
 	Join bool
+	// JoinUnlisted does the same for a host that Initial lacks.
+	JoinUnlisted bool
+	// PeerPort replaces the ports in Initial if it is not zero.
+	PeerPort uint32
+	// Operators is the HTTP host:port of the platform's operators; empty for
+	// none.
+	Operators string
 }
 
 // Entry is the settings of an entry.
@@ -57,6 +68,12 @@
 	Placement string
 	// Order is the order of waiting jobs.
 	Order string
+	// PeerPort replaces the ports in Control if it is not zero.
+	PeerPort uint32
+	// Clients and Readiness are HTTP host:ports for the platform's clients and
+	// its balancer; empty for none.
+	Clients   string
+	Readiness string
 }
 
 // Agent is the settings of an agent.
@@ -80,6 +97,13 @@
 	Credit string
 	// QueueShare is the length of the local queue as a share of the slots.
 	QueueShare float64
+	// PeerPort replaces the ports in Control if it is not zero.
+	PeerPort uint32
+	// Heartbeats is the HTTP host:port for the platform's upstream; empty if
+	// the upstream is of the product's own kind.
+	Heartbeats string
+	// Lease is the longest lease that the platform's upstream gives.
+	Lease time.Duration
 }
 
 // Upstream is the settings of the stand-in upstream.
@@ -153,11 +177,30 @@
 	maxDevices     = 1 << 10
 	minLease       = 200 * time.Millisecond
 	maxLease       = time.Minute
+	minRunLease    = 10 * time.Millisecond
+	maxPort        = 1<<16 - 1
 	maxSlowdown    = 1000
 	maxQueueShare  = 1000
 	maxSeed        = 1<<32 - 1
 )
 
+func peerPort(dst *uint32) key {
+	return count(dst, "control", "peer-port", "Port that replaces those in addresses; 0 keeps them.", 0, maxPort).or("0")
+}
+
+// ReplacePort returns addresses with another port, or as they are for 0.
+func ReplacePort(addrs []string, port uint32) []string {
+	if port == 0 {
+		return addrs
+	}
+	out := make([]string, len(addrs))
+	for i, a := range addrs {
+		// The addresses were checked when they were read.
+		out[i] = netip.AddrPortFrom(netip.MustParseAddrPort(a).Addr(), uint16(port)).String()
+	}
+	return out
+}
+
 func logKeys(level, format *string) []key {
 	return []key{
 		oneOf(level, "process", "log-level", "Lowest level that is logged; read again on SIGHUP.", "debug", "info", "warn", "error").or("info"),
@@ -172,6 +215,7 @@
 		label(&p.Site, "process", "site", "Site whose overlay of the fleet's configuration applies.").require(),
 		duration(&p.DrainTimeout, "process", "drain-timeout", "How long a shutdown waits for work in flight.", 0, maxDrain).or("30s"),
 		folder(&p.Keys, base, "keys", "folder", "Folder with ca.crt and process.pem, as written by fireflytray keys issue.").or("keys"),
+		boolean(&p.SelfSigned, "keys", "self-signed", "Whether to use a certificate of its own and trust every peer, on a network that hands out no keys and keeps strangers out.").or("false"),
 		optionalHostPort(&p.Metrics, "listen", "metrics", "HTTP address of the metrics page.").or(""),
 	}
 	return append(list, logKeys(&p.LogLevel, &p.LogFormat)...)
@@ -184,6 +228,9 @@
 		folder(&c.Data, base, "data", "folder", "Folder of the replicated log; one process at a time.").or("data"),
 		hostPorts(&c.Initial, "cluster", "initial", "Peer addresses of the first control hosts, this one included unless it joins.").require(),
 		boolean(&c.Join, "cluster", "join", "Whether an empty data folder joins a running cluster as a learner.").or("false"),
+		boolean(&c.JoinUnlisted, "cluster", "join-unlisted", "Whether a host that initial lacks joins as a learner.").or("false"),
+		count(&c.PeerPort, "cluster", "peer-port", "Port that replaces those in initial; 0 keeps them.", 0, maxPort).or("0"),
+		optionalHostPort(&c.Operators, "platform", "operators", "HTTP address for the platform's operators.").or(""),
 	)
 }
 
@@ -198,6 +245,9 @@
 			PlacementCredits, PlacementLeastOutstanding, PlacementTwoChoices, PlacementRandom).or(PlacementCredits),
 		oneOf(&e.Order, "placement", "order", "Order of the jobs that wait.",
 			OrderLeftOverSlowdown, OrderLeftOverAge, OrderFewestLeft, OrderFIFO).or(OrderLeftOverSlowdown),
+		peerPort(&e.PeerPort),
+		optionalHostPort(&e.Clients, "platform", "clients", "HTTP address for the platform's clients.").or(""),
+		optionalHostPort(&e.Readiness, "platform", "readiness", "HTTP address for the platform's balancer.").or(""),
 	)
 }
 
@@ -212,6 +262,9 @@
 		oneOf(&a.Credit, "credit", "policy", "How free slots are granted to entries.",
 			CreditLend, CreditSplit, CreditSticky, CreditRank).or(CreditLend),
 		number(&a.QueueShare, "credit", "queue-share", "Tasks that may wait at the agent, as a share of the slots.", 0, maxQueueShare).or("0.5"),
+		peerPort(&a.PeerPort),
+		optionalHostPort(&a.Heartbeats, "platform", "heartbeats", "HTTP address at which the platform's upstream reports.").or(""),
+		duration(&a.Lease, "platform", "lease", "Longest lease of a run at the platform's upstream.", minRunLease, maxLease).or("1s"),
 		count(&a.Accelerators, "worker", "accelerators", "Accelerators of the worker.", 0, maxDevices).or("0"),
 	)
 }
--- a/task/submission.go
+++ b/task/submission.go
@@ -14,6 +14,20 @@
 	Idempotent bool
 	// Key is the caller's idempotency key; empty for none.
 	Key string
+	// Restart lets a task of a job whose run failed be run again, up to
+	// MaxAttempts failed runs, once the run is surely over.
+	Restart     bool
+	MaxAttempts uint32
+	// Priority orders submissions of one service, 0 first.
+	Priority uint32
+	// Objective is the time within which an answer is of full use; zero if
+	// unknown.
+	Objective time.Duration
+	// Route is the route by which it came; empty for the callers' own
+	// interface. Only a submission with a route may have no team.
+	Route string
+	// Ref is what the caller calls the submission, for logs.
+	Ref string
 	// Deadline bounds the time to the answer; zero takes the service's.
 	Deadline time.Duration
 }
--- a/task/task.go
+++ b/task/task.go
@@ -94,6 +94,8 @@
 
 // Spec is a task as its caller declared it.
 type Spec struct {
+	// Name is what the task is called at the upstream; empty for its id.
+	Name string `msg:"m,omitempty"`
 	// Payload is handed to the upstream unread.
 	Payload []byte `msg:"p"`
 	// Declared is the run time that the caller expects; zero if unknown. It
@@ -143,6 +145,7 @@
 	ReasonUpstreamGone    Reason = "upstream_gone"
 	ReasonAgentGone       Reason = "agent_gone"
 	ReasonAgentRestarted  Reason = "agent_restarted"
+	ReasonCutOff          Reason = "cut_off"
 	ReasonDeadline        Reason = "deadline"
 	ReasonStartExpired    Reason = "start_expired"
 	ReasonCancelled       Reason = "cancelled"
--- a/task/task_gen.go
+++ b/task/task_gen.go
@@ -273,25 +273,43 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Spec) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "p"
-	o = append(o, 0x83, 0xa1, 0x70)
-	o = msgp.AppendBytes(o, z.Payload)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendDuration(o, z.Declared)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	// map header, size 3
-	// string "c"
-	o = append(o, 0x83, 0xa1, 0x63)
-	o = msgp.AppendUint32(o, z.Need.MilliCPU)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendUint32(o, z.Need.MemoryMB)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendUint32(o, z.Need.Accelerators)
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Name == "" {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "m"
+			o = append(o, 0xa1, 0x6d)
+			o = msgp.AppendString(o, z.Name)
+		}
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendBytes(o, z.Payload)
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		o = msgp.AppendDuration(o, z.Declared)
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		// map header, size 3
+		// string "c"
+		o = append(o, 0x83, 0xa1, 0x63)
+		o = msgp.AppendUint32(o, z.Need.MilliCPU)
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendUint32(o, z.Need.MemoryMB)
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendUint32(o, z.Need.Accelerators)
+	}
 	return
 }
 
@@ -313,6 +331,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "m":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
 		case "p":
 			z.Payload, bts, err = msgp.ReadBytesBytes(bts, z.Payload)
 			if err != nil {
@@ -380,7 +404,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Spec) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Payload) + 2 + msgp.DurationSize + 2 + 1 + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.BytesPrefixSize + len(z.Payload) + 2 + msgp.DurationSize + 2 + 1 + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
 	return
 }
 
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -11,7 +11,6 @@
 
 	"github.com/quic-go/quic-go"
 
-	"github.com/fireflytray/fireflytray/keys"
 	"github.com/fireflytray/fireflytray/wire"
 )
 
@@ -59,7 +58,7 @@
 }
 
 func newConn(qc *quic.Conn, stream *quic.Stream, o Options, m *meter, dialed bool) (*Conn, error) {
-	name, err := keys.PeerName(qc.ConnectionState().TLS)
+	name, err := o.Identity.PeerName(qc.ConnectionState().TLS)
 	if err != nil {
 		return nil, err
 	}
