control: membership without an operator; push again on a fresh quorum; learn control hosts

A host with a lost disk was never taken back. Ruled out: slow dials (sessions were open within 40 ms).

--- a/cmd/fireflytray-control/main.go
+++ b/cmd/fireflytray-control/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/fireflytray/fireflytray/controld"
 	"github.com/fireflytray/fireflytray/daemon"
+	"github.com/fireflytray/fireflytray/membership"
 	"github.com/fireflytray/fireflytray/node"
 	"github.com/fireflytray/fireflytray/platform"
 	"github.com/fireflytray/fireflytray/settings"
@@ -33,10 +34,20 @@
 		Data:    s.Data,
 		Initial: initial,
 		Join:    s.Join || s.JoinUnlisted && !slices.Contains(initial, s.Peers),
+		Manage:  managed(s),
 		Serve:   platformInterfaces(s),
+
+		ElectionTimeout: s.ElectionTimeout,
 	})
 }
 
+func managed(s *settings.Control) *membership.Config {
+	if !s.Managed {
+		return nil
+	}
+	return &membership.Config{}
+}
+
 // platformInterfaces returns the interfaces of the platform that the settings
 // ask for.
 func platformInterfaces(s *settings.Control) []func(context.Context, *controld.Host) error {
--- a/control/machine.go
+++ b/control/machine.go
@@ -38,6 +38,15 @@
 	return &Machine{configs: newConfigs(), claims: newClaims(), trail: &trail{}, onIndex: onConfig}
 }
 
+// Reset makes the machine an empty one, for a host whose replica starts anew.
+func (m *Machine) Reset() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now, m.index = 0, 0
+	m.configs, m.claims, m.trail = newConfigs(), newClaims(), &trail{}
+	m.staged, m.published = staging{}, Published{}
+}
+
 // Apply carries out one command of the log. A command that can't be decoded
 // changes nothing and gets a Reply that says so: every replica must agree, so
 // it is no error.
--- a/controlclient/calls.go
+++ b/controlclient/calls.go
@@ -103,7 +103,7 @@
 // other than that it can't say. Asked is false if it was sent to none.
 func (c *Client) call(ctx context.Context, build func(id uint64) wire.Message) (reply *wire.ClaimReply, asked bool, err error) {
 	for {
-		for _, s := range c.sessions {
+		for _, s := range c.all() {
 			reply, sent := c.try(ctx, s, build)
 			asked = asked || sent
 			if reply != nil && !undecided(reply) {
--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,14 +60,13 @@
 
 // Client keeps the sessions of one process. It is safe for concurrent use.
 type Client struct {
-	opts     Options
-	log      *log.Logger
-	start    time.Time
-	seq      atomic.Uint64
-	config   *holder
-	sessions []*session
-	calls    *calls
-	leaving  atomic.Bool
+	opts    Options
+	log     *log.Logger
+	start   time.Time
+	seq     atomic.Uint64
+	config  *holder
+	calls   *calls
+	leaving atomic.Bool
 	// life ends with Run, and with it the attempts to free claims; releases
 	// counts them.
 	life     context.Context
@@ -75,6 +75,11 @@
 
 	mu    sync.Mutex
 	table *directory.Table
+
+	// links guards sessions and open, which starts a session.
+	links    sync.Mutex
+	sessions []*session
+	open     func(*session)
 }
 
 // New returns a client; Run starts it.
@@ -106,9 +111,9 @@
 func (c *Client) Run(ctx context.Context) error {
 	defer c.end()
 	g, ctx := errgroup.WithContext(ctx)
-	for _, s := range c.sessions {
+	c.startSessions(func(s *session) {
 		g.Go(func() error { s.run(ctx); return nil })
-	}
+	})
 	g.Go(func() error { c.renew(ctx); return nil })
 	g.Go(func() error { c.settle(ctx); return nil })
 	return g.Wait()
@@ -132,7 +137,7 @@
 		return
 	}
 	msg := c.announcement()
-	for _, s := range c.sessions {
+	for _, s := range c.all() {
 		s.announce(msg)
 	}
 }
@@ -159,7 +164,7 @@
 	msg := c.announcement()
 	msg.Leaving = true
 	var wg sync.WaitGroup
-	for _, s := range c.sessions {
+	for _, s := range c.all() {
 		wg.Go(func() { s.leave(ctx, msg) })
 	}
 	wg.Wait()
@@ -191,7 +196,7 @@
 
 // fetch asks every connected control host for the configuration.
 func (c *Client) fetch() {
-	for _, s := range c.sessions {
+	for _, s := range c.all() {
 		s.send(&wire.ConfigFetch{Have: c.Stamp().Index})
 	}
 }
@@ -201,6 +206,9 @@
 func (c *Client) merge(addr string, msg *wire.Directory) {
 	ahead := false
 	for _, m := range msg.Upserts {
+		if m.Peer.Role == wire.RoleControl {
+			c.learn(m.Peer.Addr)
+		}
 		ahead = c.config.seen(m.ConfigIndex) || ahead
 	}
 	c.mu.Lock()
@@ -215,3 +223,39 @@
 		go c.fetch()
 	}
 }
+
+// all returns the sessions.
+func (c *Client) all() []*session {
+	c.links.Lock()
+	defer c.links.Unlock()
+	return slices.Clone(c.sessions)
+}
+
+// startSessions starts the sessions to the control hosts known so far; later
+// ones start when they are learned of.
+func (c *Client) startSessions(open func(*session)) {
+	c.links.Lock()
+	defer c.links.Unlock()
+	c.open = open
+	for _, s := range c.sessions {
+		open(s)
+	}
+}
+
+// maxSessions bounds the control hosts that a process keeps sessions to. Hosts
+// of the settings come first; some of them may be gone for good.
+const maxSessions = 12
+
+// learn opens a session to a control host that the settings did not name.
+func (c *Client) learn(addr string) {
+	c.links.Lock()
+	defer c.links.Unlock()
+	known := slices.ContainsFunc(c.sessions, func(s *session) bool { return s.addr == addr })
+	if known || addr == "" || c.open == nil || len(c.sessions) >= maxSessions || c.leaving.Load() {
+		return
+	}
+	c.log.Info("control host learned", "control", addr)
+	s := newSession(c, addr)
+	c.sessions = append(c.sessions, s)
+	c.open(s)
+}
--- a/controld/controld.go
+++ b/controld/controld.go
@@ -19,6 +19,7 @@
 	"github.com/fireflytray/fireflytray/directory"
 	"github.com/fireflytray/fireflytray/keys"
 	"github.com/fireflytray/fireflytray/loop"
+	"github.com/fireflytray/fireflytray/membership"
 	"github.com/fireflytray/fireflytray/transport"
 	"github.com/fireflytray/fireflytray/wire"
 )
@@ -58,7 +59,10 @@
 	OpenLog func(Hooks) (Log, error)
 	// Peers lists the peer addresses of other control hosts to begin with; the
 	// log's members are added to them.
-	Peers     []string
+	Peers []string
+	// Manage lets the leader add, promote and remove control hosts by itself;
+	// nil leaves that to operators.
+	Manage    *membership.Config
 	Transport transport.Options
 	// Serve lists further interfaces; they run until their context ends.
 	Serve []func(context.Context, *Host) error
@@ -82,6 +86,7 @@
 	seq      atomic.Uint64
 	clock    func() time.Time
 	meters   *meters
+	manager  *memberManager
 }
 
 // Run serves until ctx ends.
@@ -129,6 +134,7 @@
 		h.opts.Self.Addr = listener.Addr()
 	}
 	h.links = newLinks(h)
+	h.manager = newMemberManager(h)
 	open := h.opts.OpenLog
 	if open == nil {
 		open = func(hooks Hooks) (Log, error) { return NewMemoryLog(hooks.Machine, h.opts.Self.Addr), nil }
@@ -183,9 +189,13 @@
 		fresh := status.Fresh && (h.fresh.Load() || h.caughtUp(ctx))
 		if h.fresh.Swap(fresh) != fresh {
 			h.loop.Post(directory.Event{Quorum: &directory.Quorum{Fresh: fresh}})
-			h.log.Info("quorum changed", "fresh", fresh, "leader", status.LeaderAddr)
+			h.log.Info("quorum changed", "fresh", fresh, "leader", status.LeaderAddr, "term", status.Term)
+			if fresh {
+				h.vouch()
+			}
 		}
 		h.meters.observe(h.machine, h.sessions.count(), fresh)
+		h.manageMembers(ctx, status)
 		select {
 		case <-ctx.Done():
 			return
@@ -210,6 +220,7 @@
 	for _, m := range s.Members {
 		addrs = append(addrs, m.Addr)
 	}
+	addrs = append(addrs, h.manager.addrs()...)
 	var out []string
 	for _, a := range addrs {
 		if a != h.opts.Self.Addr && a != "" {
--- a/controld/links.go
+++ b/controld/links.go
@@ -130,7 +130,10 @@
 }
 
 func (t *links) announcement() *wire.Announce {
-	return &wire.Announce{From: t.host.opts.Self, Seq: t.host.seq.Add(1), Lease: lease, Watch: true}
+	return &wire.Announce{
+		From: t.host.opts.Self, Seq: t.host.seq.Add(1), Lease: lease, Watch: true,
+		Replica: t.host.manager.own(),
+	}
 }
 
 // announceNow tells every other control host at once which configuration is in
--- a/controld/log.go
+++ b/controld/log.go
@@ -40,6 +40,9 @@
 	Term    uint64
 	Commit  uint64
 	Applied uint64
+	// Waiting says that this replica belongs to no cluster and waits to be
+	// added.
+	Waiting bool
 	Members []LogMember
 }
 
--- a/controld/replicalog.go
+++ b/controld/replicalog.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/fireflytray/fireflytray/replica"
+	"github.com/fireflytray/fireflytray/wal"
 	"github.com/fireflytray/fireflytray/wire"
 )
 
@@ -23,27 +25,63 @@
 	Initial []string
 	// Join makes an empty folder wait to be added.
 	Join bool
+	// ElectionTimeout is how long a leader may be silent; zero takes the
+	// default.
+	ElectionTimeout time.Duration
 }
 
+// heartbeatsPerTimeout is how many heartbeats fall into an election timeout.
+const heartbeatsPerTimeout = 4
+
 // OpenReplica returns a function for Options.OpenLog that opens the replicated
 // log in a data folder.
 func OpenReplica(o ReplicaOptions) func(Hooks) (Log, error) {
 	return func(h Hooks) (Log, error) {
-		opt := replica.Options{
-			Dir: o.Dir, Addr: o.Addr, Join: o.Join,
-			Transport: raftTransport(h.Send), StateMachine: h.Machine,
-			Log: func(msg string, keyvals ...any) { h.Log.WithPrefix("replica").Info(msg, keyvals...) },
-		}
-		if !o.Join {
-			for _, addr := range o.Initial {
-				opt.Bootstrap = append(opt.Bootstrap, replica.Member{Addr: addr})
-			}
-		}
-		r, err := replica.Open(opt)
+		l := &replicaLog{opts: o, hooks: h, done: make(chan struct{})}
+		r, err := l.open(o.Join)
 		if err != nil {
 			return nil, err
 		}
-		return &replicaLog{r}, nil
+		l.current.Store(r)
+		go l.supervise()
+		return l, nil
+	}
+}
+
+func (l *replicaLog) open(join bool) (*replica.Replica, error) {
+	opt := replica.Options{
+		Dir: l.opts.Dir, Addr: l.opts.Addr, Join: join,
+		ElectionTimeout: l.opts.ElectionTimeout, HeartbeatInterval: l.opts.ElectionTimeout / heartbeatsPerTimeout,
+		Transport: raftTransport(l.hooks.Send), StateMachine: l.hooks.Machine,
+		Log: func(msg string, keyvals ...any) { l.hooks.Log.WithPrefix("replica").Info(msg, keyvals...) },
+	}
+	if !join {
+		for _, addr := range l.opts.Initial {
+			opt.Bootstrap = append(opt.Bootstrap, replica.Member{Addr: addr})
+		}
+	}
+	return replica.Open(opt)
+}
+
+// supervise starts anew with an empty folder whenever the cluster has removed
+// this replica, and ends with the replica otherwise.
+func (l *replicaLog) supervise() {
+	defer close(l.done)
+	for {
+		r := l.current.Load()
+		<-r.Done()
+		if l.err = r.Err(); !errors.Is(l.err, replica.ErrRemoved) {
+			return
+		}
+		l.hooks.Log.Warn("replica was removed, joins anew", "folder", l.opts.Dir)
+		if l.err = wal.Discard(wal.OS{}, l.opts.Dir); l.err != nil {
+			return
+		}
+		l.hooks.Machine.Reset()
+		if r, l.err = l.open(true); l.err != nil {
+			return
+		}
+		l.current.Store(r)
 	}
 }
 
@@ -54,17 +92,23 @@
 func (f raftTransport) Send(_ uint64, addr string, body []byte) { f(addr, body) }
 
 // replicaLog makes a replica.Replica a Log.
-type replicaLog struct{ r *replica.Replica }
+type replicaLog struct {
+	opts    ReplicaOptions
+	hooks   Hooks
+	current atomic.Pointer[replica.Replica]
+	done    chan struct{}
+	err     error // valid once done is closed
+}
 
 // Propose implements Log.
 func (l *replicaLog) Propose(ctx context.Context, command []byte) ([]byte, uint64, error) {
-	result, index, err := l.r.Propose(ctx, command)
+	result, index, err := l.current.Load().Propose(ctx, command)
 	return result, index, logError(err)
 }
 
 // Barrier implements Log.
 func (l *replicaLog) Barrier(ctx context.Context) (uint64, error) {
-	index, err := l.r.Barrier(ctx)
+	index, err := l.current.Load().Barrier(ctx)
 	return index, logError(err)
 }
 
@@ -84,10 +128,11 @@
 
 // Status implements Log.
 func (l *replicaLog) Status() LogStatus {
-	s := l.r.Status()
+	s := l.current.Load().Status()
 	out := LogStatus{
 		ID: s.ID, Leader: s.LeaderID, LeaderAddr: s.LeaderAddr, Fresh: s.Fresh,
 		Term: s.Term, Commit: s.Commit, Applied: s.Applied,
+		Waiting: s.Phase == wal.PhaseWaiting,
 	}
 	for _, m := range s.Members {
 		out.Members = append(out.Members, LogMember{ID: m.ID, Addr: m.Addr, Voter: m.Voter, Match: m.Match, Live: m.Live})
@@ -96,30 +141,37 @@
 }
 
 // Receive implements Log.
-func (l *replicaLog) Receive(body []byte) { l.r.Receive(body) }
+func (l *replicaLog) Receive(body []byte) { l.current.Load().Receive(body) }
 
 // Change implements Log.
 func (l *replicaLog) Change(ctx context.Context, c wire.MemberChange) error {
 	switch c.Action {
 	case wire.MemberAdd:
-		return logError(l.r.AddLearner(ctx, c.ID, c.Addr))
+		return logError(l.current.Load().AddLearner(ctx, c.ID, c.Addr))
 	case wire.MemberPromote:
-		return logError(l.r.Promote(ctx, c.ID))
+		return logError(l.current.Load().Promote(ctx, c.ID))
 	case wire.MemberRemove:
-		return logError(l.r.Remove(ctx, c.ID))
+		return logError(l.current.Load().Remove(ctx, c.ID))
 	}
 	return fmt.Errorf("controld: unknown change of the control hosts %q", c.Action)
 }
 
 // Done implements Log.
-func (l *replicaLog) Done() <-chan struct{} { return l.r.Done() }
+func (l *replicaLog) Done() <-chan struct{} { return l.done }
 
 // Err implements Log.
-func (l *replicaLog) Err() error { return l.r.Err() }
+func (l *replicaLog) Err() error {
+	select {
+	case <-l.done:
+		return l.err
+	default:
+		return nil
+	}
+}
 
 // Stop implements Log.
 func (l *replicaLog) Stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	_ = l.r.Stop(ctx) // Err has the cause
+	_ = l.current.Load().Stop(ctx) // Err has the cause
 }
--- a/controld/session.go
+++ b/controld/session.go
@@ -45,6 +45,13 @@
 	return s.have, true
 }
 
+// forgetPush lets the index in force be pushed again at once.
+func (s *session) forgetPush() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pushed = 0
+}
+
 // stamped notes a stamp. A stamp never takes back an index.
 func (s *session) stamped(index uint64) {
 	s.mu.Lock()
@@ -145,6 +152,8 @@
 		h.loop.Post(directory.Event{Announce: &directory.Announced{Conn: s.id, Msg: m, Index: stamp.Index}})
 		if role != wire.RoleControl {
 			h.push(s)
+		} else {
+			h.manager.announced(m)
 		}
 	case *wire.ConfigFetch:
 		s.send(h.pushFrom(m.Have))
@@ -200,11 +209,24 @@
 			return
 		case <-h.changed:
 		}
-		for _, s := range h.sessions.all() {
-			if s.conn.Peer().Role != wire.RoleControl {
-				h.push(s)
-			}
-		}
+		h.pushAll()
 		h.links.announceNow()
 	}
 }
+
+func (h *Host) pushAll() {
+	for _, s := range h.sessions.all() {
+		if s.conn.Peer().Role != wire.RoleControl {
+			h.push(s)
+		}
+	}
+}
+
+// vouch pushes the configuration again to processes that are behind: one that
+// has just started takes its first only from a host with a fresh quorum.
+func (h *Host) vouch() {
+	for _, s := range h.sessions.all() {
+		s.forgetPush()
+	}
+	h.pushAll()
+}
--- /dev/null
+++ b/membership/membership.go
@@ -0,0 +1,174 @@
+// Package membership decides, without I/O, how the leader of the replicated log
+// changes the control hosts: an odd number of voters, the rest stand by as
+// learners; a host whose disk was replaced or that is gone for good gives way
+// to one that has caught up.
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// Config tunes Decide. Zero fields take the values of DefaultConfig.
+type Config struct {
+	// MaxVoters bounds the voters.
+	MaxVoters int
+	// DeadAfter is how long a voter may be silent before a host that stands by
+	// takes its place.
+	DeadAfter time.Duration
+	// ForgetAfter is how long a learner may be silent before it is removed.
+	ForgetAfter time.Duration
+}
+
+// DefaultConfig returns the configuration that applies to unset fields.
+func DefaultConfig() Config {
+	return Config{
+		MaxVoters:   5,
+		DeadAfter:   3 * time.Second,
+		ForgetAfter: 10 * time.Second,
+	}
+}
+
+func (c Config) withDefaults() Config {
+	d := DefaultConfig()
+	if c.MaxVoters == 0 {
+		c.MaxVoters = d.MaxVoters
+	}
+	if c.DeadAfter == 0 {
+		c.DeadAfter = d.DeadAfter
+	}
+	if c.ForgetAfter == 0 {
+		c.ForgetAfter = d.ForgetAfter
+	}
+	return c
+}
+
+// Member is a replica that belongs to the cluster.
+type Member struct {
+	ID    uint64
+	Addr  string
+	Voter bool
+	// Self marks the leader.
+	Self bool
+	// Silent is how long it has not answered the leader.
+	Silent time.Duration
+	// CaughtUp says that it holds all that is committed.
+	CaughtUp bool
+}
+
+// Candidate is a replica that waits to be added.
+type Candidate struct {
+	ID   uint64
+	Addr string
+}
+
+// View is what the leader knows.
+type View struct {
+	Members    []Member
+	Candidates []Candidate
+}
+
+// Decide returns the next change, nil if there is none to make. Changes go one
+// at a time.
+func Decide(c Config, v View) *wire.MemberChange {
+	c = c.withDefaults()
+	for _, rule := range []func(Config, View) *wire.MemberChange{removeReplaced, add, removeDead, promote, removeLearner} {
+		if change := rule(c, v); change != nil {
+			return change
+		}
+	}
+	return nil
+}
+
+// removeReplaced removes a member whose host has come back with another data
+// folder: what it knew is gone.
+func removeReplaced(_ Config, v View) *wire.MemberChange {
+	for _, m := range v.Members {
+		newer := func(o Candidate) bool { return o.Addr == m.Addr && o.ID != m.ID }
+		if !m.Self && m.Silent > 0 && slices.ContainsFunc(v.Candidates, newer) {
+			return &wire.MemberChange{Action: wire.MemberRemove, ID: m.ID}
+		}
+	}
+	return nil
+}
+
+// add takes in a host that waits, as a learner.
+func add(_ Config, v View) *wire.MemberChange {
+	for _, c := range v.Candidates {
+		if !slices.ContainsFunc(v.Members, func(m Member) bool { return m.ID == c.ID }) {
+			return &wire.MemberChange{Action: wire.MemberAdd, ID: c.ID, Addr: c.Addr}
+		}
+	}
+	return nil
+}
+
+// removeDead removes a voter that has long been silent, if a learner can take
+// its place or if it only raises the quorum.
+func removeDead(c Config, v View) *wire.MemberChange {
+	voters := v.voters()
+	for _, m := range v.Members {
+		if !m.Voter || m.Self || m.Silent < c.DeadAfter {
+			continue
+		}
+		if len(voters)%2 == 0 || v.standby() != nil {
+			return &wire.MemberChange{Action: wire.MemberRemove, ID: m.ID}
+		}
+	}
+	return nil
+}
+
+// promote makes a learner a voter where that leaves an odd number, or where two
+// learners can follow one another.
+func promote(c Config, v View) *wire.MemberChange {
+	voters := v.voters()
+	if len(voters) >= c.MaxVoters || slices.ContainsFunc(voters, func(m Member) bool { return m.Silent > 0 && !m.Self }) {
+		return nil
+	}
+	m := v.standby()
+	if m == nil || len(voters)%2 == 1 && v.standbys() < 2 {
+		return nil
+	}
+	return &wire.MemberChange{Action: wire.MemberPromote, ID: m.ID}
+}
+
+// removeLearner removes a learner that has long been silent.
+func removeLearner(c Config, v View) *wire.MemberChange {
+	for _, m := range v.Members {
+		if !m.Voter && m.Silent >= c.ForgetAfter {
+			return &wire.MemberChange{Action: wire.MemberRemove, ID: m.ID}
+		}
+	}
+	return nil
+}
+
+func (v View) voters() []Member {
+	var out []Member
+	for _, m := range v.Members {
+		if m.Voter {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// standby returns a learner that has caught up, nil if there is none.
+func (v View) standby() *Member {
+	for i := range v.Members {
+		if m := &v.Members[i]; !m.Voter && m.Silent == 0 && m.CaughtUp {
+			return m
+		}
+	}
+	return nil
+}
+
+func (v View) standbys() int {
+	n := 0
+	for _, m := range v.Members {
+		if !m.Voter && m.Silent == 0 && m.CaughtUp {
+			n++
+		}
+	}
+	return n
+}
--- a/node/control.go
+++ b/node/control.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/fireflytray/fireflytray/controld"
 	"github.com/fireflytray/fireflytray/logging"
+	"github.com/fireflytray/fireflytray/membership"
 	"github.com/fireflytray/fireflytray/wire"
 )
 
@@ -24,6 +26,11 @@
 	Initial []string
 	// Join makes an empty data folder wait to be added.
 	Join bool
+	// ElectionTimeout is how long a leader may be silent.
+	ElectionTimeout time.Duration
+	// Manage lets the leader change the control hosts by itself; nil leaves
+	// that to operators.
+	Manage *membership.Config
 	// Serve lists further interfaces.
 	Serve []func(context.Context, *controld.Host) error
 }
@@ -41,7 +48,10 @@
 			Addr:    o.Peers,
 			Initial: o.Initial,
 			Join:    o.Join,
+
+			ElectionTimeout: o.ElectionTimeout,
 		}),
+		Manage:    o.Manage,
 		Peers:     o.Initial,
 		Serve:     o.Serve,
 		Transport: o.transport(),
--- a/replica/handle.go
+++ b/replica/handle.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/fireflytray/fireflytray/raft"
 	"github.com/fireflytray/fireflytray/wal"
@@ -29,12 +30,29 @@
 	switch {
 	case e.Intro != nil:
 		l.sendTo(e.From, e.FromAddr, envelope{Exists: &exists{Initial: l.ident.Initial}})
+	case e.Removed != nil:
+		if e.Cluster == l.ident.Cluster {
+			l.must(ErrRemoved)
+		}
+	case e.Raft != nil && e.Cluster == l.ident.Cluster && l.stranger(e.From):
+		l.sendTo(e.From, e.FromAddr, envelope{Removed: &removed{Term: l.node.Status(l.now()).Term}})
 	case e.Raft != nil && e.Cluster == l.ident.Cluster && e.From != l.ident.Replica:
 		l.learnAddr(e.From, e.FromAddr)
 		l.node.Step(l.now(), *e.Raft)
 	}
 }
 
+// stranger reports whether this replica leads with a fresh quorum and its
+// cluster has no such member. Members are added by the leader before they hear
+// of the cluster, so one that speaks and is none was removed.
+func (l *loop) stranger(id uint64) bool {
+	s := l.node.Status(l.now())
+	if s.Role != raft.Leader || !s.Fresh {
+		return false
+	}
+	return !slices.ContainsFunc(s.Members, func(m raft.MemberStatus) bool { return m.ID == id })
+}
+
 // learnAddr notes where a replica spoke from; its host may have moved.
 func (l *loop) learnAddr(id uint64, addr string) {
 	if _, known := l.addrs[id]; known || len(l.addrs) < maxAddrs {
@@ -49,6 +67,8 @@
 		l.must(l.carryOut(l.former.handleIntro(e)))
 	case e.Exists != nil:
 		l.must(l.carryOut(l.former.handleExists(e)))
+	case e.Removed != nil:
+		// This replica belongs to no cluster.
 	default:
 		l.must(l.carryOut(l.former.adopt(e)))
 		if l.node != nil {
--- a/replica/message.go
+++ b/replica/message.go
@@ -8,7 +8,7 @@
 
 //go:generate go tool msgp -tests=false -io=false -unexported
 
-//msgp:tuple envelope intro exists
+//msgp:tuple envelope intro exists removed
 //msgp:ignore Options Replica Status MemberStatus NotLeaderError former loop effects waiter request result saver saveJob readWait event
 //msgp:limit arrays:1024 maps:16
 
@@ -21,6 +21,8 @@
 	Raft     *raft.Message
 	Intro    *intro
 	Exists   *exists
+	// Removed tells a replica that the cluster has removed it.
+	Removed *removed
 }
 
 // intro is what a replica outside any cluster says to the first hosts.
@@ -35,6 +37,12 @@
 	Initial []raft.Member
 }
 
+// removed is what the leader tells a replica that is no member any more.
+type removed struct {
+	// Term is the leader's.
+	Term uint64
+}
+
 func (e *envelope) encode() ([]byte, error) { return e.MarshalMsg(nil) }
 
 // decode reads a message that a peer has sent.
@@ -48,7 +56,7 @@
 		return nil, fmt.Errorf("decode: %d bytes follow the message", len(rest))
 	}
 	set := 0
-	for _, ok := range []bool{e.Raft != nil, e.Intro != nil, e.Exists != nil} {
+	for _, ok := range []bool{e.Raft != nil, e.Intro != nil, e.Exists != nil, e.Removed != nil} {
 		if ok {
 			set++
 		}
--- a/replica/message_gen.go
+++ b/replica/message_gen.go
@@ -16,8 +16,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *envelope) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendUint64(o, z.Cluster)
 	o = msgp.AppendUint64(o, z.From)
 	o = msgp.AppendString(o, z.FromAddr)
@@ -58,6 +58,13 @@
 			}
 		}
 	}
+	if z.Removed == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		// array header, size 1
+		o = append(o, 0x91)
+		o = msgp.AppendUint64(o, z.Removed.Term)
+	}
 	return
 }
 
@@ -69,8 +76,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Cluster, bts, err = msgp.ReadUint64Bytes(bts)
@@ -190,6 +197,32 @@
 			}
 		}
 	}
+	if msgp.IsNil(bts) {
+		bts, err = msgp.ReadNilBytes(bts)
+		if err != nil {
+			return
+		}
+		z.Removed = nil
+	} else {
+		if z.Removed == nil {
+			z.Removed = new(removed)
+		}
+		var zb0006 uint32
+		zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Removed")
+			return
+		}
+		if zb0006 != 1 {
+			err = msgp.ArrayError{Wanted: 1, Got: zb0006}
+			return
+		}
+		z.Removed.Term, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Removed", "Term")
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -218,6 +251,11 @@
 			s += z.Exists.Initial[za0002].Msgsize()
 		}
 	}
+	if z.Removed == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + msgp.Uint64Size
+	}
 	return
 }
 
@@ -346,3 +384,39 @@
 	}
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z removed) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendUint64(o, z.Term)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *removed) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.Term, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Term")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z removed) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size
+	return
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -82,6 +82,9 @@
 	// ErrStopped says that the replica has stopped. A change that was refused
 	// with it alone was not run.
 	ErrStopped = errors.New("the replica has stopped")
+	// ErrRemoved says that the cluster has removed this replica. Its data folder
+	// serves no more; see wal.Discard.
+	ErrRemoved = errors.New("the cluster has removed this replica")
 	// ErrNotMember says that the replica belongs to no cluster yet; nothing was
 	// run.
 	ErrNotMember = errors.New("the replica belongs to no cluster yet")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -46,6 +46,10 @@
 	JoinUnlisted bool
 	// PeerPort replaces the ports in Initial if it is not zero.
 	PeerPort uint32
+	// ElectionTimeout is how long a leader may be silent.
+	ElectionTimeout time.Duration
+	// Managed lets the leader change the control hosts by itself.
+	Managed bool
 	// Operators is the HTTP host:port of the platform's operators; empty for
 	// none.
 	Operators string
@@ -177,6 +181,8 @@
 	maxDevices     = 1 << 10
 	minLease       = 200 * time.Millisecond
 	maxLease       = time.Minute
+	minElection    = 100 * time.Millisecond
+	maxElection    = time.Minute
 	minRunLease    = 10 * time.Millisecond
 	maxPort        = 1<<16 - 1
 	maxSlowdown    = 1000
@@ -230,6 +236,8 @@
 		boolean(&c.Join, "cluster", "join", "Whether an empty data folder joins a running cluster as a learner.").or("false"),
 		boolean(&c.JoinUnlisted, "cluster", "join-unlisted", "Whether a host that initial lacks joins as a learner.").or("false"),
 		count(&c.PeerPort, "cluster", "peer-port", "Port that replaces those in initial; 0 keeps them.", 0, maxPort).or("0"),
+		duration(&c.ElectionTimeout, "cluster", "election-timeout", "How long a leader may be silent before another is elected.", minElection, maxElection).or("900ms"),
+		boolean(&c.Managed, "cluster", "managed", "Whether the leader adds, promotes and removes control hosts by itself.").or("false"),
 		optionalHostPort(&c.Operators, "platform", "operators", "HTTP address for the platform's operators.").or(""),
 	)
 }
--- a/wal/open.go
+++ b/wal/open.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"errors"
 	"fmt"
 	"path/filepath"
 	"slices"
@@ -57,12 +58,61 @@
 	return st, w.fs.SyncDir(w.dir)
 }
 
+// discardName marks a folder whose files are to be removed.
+const discardName = "discard"
+
+// Discard makes a data folder an empty one again, for a replica that was
+// removed from its cluster. If it is interrupted, the next Open finishes it.
+func Discard(fs FS, dir string) error {
+	w := &WAL{fs: fs, dir: dir}
+	f, err := fs.Create(w.path(discardName))
+	if err != nil {
+		return fmt.Errorf("wal: discard %s: %w", dir, err)
+	}
+	if err := errors.Join(f.Sync(), f.Close(), fs.SyncDir(dir)); err != nil {
+		return fmt.Errorf("wal: discard %s: %w", dir, err)
+	}
+	if err := w.discard(); err != nil {
+		return fmt.Errorf("wal: discard %s: %w", dir, err)
+	}
+	return nil
+}
+
+// discard removes every file; the mark that makes it certain goes last.
+func (w *WAL) discard() error {
+	names, err := w.fs.ReadDir(w.dir)
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		if name == lockName || name == discardName {
+			continue
+		}
+		if err := w.fs.Remove(w.path(name)); err != nil {
+			return err
+		}
+	}
+	if err := w.fs.SyncDir(w.dir); err != nil {
+		return err
+	}
+	if err := w.fs.Remove(w.path(discardName)); err != nil {
+		return err
+	}
+	return w.fs.SyncDir(w.dir)
+}
+
 // listing removes what an interrupted write left and returns the other names.
 func (w *WAL) listing() ([]string, error) {
 	all, err := w.fs.ReadDir(w.dir)
 	if err != nil {
 		return nil, err
 	}
+	if slices.Contains(all, discardName) {
+		if err := w.discard(); err != nil {
+			return nil, err
+		}
+		all = []string{lockName}
+	}
 	var names []string
 	for _, name := range all {
 		if !strings.HasSuffix(name, tmpSuffix) {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -199,6 +199,16 @@
 	Leaving bool `msg:"g"`
 	// Watch asks for Directory messages on this connection.
 	Watch bool `msg:"a"`
+	// Replica is set by control hosts.
+	Replica *Replica `msg:"p"`
+}
+
+// Replica is the replica of the log that a control host keeps.
+type Replica struct {
+	// ID is born with the data folder.
+	ID uint64 `msg:"i"`
+	// Waiting says that the replica belongs to no cluster and asks to be added.
+	Waiting bool `msg:"w"`
 }
 
 // Announced answers an Announce.
--- a/wire/wire_gen.go
+++ b/wire/wire_gen.go
@@ -16,9 +16,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Announce) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "f"
-	o = append(o, 0x86, 0xa1, 0x66)
+	o = append(o, 0x87, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -47,6 +47,19 @@
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendBool(o, z.Watch)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	if z.Replica == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		// map header, size 2
+		// string "i"
+		o = append(o, 0x82, 0xa1, 0x69)
+		o = msgp.AppendUint64(o, z.Replica.ID)
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendBool(o, z.Replica.Waiting)
+	}
 	return
 }
 
@@ -119,6 +132,56 @@
 				err = msgp.WrapError(err, "Watch")
 				return
 			}
+		case "p":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Replica = nil
+			} else {
+				if z.Replica == nil {
+					z.Replica = new(Replica)
+				}
+				var zb0002 uint32
+				zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Replica")
+					return
+				}
+				if zb0002 > z5817a858limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0002 > 0 {
+					zb0002--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Replica")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "i":
+						z.Replica.ID, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Replica", "ID")
+							return
+						}
+					case "w":
+						z.Replica.Waiting, bts, err = msgp.ReadBoolBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Replica", "Waiting")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Replica")
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -139,7 +202,12 @@
 	} else {
 		s += z.Worker.Msgsize()
 	}
-	s += 2 + msgp.DurationSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+	s += 2 + msgp.DurationSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2
+	if z.Replica == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
+	}
 	return
 }
 
@@ -2164,6 +2232,71 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Replica) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "i"
+	o = append(o, 0x82, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.ID)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Waiting)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Replica) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "w":
+			z.Waiting, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Waiting")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Replica) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
