entry: order waiting jobs by priority and latest start, late ones last

Ruled out: lack of processor time at the entries (0.026 cores at most). Change: order urgent: priority, then the latest start that meets the objective; jobs past it wait behind all others. Ranks are times left, so agents can compare entries'.

--- a/entry/queue/heap.go
+++ b/entry/queue/heap.go
@@ -1,6 +1,6 @@
 package queue
 
-// classHeap is a binary heap of jobs by arrival.
+// classHeap is a binary heap of jobs by their key.
 type classHeap []*Job
 
 func (h *classHeap) push(j *Job) {
@@ -26,7 +26,7 @@
 func (h classHeap) up(i int) {
 	for i > 0 {
 		parent := (i - 1) / 2
-		if h[parent].Arrived <= h[i].Arrived {
+		if h[parent].key <= h[i].key {
 			return
 		}
 		h.swap(i, parent)
@@ -38,7 +38,7 @@
 	for {
 		least := i
 		for c := 2*i + 1; c <= 2*i+2 && c < len(h); c++ {
-			if h[c].Arrived < h[least].Arrived {
+			if h[c].key < h[least].key {
 				least = c
 			}
 		}
--- a/entry/queue/order.go
+++ b/entry/queue/order.go
@@ -22,6 +22,10 @@
 	// longest declared run time, over the job's slowdown so far, as its age
 	// over that run time.
 	LeftOverSlowdown
+	// Urgent ranks by priority, then by the latest start that still meets the
+	// job's objective. Jobs that can't meet theirs any more come after all that
+	// can.
+	Urgent
 )
 
 const (
@@ -31,11 +35,23 @@
 	unknownRun = 300 * time.Millisecond
 )
 
+const (
+	// maxUrgentPriority is the highest priority that Urgent tells apart.
+	maxUrgentPriority = 120
+	// lateClass is the first class of jobs that can't meet their objective.
+	lateClass = maxUrgentPriority + 1
+	// priorityStep keeps the ranks of priorities apart; slacks, in seconds, are
+	// below it.
+	priorityStep = 1e4
+	// lateStep keeps the ranks of late jobs above those of all others.
+	lateStep = priorityStep * lateClass
+)
+
 // classesPerOctave is how finely LeftOverSlowdown tells sizes apart.
 const classesPerOctave = 6
 
 // orderNames are the names in settings and reports, by Order.
-var orderNames = [...]string{"fifo", "fewest-left", "left-over-age", "left-over-slowdown"}
+var orderNames = [...]string{"fifo", "fewest-left", "left-over-age", "left-over-slowdown", "urgent"}
 
 // String returns the order's name in settings.
 func (o Order) String() string {
@@ -60,6 +76,12 @@
 	switch o {
 	case FIFO:
 		return 0
+	case Urgent:
+		class := int(min(j.Priority, maxUrgentPriority))
+		if j.late {
+			class += lateClass
+		}
+		return class
 	case LeftOverSlowdown:
 		run := float64(j.run() / time.Millisecond)
 		octaves := math.Log2(max(1, float64(j.waiting)*run*run))
@@ -83,6 +105,8 @@
 	switch o {
 	case FIFO:
 		return j.Arrived.Seconds()
+	case Urgent:
+		return j.urgency(now)
 	case FewestLeft:
 		return float64(j.waiting)
 	case LeftOverSlowdown:
@@ -92,3 +116,22 @@
 		return float64(j.waiting) / age
 	}
 }
+
+// urgency is the rank by Urgent.
+func (j *Job) urgency(now time.Duration) float64 {
+	slack := (j.StartBy - now).Seconds()
+	slack = min(max(slack, -priorityStep/2+1), priorityStep/2-1) + priorityStep/2
+	rank := float64(min(j.Priority, maxUrgentPriority))*priorityStep + slack
+	if j.late {
+		rank += lateStep
+	}
+	return rank
+}
+
+// key orders the jobs of a class.
+func (o Order) key(j *Job) time.Duration {
+	if o == Urgent {
+		return j.StartBy
+	}
+	return j.Arrived
+}
--- a/entry/queue/queue.go
+++ b/entry/queue/queue.go
@@ -38,9 +38,16 @@
 	Arrived time.Duration
 	// Longest is the longest declared run time of its tasks, zero if unknown.
 	Longest time.Duration
+	// Priority and StartBy are used by Urgent: 0 is the most urgent, and a job
+	// that starts after StartBy can't meet its objective.
+	Priority uint32
+	StartBy  time.Duration
 	// Owner is the caller's own record of the job.
 	Owner any
 
+	late bool
+	key  time.Duration
+
 	waiting uint32
 	class   int
 	pos     int
@@ -237,10 +244,8 @@
 func (t *team) full() bool { return t.limit > 0 && t.running >= t.limit }
 
 func (q *Queue) insert(t *team, j *Job) {
-	t.first = nil
-	j.class = q.order.class(j)
-	t.classes[j.class].push(j)
-	t.used[j.class/64] |= 1 << (j.class % 64)
+	j.class, j.key = q.order.class(j), q.order.key(j)
+	t.put(j)
 }
 
 func (t *team) remove(j *Job) {
@@ -256,12 +261,35 @@
 // so only the first of each class is compared.
 func (t *team) head(o Order, now time.Duration) (*Job, float64) {
 	if t.first == nil || now >= t.firstAt+rankKeep {
+		if o == Urgent {
+			t.demote(now)
+		}
 		t.first, t.firstRank = t.search(o, now)
 		t.firstAt = now
 	}
 	return t.first, t.firstRank
 }
 
+// demote moves jobs that can't meet their objective any more to the classes of
+// late jobs.
+func (t *team) demote(now time.Duration) {
+	for class := range lateClass {
+		for len(t.classes[class]) > 0 && t.classes[class][0].StartBy < now {
+			j := t.classes[class][0]
+			t.remove(j)
+			j.late, j.class = true, class+lateClass
+			t.put(j)
+		}
+	}
+}
+
+// put stores a job in its class.
+func (t *team) put(j *Job) {
+	t.first = nil
+	t.classes[j.class].push(j)
+	t.used[j.class/64] |= 1 << (j.class % 64)
+}
+
 func (t *team) search(o Order, now time.Duration) (*Job, float64) {
 	var best *Job
 	rank := math.Inf(1)
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -79,7 +79,13 @@
 		Team:    s.sub.Team,
 		Arrived: e.now,
 		Longest: specs[s.ready[n-1]].Declared,
-		Owner:   s,
+
+		Priority: s.sub.Priority,
+		StartBy:  s.deadline,
+		Owner:    s,
+	}
+	if s.sub.Objective > 0 {
+		s.job.StartBy = e.now + s.sub.Objective - s.job.Longest
 	}
 	return s
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -154,6 +154,7 @@
 	OrderLeftOverAge      = "left-over-age"
 	OrderFewestLeft       = "fewest-left"
 	OrderFIFO             = "fifo"
+	OrderUrgent           = "urgent"
 )
 
 // The policies of credit.
@@ -252,7 +253,7 @@
 		oneOf(&e.Placement, "placement", "policy", "How tasks are placed on agents.",
 			PlacementCredits, PlacementLeastOutstanding, PlacementTwoChoices, PlacementRandom).or(PlacementCredits),
 		oneOf(&e.Order, "placement", "order", "Order of the jobs that wait.",
-			OrderLeftOverSlowdown, OrderLeftOverAge, OrderFewestLeft, OrderFIFO).or(OrderLeftOverSlowdown),
+			OrderLeftOverSlowdown, OrderLeftOverAge, OrderFewestLeft, OrderFIFO, OrderUrgent).or(OrderLeftOverSlowdown),
 		peerPort(&e.PeerPort),
 		optionalHostPort(&e.Clients, "platform", "clients", "HTTP address for the platform's clients.").or(""),
 		optionalHostPort(&e.Readiness, "platform", "readiness", "HTTP address for the platform's balancer.").or(""),
