entry: refuse at once what would wait beyond its objective

Ruled out: a fixed bound on waiting tasks: the limit by outcomes reacts over seconds, the objectives are 0.1 to 1.5 s. Change: a forecast from the rate at which waiting work is placed; a job is refused on arrival, or at a fifth of its objective, if the work before it takes longer than its slack, and when its latest start has passed with nothing sent.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -19,6 +19,8 @@
 // next task fits no agent now steps aside, so that it holds up nobody else.
 func (e *Entry) dispatch(s *service) {
 	s.unblockAll()
+	s.forecast.observe(e.now, s.q.Len() > 0)
+	defer func() { s.forecast.observe(e.now, s.q.Len() > 0) }()
 	for {
 		j, rank := s.q.Head(e.now)
 		if j == nil {
@@ -63,6 +65,7 @@
 	}
 	a.Used = a.Used.Add(spec.Need)
 	a.svc.pool.Changed(&a.Agent)
+	s.svc.forecast.place(s.job.PerTask().Seconds())
 	e.stats.Placed++
 	e.markDirty(a)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -99,8 +99,10 @@
 	active  bool
 	poked   bool
 	speed   speed
-	limit   *limit.Limiter
-	retries *retry.Budget
+	// forecast tells how long a new job would wait.
+	forecast forecast
+	limit    *limit.Limiter
+	retries  *retry.Budget
 	// inSystem counts the tasks admitted and not answered.
 	inSystem int
 }
--- a/entry/queue/order.go
+++ b/entry/queue/order.go
@@ -99,6 +99,9 @@
 	return j.Longest
 }
 
+// PerTask returns the run time by which a task of the job counts as work.
+func (j *Job) PerTask() time.Duration { return j.run() }
+
 // Rank returns the rank of a job now.
 func (o Order) Rank(j *Job, now time.Duration) float64 {
 	age := (now - j.Arrived + ageOffset).Seconds()
--- a/entry/queue/queue.go
+++ b/entry/queue/queue.go
@@ -72,7 +72,10 @@
 	firstRank float64
 	firstAt   time.Duration
 	classes   [maxClass + 1]classHeap
-	used      [classWords]uint64
+	// work is the declared run time of the waiting tasks of each class, in
+	// seconds.
+	work [maxClass + 1]float64
+	used [classWords]uint64
 }
 
 // Queue holds waiting jobs. It is not safe for concurrent use.
@@ -252,7 +255,9 @@
 	t.first = nil
 	h := &t.classes[j.class]
 	h.remove(j)
+	t.work[j.class] -= j.work()
 	if len(*h) == 0 {
+		t.work[j.class] = 0
 		t.used[j.class/64] &^= 1 << (j.class % 64)
 	}
 }
@@ -270,6 +275,44 @@
 	return t.first, t.firstRank
 }
 
+// work is the declared run time of a job's waiting tasks, in seconds.
+func (j *Job) work() float64 { return float64(j.waiting) * j.run().Seconds() }
+
+// WorkAhead returns the declared run time, in seconds, of the waiting tasks that
+// rank before a new job of a priority by Urgent.
+func (q *Queue) WorkAhead(priority uint32) float64 {
+	sum := 0.0
+	for _, t := range q.due {
+		for class := range min(priority, maxUrgentPriority) + 1 {
+			sum += t.work[class]
+		}
+	}
+	return sum
+}
+
+// WorkBefore returns the declared run time, in seconds, of the waiting tasks that
+// rank before a waiting job by Urgent. Of its own class it takes the share by
+// which the job lies behind the first.
+func (q *Queue) WorkBefore(j *Job) float64 {
+	if j.waiting == 0 || j.team == nil {
+		return 0
+	}
+	ahead := 0.0
+	for _, t := range q.due {
+		for class := range j.class {
+			ahead += t.work[class]
+		}
+	}
+	h := j.team.classes[j.class]
+	before := 0
+	for _, o := range h {
+		if o.key < j.key {
+			before++
+		}
+	}
+	return ahead + j.team.work[j.class]*float64(before)/float64(len(h))
+}
+
 // demote moves jobs that can't meet their objective any more to the classes of
 // late jobs.
 func (t *team) demote(now time.Duration) {
@@ -288,6 +331,7 @@
 	t.first = nil
 	t.classes[j.class].push(j)
 	t.used[j.class/64] |= 1 << (j.class % 64)
+	t.work[j.class] += j.work()
 }
 
 func (t *team) search(o Order, now time.Duration) (*Job, float64) {
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -97,6 +97,10 @@
 	if at := s.deadline - s.job.Longest/declaredFactor; s.job.Longest > 0 && at > e.now {
 		e.arm(timer{at: at, kind: timerHopeless, sub: s})
 	}
+	if s.sub.Objective > 0 {
+		e.arm(timer{at: s.arrived + s.sub.Objective/decideShare, kind: timerDecide, sub: s})
+		e.arm(timer{at: s.job.StartBy, kind: timerLate, sub: s})
+	}
 	e.touch(s.svc)
 }
 
@@ -254,6 +258,32 @@
 	}
 }
 
+// decideShare is the part of its objective that a submission may wait before it
+// is decided whether it can still be met, as a divisor; the platform prices
+// refusals that come later.
+const decideShare = 5
+
+// decide gives up a submission of which nothing was sent if the forecast says
+// that it can't start in time, so that its caller learns it early.
+func (e *Entry) decide(s *submission) {
+	if s.answered || s.started() || len(s.ready) < len(s.tasks) {
+		return
+	}
+	wait, ok := s.svc.forecast.wait(s.svc.q.WorkBefore(&s.job))
+	if ok && e.now+wait > s.job.StartBy {
+		e.answerGivenUp(s, task.ReasonOverload)
+	}
+}
+
+// dropLate gives up a submission of which nothing was sent and that can't meet
+// its objective any more.
+func (e *Entry) dropLate(s *submission) {
+	if s.answered || s.started() || len(s.ready) < len(s.tasks) {
+		return
+	}
+	e.answerGivenUp(s, task.ReasonOverload)
+}
+
 // resend reports whether an attempt that ended like this may be followed by
 // another one.
 func (e *Entry) resend(s *submission, i uint32, o task.Outcome) bool {
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -77,6 +77,9 @@
 	if r := e.checkLoad(svc, sub); r != nil {
 		return nil, r
 	}
+	if r := e.checkObjective(svc, sub); r != nil {
+		return nil, r
+	}
 	return svc, e.checkQuota(sub)
 }
 
@@ -126,6 +129,36 @@
 	}
 }
 
+// checkObjective refuses a submission that would wait beyond the latest start
+// that meets its objective.
+func (e *Entry) checkObjective(svc *service, sub *task.Submission) *refusal {
+	if sub.Objective <= 0 || svc.q.Len() == 0 {
+		return nil
+	}
+	wait, ok := svc.forecast.wait(svc.q.WorkAhead(sub.Priority))
+	slack := sub.Objective - longestDeclared(sub)
+	if !ok || wait <= slack {
+		return nil
+	}
+	return &refusal{
+		reason: task.ReasonOverload,
+		detail: fmt.Sprintf("would wait %s, its objective leaves %s", wait.Round(time.Millisecond), slack),
+		after:  max(wait-slack, minOverloadRetry),
+	}
+}
+
+// minOverloadRetry is the least time after which a submission refused for its
+// objective should come back: a burst lasts seconds.
+const minOverloadRetry = time.Second
+
+func longestDeclared(sub *task.Submission) time.Duration {
+	longest := time.Duration(0)
+	for i := range sub.Tasks {
+		longest = max(longest, sub.Tasks[i].Declared)
+	}
+	return longest
+}
+
 // limitBounds are the least and the most tasks of a service in the system: the
 // slots must never idle for the limit's sake.
 func (e *Entry) limitBounds(svc *service) (low, high int) {
--- a/entry/timers.go
+++ b/entry/timers.go
@@ -11,6 +11,8 @@
 const (
 	timerDeadline timerKind = iota
 	timerHopeless
+	timerDecide
+	timerLate
 	timerAck
 	timerDial
 	timerGone
@@ -71,6 +73,10 @@
 			e.deadlinePassed(t.sub)
 		case timerHopeless:
 			e.dropHopeless(t.sub)
+		case timerDecide:
+			e.decide(t.sub)
+		case timerLate:
+			e.dropLate(t.sub)
 		case timerAck:
 			e.ackDue(t.ag)
 		case timerDial:
