--- a/lease/hold.go
+++ b/lease/hold.go
@@ -25,9 +25,13 @@
 	}
 	h := hold{call: s.nextCall(), by: s.now + wait + within, fence: s.fence, long: long, probe: probe}
 	eff := HoldCall{
-		Call: h.call, Target: s.target, Seen: s.seen, Until: s.lease(), Fence: s.fence,
+		Call: h.call, Target: s.target, Seen: s.seen, Fence: s.fence,
 		Wait: wait, Within: within,
 	}
+	if s.failures < failuresToSuspect {
+		// The leases of an upstream that does not answer have to run out.
+		eff.Until = s.lease()
+	}
 	s.holds = append(s.holds, h)
 	s.told, s.ackAt = s.seen, 0
 	s.emit(eff)
