--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -28,7 +28,7 @@
 }
 
 func newBench(t *testing.T) *bench {
-	return &bench{t: t, s: New(Config{}, 100), upClock: time.Hour}
+	return &bench{t: t, s: New(Config{}, 100), now: time.Second, upClock: time.Hour}
 }
 
 func (b *bench) step(ev Event) {
