--- a/agent/config.go
+++ b/agent/config.go
@@ -36,6 +36,9 @@
 	// BusyPause is how long nothing starts after the upstream has refused a
 	// task although a slot seemed free.
 	BusyPause time.Duration
+	// OrphanAfter is how long the runs of an entry go on that is not heard from;
+	// its callers may hand the work in elsewhere. Zero lets them end normally.
+	OrphanAfter time.Duration
 	// ForgetEntry is how long an entry without a session is remembered.
 	ForgetEntry time.Duration
 	// MaxUnacked bounds the outcomes kept for one entry, MaxUnackedBytes their
--- a/agent/next.go
+++ b/agent/next.go
@@ -28,6 +28,9 @@
 			r.stopAt = s.now
 		}
 	}
+	for _, e := range s.order {
+		e.heardAt = s.now
+	}
 }
 
 func (s *State) soonest() (at time.Duration, ok bool) {
@@ -80,6 +83,9 @@
 		t.add(r.startBy)
 	}
 	for _, r := range s.running {
+		if s.cfg.OrphanAfter > 0 && r.stopWhy == task.ReasonNone {
+			t.add(r.entry.heardAt + s.cfg.OrphanAfter)
+		}
 		switch {
 		case r.stopWhy != task.ReasonNone && s.up.Leased:
 		case r.stopWhy != task.ReasonNone:
--- a/agent/run.go
+++ b/agent/run.go
@@ -287,6 +287,7 @@
 	s.health.tick(s.now)
 	s.expireUpstream()
 	s.expireEntries()
+	s.expireOrphans()
 	s.expireQueued()
 	for i := 0; i < len(s.running); i++ {
 		if r := s.running[i]; s.expireRun(r) {
--- a/agent/session.go
+++ b/agent/session.go
@@ -18,6 +18,8 @@
 	sessionNo uint64
 	lastSeq   uint64
 	goneAt    time.Duration
+	// heardAt is when the entry last sent anything on a session.
+	heardAt time.Duration
 
 	// amnesic is set if this incarnation had sessions that are forgotten, so
 	// that an unknown task may still have run.
@@ -59,6 +61,7 @@
 	}
 	s.dropOlder(h.From)
 	e.peer, e.session, e.sessionNo, e.lastSeq = h.From, id, h.Session, 0
+	e.heardAt = s.now
 	e.demand, e.told = wire.Demand{}, 0
 	s.sessions[id] = e
 	s.observe(e, h.SentAt)
@@ -135,6 +138,7 @@
 		s.stats.Duplicates++
 		return
 	}
+	e.heardAt = s.now
 	lag := s.observe(e, u.SentAt)
 	switch {
 	case u.Seq != e.lastSeq+1:
@@ -235,6 +239,26 @@
 	s.order = slices.DeleteFunc(s.order, func(o *entry) bool { return o == e })
 }
 
+// expireOrphans stops the runs of entries that are not heard from, and refuses
+// their queued tasks.
+func (s *State) expireOrphans() {
+	if s.cfg.OrphanAfter == 0 {
+		return
+	}
+	for _, r := range slices.Clone(s.queue.recs) {
+		if s.orphan(r.entry) {
+			s.refuse(r, task.ReasonEntryGone)
+		}
+	}
+	for _, r := range s.running {
+		if s.orphan(r.entry) {
+			s.stop(r, task.ReasonEntryGone)
+		}
+	}
+}
+
+func (s *State) orphan(e *entry) bool { return s.now >= e.heardAt+s.cfg.OrphanAfter }
+
 func (s *State) expireEntries() {
 	for i := 0; i < len(s.order); i++ {
 		e := s.order[i]
--- a/cmd/fireflytray-agent/main.go
+++ b/cmd/fireflytray-agent/main.go
@@ -38,7 +38,7 @@
 		Upstream: s.Upstream,
 		Rack:     s.Rack,
 		Leased:   leased(s),
-		Agent:    agent.Config{Policy: policy, QueueShare: s.QueueShare},
+		Agent:    agent.Config{Policy: policy, QueueShare: s.QueueShare, OrphanAfter: s.OrphanAfter},
 		Offered: task.Resources{
 			MilliCPU:     s.Processors * 1000,
 			MemoryMB:     s.MemoryMB,
@@ -67,6 +67,7 @@
 		Domain:      s.Domain,
 		Site:        s.Site,
 		DrainWithin: s.DrainTimeout,
+		Silence:     s.Silence,
 		Identity:    rt.Identity,
 		Logs:        rt.Logs,
 		Scope:       rt.Metrics.Scope(),
--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -42,6 +42,9 @@
 		Policy:  policy,
 		Order:   order,
 		Serve:   platformInterfaces(s),
+
+		Pulse:     s.Pulse,
+		GoneAfter: s.GoneAfter,
 	})
 }
 
@@ -68,6 +71,7 @@
 		Domain:      s.Domain,
 		Site:        s.Site,
 		DrainWithin: s.DrainTimeout,
+		Silence:     s.Silence,
 		Identity:    rt.Identity,
 		Logs:        rt.Logs,
 		Scope:       rt.Metrics.Scope(),
--- a/entry/agent.go
+++ b/entry/agent.go
@@ -44,8 +44,9 @@
 	cancel   []task.ID
 	seq      uint64 // of the last update sent
 	unseen   []unseen
-	seen     uint64 // highest report handled
-	told     uint64 // highest report acknowledged
+	seen     uint64        // highest report handled
+	told     uint64        // highest report acknowledged
+	sentAt   time.Duration // of the last update
 	ackArmed bool
 	// expecting is what the driver was last told to expect of the session.
 	expecting bool
@@ -261,7 +262,7 @@
 	e.unpool(a)
 	if wasOpen {
 		a.lostAt = e.now
-		e.arm(timer{at: e.now + goneAfter, kind: timerGone, ag: a})
+		e.arm(timer{at: e.now + e.opts.GoneAfter, kind: timerGone, ag: a})
 		e.dial(a)
 		return
 	}
@@ -293,7 +294,7 @@
 // goneDue gives up on the tasks of an agent that has had no session since the
 // timer was set.
 func (e *Entry) goneDue(a *agent, at time.Duration) {
-	if e.agents[a.peer.ID] != a || a.link == linkOpen || a.lostAt+goneAfter > at {
+	if e.agents[a.peer.ID] != a || a.link == linkOpen || a.lostAt+e.opts.GoneAfter > at {
 		return
 	}
 	e.settleAll(a, task.ReasonAgentGone)
@@ -323,3 +324,14 @@
 		e.markDirty(a)
 	}
 }
+
+// pulse lets every agent that holds tasks hear from this entry.
+func (e *Entry) pulse() {
+	e.arm(timer{at: e.now + e.opts.Pulse/2, kind: timerPulse})
+	for _, id := range slices.Sorted(maps.Keys(e.agents)) {
+		a := e.agents[id]
+		if a.link == linkOpen && len(a.sent) > 0 && e.now >= a.sentAt+e.opts.Pulse {
+			e.markDirty(a)
+		}
+	}
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -173,6 +173,7 @@
 
 func (e *Entry) sendUpdate(a *agent) {
 	a.seq++
+	a.sentAt = e.now
 	u := &wire.Update{
 		Seq:    a.seq,
 		Seen:   a.seen,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,8 +36,18 @@
 	// left, beyond those that are told on messages sent anyway; zero takes
 	// DefaultPoke.
 	Poke int
+	// Pulse is how often an agent that holds tasks hears from the entry at
+	// least; zero sends nothing beyond what there is to say.
+	Pulse time.Duration
+	// GoneAfter is how long an agent may be without a session before the
+	// outcomes of its tasks are given up as unknown; zero takes
+	// DefaultGoneAfter.
+	GoneAfter time.Duration
 }
 
+// DefaultGoneAfter is the default of Options.GoneAfter.
+const DefaultGoneAfter = 4 * time.Second
+
 // DefaultPoke is the default of Options.Poke.
 const DefaultPoke = 3
 
@@ -52,9 +62,6 @@
 	redialDelay = 200 * time.Millisecond
 	// maxRedialDelay is the most time between two dials of an agent.
 	maxRedialDelay = 3 * time.Second
-	// goneAfter is how long an agent may be without a session before the
-	// outcomes of its tasks are given up as unknown.
-	goneAfter = 4 * time.Second
 	// reviewEvery is the time between looks for slow agents.
 	reviewEvery = 250 * time.Millisecond
 	// retryReserve is how many retries a service may make besides its share.
@@ -124,8 +131,14 @@
 	if e.opts.Poke == 0 {
 		e.opts.Poke = DefaultPoke
 	}
+	if e.opts.GoneAfter == 0 {
+		e.opts.GoneAfter = DefaultGoneAfter
+	}
 	e.configure(o.Config)
 	e.arm(timer{at: reviewEvery, kind: timerReview})
+	if o.Pulse > 0 {
+		e.arm(timer{at: o.Pulse, kind: timerPulse})
+	}
 	return e
 }
 
--- a/entry/timers.go
+++ b/entry/timers.go
@@ -18,6 +18,7 @@
 	timerGone
 	timerReview
 	timerPoke
+	timerPulse
 )
 
 // timer is due once; whether it still matters is checked when it fires.
@@ -85,6 +86,8 @@
 			e.goneDue(t.ag, t.at)
 		case timerReview:
 			e.review()
+		case timerPulse:
+			e.pulse()
 		case timerPoke:
 			e.pokeDue(t.svc)
 		}
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -54,7 +54,10 @@
 	Order    queue.Order
 	Seed     uint64
 	Poke     int
-	Config   *fleet.Config
+	// Pulse and GoneAfter are those of entry.Options.
+	Pulse     time.Duration
+	GoneAfter time.Duration
+	Config    *fleet.Config
 	// DrainWithin bounds a graceful shutdown.
 	DrainWithin time.Duration
 	// Serve lists further interfaces for callers; they run until their context
@@ -116,6 +119,9 @@
 		Seed:   o.Seed,
 		Config: o.Config,
 		Poke:   o.Poke,
+
+		Pulse:     o.Pulse,
+		GoneAfter: o.GoneAfter,
 	})
 	d.loop = loop.New[entry.Event, entry.Effect](&inspected{d.state}, entry.Tick{}, d.exec)
 	d.api = httpapi.New(d, o.HTTP)
--- a/node/entry.go
+++ b/node/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/fireflytray/fireflytray/controlclient"
 	"github.com/fireflytray/fireflytray/entry/placement"
@@ -25,6 +26,9 @@
 	Policy   placement.Policy
 	Order    queue.Order
 	Poke     int
+	// Pulse and GoneAfter are those of entry.Options.
+	Pulse     time.Duration
+	GoneAfter time.Duration
 	// Serve lists further interfaces for callers.
 	Serve []func(context.Context, *entryd.Daemon) error
 }
@@ -57,6 +61,8 @@
 		Order:       o.Order,
 		Seed:        self.Incarnation,
 		Poke:        o.Poke,
+		Pulse:       o.Pulse,
+		GoneAfter:   o.GoneAfter,
 		DrainWithin: o.DrainWithin,
 		Serve:       o.Serve,
 		Control:     client,
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,9 @@
 	Scope    tally.Scope
 	// DrainWithin bounds how long a shutdown waits for work in flight.
 	DrainWithin time.Duration
+	// Silence is how long an answer of a peer may take before the connection is
+	// judged silent; zero takes the transport's default.
+	Silence time.Duration
 	// Controls lists the peer addresses of control hosts.
 	Controls []string
 }
@@ -50,7 +53,7 @@
 }
 
 func (c Common) transport() transport.Options {
-	return transport.Options{Identity: c.Identity, Scope: c.Scope}
+	return transport.Options{Identity: c.Identity, Scope: c.Scope, Silence: c.Silence}
 }
 
 // withClient runs work while client keeps its sessions. Work returns once it
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -21,6 +21,9 @@
 	DrainTimeout time.Duration
 	// Keys is the folder of the process's certificate and key.
 	Keys string
+	// Silence is how long an answer of a peer may take before its connection
+	// is judged silent.
+	Silence time.Duration
 	// SelfSigned makes the process use a certificate of its own and trust
 	// every peer; Keys is not read then.
 	SelfSigned bool
@@ -78,6 +81,12 @@
 	// its balancer; empty for none.
 	Clients   string
 	Readiness string
+	// Pulse is how often an agent that holds tasks hears from the entry; zero
+	// for never.
+	Pulse time.Duration
+	// GoneAfter is how long an agent may be out of reach before its tasks are
+	// given up.
+	GoneAfter time.Duration
 }
 
 // Agent is the settings of an agent.
@@ -106,6 +115,9 @@
 	// Heartbeats is the HTTP host:port for the platform's upstream; empty if
 	// the upstream is of the product's own kind.
 	Heartbeats string
+	// OrphanAfter is how long the runs of an entry go on that is not heard
+	// from; zero lets them end normally.
+	OrphanAfter time.Duration
 	// Lease is the longest lease that the platform's upstream gives.
 	Lease time.Duration
 }
@@ -182,6 +194,9 @@
 	maxDevices     = 1 << 10
 	minLease       = 200 * time.Millisecond
 	maxLease       = time.Minute
+	minSilence     = 100 * time.Millisecond
+	maxSilence     = time.Minute
+	maxPulse       = time.Minute
 	minElection    = 100 * time.Millisecond
 	maxElection    = time.Minute
 	minRunLease    = 10 * time.Millisecond
@@ -221,6 +236,7 @@
 		label(&p.Domain, "process", "domain", "Failure domain; the certificate names it too.").require(),
 		label(&p.Site, "process", "site", "Site whose overlay of the fleet's configuration applies.").require(),
 		duration(&p.DrainTimeout, "process", "drain-timeout", "How long a shutdown waits for work in flight.", 0, maxDrain).or("30s"),
+		duration(&p.Silence, "process", "silence", "How long an answer of a peer may take before its connection is dialled anew.", minSilence, maxSilence).or("2s"),
 		folder(&p.Keys, base, "keys", "folder", "Folder with ca.crt and process.pem, as written by fireflytray keys issue.").or("keys"),
 		boolean(&p.SelfSigned, "keys", "self-signed", "Whether to use a certificate of its own and trust every peer, on a network that hands out no keys and keeps strangers out.").or("false"),
 		optionalHostPort(&p.Metrics, "listen", "metrics", "HTTP address of the metrics page.").or(""),
@@ -255,6 +271,8 @@
 		oneOf(&e.Order, "placement", "order", "Order of the jobs that wait.",
 			OrderLeftOverSlowdown, OrderLeftOverAge, OrderFewestLeft, OrderFIFO, OrderUrgent).or(OrderLeftOverSlowdown),
 		peerPort(&e.PeerPort),
+		duration(&e.Pulse, "agents", "pulse", "How often an agent that holds tasks hears from this entry at least; 0s for no bound.", 0, maxPulse).or("0s"),
+		duration(&e.GoneAfter, "agents", "gone-after", "How long an agent may be out of reach before its tasks are given up.", minSilence, maxSilence).or("4s"),
 		optionalHostPort(&e.Clients, "platform", "clients", "HTTP address for the platform's clients.").or(""),
 		optionalHostPort(&e.Readiness, "platform", "readiness", "HTTP address for the platform's balancer.").or(""),
 	)
@@ -272,6 +290,7 @@
 			CreditLend, CreditSplit, CreditSticky, CreditRank).or(CreditLend),
 		number(&a.QueueShare, "credit", "queue-share", "Tasks that may wait at the agent, as a share of the slots.", 0, maxQueueShare).or("0.5"),
 		peerPort(&a.PeerPort),
+		duration(&a.OrphanAfter, "entries", "orphan-after", "How long the runs of an entry go on that is not heard from; 0s lets them end. Several pulses of the entries.", 0, maxPulse).or("0s"),
 		optionalHostPort(&a.Heartbeats, "platform", "heartbeats", "HTTP address at which the platform's upstream reports.").or(""),
 		duration(&a.Lease, "platform", "lease", "Longest lease of a run at the platform's upstream.", minRunLease, maxLease).or("1s"),
 		count(&a.Accelerators, "worker", "accelerators", "Accelerators of the worker.", 0, maxDevices).or("0"),
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -42,7 +42,7 @@
 		Process: Process{
 			ID: "agent-1", Domain: "sv-a", Site: "svealand",
 			LogLevel: "info", LogFormat: "text", DrainTimeout: 30 * time.Second,
-			Keys: filepath.Join(filepath.Dir(path), "keys"),
+			Keys: filepath.Join(filepath.Dir(path), "keys"), Silence: 2 * time.Second,
 		},
 		Peers: "127.0.0.1:7101", Upstream: "127.0.0.1:7201",
 		Control: []string{"127.0.0.1:7001", "127.0.0.1:7002"},
@@ -72,7 +72,7 @@
 		`F:10: [worker] rack: missing, want 1 to 63 letters, digits, '.', '_' or '-'`,
 		`F:11: [worker] processors: "thirty" is not valid, want a whole number from 1 to 4096`,
 		`F:13: [worker] colour: unknown key, want one of accelerators, memory-mb, processors, rack`,
-		`F:14: [surprise] unknown section, want one of control, credit, keys, listen, platform, process, worker`,
+		`F:14: [surprise] unknown section, want one of control, credit, entries, keys, listen, platform, process, worker`,
 	}, "\n"), "F:", path+":"))
 }
 
--- a/task/task.go
+++ b/task/task.go
@@ -165,6 +165,7 @@
 	ReasonSiblingFailed   Reason = "sibling_failed"
 	ReasonNeverReceived   Reason = "never_received"
 	ReasonEntryRestarted  Reason = "entry_restarted"
+	ReasonEntryGone       Reason = "entry_gone"
 	ReasonCallerGone      Reason = "caller_gone"
 	ReasonDuplicateTaskID Reason = "duplicate_task_id"
 )
