Log decisions about jobs and tasks that end badly, through a writer that never blocks

Cause: on-call engineers have only logs; an answer's cause could not be found from its id. Change: entries keep the decisions about a submission (admitted, placed, ended, with their inputs) and write them when it ended badly, and one in 256 of the others; one line an answer or refusal; agents write a line a task that did not complete; all lines go through a ring of 2,048 lines that drops and counts what the writer does not take.

--- a/agent/config.go
+++ b/agent/config.go
@@ -36,6 +36,8 @@
 	// BusyPause is how long nothing starts after the upstream has refused a
 	// task although a slot seemed free.
 	BusyPause time.Duration
+	// Trace hands out a Decision for each task that did not complete.
+	Trace bool
 	// OrphanAfter is how long the runs of an entry go on that is not heard from;
 	// its callers may hand the work in elsewhere. Zero lets them end normally.
 	OrphanAfter time.Duration
--- a/agent/effect.go
+++ b/agent/effect.go
@@ -80,6 +80,20 @@
 	Unacked int
 }
 
+// Decision says what became of a task that was refused, stopped or cut off, for
+// the log.
+type Decision struct {
+	// Task is what the task is called at the upstream, or else its id.
+	Task   string
+	Entry  string
+	What   string
+	Reason task.Reason
+	// Waited and Ran are how long it waited here and ran.
+	Waited, Ran     time.Duration
+	Running, Queued int
+}
+
+func (Decision) effect()       {}
 func (SendWelcome) effect()    {}
 func (SendReport) effect()     {}
 func (CloseSession) effect()   {}
--- a/agent/run.go
+++ b/agent/run.go
@@ -271,6 +271,9 @@
 		waited = r.started - r.arrived
 	}
 	out.Where = s.me.ID
+	if s.cfg.Trace && out.State != task.Complete {
+		s.explain(r, &out, waited)
+	}
 	r.phase, r.payload = phaseEnded, nil
 	r.result = wire.Result{ID: r.id, Outcome: out, Waited: waited}
 	r.entry.held--
@@ -282,6 +285,18 @@
 	r.entry.ended = append(r.entry.ended, r)
 }
 
+// explain hands out why a task did not complete here.
+func (s *State) explain(r *record, out *task.Outcome, waited time.Duration) {
+	name := r.name
+	if name == "" {
+		name = r.id.String()
+	}
+	s.emit(Decision{
+		Task: name, Entry: r.entry.peer.ID, What: out.State.String(), Reason: out.Reason,
+		Waited: waited, Ran: out.Ran, Running: len(s.running), Queued: s.queue.len(),
+	})
+}
+
 // expire acts on all deadlines that have passed.
 func (s *State) expire() {
 	s.health.tick(s.now)
--- a/agentd/agentd.go
+++ b/agentd/agentd.go
@@ -223,6 +223,9 @@
 		if d.opts.Control != nil {
 			d.opts.Control.Announce(d.opts.Self, eff.Worker, eff.Leaving)
 		}
+	case agent.Decision:
+		d.opts.Log.Info("task "+eff.What, "task", eff.Task, "entry", eff.Entry, "reason", eff.Reason,
+			"waited", eff.Waited, "ran", eff.Ran, "running", eff.Running, "queued", eff.Queued)
 	case agent.Drained:
 		d.opts.Log.Info("agent has drained", "unacknowledged", eff.Unacked)
 		close(d.drained)
--- a/cmd/fireflytray-agent/main.go
+++ b/cmd/fireflytray-agent/main.go
@@ -38,7 +38,7 @@
 		Upstream: s.Upstream,
 		Rack:     s.Rack,
 		Leased:   leased(s),
-		Agent:    agent.Config{Policy: policy, QueueShare: s.QueueShare, OrphanAfter: s.OrphanAfter},
+		Agent:    agent.Config{Policy: policy, QueueShare: s.QueueShare, OrphanAfter: s.OrphanAfter, Trace: s.LogTasks},
 		Offered: task.Resources{
 			MilliCPU:     s.Processors * 1000,
 			MemoryMB:     s.MemoryMB,
--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -43,6 +43,7 @@
 		Order:   order,
 		Serve:   platformInterfaces(s),
 
+		Trace:     s.LogJobs,
 		Pulse:     s.Pulse,
 		GoneAfter: s.GoneAfter,
 	})
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -111,7 +111,9 @@
 }
 
 func (d *daemon[S]) run(stdout, stderr io.Writer) int {
-	if err := d.prepare(stdout); err != nil {
+	ring := logging.NewRing(stdout)
+	defer ring.Close()
+	if err := d.prepare(ring); err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", d.program.Name, err)
 		return ExitFailed
 	}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -48,6 +48,8 @@
 // place sends task i of a submission to an agent with the next flush.
 func (e *Entry) place(s *submission, i uint32, rank float64, pick *placement.Agent) {
 	a := e.agents[pick.ID]
+	e.trace(s, "placed", "task", i, "attempt", s.tasks[i].attempt, "agent", pick.ID, "rank", rank,
+		"credit", pick.Credit, "outstanding", pick.Outstanding, "others", pick.Others, "slow", pick.Slow)
 	s.ready = s.ready[:len(s.ready)-1]
 	s.svc.q.Take(&s.job)
 	rec := &s.tasks[i]
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,6 +36,8 @@
 	// left, beyond those that are told on messages sent anyway; zero takes
 	// DefaultPoke.
 	Poke int
+	// Trace hands out decisions about submissions as effects.
+	Trace bool
 	// Pulse is how often an agent that holds tasks hears from the entry at
 	// least; zero sends nothing beyond what there is to say.
 	Pulse time.Duration
--- a/entry/report.go
+++ b/entry/report.go
@@ -120,6 +120,8 @@
 	}
 	s.inFlight--
 	s.tasks[rec.index].ag = nil
+	e.trace(s, "task ended", "task", rec.index, "attempt", id.Attempt, "agent", a.ID, "state", o.State,
+		"reason", o.Reason, "ran", o.Ran, "declared", rec.declared, "after", e.now-rec.at)
 	if o.State != task.NotRun {
 		s.ran = true
 	}
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -47,6 +47,7 @@
 	messages uint32
 	wasted   uint32
 	longest  time.Duration
+	trace    []Decision
 }
 
 // id of attempt n at task i.
@@ -92,6 +93,9 @@
 
 // enqueue lets the submission's tasks wait for placement.
 func (e *Entry) enqueue(s *submission) {
+	e.trace(s, "admitted", "service", s.sub.Service, "route", s.sub.Route, "priority", s.sub.Priority,
+		"tasks", len(s.tasks), "objective", s.sub.Objective, "deadline", s.deadline-e.now,
+		"waiting", s.svc.q.Len(), "agents", s.svc.pool.Len(), "config", e.cfg.Index)
 	s.svc.q.Add(&s.job, uint32(len(s.ready)))
 	e.arm(timer{at: s.deadline, kind: timerDeadline, sub: s})
 	if at := s.deadline - s.job.Longest/declaredFactor; s.job.Longest > 0 && at > e.now {
@@ -181,6 +185,7 @@
 		e.cancelSent(s)
 	}
 	e.resolveClaim(s, a)
+	e.explain(s, &a)
 	e.stats.answered(a)
 	e.emit(Answer{a})
 	s.sub.Tasks = nil
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -35,6 +35,7 @@
 	}
 	svc, r := e.admit(ev)
 	if r != nil {
+		e.explainRefusal(&ev, svc, r)
 		a := task.Answer{ID: ev.ID, State: task.NotRun, Reason: r.reason, Detail: r.detail, RetryAfter: r.after}
 		e.stats.answered(a)
 		e.emit(Answer{a})
@@ -66,19 +67,19 @@
 	}
 	svc := e.service(sub.Service)
 	if r := e.checkTeam(sub); r != nil {
-		return nil, r
+		return svc, r
 	}
 	if r := checkSize(sub, sc.MaxTasks, sc.MaxBody); r != nil {
-		return nil, r
+		return svc, r
 	}
 	if r := checkFit(svc, sub); r != nil {
-		return nil, r
+		return svc, r
 	}
 	if r := e.checkLoad(svc, sub); r != nil {
-		return nil, r
+		return svc, r
 	}
 	if r := e.checkObjective(svc, sub); r != nil {
-		return nil, r
+		return svc, r
 	}
 	return svc, e.checkQuota(sub)
 }
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -54,6 +54,8 @@
 	Order    queue.Order
 	Seed     uint64
 	Poke     int
+	// Trace logs the decisions about submissions.
+	Trace bool
 	// Pulse and GoneAfter are those of entry.Options.
 	Pulse     time.Duration
 	GoneAfter time.Duration
@@ -119,6 +121,7 @@
 		Seed:   o.Seed,
 		Config: o.Config,
 		Poke:   o.Poke,
+		Trace:  o.Trace,
 
 		Pulse:     o.Pulse,
 		GoneAfter: o.GoneAfter,
@@ -270,6 +273,8 @@
 		go d.dial(eff)
 	case entry.Hangup:
 		d.hangup(eff)
+	case entry.Decision:
+		d.decided(eff)
 	case entry.SendClaim:
 		go d.claim(eff.Claim)
 	case entry.SendResolve:
@@ -290,3 +295,9 @@
 	r.Request = c.Request
 	d.loop.Post(entry.ClaimReplied{Reply: r})
 }
+
+// decided logs a decision about a submission.
+func (d *Daemon) decided(eff entry.Decision) {
+	kv := append([]any{"job", eff.Ref, "at", eff.At.Round(time.Microsecond)}, eff.Inputs...)
+	d.log.Info(eff.What, kv...)
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -26,6 +26,8 @@
 	Policy   placement.Policy
 	Order    queue.Order
 	Poke     int
+	// Trace logs the decisions about submissions.
+	Trace bool
 	// Pulse and GoneAfter are those of entry.Options.
 	Pulse     time.Duration
 	GoneAfter time.Duration
@@ -61,6 +63,7 @@
 		Order:       o.Order,
 		Seed:        self.Incarnation,
 		Poke:        o.Poke,
+		Trace:       o.Trace,
 		Pulse:       o.Pulse,
 		GoneAfter:   o.GoneAfter,
 		DrainWithin: o.DrainWithin,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -81,6 +81,9 @@
 	// its balancer; empty for none.
 	Clients   string
 	Readiness string
+	// LogJobs writes a line for each decision about a job that ended badly, and
+	// one for each answer.
+	LogJobs bool
 	// Pulse is how often an agent that holds tasks hears from the entry; zero
 	// for never.
 	Pulse time.Duration
@@ -115,6 +118,8 @@
 	// Heartbeats is the HTTP host:port for the platform's upstream; empty if
 	// the upstream is of the product's own kind.
 	Heartbeats string
+	// LogTasks writes a line for each task that did not complete.
+	LogTasks bool
 	// OrphanAfter is how long the runs of an entry go on that is not heard
 	// from; zero lets them end normally.
 	OrphanAfter time.Duration
@@ -271,6 +276,7 @@
 		oneOf(&e.Order, "placement", "order", "Order of the jobs that wait.",
 			OrderLeftOverSlowdown, OrderLeftOverAge, OrderFewestLeft, OrderFIFO, OrderUrgent).or(OrderLeftOverSlowdown),
 		peerPort(&e.PeerPort),
+		boolean(&e.LogJobs, "process", "log-jobs", "Whether to log each answer, and each decision about jobs that did not complete.").or("true"),
 		duration(&e.Pulse, "agents", "pulse", "How often an agent that holds tasks hears from this entry at least; 0s for no bound.", 0, maxPulse).or("0s"),
 		duration(&e.GoneAfter, "agents", "gone-after", "How long an agent may be out of reach before its tasks are given up.", minSilence, maxSilence).or("4s"),
 		optionalHostPort(&e.Clients, "platform", "clients", "HTTP address for the platform's clients.").or(""),
@@ -290,6 +296,7 @@
 			CreditLend, CreditSplit, CreditSticky, CreditRank).or(CreditLend),
 		number(&a.QueueShare, "credit", "queue-share", "Tasks that may wait at the agent, as a share of the slots.", 0, maxQueueShare).or("0.5"),
 		peerPort(&a.PeerPort),
+		boolean(&a.LogTasks, "process", "log-tasks", "Whether to log each task that did not complete.").or("true"),
 		duration(&a.OrphanAfter, "entries", "orphan-after", "How long the runs of an entry go on that is not heard from; 0s lets them end. Several pulses of the entries.", 0, maxPulse).or("0s"),
 		optionalHostPort(&a.Heartbeats, "platform", "heartbeats", "HTTP address at which the platform's upstream reports.").or(""),
 		duration(&a.Lease, "platform", "lease", "Longest lease of a run at the platform's upstream.", minRunLease, maxLease).or("1s"),
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -47,7 +47,7 @@
 		Peers: "127.0.0.1:7101", Upstream: "127.0.0.1:7201",
 		Control: []string{"127.0.0.1:7001", "127.0.0.1:7002"},
 		Rack:    "rack-1", Processors: 32, MemoryMB: 128000,
-		Credit: "lend", QueueShare: 0.5, Lease: time.Second,
+		Credit: "lend", QueueShare: 0.5, Lease: time.Second, LogTasks: true,
 	}, got)
 }
 
