--- a/cmd/fireflytray-control/main.go
+++ b/cmd/fireflytray-control/main.go
@@ -45,7 +45,7 @@
 	if !s.Managed {
 		return nil
 	}
-	return &membership.Config{}
+	return &membership.Config{Tolerance: int(s.Tolerance)}
 }
 
 // platformInterfaces returns the interfaces of the platform that the settings
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -13,7 +13,10 @@
 
 // Config tunes Decide. Zero fields take the values of DefaultConfig.
 type Config struct {
-	// MaxVoters bounds the voters.
+	// Tolerance is how many hosts may lose their disks at the same time without
+	// the loss of an accepted change.
+	Tolerance int
+	// MaxVoters bounds the voters where Tolerance needs no more.
 	MaxVoters int
 	// DeadAfter is how long a voter may be silent before a host that stands by
 	// takes its place.
@@ -25,6 +28,7 @@
 // DefaultConfig returns the configuration that applies to unset fields.
 func DefaultConfig() Config {
 	return Config{
+		Tolerance:   1,
 		MaxVoters:   5,
 		DeadAfter:   3 * time.Second,
 		ForgetAfter: 10 * time.Second,
@@ -33,9 +37,13 @@
 
 func (c Config) withDefaults() Config {
 	d := DefaultConfig()
+	if c.Tolerance == 0 {
+		c.Tolerance = d.Tolerance
+	}
 	if c.MaxVoters == 0 {
 		c.MaxVoters = d.MaxVoters
 	}
+	c.MaxVoters = max(c.MaxVoters, c.minVoters())
 	if c.DeadAfter == 0 {
 		c.DeadAfter = d.DeadAfter
 	}
@@ -45,6 +53,10 @@
 	return c
 }
 
+// minVoters is how many voters keep an accepted change through the losses to be
+// borne.
+func (c Config) minVoters() int { return 2*c.Tolerance + 1 }
+
 // Member is a replica that belongs to the cluster.
 type Member struct {
 	ID    uint64
@@ -105,14 +117,16 @@
 }
 
 // removeDead removes a voter that has long been silent, if a learner can take
-// its place or if it only raises the quorum.
+// its place or if it only raises the quorum. It never leaves too few voters for
+// the losses to be borne: a host that is only cut off still has its disk.
 func removeDead(c Config, v View) *wire.MemberChange {
 	voters := v.voters()
 	for _, m := range v.Members {
 		if !m.Voter || m.Self || m.Silent < c.DeadAfter {
 			continue
 		}
-		if len(voters)%2 == 0 || v.standby() != nil {
+		surplus := len(voters)%2 == 0 && len(voters) > c.minVoters()
+		if surplus || len(voters)%2 == 1 && v.standby() != nil {
 			return &wire.MemberChange{Action: wire.MemberRemove, ID: m.ID}
 		}
 	}
@@ -123,11 +137,10 @@
 // learners can follow one another.
 func promote(c Config, v View) *wire.MemberChange {
 	voters := v.voters()
-	if len(voters) >= c.MaxVoters || slices.ContainsFunc(voters, func(m Member) bool { return m.Silent > 0 && !m.Self }) {
-		return nil
-	}
+	odd := len(voters)%2 == 1
+	silent := slices.ContainsFunc(voters, func(m Member) bool { return m.Silent > 0 && !m.Self })
 	m := v.standby()
-	if m == nil || len(voters)%2 == 1 && v.standbys() < 2 {
+	if m == nil || len(voters) >= c.MaxVoters || odd && (silent || v.standbys() < 2) {
 		return nil
 	}
 	return &wire.MemberChange{Action: wire.MemberPromote, ID: m.ID}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -73,3 +73,27 @@
 	v := View{Members: append(threeVoters(), Member{ID: 4, Addr: addrD, Silent: 10 * time.Second})}
 	require.Equal(t, &wire.MemberChange{Action: wire.MemberRemove, ID: 4}, Decide(Config{}, v))
 }
+
+func fiveVoters() []Member {
+	return append(threeVoters(), Member{ID: 4, Addr: addrD, Voter: true, CaughtUp: true}, Member{ID: 5, Addr: addrE, Voter: true, CaughtUp: true})
+}
+
+// A host that is cut off has its disk; without it too few would be left to bear
+// the loss of two.
+func TestVotersStayEnoughForTheLossesToBeBorne(t *testing.T) {
+	v := View{Members: fiveVoters()}
+	v.Members[3].Silent, v.Members[4].Silent = time.Hour, time.Hour
+	require.Nil(t, Decide(Config{Tolerance: 2}, v))
+	v.Members = v.Members[:4]
+	require.Nil(t, Decide(Config{Tolerance: 2}, v), "four are fewer than two losses need already")
+}
+
+// A standby takes the place of one dead voter even beside another: from an even
+// number, one more does not raise the quorum.
+func TestStandbyReplacesADeadVoterBesideAnother(t *testing.T) {
+	v := View{Members: append(fiveVoters(), Member{ID: 6, Addr: "10.0.0.6:1", CaughtUp: true})}
+	v.Members[3].Silent, v.Members[4].Silent = time.Hour, time.Hour
+	require.Equal(t, &wire.MemberChange{Action: wire.MemberRemove, ID: 4}, Decide(Config{Tolerance: 2}, v))
+	v.Members = append(v.Members[:3], v.Members[4:]...)
+	require.Equal(t, &wire.MemberChange{Action: wire.MemberPromote, ID: 6}, Decide(Config{Tolerance: 2}, v))
+}
--- a/raft/change.go
+++ b/raft/change.go
@@ -69,10 +69,11 @@
 	if !n.caughtUp(c.ID) {
 		return nil, ErrNotCaughtUp
 	}
-	if !n.votersLive() {
+	before := quorum(members)
+	members[i].Voter = true
+	if quorum(members) > before && !n.votersLive() {
 		return nil, ErrVoterDown
 	}
-	members[i].Voter = true
 	return members, nil
 }
 
@@ -98,7 +99,7 @@
 }
 
 // votersLive says whether every voter is live. One more voter beside a dead one
-// would raise the quorum, so that the loss of the new one stops the cluster.
+// must not raise the quorum: the loss of the new one would stop the cluster.
 func (n *Node) votersLive() bool {
 	for _, m := range n.conf.current() {
 		if p := n.peers[m.ID]; m.Voter && p != nil && !n.live(p) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -51,8 +51,10 @@
 	PeerPort uint32
 	// ElectionTimeout is how long a leader may be silent.
 	ElectionTimeout time.Duration
-	// Managed lets the leader change the control hosts by itself.
-	Managed bool
+	// Managed lets the leader change the control hosts by itself, for Tolerance
+	// lost disks at the same time.
+	Managed   bool
+	Tolerance uint32
 	// Operators is the HTTP host:port of the platform's operators; empty for
 	// none.
 	Operators string
@@ -202,6 +204,7 @@
 	minSilence     = 100 * time.Millisecond
 	maxSilence     = time.Minute
 	maxPulse       = time.Minute
+	maxTolerance   = 4
 	minElection    = 100 * time.Millisecond
 	maxElection    = time.Minute
 	minRunLease    = 10 * time.Millisecond
@@ -260,6 +263,7 @@
 		count(&c.PeerPort, "cluster", "peer-port", "Port that replaces those in initial; 0 keeps them.", 0, maxPort).or("0"),
 		duration(&c.ElectionTimeout, "cluster", "election-timeout", "How long a leader may be silent before another is elected.", minElection, maxElection).or("900ms"),
 		boolean(&c.Managed, "cluster", "managed", "Whether the leader adds, promotes and removes control hosts by itself.").or("false"),
+		count(&c.Tolerance, "cluster", "tolerance", "Disks that may be lost at the same time without the loss of an accepted change, where managed.", 1, maxTolerance).or("1"),
 		optionalHostPort(&c.Operators, "platform", "operators", "HTTP address for the platform's operators.").or(""),
 	)
 }
