lease, agent: find runs that stand still, stop them and run them elsewhere

Ruled out: a shorter bound at the entry (it can't tell slow from standing). Change: the lists of runs tell their progress; one that shows none for 500 ms, or a tenth of its declared time if longer, is stopped and its task placed elsewhere; stalls of several submissions suspend the upstream like failures. Test: a run without progress is reported, a slow one is not.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -96,6 +96,8 @@
 		if ev.Instance == s.up.Instance {
 			s.suspect()
 		}
+	case Stalled:
+		s.stalled(ev)
 	case Usage:
 		s.up.usage(ev.InUse, s.now-ev.Age, s.running)
 	case Drain:
--- a/agent/effect.go
+++ b/agent/effect.go
@@ -35,6 +35,8 @@
 	// Name is what the task is called at the upstream; empty for its id.
 	Name    string
 	Payload []byte
+	// Declared is the run time that the caller expects; zero if unknown.
+	Declared time.Duration
 	// StartBy is the time, by the clock of Step, after which the request must
 	// not be written any more; RunBy bounds the end of the run.
 	StartBy time.Duration
--- a/agent/event.go
+++ b/agent/event.go
@@ -60,6 +60,9 @@
 // Silent says that the upstream answers no calls.
 type Silent struct{ Instance string }
 
+// Stalled says that a run makes no progress although its upstream answers.
+type Stalled struct{ Run RunID }
+
 // Usage is what the platform measured on the worker some time ago.
 type Usage struct {
 	InUse task.Resources
@@ -82,6 +85,7 @@
 func (RunChecked) event()     {}
 func (Probed) event()         {}
 func (Silent) event()         {}
+func (Stalled) event()        {}
 func (Usage) event()          {}
 func (Tick) event()           {}
 func (Drain) event()          {}
--- a/agent/record.go
+++ b/agent/record.go
@@ -24,9 +24,11 @@
 	need    task.Resources
 	name    string
 	payload []byte
-	arrived time.Duration
-	startBy time.Duration
-	runBy   time.Duration
+	// declared is the run time that the caller expects.
+	declared time.Duration
+	arrived  time.Duration
+	startBy  time.Duration
+	runBy    time.Duration
 
 	run     RunID
 	started time.Duration
--- a/agent/run.go
+++ b/agent/run.go
@@ -26,9 +26,11 @@
 		need:    a.Spec.Need,
 		name:    a.Spec.Name,
 		payload: a.Spec.Payload,
-		arrived: s.now,
-		startBy: s.now + min(a.StartWithin, maxWait) - lag,
-		runBy:   s.now + s.runWithin(a) - lag,
+
+		declared: a.Spec.Declared,
+		arrived:  s.now,
+		startBy:  s.now + min(a.StartWithin, maxWait) - lag,
+		runBy:    s.now + s.runWithin(a) - lag,
 	}
 	s.tasks[r.id] = r
 	e.held++
@@ -154,10 +156,24 @@
 	}
 	s.up.taken(r.need)
 	s.running = append(s.running, r)
-	s.emit(StartRun{Run: r.run, ID: r.id, Name: r.name, Payload: r.payload, StartBy: r.startBy, RunBy: r.runBy})
+	s.emit(StartRun{Run: r.run, ID: r.id, Name: r.name, Payload: r.payload, Declared: r.declared, StartBy: r.startBy, RunBy: r.runBy})
 	r.payload = nil
 }
 
+// stalled stops a run that makes no progress. Runs of several submissions that
+// stall suspend the upstream, as failures do.
+func (s *State) stalled(ev Stalled) {
+	r := s.findRun(ev.Run)
+	if r == nil || r.stopWhy != task.ReasonNone {
+		return
+	}
+	s.stop(r, task.ReasonStalled)
+	if s.health.failed(s.now, r.id.Submission) {
+		s.stats.Suspensions++
+		s.refuseQueued(task.ReasonSuspended)
+	}
+}
+
 // stop asks the upstream to stop a run, once, where it can.
 func (s *State) stop(r *record, why task.Reason) {
 	if r.stopWhy != task.ReasonNone || !s.up.CanStop {
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -316,7 +316,7 @@
 // restart reports whether a task whose run has failed is run again. Only
 // failures of the run itself count as attempts.
 func (e *Entry) restart(s *submission, i uint32, o task.Outcome) bool {
-	if o.Reason == task.ReasonCutOff {
+	if o.Reason == task.ReasonCutOff || o.Reason == task.ReasonStalled {
 		return true
 	}
 	if o.Reason != task.ReasonUpstreamError {
--- a/lease/hold.go
+++ b/lease/hold.go
@@ -173,6 +173,7 @@
 	for _, r := range v.Running {
 		key := runKey{r.Task, r.Run}
 		listed[key] = true
+		s.progress(key, r.Percent)
 		if s.runs[key] == nil && !s.foreign[key] {
 			s.note("unknown run is stopped", "task", key.task, "run", key.run)
 			s.foreign[key] = true
@@ -189,6 +190,29 @@
 	}
 }
 
+// stalledShare is the part of its declared run time, as a divisor, that a run may
+// take for one percent of progress: one that takes ten times as long as declared
+// is slow, not stalled.
+const stalledShare = 10
+
+// progress notes how far a run has come.
+func (s *State) progress(key runKey, percent int) {
+	r := s.runs[key]
+	if r == nil {
+		return
+	}
+	if r.movedAt == 0 || percent > r.percent {
+		r.percent, r.movedAt = percent, s.now
+		return
+	}
+	if s.now-r.movedAt < max(s.cfg.StalledAfter, r.Declared/stalledShare) {
+		return
+	}
+	s.note("run makes no progress", "task", key.task, "run", key.run, "percent", percent, "for", s.now-r.movedAt)
+	r.movedAt = s.now
+	s.notify(agent.Stalled{Run: r.Run})
+}
+
 func (s *State) matchRun(h hold, r *run, listed bool) {
 	switch {
 	case r.phase == phaseDoubtful && listed:
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -232,3 +232,20 @@
 	b.pass(2 * (DefaultConfig().LossyWait + DefaultConfig().LossyAnswerWithin))
 	require.Greater(t, len(b.holds), sent)
 }
+
+// A run that stands still holds room that others need; one that is only slow
+// moves on.
+func TestRunWithoutProgressIsReported(t *testing.T) {
+	b := newBench(t).ready()
+	b.begin(firstRun, "a")
+	b.begin(2, "b")
+	list := func(a, b int) View {
+		return View{Running: []Running{{Task: "a", Run: 1, Percent: a}, {Task: "b", Run: 1, Percent: b}}}
+	}
+	for i := range 6 {
+		b.pass(100 * time.Millisecond)
+		b.answer(list(7, i))
+	}
+	require.Contains(t, b.events, agent.Event(agent.Stalled{Run: firstRun}))
+	require.NotContains(t, b.events, agent.Event(agent.Stalled{Run: 2}))
+}
--- a/lease/state.go
+++ b/lease/state.go
@@ -19,6 +19,9 @@
 	LossyWait         time.Duration
 	LossyAnswerWithin time.Duration
 	LossyFor          time.Duration
+	// StalledAfter is how long a run may show no progress, in lists that come
+	// at least every Wait, before it counts as stalled.
+	StalledAfter time.Duration
 }
 
 // DefaultConfig returns the configuration that applies to unset fields.
@@ -31,6 +34,8 @@
 		LossyWait:         20 * time.Millisecond,
 		LossyAnswerWithin: 40 * time.Millisecond,
 		LossyFor:          2 * time.Second,
+
+		StalledAfter: 500 * time.Millisecond,
 	}
 }
 
@@ -78,6 +83,10 @@
 	// least token that, seen by the upstream, rules it out.
 	fence uint64
 	stop  bool
+	// percent is the progress at the last list, movedAt when it was last seen
+	// to grow.
+	percent int
+	movedAt time.Duration
 }
 
 // hold is a hold under way.
@@ -143,6 +152,9 @@
 	if cfg.LossyFor == 0 {
 		cfg.LossyWait, cfg.LossyAnswerWithin, cfg.LossyFor = d.LossyWait, d.LossyAnswerWithin, d.LossyFor
 	}
+	if cfg.StalledAfter == 0 {
+		cfg.StalledAfter = d.StalledAfter
+	}
 	return &State{
 		cfg: cfg, fence: fence,
 		runs: map[runKey]*run{}, byRun: map[agent.RunID]*run{}, foreign: map[runKey]bool{},
--- a/task/task.go
+++ b/task/task.go
@@ -146,6 +146,7 @@
 	ReasonAgentGone       Reason = "agent_gone"
 	ReasonAgentRestarted  Reason = "agent_restarted"
 	ReasonCutOff          Reason = "cut_off"
+	ReasonStalled         Reason = "stalled"
 	ReasonDeadline        Reason = "deadline"
 	ReasonStartExpired    Reason = "start_expired"
 	ReasonCancelled       Reason = "cancelled"
