--- /dev/null
+++ b/soak/fleet_test.go
@@ -0,0 +1,163 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	controls = 3
+	entries  = 2
+	agents   = 4
+
+	portControl   = 17720
+	portAgent     = 17721
+	portOperators = 17722
+	portClients   = 17723
+	portReady     = 17724
+	portAdmin     = 17725
+	portCallers   = 17726
+	portBeats     = 17727
+	portUpstream  = 17728
+)
+
+// process is one of the programs under test.
+type process struct {
+	name, role string
+	addr       string
+	data       string
+	settings   string
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// fleet is a set of processes.
+type fleet struct {
+	t    *testing.T
+	dir  string
+	all  []*process
+	logs *os.File
+}
+
+func newFleet(t *testing.T, dir, bin string) *fleet {
+	f := &fleet{t: t, dir: dir}
+	var err error
+	f.logs, err = os.Create(filepath.Join(dir, "processes.log"))
+	require.NoError(t, err)
+	for i := range controls {
+		f.add("control", i, 1)
+	}
+	for i := range entries {
+		f.add("entry", i, 2)
+	}
+	for i := range agents {
+		f.add("agent", i, 3)
+	}
+	for _, p := range f.all {
+		f.writeSettings(p, false)
+		f.start(bin, p)
+	}
+	return f
+}
+
+func (f *fleet) add(role string, i, net int) {
+	name := fmt.Sprintf("%s-%d", role, i+1)
+	f.all = append(f.all, &process{
+		name: name, role: role, addr: fmt.Sprintf("127.0.%d.%d", net, i+1),
+		data: filepath.Join(f.dir, name), settings: filepath.Join(f.dir, name+".ini"),
+	})
+}
+
+func (f *fleet) of(role string) []*process {
+	var out []*process
+	for _, p := range f.all {
+		if p.role == role {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func seeds() string {
+	var list []string
+	for i := range controls {
+		list = append(list, fmt.Sprintf("127.0.1.%d:%d", i+1, portControl))
+	}
+	return strings.Join(list, ",")
+}
+
+// writeSettings writes what deploy/ renders on the platform.
+func (f *fleet) writeSettings(p *process, join bool) {
+	text := fmt.Sprintf("[process]\nid = %s\ndomain = zone-%s\nsite = soak\nsilence = 500ms\ndrain-timeout = 5s\n[keys]\nself-signed = true\n",
+		p.name, p.name[len(p.name)-1:])
+	switch p.role {
+	case "control":
+		text += fmt.Sprintf("[listen]\nadmin = %s:%d\npeers = %s:%d\n[data]\nfolder = %s\n[cluster]\ninitial = %s\njoin = %t\nmanaged = true\nelection-timeout = 300ms\n[platform]\noperators = %s:%d\n",
+			p.addr, portAdmin, p.addr, portControl, p.data, seeds(), join, p.addr, portOperators)
+	case "entry":
+		text += fmt.Sprintf("[listen]\ncallers = %s:%d\n[control]\naddresses = %s\n[placement]\norder = urgent\n[agents]\npulse = 250ms\ngone-after = 1s\n[platform]\nclients = %s:%d\nreadiness = %s:%d\n",
+			p.addr, portCallers, seeds(), p.addr, portClients, p.addr, portReady)
+	case "agent":
+		text += fmt.Sprintf("[listen]\npeers = %s:%d\nupstream = 127.0.0.1:1\n[control]\naddresses = %s\n[worker]\nrack = r\nprocessors = 1\nmemory-mb = 1\n[entries]\norphan-after = 800ms\n[platform]\nheartbeats = %s:%d\n",
+			p.addr, portAgent, seeds(), p.addr, portBeats)
+	}
+	require.NoError(f.t, os.WriteFile(p.settings, []byte(text), 0o600))
+}
+
+func (f *fleet) start(bin string, p *process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cmd := exec.Command(filepath.Join(bin, "fireflytray-"+p.role), "--config", p.settings)
+	cmd.Stdout, cmd.Stderr = f.logs, f.logs
+	require.NoError(f.t, cmd.Start())
+	done := make(chan struct{})
+	go func() {
+		_ = cmd.Wait() // killed processes end with an error
+		close(done)
+	}()
+	p.cmd, p.done = cmd, done
+}
+
+// signal sends a signal to a process that the fleet started.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(s) // it may have ended
+}
+
+// ended waits for the end of the process and reports whether it came.
+func (p *process) ended(within time.Duration) bool {
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	select {
+	case <-done:
+		return true
+	case <-time.After(within):
+		return false
+	}
+}
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	p.ended(5 * time.Second)
+}
+
+func (f *fleet) close() {
+	for _, p := range f.all {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+	}
+	f.logs.Close()
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,190 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/platform/standin"
+)
+
+var (
+	firstSeed = flag.Uint64("soak.seed", 1, "first seed")
+	seedCount = flag.Uint64("soak.seeds", 1, "how many seeds to run")
+	faultsFor = flag.Duration("soak.for", 8*time.Second, "how long faults are injected for a seed")
+	keepLogs  = flag.String("soak.keep", "", "folder in which the logs of failed seeds are kept")
+)
+
+const (
+	// clients is how many jobs are in flight.
+	clients = 6
+	// readyWithin bounds the start and the recovery; a host takes 3 s to be
+	// replaced, and a paused one up to 3 s to wake.
+	readyWithin = 25 * time.Second
+	// serviceBreak is the least time between two lost disks: the first has to be
+	// repaired, as the deployment takes the loss of one.
+	serviceBreak = 12 * time.Second
+)
+
+// regressions are seeds that failed once, each with its cause.
+var regressions = []uint64{}
+
+func TestSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs the real programs")
+	}
+	bin := t.TempDir()
+	build := exec.Command("go", "build", "-o", bin, "../cmd/...")
+	out, err := build.CombinedOutput()
+	require.NoError(t, err, string(out))
+	list := append([]uint64(nil), regressions...)
+	for i := range *seedCount {
+		list = append(list, *firstSeed+i)
+	}
+	for _, seed := range list {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { soak(t, bin, seed) })
+	}
+}
+
+func soak(t *testing.T, bin string, seed uint64) {
+	dir := t.TempDir()
+	ctx, cancel := context.WithCancel(context.Background())
+	ledger := standin.NewLedger()
+	f := newFleet(t, dir, bin)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer f.close()
+	defer cancel()
+	for i := range agents {
+		wg.Go(func() {
+			err := standin.Run(ctx, standin.Options{
+				ID: fmt.Sprintf("up-%d", i+1), Service: service, MilliCPU: 4000, MaxLease: time.Second, Ledger: ledger,
+				Addr: fmt.Sprintf("127.0.3.%d:%d", i+1, portUpstream), Agent: fmt.Sprintf("127.0.3.%d:%d", i+1, portBeats),
+			})
+			if err != nil {
+				ledger.Violate("%v", err)
+			}
+		})
+	}
+	rng := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, n)) }
+	op, jobs := &operator{ledger: ledger}, &callers{ledger: ledger}
+	op.publish(ctx, rng(1))
+	working, stop := context.WithCancel(ctx)
+	defer stop()
+	var loads sync.WaitGroup
+	loads.Go(func() { op.run(working, rng(2)) })
+	for i := range uint64(clients) {
+		loads.Go(func() { jobs.run(working, rng(10+i)) })
+	}
+	awaitWork(t, jobs)
+	(&chaos{f: f, bin: bin, rng: rng(3)}).run(*faultsFor)
+	awaitWork(t, jobs)
+	awaitRead(ctx, t, op, rng(4))
+	stop()
+	loads.Wait()
+	jobs.check()
+	t.Logf("seed %d: complete %d, refused %d, cut short %d, no answer %d; versions acknowledged up to %d",
+		seed, jobs.complete.Load(), jobs.rejected.Load(), jobs.cut.Load(), jobs.none.Load(), op.acked.Load())
+	if v := ledger.Violations(); len(v) > 0 {
+		keep(t, dir, seed)
+		t.Errorf("seed %d: broken promises:\n%s", seed, fmt.Sprint(v))
+	}
+}
+
+// awaitWork waits until jobs complete.
+func awaitWork(t *testing.T, c *callers) {
+	t.Helper()
+	before := c.complete.Load()
+	require.Eventually(t, func() bool { return c.complete.Load() > before+20 }, readyWithin, 20*time.Millisecond,
+		"jobs complete again")
+}
+
+// awaitRead waits until the document in force can be read.
+func awaitRead(ctx context.Context, t *testing.T, o *operator, rng *rand.Rand) {
+	t.Helper()
+	require.Eventually(t, func() bool { return o.read(ctx, rng) > 0 }, readyWithin, 50*time.Millisecond,
+		"the document in force can be read")
+}
+
+// keep copies the logs of a failed seed.
+func keep(t *testing.T, dir string, seed uint64) {
+	if *keepLogs == "" {
+		return
+	}
+	text, err := os.ReadFile(filepath.Join(dir, "processes.log"))
+	require.NoError(t, err)
+	require.NoError(t, os.MkdirAll(*keepLogs, 0o755))
+	require.NoError(t, os.WriteFile(filepath.Join(*keepLogs, fmt.Sprintf("seed-%d.log", seed)), text, 0o600))
+}
+
+// chaos injects faults in series that overlap.
+type chaos struct {
+	f     *fleet
+	bin   string
+	rng   *rand.Rand
+	wiped time.Time
+	wg    sync.WaitGroup
+}
+
+func (c *chaos) run(d time.Duration) {
+	busy := map[*process]*sync.Mutex{}
+	for _, p := range c.f.all {
+		busy[p] = &sync.Mutex{}
+	}
+	end := time.Now().Add(d)
+	for time.Now().Before(end) {
+		p := c.f.all[c.rng.IntN(len(c.f.all))]
+		fault := c.draw(p)
+		c.wg.Go(func() {
+			busy[p].Lock()
+			defer busy[p].Unlock()
+			fault()
+		})
+		time.Sleep(time.Duration(100+c.rng.IntN(900)) * time.Millisecond)
+	}
+	c.wg.Wait()
+}
+
+// draw returns one fault of a process; it ends with the process running.
+func (c *chaos) draw(p *process) func() {
+	dark := time.Duration(c.rng.IntN(1500)) * time.Millisecond
+	frozen := time.Duration(200+c.rng.IntN(2500)) * time.Millisecond
+	switch n := c.rng.IntN(10); {
+	case n < 4:
+		return func() { p.kill(); time.Sleep(dark); c.f.start(c.bin, p) }
+	case n < 7:
+		return func() { p.signal(syscall.SIGSTOP); time.Sleep(frozen); p.signal(syscall.SIGCONT) }
+	case n == 7 && p.role == "control" && time.Since(c.wiped) > serviceBreak:
+		c.wiped = time.Now()
+		return func() { c.wipe(p, dark) }
+	}
+	return func() {
+		p.signal(syscall.SIGTERM)
+		if !p.ended(8 * time.Second) {
+			c.f.t.Errorf("%s did not end within 8 s of SIGTERM", p.name)
+			p.kill()
+		}
+		c.f.start(c.bin, p)
+	}
+}
+
+// wipe takes a control host's disk away.
+func (c *chaos) wipe(p *process, dark time.Duration) {
+	p.kill()
+	if err := os.RemoveAll(p.data); err != nil {
+		c.f.t.Errorf("wipe %s: %v", p.name, err)
+	}
+	c.f.writeSettings(p, true)
+	time.Sleep(dark)
+	c.f.start(c.bin, p)
+}
