lease: runs that are surely over may be run elsewhere; log requests without a configuration

Ruled out: an earlier bound (a lease lasts a second from the last answered hold). Change: a lapsed run, a run of an earlier life and a run that is missing end as cut off.

--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -84,7 +84,9 @@
 	config  atomic.Pointer[fleet.Config]
 	jobs    *jobs
 	leaving atomic.Bool
-	meter   *meter
+	// unrouted counts requests that came before there was a configuration.
+	unrouted atomic.Uint64
+	meter    *meter
 
 	mu    sync.Mutex
 	done  map[task.SubmissionID]func(task.Answer)
--- a/entryd/jobs.go
+++ b/entryd/jobs.go
@@ -144,6 +144,7 @@
 func (d *Daemon) Route(host, path string) (route *fleet.Route, rest string, known bool) {
 	cfg := d.config.Load()
 	if cfg == nil {
+		d.unrouted.Add(1)
 		return nil, "", false
 	}
 	route, rest = cfg.Routes.Find(host, path)
--- a/entryd/meter.go
+++ b/entryd/meter.go
@@ -81,6 +81,9 @@
 			return
 		case <-ticker.C:
 		}
+		if n := d.unrouted.Swap(0); n > 0 {
+			d.log.Warn("requests refused", "reason", "no configuration yet", "count", n)
+		}
 		if v, err := d.View(); err == nil {
 			d.meter.view(v)
 		}
--- a/lease/hold.go
+++ b/lease/hold.go
@@ -229,7 +229,7 @@
 		s.sendStart(r)
 	case r.phase == phaseRunning && !listed && h.call > r.since:
 		s.note("run is missing", "task", r.key.task, "run", r.key.run)
-		s.end(r, agent.EndLost)
+		s.end(r, agent.EndCutOff)
 	}
 }
 
@@ -261,7 +261,7 @@
 	for _, r := range s.sorted() {
 		if r.phase != phaseStarting {
 			s.note("lease has run out", "task", r.key.task, "run", r.key.run, "failures", s.failures)
-			s.end(r, agent.EndLost)
+			s.end(r, agent.EndCutOff)
 		}
 	}
 }
--- a/lease/state.go
+++ b/lease/state.go
@@ -236,7 +236,7 @@
 // forget ends every run: the process that ran them is gone.
 func (s *State) forget() {
 	for _, r := range s.sorted() {
-		s.end(r, agent.EndLost)
+		s.end(r, agent.EndCutOff)
 	}
 	s.holds = s.holds[:0]
 	clear(s.foreign)
