--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -44,6 +44,7 @@
 		Serve:   platformInterfaces(s),
 
 		Trace:     s.LogJobs,
+		Poke:      int(s.Poke),
 		Pulse:     s.Pulse,
 		GoneAfter: s.GoneAfter,
 	})
--- a/entry/agent.go
+++ b/entry/agent.go
@@ -54,7 +54,9 @@
 	// wantedAt.
 	wanted   uint32
 	wantedAt time.Duration
-	speed    speed
+	// wantedRank is the rank of the first of them.
+	wantedRank float64
+	speed      speed
 	// probeAt is when a slow agent gets its next task, probeWait how long it
 	// waits after that.
 	probeAt   time.Duration
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -119,12 +119,15 @@
 		s.poked = false
 		return
 	}
-	if s.poked {
+	_, rank := s.q.Head(e.now)
+	if s.poked && rank >= pokeAgainBelow*s.pokedRank {
 		return
 	}
-	s.poked = true
-	e.tellDemand(s)
-	e.arm(timer{at: e.now + pokeEvery, kind: timerPoke, svc: s})
+	if !s.poked {
+		e.arm(timer{at: e.now + pokeEvery, kind: timerPoke, svc: s})
+	}
+	s.poked, s.pokedRank = true, rank
+	e.tellDemand(s, rank)
 }
 
 // pokeDue repeats a poke while the entry is starved.
@@ -134,7 +137,9 @@
 		return
 	}
 	if e.starved(s) {
-		e.tellDemand(s)
+		_, rank := s.q.Head(e.now)
+		s.pokedRank = rank
+		e.tellDemand(s, rank)
 	}
 	e.arm(timer{at: e.now + pokeEvery, kind: timerPoke, svc: s})
 }
@@ -145,13 +150,14 @@
 	return 2*s.pool.Outstanding()*max(1, len(e.entries)) < s.pool.Slots()
 }
 
-// tellDemand lets a few random agents that were not told of waiting tasks, or
-// not lately, get an update.
-func (e *Entry) tellDemand(s *service) {
+// tellDemand lets a few random agents get an update that were not told of
+// waiting tasks, not lately, or only of far less urgent ones.
+func (e *Entry) tellDemand(s *service, rank float64) {
 	left := e.opts.Poke
 	for _, p := range s.pool.Shuffled() {
 		a := e.agents[p.ID]
-		if a.link != linkOpen || a.Slots == 0 || a.wanted > 0 && e.now < a.wantedAt+pokeEvery {
+		told := a.wanted > 0 && e.now < a.wantedAt+pokeEvery && rank >= pokeAgainBelow*a.wantedRank
+		if a.link != linkOpen || a.Slots == 0 || told {
 			continue
 		}
 		e.markDirty(a)
@@ -194,7 +200,7 @@
 	}
 	a.told = a.seen
 	a.wanted = u.Demand.Waiting
-	a.wantedAt = e.now
+	a.wantedAt, a.wantedRank = e.now, u.Demand.Rank
 	e.stats.Sent++
 	e.emit(Send{Agent: a.ID, Session: a.session, Update: u})
 	e.expect(a)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,6 +56,9 @@
 const (
 	// pokeEvery is the time between two pokes while the entry is starved.
 	pokeEvery = 100 * time.Millisecond
+	// pokeAgainBelow is the share of the rank last told of below which agents are
+	// told again: ranks fall steadily with age, and by priority at once.
+	pokeAgainBelow = 0.7
 	// ackDelay is how long an acknowledgement waits for a message to ride on.
 	ackDelay = 30 * time.Second
 	// dialWithin bounds a dial up to the welcome.
@@ -107,7 +110,9 @@
 	blocked []*queue.Job
 	active  bool
 	poked   bool
-	speed   speed
+	// pokedRank is the rank of the first waiting task at the last poke.
+	pokedRank float64
+	speed     speed
 	// forecast tells how long a new job would wait.
 	forecast forecast
 	limit    *limit.Limiter
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -86,6 +86,8 @@
 	// LogJobs writes a line for each decision about a job that ended badly, and
 	// one for each answer.
 	LogJobs bool
+	// Poke is how many agents are told at once of waiting tasks.
+	Poke uint32
 	// Pulse is how often an agent that holds tasks hears from the entry; zero
 	// for never.
 	Pulse time.Duration
@@ -204,6 +206,7 @@
 	minSilence     = 100 * time.Millisecond
 	maxSilence     = time.Minute
 	maxPulse       = time.Minute
+	maxPoke        = 1 << 12
 	maxTolerance   = 4
 	minElection    = 100 * time.Millisecond
 	maxElection    = time.Minute
@@ -281,6 +284,7 @@
 			OrderLeftOverSlowdown, OrderLeftOverAge, OrderFewestLeft, OrderFIFO, OrderUrgent).or(OrderLeftOverSlowdown),
 		peerPort(&e.PeerPort),
 		boolean(&e.LogJobs, "process", "log-jobs", "Whether to log each answer, and each decision about jobs that did not complete.").or("true"),
+		count(&e.Poke, "agents", "poke", "How many agents are told at once of waiting tasks when there is no credit.", 1, maxPoke).or("3"),
 		duration(&e.Pulse, "agents", "pulse", "How often an agent that holds tasks hears from this entry at least; 0s for no bound.", 0, maxPulse).or("0s"),
 		duration(&e.GoneAfter, "agents", "gone-after", "How long an agent may be out of reach before its tasks are given up.", minSilence, maxSilence).or("4s"),
 		optionalHostPort(&e.Clients, "platform", "clients", "HTTP address for the platform's clients.").or(""),
