--- a/entry/submit.go
+++ b/entry/submit.go
@@ -138,7 +138,7 @@
 	}
 	wait, ok := svc.forecast.wait(svc.q.WorkAhead(sub.Priority))
 	slack := sub.Objective - longestDeclared(sub)
-	if !ok || wait <= forecastMargin*slack {
+	if !ok || wait <= slack {
 		return nil
 	}
 	return &refusal{
@@ -148,11 +148,6 @@
 	}
 }
 
-// forecastMargin is by how much a forecast may exceed the slack before a new
-// submission is refused for it: credit moves to the most urgent entry, so that
-// the rate of one entry often rises within its slack.
-const forecastMargin = 2
-
 // minOverloadRetry is the least time after which a submission refused for its
 // objective should come back: a burst lasts seconds.
 const minOverloadRetry = time.Second
