--- a/agent/agent.go
+++ b/agent/agent.go
@@ -25,6 +25,7 @@
 	up upstream
 	// typical is a running mean of what tasks need.
 	typical need
+	pace    pace
 	health  health
 	drain   drain
 
--- a/agent/report.go
+++ b/agent/report.go
@@ -41,6 +41,7 @@
 		Running:  uint32(len(s.running)),
 		Queued:   uint32(s.queue.len()),
 		Slots:    slots,
+		Pace:     s.pace.value(),
 		Outcomes: s.takeEnded(e),
 	}
 	e.told = s.credit(e)
--- a/agent/run.go
+++ b/agent/run.go
@@ -202,6 +202,9 @@
 	if r.stopWhy == task.ReasonNone {
 		s.judge(r, ev.End)
 	}
+	if ev.End == EndComplete {
+		s.pace.observe(r.declared, ev.Ran)
+	}
 	s.end(r, outcome(r, ev))
 	switch ev.End {
 	case EndRefused:
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -68,6 +68,7 @@
 		s.lose(task.ReasonUpstreamGone)
 		*u = upstream{Upstream: a}
 		s.health.failing = s.health.failing[:0]
+		s.pace = pace{}
 		s.emit(UseUpstream{Upstream: a})
 	}
 	if a.Addr != u.Addr || a.Connections != u.Connections {
--- a/controld/controld.go
+++ b/controld/controld.go
@@ -27,6 +27,9 @@
 const (
 	// freshInterval is how often the replicated log is asked for its state.
 	freshInterval = 100 * time.Millisecond
+	// staleInterval is the same while there is no fresh quorum: entries that
+	// have restarted wait for it.
+	staleInterval = 25 * time.Millisecond
 	// catchUpTimeout bounds one attempt of a host that was cut off to have all
 	// that was accepted meanwhile.
 	catchUpTimeout = 500 * time.Millisecond
@@ -201,6 +204,10 @@
 			return
 		case <-ticker.C:
 		}
+		ticker.Reset(freshInterval)
+		if !fresh {
+			ticker.Reset(staleInterval)
+		}
 	}
 }
 
--- a/entry/agent.go
+++ b/entry/agent.go
@@ -57,6 +57,8 @@
 	// wantedRank is the rank of the first of them.
 	wantedRank float64
 	speed      speed
+	// pace is what the agent last said of its upstream\'s pace; zero if nothing.
+	pace float64
 	// probeAt is when a slow agent gets its next task, probeWait how long it
 	// waits after that.
 	probeAt   time.Duration
--- a/entry/report.go
+++ b/entry/report.go
@@ -65,6 +65,7 @@
 	a.unseen = later
 	a.Credit = int(r.Credit) - n
 	a.Slots = int(r.Slots)
+	a.pace = float64(r.Pace)
 	a.Others = max(0, int(r.Running+r.Queued)-len(a.sent))
 	if a.pooled {
 		a.svc.pool.Changed(&a.Agent)
--- a/entry/speed.go
+++ b/entry/speed.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -15,6 +16,11 @@
 	// slowRatio is how many times longer than elsewhere tasks take at an agent
 	// that counts as slow.
 	slowRatio = 3.0
+	// slowPace is the same for what agents say of their pace, which is of all
+	// entries' tasks; sound upstreams differ by up to 1.6.
+	slowPace = 2.5
+	// minPaces is how many agents of a service have to tell their pace.
+	minPaces = 3
 	// minProbeWait and maxProbeWait bound the time between two tasks that a
 	// slow agent gets to show whether it still is.
 	minProbeWait = 2 * time.Second
@@ -53,8 +59,10 @@
 func (e *Entry) review() {
 	e.arm(timer{at: e.now + reviewEvery, kind: timerReview})
 	for _, s := range e.services {
+		usual, known := e.usualPace(s)
 		for _, p := range s.pool.Shuffled() {
-			e.reviewAgent(e.agents[p.ID])
+			a := e.agents[p.ID]
+			e.reviewAgent(a, known && a.pace != 0 && a.pace-usual > math.Log(slowPace))
 		}
 		if s.q.Len() > 0 {
 			e.touch(s)
@@ -62,14 +70,34 @@
 	}
 }
 
-func (e *Entry) reviewAgent(a *agent) {
-	slow := a.speed.slower(&a.svc.speed) || e.overdue(a)
+// usualPace returns the median of what the agents of a service say of their
+// pace.
+func (e *Entry) usualPace(s *service) (usual float64, known bool) {
+	var paces []float64
+	for _, p := range s.pool.Shuffled() {
+		if v := e.agents[p.ID].pace; v != 0 {
+			paces = append(paces, v)
+		}
+	}
+	if len(paces) < minPaces {
+		return 0, false
+	}
+	slices.Sort(paces)
+	return paces[len(paces)/2], true
+}
+
+// reviewAgent decides whether an agent is slow; behind says that its pace is far
+// behind the others'.
+func (e *Entry) reviewAgent(a *agent, behind bool) {
+	slow := behind || a.speed.slower(&a.svc.speed) || e.overdue(a)
 	switch {
 	case !slow && !a.Slow:
 		return
 	case !slow:
+		e.note("agent is no longer slow", a, behind)
 		a.Slow, a.Probe = false, false
 	case !a.Slow:
+		e.note("agent is slow", a, behind)
 		a.Slow, a.Probe = true, false
 		a.probeWait = minProbeWait
 		a.probeAt = e.now + a.probeWait
--- a/entry/trace.go
+++ b/entry/trace.go
@@ -77,3 +77,14 @@
 	}
 	e.emit(Decision{Ref: ref, What: "refused", At: e.now, Bad: true, Inputs: inputs})
 }
+
+// note hands out a changed belief about an agent.
+func (e *Entry) note(what string, a *agent, behind bool) {
+	if !e.opts.Trace {
+		return
+	}
+	e.emit(Decision{What: what, At: e.now, Inputs: []any{
+		"agent", a.ID, "pace", a.pace, "behind", behind, "own-mean", a.speed.mean, "service-mean", a.svc.speed.mean,
+		"outstanding", a.Outstanding,
+	}})
+}
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -300,6 +300,9 @@
 
 // decided logs a decision about a submission.
 func (d *Daemon) decided(eff entry.Decision) {
-	kv := append([]any{"job", eff.Ref, "at", eff.At.Round(time.Microsecond)}, eff.Inputs...)
+	kv := append([]any{"at", eff.At.Round(time.Microsecond)}, eff.Inputs...)
+	if eff.Ref != "" {
+		kv = append([]any{"job", eff.Ref}, kv...)
+	}
 	d.log.Info(eff.What, kv...)
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -174,7 +174,10 @@
 	Running uint32 `msg:"r"`
 	Queued  uint32 `msg:"u"`
 	// Slots is Worker.Slots now; zero when draining or suspended.
-	Slots    uint32   `msg:"l"`
+	Slots uint32 `msg:"l"`
+	// Pace is the mean of the logarithm of real over declared run times of the
+	// tasks that ended lately at the agent; zero if too few have.
+	Pace     float32  `msg:"p"`
 	Outcomes []Result `msg:"o"`
 }
 
