--- a/cmd/fireflytray-control/main.go
+++ b/cmd/fireflytray-control/main.go
@@ -26,6 +26,9 @@
 }
 
 func run(ctx context.Context, rt daemon.Runtime, s *settings.Control) error {
+	if s.Data == "" {
+		return platform.ServeRedirect(ctx, s.Operators, s.Initial)
+	}
 	initial := settings.ReplacePort(s.Initial, s.PeerPort)
 	return node.RunControl(ctx, node.ControlOptions{
 		Common:  common(rt, s),
--- a/settings/load.go
+++ b/settings/load.go
@@ -146,6 +146,9 @@
 
 // check reports a first control host that does not list itself.
 func (c *Control) check() []rule {
+	if c.Data == "" && c.Operators == "" {
+		return []rule{{"data", "folder", "is empty, want a folder, or platform operators to send on"}}
+	}
 	if c.Join || c.JoinUnlisted || slices.Contains(c.Initial, c.Peers) {
 		return nil
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,7 +38,8 @@
 	Peers string
 	// Admin is the HTTPS host:port for operators.
 	Admin string
-	// Data is the folder of the replicated log; one process locks it.
+	// Data is the folder of the replicated log; one process locks it. Empty for
+	// a process that keeps no replica.
 	Data string
 	// Initial lists the peer addresses of the first control hosts.
 	Initial []string
@@ -259,7 +260,7 @@
 	return append(c.Process.keys(base),
 		hostPort(&c.Peers, "listen", "peers", "UDP address for the system's own processes.").require(),
 		hostPort(&c.Admin, "listen", "admin", "HTTPS address for operators.").require(),
-		folder(&c.Data, base, "data", "folder", "Folder of the replicated log; one process at a time.").or("data"),
+		optionalFile(&c.Data, base, "data", "folder", "Folder of the replicated log; one process at a time. A process without one keeps no replica and sends the platform's operators to the hosts in initial.").or("data"),
 		hostPorts(&c.Initial, "cluster", "initial", "Peer addresses of the first control hosts, this one included unless it joins.").require(),
 		boolean(&c.Join, "cluster", "join", "Whether an empty data folder joins a running cluster as a learner.").or("false"),
 		boolean(&c.JoinUnlisted, "cluster", "join-unlisted", "Whether a host that initial lacks joins as a learner.").or("false"),
