--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -79,16 +79,6 @@
 	})
 }
 
-func (f *fleet) of(role string) []*process {
-	var out []*process
-	for _, p := range f.all {
-		if p.role == role {
-			out = append(out, p)
-		}
-	}
-	return out
-}
-
 func seeds() string {
 	var list []string
 	for i := range controls {
