--- a/lease/hold.go
+++ b/lease/hold.go
@@ -255,7 +255,9 @@
 			s.holdFailed(h)
 		}
 	}
-	if len(s.runs) == 0 || s.failures == 0 || s.clockAt == 0 || s.now < s.lapsedAt() {
+	// One hold without an answer may only mean that this process was paused: the
+	// lists tell then how each run ended.
+	if len(s.runs) == 0 || s.failures < failuresToSuspect || s.clockAt == 0 || s.now < s.lapsedAt() {
 		return
 	}
 	for _, r := range s.sorted() {
@@ -282,7 +284,7 @@
 	if s.ackAt > 0 {
 		add(s.ackAt)
 	}
-	if len(s.runs) > 0 && s.failures > 0 && s.clockAt > 0 {
+	if len(s.runs) > 0 && s.failures >= failuresToSuspect && s.clockAt > 0 {
 		if at := s.lapsedAt(); at > s.now {
 			add(at)
 		}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -249,3 +249,15 @@
 	require.Contains(t, b.events, agent.Event(agent.Stalled{Run: firstRun}))
 	require.NotContains(t, b.events, agent.Event(agent.Stalled{Run: 2}))
 }
+
+// After a pause of this process the lists tell how runs ended; they are not
+// taken for lapsed unseen.
+func TestPausedProcessAsksBeforeItGivesRunsUp(t *testing.T) {
+	b := newBench(t).ready()
+	b.begin(firstRun, "a")
+	b.now += 3 * time.Second
+	b.step(Tick{})
+	require.Empty(t, b.ends())
+	b.answer(View{Ended: []Ended{{Seq: 1, Task: "a", Run: 1, How: EndDone}}})
+	require.Equal(t, agent.EndComplete, b.ends()[0].End)
+}
