Stop HTTP servers that have not begun to serve

The entry's two listeners, the operators' interface and the stand-in upstream all had it: a process told to stop while it starts stayed until killed. Change: httpstop.Shutdown also closes the listener; every server uses it. httpapi.New takes the listener that it serves.

--- a/controld/admin.go
+++ b/controld/admin.go
@@ -15,6 +15,7 @@
 	"github.com/fireflytray/fireflytray/adminapi"
 	"github.com/fireflytray/fireflytray/control"
 	"github.com/fireflytray/fireflytray/fleet"
+	"github.com/fireflytray/fireflytray/internal/httpstop"
 	"github.com/fireflytray/fireflytray/wire"
 )
 
@@ -43,6 +44,7 @@
 	if err != nil || ln == nil {
 		return err
 	}
+	tlsLn := tls.NewListener(ln, h.opts.Identity.ServerTLS(wire.RoleOperator))
 	server := &fasthttp.Server{
 		Name:               "fireflytray",
 		Handler:            h.adminHandler(ctx),
@@ -60,9 +62,9 @@
 		<-ctx.Done()
 		closing, cancel := context.WithTimeout(context.Background(), adminWriteTimeout)
 		defer cancel()
-		_ = server.ShutdownWithContext(closing)
+		_ = httpstop.Shutdown(closing, server, tlsLn)
 	}()
-	err = server.Serve(tls.NewListener(ln, h.opts.Identity.ServerTLS(wire.RoleOperator)))
+	err = server.Serve(tlsLn)
 	if ctx.Err() != nil {
 		<-stopped
 		return nil
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -129,7 +129,6 @@
 		GoneAfter: o.GoneAfter,
 	})
 	d.loop = loop.New[entry.Event, entry.Effect](&inspected{d.state}, entry.Tick{}, d.exec)
-	d.api = httpapi.New(d, o.HTTP)
 	return d
 }
 
@@ -140,13 +139,14 @@
 	if err != nil {
 		return err
 	}
+	d.api = httpapi.New(d, ln, d.opts.HTTP)
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	d.dialCtx = inner
 	g, gctx := errgroup.WithContext(inner)
 	g.Go(func() error { d.loop.Run(gctx); return nil })
 	g.Go(func() error { d.reportState(gctx); return nil })
-	g.Go(func() error { return d.api.Serve(ln) })
+	g.Go(func() error { return d.api.Serve() })
 	for _, serve := range d.opts.Serve {
 		g.Go(func() error { return serve(gctx, d) })
 	}
--- a/httpapi/bench_test.go
+++ b/httpapi/bench_test.go
@@ -33,8 +33,8 @@
 // connection.
 func BenchmarkJob(b *testing.B) {
 	ln := fasthttputil.NewInmemoryListener()
-	s := New(&instant{}, Config{})
-	go func() { _ = s.Serve(ln) }()
+	s := New(&instant{}, ln, Config{})
+	go func() { _ = s.Serve() }()
 	defer ln.Close()
 	client := fasthttp.Client{Dial: func(string) (net.Conn, error) { return ln.Dial() }}
 	job := JobRequest{Team: "t"}
--- a/httpapi/fake_test.go
+++ b/httpapi/fake_test.go
@@ -107,8 +107,8 @@
 	if cfg.DrainNotice == 0 {
 		cfg.DrainNotice = time.Millisecond
 	}
-	s := New(b, cfg)
-	go func() { _ = s.Serve(ln) }()
+	s := New(b, ln, cfg)
+	go func() { _ = s.Serve() }()
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
 		defer cancel()
--- a/httpapi/server.go
+++ b/httpapi/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/fireflytray/fireflytray/internal/httpstop"
 	"github.com/fireflytray/fireflytray/task"
 )
 
@@ -23,6 +24,7 @@
 	backend Backend
 	jobs    *registry
 	http    *fasthttp.Server
+	ln      net.Listener
 	// leaving withdraws readiness; refusing refuses new submissions.
 	leaving  atomic.Bool
 	refusing atomic.Bool
@@ -30,10 +32,10 @@
 	inFlight atomic.Int64
 }
 
-// New returns a server over a backend.
-func New(backend Backend, cfg Config) *Server {
+// New returns a server over a backend that will serve ln.
+func New(backend Backend, ln net.Listener, cfg Config) *Server {
 	cfg = cfg.withDefaults()
-	s := &Server{cfg: cfg, backend: backend, jobs: newRegistry(cfg, time.Now)}
+	s := &Server{cfg: cfg, backend: backend, ln: ln, jobs: newRegistry(cfg, time.Now)}
 	s.http = &fasthttp.Server{
 		Handler:                       s.handle,
 		ErrorHandler:                  s.handleReadError,
@@ -57,10 +59,10 @@
 // Printf does nothing.
 func (discard) Printf(string, ...any) {}
 
-// Serve answers requests on ln until Shutdown or an error of ln.
-func (s *Server) Serve(ln net.Listener) error {
-	if err := s.http.Serve(ln); err != nil {
-		return fmt.Errorf("http: serve %s: %w", ln.Addr(), err)
+// Serve answers requests until Shutdown or an error of the listener.
+func (s *Server) Serve() error {
+	if err := s.http.Serve(s.ln); err != nil {
+		return fmt.Errorf("http: serve %s: %w", s.ln.Addr(), err)
 	}
 	return nil
 }
@@ -76,7 +78,7 @@
 	if err := s.awaitAnswers(ctx); err != nil {
 		return err
 	}
-	if err := s.http.ShutdownWithContext(ctx); err != nil {
+	if err := httpstop.Shutdown(ctx, s.http, s.ln); err != nil {
 		return fmt.Errorf("http: shut down: %w", err)
 	}
 	return nil
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -14,6 +14,8 @@
 	"github.com/charmbracelet/log"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/fireflytray/fireflytray/internal/httpstop"
 )
 
 const (
@@ -233,7 +235,7 @@
 	}
 	s.tasks.wait(s.killed)
 	s.tasks.journal.close()
-	if err := s.http.Shutdown(); err != nil {
+	if err := httpstop.Shutdown(context.Background(), s.http, s.ln); err != nil {
 		return fmt.Errorf("upstream: shut down %s: %w", s.Addr(), err)
 	}
 	return nil
