--- a/command/caller_test.go
+++ b/command/caller_test.go
@@ -58,8 +58,8 @@
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := httpapi.New(&callerBackend{held: make(chan func(task.Answer), 1)}, httpapi.Config{DrainNotice: time.Millisecond, CollectGrace: time.Millisecond})
-	go func() { _ = s.Serve(ln) }()
+	s := httpapi.New(&callerBackend{held: make(chan func(task.Answer), 1)}, ln, httpapi.Config{DrainNotice: time.Millisecond, CollectGrace: time.Millisecond})
+	go func() { _ = s.Serve() }()
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
