--- a/entry/agent.go
+++ b/entry/agent.go
@@ -200,7 +200,6 @@
 		e.workerChanged(a, *w.Worker)
 	}
 	if !a.pooled && a.svc != nil {
-		a.Near = a.peer.Domain == e.opts.Self.Domain
 		a.svc.pool.Add(&a.Agent)
 		a.pooled = true
 	}
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -27,15 +27,11 @@
 	Slow    bool
 	Probe   bool
 	Offered task.Resources
-	// Near marks an agent in the entry's own failure domain. It must not change
-	// while the agent is in a pool.
-	Near bool
 	// Used is what this entry's tasks at the agent declared.
 	Used task.Resources
 
 	pos     int
 	freePos int
-	nearPos int
 	// counted is what of the agent is in the pool's sums.
 	counted sums
 }
@@ -61,7 +57,6 @@
 type Pool struct {
 	agents []*Agent
 	free   []*Agent // agents that are open
-	near   []*Agent // those of them in the entry's own failure domain
 	rng    *rand.Rand
 	next   int
 	total  sums
@@ -87,7 +82,7 @@
 // Add adds an agent.
 func (p *Pool) Add(a *Agent) {
 	a.pos = len(p.agents)
-	a.freePos, a.nearPos = -1, -1
+	a.freePos = -1
 	p.agents = append(p.agents, a)
 	p.Changed(a)
 }
@@ -122,29 +117,13 @@
 	if free {
 		a.freePos = len(p.free)
 		p.free = append(p.free, a)
-	} else {
-		last := len(p.free) - 1
-		p.free[a.freePos] = p.free[last]
-		p.free[a.freePos].freePos = a.freePos
-		p.free = p.free[:last]
-		a.freePos = -1
-	}
-	if a.Near {
-		p.setNear(a, free)
-	}
-}
-
-func (p *Pool) setNear(a *Agent, free bool) {
-	if free {
-		a.nearPos = len(p.near)
-		p.near = append(p.near, a)
 		return
 	}
-	last := len(p.near) - 1
-	p.near[a.nearPos] = p.near[last]
-	p.near[a.nearPos].nearPos = a.nearPos
-	p.near = p.near[:last]
-	a.nearPos = -1
+	last := len(p.free) - 1
+	p.free[a.freePos] = p.free[last]
+	p.free[a.freePos].freePos = a.freePos
+	p.free = p.free[:last]
+	a.freePos = -1
 }
 
 // Shuffled returns the agents in a random order.
--- a/entry/placement/policy.go
+++ b/entry/placement/policy.go
@@ -10,18 +10,12 @@
 // Late returns true.
 func (Credits) Late() bool { return true }
 
-// Pick returns the less loaded of two random open agents that fit, of the own
-// failure domain if one there does: links between domains cost time and money.
+// Pick returns the less loaded of two random open agents that fit.
 func (Credits) Pick(p *Pool, need task.Resources) *Agent {
 	n := len(p.free)
 	if n == 0 {
 		return nil
 	}
-	if k := len(p.near); k > 0 {
-		if best := better(p.near[p.rng.IntN(k)], p.near[p.rng.IntN(k)], need); best != nil {
-			return best
-		}
-	}
 	best := better(p.free[p.rng.IntN(n)], p.free[p.rng.IntN(n)], need)
 	if best != nil {
 		return best
