--- a/agentd/agentd.go
+++ b/agentd/agentd.go
@@ -91,7 +91,7 @@
 	d.sessions = newSessions(d.loop.Post, o.Log)
 	d.runner = newRunner(d.loop.Post, d.loop.Now)
 	if o.Leased != nil {
-		d.leased = newLeasedRunner(*o.Leased, d.loop.Post, o.Log)
+		d.leased = newLeasedRunner(*o.Leased, d.loop.Post, d.meter, o.Log)
 		d.runner = d.leased
 	}
 	d.http = &fasthttp.Server{
--- a/agentd/leased.go
+++ b/agentd/leased.go
@@ -29,14 +29,15 @@
 
 // LeasedRunner carries out runs at a leased upstream.
 type LeasedRunner struct {
-	exec Executor
-	post func(agent.Event) bool
-	log  *log.Logger
-	loop *loop.Loop[lease.Event, lease.Effect]
+	exec  Executor
+	post  func(agent.Event) bool
+	meter *meter
+	log   *log.Logger
+	loop  *loop.Loop[lease.Event, lease.Effect]
 }
 
-func newLeasedRunner(o Leased, post func(agent.Event) bool, l *log.Logger) *LeasedRunner {
-	r := &LeasedRunner{exec: o.Executor, post: post, log: l}
+func newLeasedRunner(o Leased, post func(agent.Event) bool, m *meter, l *log.Logger) *LeasedRunner {
+	r := &LeasedRunner{exec: o.Executor, post: post, meter: m, log: l}
 	// The time of day only has to be above a predecessor's; the reducer raises
 	// a token that is not.
 	fence := uint64(time.Now().UnixMilli())
@@ -62,6 +63,9 @@
 	case lease.HoldCall:
 		go func() { r.loop.Post(r.exec.Hold(eff)) }()
 	case lease.Notify:
+		if ended, ok := eff.Event.(agent.RunEnded); ok && ended.End == agent.EndCutOff {
+			r.meter.cutOff.Inc(1)
+		}
 		r.post(eff.Event)
 	case lease.Note:
 		r.log.Info(eff.Text, eff.KeyVals...)
--- a/agentd/meter.go
+++ b/agentd/meter.go
@@ -3,11 +3,12 @@
 import (
 	"github.com/uber-go/tally/v4"
 
+	"github.com/fireflytray/fireflytray/metrics"
 	"github.com/fireflytray/fireflytray/task"
 	"github.com/fireflytray/fireflytray/wire"
 )
 
-// meter counts what the agent does. It is used by the loop only.
+// meter counts what the agent does. All but cutOff is used by the loop only.
 type meter struct {
 	scope    tally.Scope
 	slots    tally.Gauge
@@ -17,8 +18,10 @@
 	queued   tally.Gauge
 	reports  tally.Counter
 	outcomes map[outcomeKind]tally.Counter
-	ran      tally.Timer
-	waited   tally.Timer
+	ran      tally.Histogram
+	waited   tally.Histogram
+	// cutOff counts runs that ended with their lease or their upstream.
+	cutOff tally.Counter
 }
 
 type outcomeKind struct {
@@ -37,8 +40,9 @@
 		queued:   scope.Gauge("queued"),
 		reports:  scope.Counter("reports"),
 		outcomes: make(map[outcomeKind]tally.Counter),
-		ran:      scope.Timer("ran"),
-		waited:   scope.Timer("waited"),
+		ran:      metrics.Seconds(scope, "run_seconds"),
+		waited:   metrics.Seconds(scope, "queue_seconds"),
+		cutOff:   scope.Counter("runs_cut_off"),
 	}
 }
 
@@ -70,7 +74,7 @@
 	}
 	c.Inc(1)
 	if k.state == task.Complete {
-		m.ran.Record(r.Outcome.Ran)
-		m.waited.Record(r.Waited)
+		m.ran.RecordDuration(r.Outcome.Ran)
+		m.waited.RecordDuration(r.Waited)
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -118,6 +118,8 @@
 		return ExitFailed
 	}
 	defer d.rt.Metrics.Close()
+	d.rt.Metrics.CountFunc("log_dropped_lines_total", "Lines that were not written as the reader of the log was too slow.",
+		func() float64 { return float64(ring.Total()) })
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -57,6 +57,11 @@
 	rec.ag = a
 	s.inFlight++
 	s.messages++
+	if rec.attempt == 0 {
+		if s.placed++; int(s.placed) == len(s.tasks) {
+			s.queued = e.now - s.arrived
+		}
+	}
 	spec := &s.sub.Tasks[i]
 	a.sent[s.taskID(i)] = sentRec{sub: s, index: i, at: e.now, declared: spec.Declared, need: spec.Need}
 	a.tasks = append(a.tasks, e.assignment(s, i, rank))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -84,6 +84,7 @@
 	now      time.Duration
 	out      []Effect
 	cfg      *fleet.Config
+	cfgAt    time.Duration // when cfg came into force
 	services map[string]*service
 	agents   map[string]*agent
 	entries  map[string]bool // other live entries, by id
@@ -189,6 +190,9 @@
 	if cfg == nil || e.cfg != nil && cfg.Index < e.cfg.Index {
 		return
 	}
+	if e.cfg == nil || cfg.Index > e.cfg.Index {
+		e.cfgAt = e.now
+	}
 	e.cfg = cfg
 	for name, sc := range cfg.Services {
 		s := e.service(name)
--- a/entry/stats.go
+++ b/entry/stats.go
@@ -76,10 +76,12 @@
 type View struct {
 	Stats       Stats
 	ConfigIndex uint64
-	InFlight    int
-	Waiting     map[string]int
-	Agents      []AgentView
-	Draining    bool
+	// ConfigAge is how long this configuration has been in force.
+	ConfigAge time.Duration
+	InFlight  int
+	Waiting   map[string]int
+	Agents    []AgentView
+	Draining  bool
 }
 
 // View returns a copy of what status pages show.
@@ -94,6 +96,7 @@
 	v.Stats.Reasons = maps.Clone(e.stats.Reasons)
 	if e.cfg != nil {
 		v.ConfigIndex = e.cfg.Index
+		v.ConfigAge = e.now - e.cfgAt
 	}
 	for name, s := range e.services {
 		v.Waiting[name] = s.waiting()
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -47,6 +47,8 @@
 	messages uint32
 	wasted   uint32
 	longest  time.Duration
+	placed   uint32        // tasks placed at least once
+	queued   time.Duration // from the arrival until all were
 	trace    []Decision
 }
 
@@ -172,6 +174,7 @@
 	s.answered = true
 	a.ID = s.id
 	a.Longest = s.longest
+	a.Queued = s.queued
 	a.Messages = s.messages
 	a.Wasted = s.wasted
 	delete(e.subs, s.id)
--- a/entryd/meter.go
+++ b/entryd/meter.go
@@ -36,10 +36,12 @@
 
 // answered counts an answer that took elapsed.
 func (m *meter) answered(a *task.Answer, elapsed time.Duration) {
-	m.out.Answered(a.State, a.Reason)
+	m.out.Answered(a.State, a.Reason, elapsed)
 	if a.State != task.Complete || a.Replayed || a.Longest <= 0 {
 		return
 	}
+	m.out.QueueSeconds.RecordDuration(a.Queued)
+	m.out.RunSeconds.RecordDuration(a.Longest)
 	m.out.OverIdeal.RecordValue(elapsed.Seconds() / m.ideal(a.Longest, elapsed).Seconds())
 }
 
@@ -60,15 +62,21 @@
 	m.out.WastedMessages.Inc(int64(now.Wasted.Total() - m.last.Wasted.Total()))
 	m.out.Retries.Inc(int64(now.Retries - m.last.Retries))
 	m.last = now
-	waiting, credit := 0, 0
+	waiting, credit, connected := 0, 0, 0
 	for _, n := range v.Waiting {
 		waiting += n
 	}
 	for _, a := range v.Agents {
 		credit += a.Credit
+		if a.Connected {
+			connected++
+		}
 	}
 	m.out.Queue.Update(float64(waiting))
 	m.out.Slots.Update(float64(credit))
+	m.out.Connected.Update(float64(connected))
+	m.out.ConfigIndex.Update(float64(v.ConfigIndex))
+	m.out.ConfigAge.Update(v.ConfigAge.Seconds())
 }
 
 // reportState reports the state until ctx ends.
--- a/logging/ring.go
+++ b/logging/ring.go
@@ -26,7 +26,9 @@
 
 	mu      sync.Mutex
 	dropped uint64
-	closed  bool
+	// total counts all lines dropped, also those already reported.
+	total  uint64
+	closed bool
 }
 
 // NewRing returns a ring over w.
@@ -51,6 +53,7 @@
 	case r.lines <- kept:
 	default:
 		r.dropped++
+		r.total++
 	}
 	return len(line), nil
 }
@@ -62,6 +65,13 @@
 	return r.dropped
 }
 
+// Total returns how many lines were dropped since the start.
+func (r *Ring) Total() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.total
+}
+
 func (r *Ring) run() {
 	defer close(r.done)
 	for line := range r.lines {
--- a/logging/ring_test.go
+++ b/logging/ring_test.go
@@ -39,10 +39,13 @@
 		require.NoError(t, err)
 	}
 	require.Positive(t, r.Dropped())
+	require.Equal(t, r.Dropped(), r.Total())
 	close(w.release)
 	r.Close()
 	<-r.done
 	require.Contains(t, w.String(), "lines dropped count=")
+	require.Zero(t, r.Dropped())
+	require.Positive(t, r.Total())
 }
 
 func TestRingCutsLongLines(t *testing.T) {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -28,9 +28,11 @@
 
 // Root holds the metrics of one process.
 type Root struct {
-	scope   tally.Scope
-	closer  io.Closer
-	handler http.Handler
+	scope    tally.Scope
+	registry *prometheus.Registry
+	tags     map[string]string
+	closer   io.Closer
+	handler  http.Handler
 }
 
 // New returns a root whose metrics carry the process's role, id and failure
@@ -44,15 +46,16 @@
 		Gatherer:        registry,
 		OnRegisterError: onError,
 	})
+	tags := map[string]string{"role": role, "id": id, "domain": domain}
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 prefix,
-		Tags:                   map[string]string{"role": role, "id": id, "domain": domain},
+		Tags:                   tags,
 		CachedReporter:         reporter,
 		Separator:              tallyprom.DefaultSeparator,
 		SanitizeOptions:        sanitizer(),
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &Root{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
+	return &Root{scope: scope, registry: registry, tags: tags, closer: closer, handler: reporter.HTTPHandler()}
 }
 
 // sanitizer keeps tag values as they are: process ids and failure domains are
@@ -69,6 +72,13 @@
 // Scope returns the root scope.
 func (r *Root) Scope() tally.Scope { return r.scope }
 
+// CountFunc shows a count that is kept elsewhere.
+func (r *Root) CountFunc(name, help string, value func() float64) {
+	r.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: prefix, Name: name, Help: help, ConstLabels: r.tags,
+	}, value))
+}
+
 // Handler returns the Prometheus page; it lags by at most a second.
 func (r *Root) Handler() http.Handler { return r.handler }
 
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -19,10 +20,16 @@
 	entry.Retries.Inc(1)
 	entry.Queue.Update(5)
 	entry.Slots.Update(8)
-	entry.Answered(task.Complete, task.ReasonNone)
-	entry.Answered(task.NotRun, task.ReasonQuota)
-	entry.Answered(task.NotRun, task.ReasonOverload)
-	entry.Answered(task.Failed, task.ReasonAgentGone)
+	entry.Answered(task.Complete, task.ReasonNone, 30*time.Millisecond)
+	entry.Answered(task.NotRun, task.ReasonQuota, 30*time.Millisecond)
+	entry.Answered(task.NotRun, task.ReasonOverload, 30*time.Millisecond)
+	entry.Answered(task.Failed, task.ReasonAgentGone, 30*time.Millisecond)
+	entry.QueueSeconds.RecordDuration(3 * time.Millisecond)
+	entry.RunSeconds.RecordDuration(80 * time.Millisecond)
+	entry.Connected.Update(11)
+	entry.ConfigIndex.Update(6)
+	entry.ConfigAge.Update(12)
+	root.CountFunc("log_dropped_lines_total", "Lines that the log dropped.", func() float64 { return 7 })
 	require.NoError(t, root.Close())
 	w := httptest.NewRecorder()
 	root.Handler().ServeHTTP(w, httptest.NewRequest("GET", Path, nil))
@@ -37,6 +44,14 @@
 		`fireflytray_entry_refused{` + tags + `,reason="quota",role="entry"} 1`,
 		`fireflytray_entry_refused{` + tags + `,reason="overload",role="entry"} 1`,
 		`fireflytray_entry_failed{` + tags + `,reason="agent_gone",role="entry"} 1`,
+		`fireflytray_entry_answer_seconds_count{` + tags + `,outcome="refused",role="entry"} 2`,
+		`fireflytray_entry_answer_seconds_bucket{` + tags + `,outcome="complete",role="entry",le="0.05"} 1`,
+		`fireflytray_entry_queue_seconds_count{` + tags + `,role="entry"} 1`,
+		`fireflytray_entry_run_seconds_count{` + tags + `,role="entry"} 1`,
+		`fireflytray_entry_agents_connected{` + tags + `,role="entry"} 11`,
+		`fireflytray_entry_config_index{` + tags + `,role="entry"} 6`,
+		`fireflytray_entry_config_age_seconds{` + tags + `,role="entry"} 12`,
+		`fireflytray_log_dropped_lines_total{` + tags + `,role="entry"} 7`,
 	} {
 		require.Contains(t, w.Body.String(), line)
 	}
--- a/metrics/roles.go
+++ b/metrics/roles.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -11,6 +12,17 @@
 // overIdealBuckets are bounds of response time over the ideal, as a ratio.
 var overIdealBuckets = tally.ValueBuckets{1, 1.1, 1.25, 1.5, 2, 3, 5, 10, 20, 50, 100, 1000}
 
+// seconds are bounds of durations, from a round trip to the longest that
+// callers wait.
+var seconds = tally.DurationBuckets{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
+	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond,
+	time.Second, 2 * time.Second, 5 * time.Second,
+}
+
+// Seconds returns a histogram of durations; its name should end in "_seconds".
+func Seconds(scope tally.Scope, name string) tally.Histogram { return scope.Histogram(name, seconds) }
+
 // Entry is what an entry reports. Agents report from package agentd.
 type Entry struct {
 	// OverIdeal is the response time of complete answers over the ideal.
@@ -24,10 +36,26 @@
 	// Queue is the number of tasks that wait at this entry.
 	Queue tally.Gauge
 	// Slots is the number of slots that this entry holds credit for.
-	Slots    tally.Gauge
+	Slots tally.Gauge
+	// QueueSeconds is the time until all tasks of a submission were placed,
+	// RunSeconds the longest run of its tasks, both of complete answers.
+	QueueSeconds tally.Histogram
+	RunSeconds   tally.Histogram
+	// Connected is the number of agents with an open connection.
+	Connected tally.Gauge
+	// ConfigIndex is the configuration in force, ConfigAge how long it has been
+	// in seconds.
+	ConfigIndex tally.Gauge
+	ConfigAge   tally.Gauge
+
 	complete tally.Counter
 	refused  reasons
 	failed   reasons
+	answers  map[task.State]tally.Histogram
+}
+
+func answerSeconds(s tally.Scope, outcome string) tally.Histogram {
+	return Seconds(s.Tagged(map[string]string{"outcome": outcome}), "answer_seconds")
 }
 
 // NewEntry returns an entry's metrics under scope.
@@ -40,14 +68,29 @@
 		Retries:        s.Counter("retries"),
 		Queue:          s.Gauge("queue"),
 		Slots:          s.Gauge("slots"),
-		complete:       s.Counter("complete"),
-		refused:        reasons{scope: s, name: "refused"},
-		failed:         reasons{scope: s, name: "failed"},
+		QueueSeconds:   Seconds(s, "queue_seconds"),
+		RunSeconds:     Seconds(s, "run_seconds"),
+		Connected:      s.Gauge("agents_connected"),
+		ConfigIndex:    s.Gauge("config_index"),
+		ConfigAge:      s.Gauge("config_age_seconds"),
+		answers: map[task.State]tally.Histogram{
+			task.Complete: answerSeconds(s, "complete"),
+			task.NotRun:   answerSeconds(s, "refused"),
+			task.Failed:   answerSeconds(s, "failed"),
+			task.Unknown:  answerSeconds(s, "failed"),
+		},
+		complete: s.Counter("complete"),
+		refused:  reasons{scope: s, name: "refused"},
+		failed:   reasons{scope: s, name: "failed"},
 	}
 }
 
-// Answered counts one answer by its state and reason.
-func (e *Entry) Answered(state task.State, reason task.Reason) {
+// Answered counts one answer, given elapsed after the request, by its state
+// and reason.
+func (e *Entry) Answered(state task.State, reason task.Reason, elapsed time.Duration) {
+	if h := e.answers[state]; h != nil {
+		h.RecordDuration(elapsed)
+	}
 	switch state {
 	case task.Complete:
 		e.complete.Inc(1)
--- a/task/submission.go
+++ b/task/submission.go
@@ -48,6 +48,9 @@
 	Outcomes []Outcome
 	// Longest is the longest run time among the tasks.
 	Longest time.Duration
+	// Queued is how long the submission waited until its last task was first
+	// placed; zero if that never came.
+	Queued time.Duration
 	// Messages counts the messages between processes spent on the submission;
 	// Wasted counts those of them that brought no task nearer its outcome.
 	Messages uint32
