fireflytray explain: the history of one request from the logs of many processes

Cause: operators had grep only, over lines in no common order, and had to look up by hand what was believed of the agents that a request met.

--- /dev/null
+++ b/command/explain.go
@@ -0,0 +1,212 @@
+package command
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fireflytray/fireflytray/logging"
+)
+
+const (
+	// maxExplainLine bounds a line read, in bytes; the programs write 4 KiB at
+	// most, and a collector may add to that.
+	maxExplainLine = 64 << 10
+	// beliefsBefore is how long before the request a changed belief about one
+	// of its agents may explain it.
+	beliefsBefore = 2 * time.Second
+	// maxBeliefs bounds the lines about agents that are kept while reading.
+	maxBeliefs = 200_000
+)
+
+// The keys whose values name a request or one of its tasks, and an agent.
+var (
+	requestKeys = []string{"job", "task", "id", "submission", "operation"}
+	agentKeys   = []string{"agent", "instance", "upstream"}
+)
+
+var _ = register("explain", "Show what became of a request",
+	"Reads logs of any number of processes and prints in order what they decided about one request, "+
+		"and what they came to believe of its agents meanwhile. The id is the caller's or the submission's.",
+	func(e *Env) any { return &explainCommand{env: e} })
+
+type explainCommand struct {
+	env *Env
+
+	Args struct {
+		ID    string   `positional-arg-name:"ID" description:"Id of the request"`
+		Files []string `positional-arg-name:"FILE" description:"Log files; the standard input if none or -"`
+	} `positional-args:"yes" required:"1"`
+}
+
+// Execute reads the logs and prints the history.
+func (c *explainCommand) Execute([]string) error {
+	if c.Args.ID == "" {
+		return Exit(ExitUsage, "explain: the id is empty")
+	}
+	h := &history{id: c.Args.ID}
+	files := c.Args.Files
+	if len(files) == 0 {
+		files = []string{"-"}
+	}
+	for _, name := range files {
+		if err := h.readFile(name, len(files) > 1); err != nil {
+			return Exit(ExitFailed, "explain: %w", err)
+		}
+	}
+	if len(h.own) == 0 {
+		return Exit(ExitFailed, "explain: none of %d lines of our programs names %s", h.lines, h.id)
+	}
+	if h.left > 0 {
+		fmt.Fprintf(c.env.Stderr, "explain: %d lines about agents were left out\n", h.left)
+	}
+	all := h.ordered()
+	if c.env.JSON {
+		return c.env.printJSON(all)
+	}
+	for i := range all {
+		fmt.Fprintln(c.env.Stdout, all[i].line(all[0].Time))
+	}
+	return nil
+}
+
+// event is a log line that belongs to the history of a request.
+type event struct {
+	logging.Record
+	// Belief marks a line about an agent of the request, not about the request.
+	Belief bool `json:"belief,omitempty"`
+}
+
+// line shows the event for people, with its time since the start.
+func (e *event) line(start time.Time) string {
+	var b strings.Builder
+	mark := " "
+	if e.Belief {
+		mark = "~"
+	}
+	fmt.Fprintf(&b, "%+10.3f ms %s ", float64(e.Time.Sub(start))/float64(time.Millisecond), mark)
+	if e.Source != "" {
+		fmt.Fprintf(&b, "[%s] ", e.Source)
+	}
+	fmt.Fprintf(&b, "%s: %s", e.Part, e.Text)
+	for _, f := range e.Fields {
+		value := f.Value
+		if value == "" || strings.ContainsAny(value, " =\"") {
+			value = fmt.Sprintf("%q", value)
+		}
+		fmt.Fprintf(&b, " %s=%s", f.Key, value)
+	}
+	return b.String()
+}
+
+// history collects the lines about one request.
+type history struct {
+	id      string
+	own     []event
+	beliefs []event
+	// lines counts the lines of our programs, left the beliefs not kept.
+	lines, left int
+}
+
+func (h *history) readFile(name string, named bool) error {
+	if name == "-" {
+		return h.read(os.Stdin, "")
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	source := ""
+	if named {
+		source = name
+	}
+	if err := h.read(f, source); err != nil {
+		return fmt.Errorf("read %s: %w", name, err)
+	}
+	return nil
+}
+
+// read takes the lines of one log. Lines of other programs are passed over.
+func (h *history) read(from io.Reader, source string) error {
+	lines := bufio.NewReaderSize(from, maxExplainLine)
+	for {
+		line, isPrefix, err := lines.ReadLine()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if r, ok := logging.Parse(string(line)); ok {
+			if source != "" {
+				r.Source = strings.TrimSpace(source + " " + r.Source)
+			}
+			h.take(r)
+		}
+		for isPrefix && err == nil {
+			_, isPrefix, err = lines.ReadLine()
+		}
+	}
+}
+
+func (h *history) take(r logging.Record) {
+	h.lines++
+	switch names, any := h.names(&r); {
+	case names:
+		h.own = append(h.own, event{Record: r})
+	case any || agentOf(&r) == "":
+	case len(h.beliefs) == maxBeliefs:
+		h.left++
+	default:
+		h.beliefs = append(h.beliefs, event{Record: r, Belief: true})
+	}
+}
+
+// names reports whether the line is about the request, and whether it is about
+// any request.
+func (h *history) names(r *logging.Record) (this, any bool) {
+	for _, key := range requestKeys {
+		value := r.Get(key)
+		any = any || value != ""
+		if value == h.id || strings.HasPrefix(value, h.id+".") {
+			return true, true
+		}
+	}
+	return false, any
+}
+
+func agentOf(r *logging.Record) string {
+	for _, key := range agentKeys {
+		if value := r.Get(key); value != "" {
+			return value
+		}
+	}
+	return ""
+}
+
+// ordered returns the history by time, with the beliefs about the request's
+// agents from shortly before its first line to its last.
+func (h *history) ordered() []event {
+	byTime := func(a, b event) int { return a.Time.Compare(b.Time) }
+	slices.SortStableFunc(h.own, byTime)
+	agents := map[string]bool{}
+	for i := range h.own {
+		if name := agentOf(&h.own[i].Record); name != "" {
+			agents[name] = true
+		}
+	}
+	from, to := h.own[0].Time.Add(-beliefsBefore), h.own[len(h.own)-1].Time
+	all := slices.Clone(h.own)
+	for _, b := range h.beliefs {
+		if agents[agentOf(&b.Record)] && !b.Time.Before(from) && !b.Time.After(to) {
+			all = append(all, b)
+		}
+	}
+	slices.SortStableFunc(all, byTime)
+	return all
+}
--- /dev/null
+++ b/logging/parse.go
@@ -0,0 +1,150 @@
+package logging
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Field is a key of a log line with its value as it was written.
+type Field struct {
+	Key   string `json:"key"`
+	Value string `json:"value"`
+}
+
+// Record is a log line of one of the programs.
+type Record struct {
+	// Source is what a collector put before the line, such as the host's name.
+	Source string    `json:"source,omitempty"`
+	Time   time.Time `json:"time"`
+	Level  string    `json:"level"`
+	Part   Part      `json:"part"`
+	Text   string    `json:"text"`
+	Fields []Field   `json:"fields"`
+}
+
+// Get returns the value of a key, empty if the line has none.
+func (r *Record) Get(key string) string {
+	for _, f := range r.Fields {
+		if f.Key == key {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+// Parse reads a line in either format, whatever a collector put before it. It
+// returns false for lines of other programs.
+func Parse(line string) (Record, bool) {
+	if i := strings.IndexByte(line, '{'); i >= 0 {
+		if r, ok := parseJSON(line[i:]); ok {
+			r.Source = strings.TrimSpace(line[:i])
+			return r, true
+		}
+	}
+	return parseText(line)
+}
+
+func parseText(line string) (Record, bool) {
+	var r Record
+	rest := line
+	for r.Time.IsZero() {
+		word, after, found := strings.Cut(strings.TrimLeft(rest, " \t"), " ")
+		if !found {
+			return r, false
+		}
+		if at, err := time.Parse(time.RFC3339Nano, word); err == nil {
+			r.Time = at
+		} else {
+			r.Source = strings.TrimSpace(r.Source + " " + word)
+		}
+		rest = after
+	}
+	level, rest, _ := strings.Cut(rest, " ")
+	part, rest, found := strings.Cut(rest, ": ")
+	if !found || strings.ContainsAny(part, " =") {
+		return r, false
+	}
+	r.Level, r.Part = strings.ToLower(level), Part(part)
+	r.Text, r.Fields = splitFields(rest)
+	return r, true
+}
+
+// splitFields parts a message from the pairs of keys and values after it.
+func splitFields(s string) (string, []Field) {
+	var text []string
+	var fields []Field
+	for s = strings.TrimSpace(s); s != ""; s = strings.TrimLeft(s, " ") {
+		word, _, _ := strings.Cut(s, " ")
+		key, _, isField := strings.Cut(word, "=")
+		if !isField || key == "" || strings.ContainsRune(key, '"') {
+			text = append(text, word)
+			s = s[len(word):]
+			continue
+		}
+		value, length := fieldValue(s[len(key)+1:])
+		fields = append(fields, Field{key, value})
+		s = s[len(key)+1+length:]
+	}
+	return strings.Join(text, " "), fields
+}
+
+// fieldValue returns the value at the start of s and how many bytes it takes.
+func fieldValue(s string) (string, int) {
+	if quoted, err := strconv.QuotedPrefix(s); err == nil && s[0] == '"' {
+		if value, err := strconv.Unquote(quoted); err == nil {
+			return value, len(quoted)
+		}
+	}
+	word, _, _ := strings.Cut(s, " ")
+	return word, len(word)
+}
+
+func parseJSON(s string) (Record, bool) {
+	d := json.NewDecoder(strings.NewReader(s))
+	d.UseNumber()
+	if t, err := d.Token(); err != nil || t != json.Delim('{') {
+		return Record{}, false
+	}
+	var r Record
+	for d.More() {
+		key, err := d.Token()
+		if err != nil {
+			return r, false
+		}
+		var raw json.RawMessage
+		if err := d.Decode(&raw); err != nil {
+			return r, false
+		}
+		r.set(fmt.Sprint(key), plain(raw))
+	}
+	return r, !r.Time.IsZero()
+}
+
+func (r *Record) set(key, value string) {
+	switch key {
+	case "time":
+		// A line without a time is not one of ours, and is refused as such.
+		r.Time, _ = time.Parse(time.RFC3339Nano, value)
+	case "level":
+		r.Level = value
+	case "prefix":
+		r.Part = Part(value)
+	case "msg":
+		r.Text = value
+	default:
+		r.Fields = append(r.Fields, Field{key, value})
+	}
+}
+
+// plain returns a JSON value as text, strings without their quotes.
+func plain(raw json.RawMessage) string {
+	var s string
+	if json.Unmarshal(raw, &s) == nil {
+		return s
+	}
+	return string(bytes.TrimSpace(raw))
+}
