soak: relays that delay, silence, cut one way and reset links

Change: a relay for TCP and UDP stands between callers and entries, upstreams and agents in both directions, and in front of the control hosts that entries and agents know from the start. Not covered: links between control hosts, and from entries to agents, whose addresses the fleet tells itself.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -51,7 +51,7 @@
 	body := fmt.Sprintf(`{"jobSpec":%s,"bestEffort":true,"steps":[{"count":%d,"cpu":500,"memMb":1,"estimateMs":%d}]}`,
 		strconv.Quote(standin.Payload(takes, 500)), 1+rng.IntN(mostTasks), takes.Milliseconds())
 	c.ledger.Submitted(id)
-	url := fmt.Sprintf("http://127.0.2.%d:%d%s%s", 1+rng.IntN(entries), portClients, prefix, id)
+	url := "http://" + at(netToEntry, rng.IntN(entries), portClients) + prefix + id
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewBufferString(body))
 	if err != nil {
 		c.ledger.Violate("request: %v", err)
@@ -177,7 +177,7 @@
 func (o *operator) call(ctx context.Context, rng *rand.Rand, method, body string) (int, string) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	url := fmt.Sprintf("http://127.0.1.%d:%d/config", 1+rng.IntN(controls), portOperators)
+	url := "http://" + at(netControl, rng.IntN(controls), portOperators) + "/config"
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewBufferString(body))
 	if err != nil {
 		o.ledger.Violate("request: %v", err)
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -48,6 +48,28 @@
 	dir  string
 	all  []*process
 	logs *os.File
+	// relays stand in the links of callers and upstreams, and in those of
+	// entries and agents to the control hosts that they know from the start.
+	relays []*relay
+}
+
+// Networks of the addresses: 127.0.NET.i.
+const (
+	netControl = 1 + iota
+	netEntry
+	netAgent
+	netToControl
+	netToEntry
+	netToAgent
+	netToUpstream
+)
+
+func at(net, i, port int) string { return fmt.Sprintf("127.0.%d.%d:%d", net, i+1, port) }
+
+func (f *fleet) relay(net, to, count, port int) {
+	for i := range count {
+		f.relays = append(f.relays, newRelay(f.t, at(net, i, port), at(to, i, port)))
+	}
 }
 
 func newFleet(t *testing.T, dir, bin string) *fleet {
@@ -56,14 +78,18 @@
 	f.logs, err = os.Create(filepath.Join(dir, "processes.log"))
 	require.NoError(t, err)
 	for i := range controls {
-		f.add("control", i, 1)
+		f.add("control", i, netControl)
 	}
 	for i := range entries {
-		f.add("entry", i, 2)
+		f.add("entry", i, netEntry)
 	}
 	for i := range agents {
-		f.add("agent", i, 3)
+		f.add("agent", i, netAgent)
 	}
+	f.relay(netToControl, netControl, controls, portControl)
+	f.relay(netToEntry, netEntry, entries, portClients)
+	f.relay(netToAgent, netAgent, agents, portBeats)
+	f.relay(netToUpstream, netAgent, agents, portUpstream)
 	for _, p := range f.all {
 		f.writeSettings(p, false)
 		f.start(bin, p)
@@ -79,10 +105,10 @@
 	})
 }
 
-func seeds() string {
+func seeds(net int) string {
 	var list []string
 	for i := range controls {
-		list = append(list, fmt.Sprintf("127.0.1.%d:%d", i+1, portControl))
+		list = append(list, at(net, i, portControl))
 	}
 	return strings.Join(list, ",")
 }
@@ -94,13 +120,13 @@
 	switch p.role {
 	case "control":
 		text += fmt.Sprintf("[listen]\nadmin = %s:%d\npeers = %s:%d\n[data]\nfolder = %s\n[cluster]\ninitial = %s\njoin = %t\nmanaged = true\nelection-timeout = 300ms\n[platform]\noperators = %s:%d\n",
-			p.addr, portAdmin, p.addr, portControl, p.data, seeds(), join, p.addr, portOperators)
+			p.addr, portAdmin, p.addr, portControl, p.data, seeds(netControl), join, p.addr, portOperators)
 	case "entry":
 		text += fmt.Sprintf("[listen]\ncallers = %s:%d\n[control]\naddresses = %s\n[placement]\norder = urgent\n[agents]\npulse = 250ms\ngone-after = 1s\n[platform]\nclients = %s:%d\nreadiness = %s:%d\n",
-			p.addr, portCallers, seeds(), p.addr, portClients, p.addr, portReady)
+			p.addr, portCallers, seeds(netToControl), p.addr, portClients, p.addr, portReady)
 	case "agent":
 		text += fmt.Sprintf("[listen]\npeers = %s:%d\nupstream = 127.0.0.1:1\n[control]\naddresses = %s\n[worker]\nrack = r\nprocessors = 1\nmemory-mb = 1\n[entries]\norphan-after = 800ms\n[platform]\nheartbeats = %s:%d\n",
-			p.addr, portAgent, seeds(), p.addr, portBeats)
+			p.addr, portAgent, seeds(netToControl), p.addr, portBeats)
 	}
 	require.NoError(f.t, os.WriteFile(p.settings, []byte(text), 0o600))
 }
@@ -149,5 +175,8 @@
 		p.signal(syscall.SIGCONT)
 		p.kill()
 	}
+	for _, r := range f.relays {
+		r.close()
+	}
 	f.logs.Close()
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -75,7 +75,7 @@
 		wg.Go(func() {
 			err := standin.Run(ctx, standin.Options{
 				ID: fmt.Sprintf("up-%d", i+1), Service: service, MilliCPU: 4000, MaxLease: time.Second, Ledger: ledger,
-				Addr: fmt.Sprintf("127.0.3.%d:%d", i+1, portUpstream), Agent: fmt.Sprintf("127.0.3.%d:%d", i+1, portBeats),
+				Addr: at(netAgent, i, portUpstream), Announced: at(netToUpstream, i, portUpstream), Agent: at(netToAgent, i, portBeats),
 			})
 			if err != nil {
 				ledger.Violate("%v", err)
@@ -93,7 +93,10 @@
 		loads.Go(func() { jobs.run(working, rng(10+i)) })
 	}
 	awaitWork(t, jobs)
+	faults, stopFaults := context.WithCancel(ctx)
+	loads.Go(func() { f.disturbLinks(faults, rng(5)) })
 	(&chaos{f: f, bin: bin, rng: rng(3)}).run(*faultsFor)
+	stopFaults()
 	awaitWork(t, jobs)
 	awaitRead(ctx, t, op, rng(4))
 	stop()
@@ -192,6 +195,17 @@
 	}
 }
 
+// disturbLinks makes trouble on one link after the other, and on several at a
+// time, until ctx ends.
+func (f *fleet) disturbLinks(ctx context.Context, rng *rand.Rand) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for ctx.Err() == nil {
+		wg.Go(f.relays[rng.IntN(len(f.relays))].disturb(rng))
+		pause(ctx, time.Duration(rng.IntN(1500))*time.Millisecond)
+	}
+}
+
 // wipe takes a control host's disk away.
 func (c *chaos) wipe(p *process, dark time.Duration) {
 	p.kill()
