entry: let requests wait for the first configuration after a start

Cause: after a loss of all power callers are back before the control hosts have elected a leader. Ruled out: a faster election (a restarted voter must stay silent for one election timeout, as it may have granted a lease); keeping the configuration on the entry's disk (entries have none).

--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -47,6 +47,8 @@
 		Poke:      int(s.Poke),
 		Pulse:     s.Pulse,
 		GoneAfter: s.GoneAfter,
+
+		StartupWait: s.StartupWait,
 	})
 }
 
