explain: put decisions where they were made; say why an agent counts as slow

Cause: an entry writes the decisions about a request when it ends, so explain showed them all at that moment, after beliefs that came later. Change: explain goes by `at`, anchored at the last line of the source; a collector's numbers are no part of the source. The line has `overdue`.

--- a/command/explain.go
+++ b/command/explain.go
@@ -180,6 +180,29 @@
 	return false, any
 }
 
+// placeDecisions gives decisions the time at which they were made. An entry
+// writes those about one request when it ends, all at once; `at` is the time of
+// each on its own clock, and the last one was written as it was made.
+func placeDecisions(events []event) {
+	type clock struct {
+		at   time.Duration
+		time time.Time
+	}
+	last := map[string]clock{}
+	for i := range events {
+		e := &events[i]
+		if at, err := time.ParseDuration(e.Get("at")); err == nil && at >= last[e.Source].at {
+			last[e.Source] = clock{at, e.Time}
+		}
+	}
+	for i := range events {
+		e := &events[i]
+		if at, err := time.ParseDuration(e.Get("at")); err == nil {
+			e.Time = last[e.Source].time.Add(at - last[e.Source].at)
+		}
+	}
+}
+
 func agentOf(r *logging.Record) string {
 	for _, key := range agentKeys {
 		if value := r.Get(key); value != "" {
@@ -192,6 +215,7 @@
 // ordered returns the history by time, with the beliefs about the request's
 // agents from shortly before its first line to its last.
 func (h *history) ordered() []event {
+	placeDecisions(h.own)
 	byTime := func(a, b event) int { return a.Time.Compare(b.Time) }
 	slices.SortStableFunc(h.own, byTime)
 	agents := map[string]bool{}
--- a/entry/speed.go
+++ b/entry/speed.go
@@ -89,15 +89,16 @@
 // reviewAgent decides whether an agent is slow; behind says that its pace is far
 // behind the others'.
 func (e *Entry) reviewAgent(a *agent, behind bool) {
-	slow := behind || a.speed.slower(&a.svc.speed) || e.overdue(a)
+	overdue := e.overdue(a)
+	slow := behind || a.speed.slower(&a.svc.speed) || overdue
 	switch {
 	case !slow && !a.Slow:
 		return
 	case !slow:
-		e.note("agent is no longer slow", a, behind)
+		e.note("agent is no longer slow", a, behind, overdue)
 		a.Slow, a.Probe = false, false
 	case !a.Slow:
-		e.note("agent is slow", a, behind)
+		e.note("agent is slow", a, behind, overdue)
 		a.Slow, a.Probe = true, false
 		a.probeWait = minProbeWait
 		a.probeAt = e.now + a.probeWait
--- a/entry/trace.go
+++ b/entry/trace.go
@@ -79,12 +79,12 @@
 }
 
 // note hands out a changed belief about an agent.
-func (e *Entry) note(what string, a *agent, behind bool) {
+func (e *Entry) note(what string, a *agent, behind, overdue bool) {
 	if !e.opts.Trace {
 		return
 	}
 	e.emit(Decision{What: what, At: e.now, Inputs: []any{
-		"agent", a.ID, "pace", a.pace, "behind", behind, "own-mean", a.speed.mean, "service-mean", a.svc.speed.mean,
+		"agent", a.ID, "pace", a.pace, "behind", behind, "overdue", overdue, "own-mean", a.speed.mean, "service-mean", a.svc.speed.mean,
 		"outstanding", a.Outstanding,
 	}})
 }
--- a/logging/parse.go
+++ b/logging/parse.go
@@ -17,7 +17,8 @@
 
 // Record is a log line of one of the programs.
 type Record struct {
-	// Source is what a collector put before the line, such as the host's name.
+	// Source is what a collector put before the line, such as the host's name,
+	// without times of its own.
 	Source string    `json:"source,omitempty"`
 	Time   time.Time `json:"time"`
 	Level  string    `json:"level"`
@@ -41,28 +42,39 @@
 func Parse(line string) (Record, bool) {
 	if i := strings.IndexByte(line, '{'); i >= 0 {
 		if r, ok := parseJSON(line[i:]); ok {
-			r.Source = strings.TrimSpace(line[:i])
+			r.Source = sourceIn(line[:i])
 			return r, true
 		}
 	}
 	return parseText(line)
 }
 
+// sourceIn returns the words before a line that are not numbers.
+func sourceIn(before string) string {
+	var words []string
+	for _, word := range strings.Fields(before) {
+		if _, err := strconv.ParseFloat(word, 64); err != nil {
+			words = append(words, word)
+		}
+	}
+	return strings.Join(words, " ")
+}
+
 func parseText(line string) (Record, bool) {
 	var r Record
-	rest := line
+	rest, before := line, 0
 	for r.Time.IsZero() {
+		before = len(line) - len(rest)
 		word, after, found := strings.Cut(strings.TrimLeft(rest, " \t"), " ")
 		if !found {
 			return r, false
 		}
 		if at, err := time.Parse(time.RFC3339Nano, word); err == nil {
 			r.Time = at
-		} else {
-			r.Source = strings.TrimSpace(r.Source + " " + word)
 		}
 		rest = after
 	}
+	r.Source = sourceIn(line[:before])
 	level, rest, _ := strings.Cut(rest, " ")
 	part, rest, found := strings.Cut(rest, ": ")
 	if !found || strings.ContainsAny(part, " =") {
