Logs: a budget of lines a second for each kind of decision

Cause: an entry writes one line an answer, an agent one a task that did not complete; both grow with the load, and a flood of routine lines could fill the buffer that the others need. Change: logging.Budget allows 1,000 lines a second of each kind, those about requests that did not complete apart; what is left out is counted and said.

--- a/agentd/agentd.go
+++ b/agentd/agentd.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fireflytray/fireflytray/agent"
+	"github.com/fireflytray/fireflytray/logging"
 	"github.com/fireflytray/fireflytray/loop"
 	"github.com/fireflytray/fireflytray/transport"
 	"github.com/fireflytray/fireflytray/wire"
@@ -34,6 +35,7 @@
 	runner   upstreamRunner
 	leased   *LeasedRunner
 	meter    *meter
+	budget   *logging.Budget
 	drained  chan struct{}
 }
 
@@ -84,6 +86,7 @@
 		peers:    peers,
 		announce: ln,
 		meter:    newMeter(o.Scope),
+		budget:   logging.NewBudget(logging.LinesPerSecond),
 		drained:  make(chan struct{}),
 	}
 	state := agent.New(o.Self, o.Agent)
@@ -224,10 +227,22 @@
 			d.opts.Control.Announce(d.opts.Self, eff.Worker, eff.Leaving)
 		}
 	case agent.Decision:
-		d.opts.Log.Info("task "+eff.What, "task", eff.Task, "entry", eff.Entry, "reason", eff.Reason,
-			"waited", eff.Waited, "ran", eff.Ran, "running", eff.Running, "queued", eff.Queued)
+		d.decided(eff)
 	case agent.Drained:
 		d.opts.Log.Info("agent has drained", "unacknowledged", eff.Unacked)
 		close(d.drained)
 	}
 }
+
+// decided logs a decision about a task, within the budget of its kind. What was
+// left out is told with the next line that is not.
+func (d *daemon) decided(eff agent.Decision) {
+	if !d.budget.Allow(eff.What, d.loop.Now()) {
+		return
+	}
+	for kind, n := range d.budget.LeftOut() {
+		d.opts.Log.Warn("lines left out", "kind", kind, "count", n)
+	}
+	d.opts.Log.Info("task "+eff.What, "task", eff.Task, "entry", eff.Entry, "reason", eff.Reason,
+		"waited", eff.Waited, "ran", eff.Ran, "running", eff.Running, "queued", eff.Queued)
+}
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -21,6 +21,7 @@
 	"github.com/fireflytray/fireflytray/entry/queue"
 	"github.com/fireflytray/fireflytray/fleet"
 	"github.com/fireflytray/fireflytray/httpapi"
+	"github.com/fireflytray/fireflytray/logging"
 	"github.com/fireflytray/fireflytray/loop"
 	"github.com/fireflytray/fireflytray/task"
 	"github.com/fireflytray/fireflytray/transport"
@@ -36,6 +37,10 @@
 	defaultDrainWithin = 30 * time.Second
 )
 
+// badKind marks lines about requests that did not complete, which have a budget
+// of their own.
+const badKind = " badly"
+
 // Control is the entry's side of the control hosts.
 type Control interface {
 	Claim(ctx context.Context, c wire.Claim) (wire.ClaimReply, error)
@@ -93,6 +98,7 @@
 	// unrouted counts requests that came before there was a configuration.
 	unrouted atomic.Uint64
 	meter    *meter
+	budget   *logging.Budget
 
 	mu    sync.Mutex
 	done  map[task.SubmissionID]func(task.Answer)
@@ -122,6 +128,7 @@
 		jobs:    newJobs(),
 
 		configured: make(chan struct{}),
+		budget:     logging.NewBudget(logging.LinesPerSecond),
 	}
 	d.resolver = newResolver(o.Control, d.log)
 	d.state = entry.New(entry.Options{
@@ -307,8 +314,15 @@
 	d.loop.Post(entry.ClaimReplied{Reply: r})
 }
 
-// decided logs a decision about a submission.
+// decided logs a decision about a submission, within the budget of its kind.
 func (d *Daemon) decided(eff entry.Decision) {
+	kind := eff.What
+	if eff.Bad {
+		kind += badKind
+	}
+	if !d.budget.Allow(kind, d.loop.Now()) {
+		return
+	}
 	kv := append([]any{"at", eff.At.Round(time.Microsecond)}, eff.Inputs...)
 	if eff.Ref != "" {
 		kv = append([]any{"job", eff.Ref}, kv...)
--- a/entryd/meter.go
+++ b/entryd/meter.go
@@ -92,6 +92,9 @@
 		if n := d.unrouted.Swap(0); n > 0 {
 			d.log.Warn("requests refused", "reason", "no configuration yet", "count", n)
 		}
+		for kind, n := range d.budget.LeftOut() {
+			d.log.Warn("lines left out", "kind", kind, "count", n)
+		}
 		if v, err := d.View(); err == nil {
 			d.meter.view(v)
 		}
--- /dev/null
+++ b/logging/budget.go
@@ -0,0 +1,61 @@
+package logging
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+const (
+	// LinesPerSecond bounds the lines of one kind that one process writes about
+	// requests. It is a few times what an entry answers at the users' sizes in
+	// two years (docs/CAPACITY.md); ten kinds of 300 bytes are 3 MB/s at most.
+	LinesPerSecond = 1000
+	// budgetWindow is the time over which lines are counted.
+	budgetWindow = time.Second
+)
+
+// Budget bounds how many lines of each kind are written. It is safe for
+// concurrent use.
+type Budget struct {
+	lines int
+
+	mu      sync.Mutex
+	ends    time.Duration
+	written map[string]int
+	leftOut map[string]int
+}
+
+// NewBudget returns a budget of so many lines of each kind a second.
+func NewBudget(lines int) *Budget {
+	return &Budget{lines: lines, written: map[string]int{}, leftOut: map[string]int{}}
+}
+
+// Allow reports whether a line of a kind may be written now, and counts it.
+func (b *Budget) Allow(kind string, now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now >= b.ends {
+		b.ends = now + budgetWindow
+		clear(b.written)
+	}
+	if b.written[kind] >= b.lines {
+		b.leftOut[kind]++
+		return false
+	}
+	b.written[kind]++
+	return true
+}
+
+// LeftOut returns how many lines of each kind were left out since the last call,
+// nil if none were.
+func (b *Budget) LeftOut() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.leftOut) == 0 {
+		return nil
+	}
+	out := maps.Clone(b.leftOut)
+	clear(b.leftOut)
+	return out
+}
