--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -64,8 +64,8 @@
 	// Pulse and GoneAfter are those of entry.Options.
 	Pulse     time.Duration
 	GoneAfter time.Duration
-	// StartupWait is how long a request waits for the first configuration,
-	// shortly after the start; zero refuses it at once.
+	// StartupWait is how long after the start requests on a route wait for the
+	// first configuration; zero refuses them at once.
 	StartupWait time.Duration
 	Config      *fleet.Config
 	// DrainWithin bounds a graceful shutdown.
--- a/entryd/jobs.go
+++ b/entryd/jobs.go
@@ -152,20 +152,14 @@
 	return route, rest, true
 }
 
-// startupSpan is how long after the start requests wait for a configuration; an
-// election takes a third of it at most.
-const startupSpan = time.Second
-
-// awaitConfig returns the configuration in force, nil if there is none. Shortly
-// after the start it waits for the first one, but no longer than
-// Options.StartupWait: those that wait longer would be late, and would make
-// others late that came after them.
+// awaitConfig returns the configuration in force, nil if there is none. Until
+// Options.StartupWait after the start it waits for the first one.
 func (d *Daemon) awaitConfig() *fleet.Config {
-	wait := min(d.opts.StartupWait, startupSpan-d.loop.Now())
-	if cfg := d.config.Load(); cfg != nil || wait <= 0 {
+	left := d.opts.StartupWait - d.loop.Now()
+	if cfg := d.config.Load(); cfg != nil || left <= 0 {
 		return cfg
 	}
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(left)
 	defer timer.Stop()
 	select {
 	case <-d.configured:
