--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -47,8 +47,6 @@
 		Poke:      int(s.Poke),
 		Pulse:     s.Pulse,
 		GoneAfter: s.GoneAfter,
-
-		StartupWait: s.StartupWait,
 	})
 }
 
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -64,10 +64,7 @@
 	// Pulse and GoneAfter are those of entry.Options.
 	Pulse     time.Duration
 	GoneAfter time.Duration
-	// StartupWait is how long after the start requests on a route wait for the
-	// first configuration; zero refuses them at once.
-	StartupWait time.Duration
-	Config      *fleet.Config
+	Config    *fleet.Config
 	// DrainWithin bounds a graceful shutdown.
 	DrainWithin time.Duration
 	// Serve lists further interfaces for callers; they run until their context
@@ -89,12 +86,9 @@
 	api     *httpapi.Server
 	counter atomic.Uint64
 	ready   atomic.Bool
-	// configured is closed with the first configuration.
-	configured chan struct{}
-	first      sync.Once
-	config     atomic.Pointer[fleet.Config]
-	jobs       *jobs
-	leaving    atomic.Bool
+	config  atomic.Pointer[fleet.Config]
+	jobs    *jobs
+	leaving atomic.Bool
 	// unrouted counts requests that came before there was a configuration.
 	unrouted atomic.Uint64
 	meter    *meter
@@ -126,9 +120,7 @@
 		drained: make(chan struct{}),
 		meter:   newMeter(o.Scope),
 		jobs:    newJobs(),
-
-		configured: make(chan struct{}),
-		budget:     logging.NewBudget(logging.LinesPerSecond),
+		budget:  logging.NewBudget(logging.LinesPerSecond),
 	}
 	d.resolver = newResolver(o.Control, d.log)
 	d.state = entry.New(entry.Options{
@@ -223,7 +215,6 @@
 func (d *Daemon) OnConfig(cfg *fleet.Config) {
 	d.loop.Post(entry.ConfigChanged{Config: cfg})
 	d.config.Store(cfg)
-	d.first.Do(func() { close(d.configured) })
 	d.ready.Store(true)
 	d.log.Info("configuration in force", "index", cfg.Index)
 }
--- a/entryd/jobs.go
+++ b/entryd/jobs.go
@@ -139,11 +139,10 @@
 	return n
 }
 
-// Route returns the route of a request and the rest of its path. Shortly after
-// the start it waits for the first configuration; known is false while there is
-// none.
+// Route returns the route of a request and the rest of its path; known is false
+// while there is no configuration.
 func (d *Daemon) Route(host, path string) (route *fleet.Route, rest string, known bool) {
-	cfg := d.awaitConfig()
+	cfg := d.config.Load()
 	if cfg == nil {
 		d.unrouted.Add(1)
 		return nil, "", false
@@ -152,22 +151,6 @@
 	return route, rest, true
 }
 
-// awaitConfig returns the configuration in force, nil if there is none. Until
-// Options.StartupWait after the start it waits for the first one.
-func (d *Daemon) awaitConfig() *fleet.Config {
-	left := d.opts.StartupWait - d.loop.Now()
-	if cfg := d.config.Load(); cfg != nil || left <= 0 {
-		return cfg
-	}
-	timer := time.NewTimer(left)
-	defer timer.Stop()
-	select {
-	case <-d.configured:
-	case <-timer.C:
-	}
-	return d.config.Load()
-}
-
 // Accepting says whether the balancer should send new connections here.
 func (d *Daemon) Accepting() bool {
 	ready, _ := d.Ready()
--- a/node/entry.go
+++ b/node/entry.go
@@ -31,8 +31,6 @@
 	// Pulse and GoneAfter are those of entry.Options.
 	Pulse     time.Duration
 	GoneAfter time.Duration
-	// StartupWait is that of entryd.Options.
-	StartupWait time.Duration
 	// Serve lists further interfaces for callers.
 	Serve []func(context.Context, *entryd.Daemon) error
 }
@@ -68,7 +66,6 @@
 		Trace:       o.Trace,
 		Pulse:       o.Pulse,
 		GoneAfter:   o.GoneAfter,
-		StartupWait: o.StartupWait,
 		DrainWithin: o.DrainWithin,
 		Serve:       o.Serve,
 		Control:     client,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -84,8 +84,6 @@
 	// its balancer; empty for none.
 	Clients   string
 	Readiness string
-	// StartupWait is how long after the start requests wait for a configuration.
-	StartupWait time.Duration
 	// LogJobs writes a line for each decision about a job that ended badly, and
 	// one for each answer.
 	LogJobs bool
@@ -209,7 +207,6 @@
 	minSilence     = 100 * time.Millisecond
 	maxSilence     = time.Minute
 	maxPulse       = time.Minute
-	maxStartupWait = 10 * time.Second
 	maxPoke        = 1 << 12
 	maxTolerance   = 4
 	minElection    = 100 * time.Millisecond
@@ -293,7 +290,6 @@
 		duration(&e.GoneAfter, "agents", "gone-after", "How long an agent may be out of reach before its tasks are given up.", minSilence, maxSilence).or("4s"),
 		optionalHostPort(&e.Clients, "platform", "clients", "HTTP address for the platform's clients.").or(""),
 		optionalHostPort(&e.Readiness, "platform", "readiness", "HTTP address for the platform's balancer.").or(""),
-		duration(&e.StartupWait, "platform", "startup-wait", "How long after the start requests wait for the first configuration; 0s refuses them at once.", 0, maxStartupWait).or("0s"),
 	)
 }
 
