entry: ask each agent for a share of the slots that waiting tasks need

Cause: an entry told every agent of all its waiting tasks, and each agent reserved free slots for all of them for 25 ms. Change: an entry asks for twice what it needs in all, split over the agents that it tells. Test: TestDemandIsSpreadOverAgents, fails before (12 instead of 6, 3).

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -221,11 +221,17 @@
 	e.emit(Expect{Agent: a.ID, Session: a.session, On: owes})
 }
 
+// demandSpread is how many slots are asked for a waiting task, over all agents
+// that are told of it: each reserves what it is asked for.
+const demandSpread = 2
+
 // demand is what agents are told of the tasks that wait here.
 func (e *Entry) demand(s *service) wire.Demand {
 	j, rank := s.q.Head(e.now)
 	if j == nil {
 		return wire.Demand{}
 	}
-	return wire.Demand{Waiting: uint32(s.q.Len()), Rank: rank}
+	told := max(1, min(e.opts.Poke, s.pool.Len()))
+	waiting := (demandSpread*s.q.Len() + told - 1) / told
+	return wire.Demand{Waiting: uint32(min(waiting, s.q.Len())), Rank: rank}
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -270,3 +271,27 @@
 	sub.Tasks[0].Need = task.Resources{MilliCPU: 9000}
 	require.Equal(t, task.ReasonNeverFits, answers(f.submit(2, sub))[0].Reason)
 }
+
+// At high load several entries have tasks waiting, and each agent reserves what
+// it is asked for: an entry that asked all of them for all of its tasks would
+// keep slots idle that others wait for. It asks for twice of what it needs, and
+// for all of it where there is one agent.
+func TestDemandIsSpreadOverAgents(t *testing.T) {
+	for agents, want := range map[int]uint32{1: 12, 2: 12, 4: 6, 8: 3} {
+		var ids []string
+		for i := range agents {
+			ids = append(ids, fmt.Sprintf("a%d", i))
+		}
+		f := newFixture(t, ids...)
+		f.e.opts.Poke = 16
+		for _, a := range f.e.agents {
+			f.step(Received{Agent: a.ID, Session: a.session, Report: f.report(a.ID, 0)})
+		}
+		told := 0
+		for _, s := range sends(f.submit(1, job(12))) {
+			require.Equal(t, want, s.Update.Demand.Waiting, "%d agents", agents)
+			told++
+		}
+		require.Equal(t, agents, told)
+	}
+}
