entry: one switch in resend

Cause: two switches in a row hid that a failed run of a restarting job never falls through. Change: cases by state, the retry of a request in a function of its own. Result: no change of behaviour; entry and proof tests pass.

--- a/entry/submission.go
+++ b/entry/submission.go
@@ -298,24 +298,25 @@
 	if s.answered || e.now >= s.deadline {
 		return false
 	}
-	switch o.State {
-	case task.NotRun:
+	switch {
+	case o.State == task.NotRun:
 		return o.Reason != task.ReasonCancelled && o.Reason != task.ReasonNeverFits
-	case task.Failed:
-		if s.sub.Restart {
-			return e.restart(s, i, o)
-		}
-	}
-	switch o.State {
-	case task.Unknown, task.Failed:
-		return !s.sub.Job && s.sub.Idempotent && s.sub.Key == "" &&
-			retryable(o.Reason) &&
-			s.tasks[i].attempt+1 < e.cfg.Retry.MaxAttempts &&
-			s.svc.retries.Take(e.now)
+	case o.State == task.Failed && s.sub.Restart:
+		return e.restart(s, i, o)
+	case o.State == task.Failed, o.State == task.Unknown:
+		return e.retry(s, i, o)
 	}
 	return false
 }
 
+// retry reports whether a request that may have run is sent again.
+func (e *Entry) retry(s *submission, i uint32, o task.Outcome) bool {
+	return !s.sub.Job && s.sub.Idempotent && s.sub.Key == "" &&
+		retryable(o.Reason) &&
+		s.tasks[i].attempt+1 < e.cfg.Retry.MaxAttempts &&
+		s.svc.retries.Take(e.now)
+}
+
 // restart reports whether a task whose run has failed is run again. Only
 // failures of the run itself count as attempts.
 func (e *Entry) restart(s *submission, i uint32, o task.Outcome) bool {
