entry: turn callers away while most agents are out of reach

Cause: an entry that is cut off from the fleet but not from its callers stayed ready. Its sessions ended in 250 ms and it refused each request at once, as no upstream; callers kept their connections and each next request met the same. Ruled out: holding the requests (agents may be gone for long); counting sessions of control hosts (they say nothing about agents). Change: reach is judged every 250 ms from the agents known and connected; without half of them the entry is not ready and ends connections with their next answer. Both turns are logged. Test: TestEntryOutOfReachTurnsCallersAway.

--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -89,6 +89,8 @@
 	config  atomic.Pointer[fleet.Config]
 	jobs    *jobs
 	leaving atomic.Bool
+	// cutOff is set while most agents are out of reach.
+	cutOff atomic.Bool
 	// unrouted counts requests that came before there was a configuration.
 	unrouted atomic.Uint64
 	meter    *meter
--- a/entryd/jobs.go
+++ b/entryd/jobs.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/fireflytray/fireflytray/entry"
 	"github.com/fireflytray/fireflytray/fleet"
 	"github.com/fireflytray/fireflytray/task"
 )
@@ -154,8 +155,28 @@
 // Accepting says whether the balancer should send new connections here.
 func (d *Daemon) Accepting() bool {
 	ready, _ := d.Ready()
-	return ready && !d.leaving.Load()
+	return ready && !d.TurnsAway()
 }
 
-// Leaving says that the process ends.
-func (d *Daemon) Leaving() bool { return d.leaving.Load() }
+// TurnsAway says that callers are better served by another entry: the process
+// ends, or most agents are out of its reach.
+func (d *Daemon) TurnsAway() bool { return d.leaving.Load() || d.cutOff.Load() }
+
+// judgeReach compares the agents that are connected with those that are known.
+func (d *Daemon) judgeReach(v entry.View) {
+	connected := 0
+	for _, a := range v.Agents {
+		if a.Connected {
+			connected++
+		}
+	}
+	cutOff := 2*connected < len(v.Agents)
+	if cutOff == d.cutOff.Swap(cutOff) {
+		return
+	}
+	if cutOff {
+		d.log.Warn("most agents are out of reach", "connected", connected, "known", len(v.Agents))
+	} else {
+		d.log.Info("most agents are in reach again", "connected", connected, "known", len(v.Agents))
+	}
+}
--- a/entryd/meter.go
+++ b/entryd/meter.go
@@ -15,6 +15,10 @@
 // meterInterval is how often the state is copied to the metrics.
 const meterInterval = time.Second
 
+// reachInterval is how often the entry judges whether most agents are in reach;
+// a connection falls silent in about the same time.
+const reachInterval = 250 * time.Millisecond
+
 // meter reports what an entry does.
 type meter struct {
 	out *metrics.Entry
@@ -81,12 +85,18 @@
 
 // reportState reports the state until ctx ends.
 func (d *Daemon) reportState(ctx context.Context) {
-	ticker := time.NewTicker(meterInterval)
+	ticker, reach := time.NewTicker(meterInterval), time.NewTicker(reachInterval)
 	defer ticker.Stop()
+	defer reach.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-reach.C:
+			if v, err := d.View(); err == nil {
+				d.judgeReach(v)
+			}
+			continue
 		case <-ticker.C:
 		}
 		if n := d.unrouted.Swap(0); n > 0 {
--- /dev/null
+++ b/entryd/reach_test.go
@@ -0,0 +1,35 @@
+package entryd
+
+import (
+	"io"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/entry"
+)
+
+// An entry that is cut off from most agents turns callers away, and takes them
+// back once it reaches them again. One that knows no agents turns nobody away.
+func TestEntryOutOfReachTurnsCallersAway(t *testing.T) {
+	d := New(Options{Log: log.New(io.Discard)})
+	d.ready.Store(true)
+	agents := func(connected, lost int) (v entry.View) {
+		for range connected {
+			v.Agents = append(v.Agents, entry.AgentView{Connected: true})
+		}
+		for range lost {
+			v.Agents = append(v.Agents, entry.AgentView{})
+		}
+		return v
+	}
+	for _, c := range []struct {
+		connected, lost int
+		accepts         bool
+	}{{0, 0, true}, {8, 0, true}, {4, 4, true}, {3, 5, false}, {0, 8, false}, {5, 3, true}} {
+		d.judgeReach(agents(c.connected, c.lost))
+		require.Equal(t, c.accepts, d.Accepting(), "%d connected, %d lost", c.connected, c.lost)
+		require.Equal(t, !c.accepts, d.TurnsAway())
+	}
+}
