--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -231,7 +231,7 @@
 	if j == nil {
 		return wire.Demand{}
 	}
-	told := max(1, min(e.opts.Poke, s.pool.Len()))
-	waiting := (demandSpread*s.q.Len() + told - 1) / told
+	agents := max(1, min(e.opts.Poke, s.pool.Len()))
+	waiting := (demandSpread*s.q.Len() + agents - 1) / agents
 	return wire.Demand{Waiting: uint32(min(waiting, s.q.Len())), Rank: rank}
 }
--- a/entryd/jobs.go
+++ b/entryd/jobs.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/fireflytray/fireflytray/entry"
 	"github.com/fireflytray/fireflytray/fleet"
 	"github.com/fireflytray/fireflytray/task"
 )
@@ -157,26 +156,3 @@
 	ready, _ := d.Ready()
 	return ready && !d.TurnsAway()
 }
-
-// TurnsAway says that callers are better served by another entry: the process
-// ends, or most agents are out of its reach.
-func (d *Daemon) TurnsAway() bool { return d.leaving.Load() || d.cutOff.Load() }
-
-// judgeReach compares the agents that are connected with those that are known.
-func (d *Daemon) judgeReach(v entry.View) {
-	connected := 0
-	for _, a := range v.Agents {
-		if a.Connected {
-			connected++
-		}
-	}
-	cutOff := 2*connected < len(v.Agents)
-	if cutOff == d.cutOff.Swap(cutOff) {
-		return
-	}
-	if cutOff {
-		d.log.Warn("most agents are out of reach", "connected", connected, "known", len(v.Agents))
-	} else {
-		d.log.Info("most agents are in reach again", "connected", connected, "known", len(v.Agents))
-	}
-}
--- a/entryd/meter.go
+++ b/entryd/meter.go
@@ -15,10 +15,6 @@
 // meterInterval is how often the state is copied to the metrics.
 const meterInterval = time.Second
 
-// reachInterval is how often the entry judges whether most agents are in reach;
-// a connection falls silent in about the same time.
-const reachInterval = 250 * time.Millisecond
-
 // meter reports what an entry does.
 type meter struct {
 	out *metrics.Entry
