entry: don't take agents for slow after a pause of the entry itself

Ruled out: the paces that agents told (all near the service's; `behind=false`). Change: two reviews more than 500 ms apart are a pause; overdue tasks count from its end. Test: TestPausedEntryJudgesNobodyOverdue, fails without it.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -80,25 +80,28 @@
 
 // Entry is the state of an entry. It is not safe for concurrent use.
 type Entry struct {
-	opts     Options
-	now      time.Duration
-	out      []Effect
-	cfg      *fleet.Config
-	cfgAt    time.Duration // when cfg came into force
-	services map[string]*service
-	agents   map[string]*agent
-	entries  map[string]bool // other live entries, by id
-	subs     map[task.SubmissionID]*submission
-	claims   map[uint64]*submission
-	quotas   map[string]*quota.Bucket // by team
-	nextReq  uint64
-	sessions uint64 // dials so far, over all agents
-	timers   timers
-	dirty    []*agent // agents to flush at the end of the step
-	active   []*service
-	draining bool
-	drained  bool
-	stats    Stats
+	opts  Options
+	now   time.Duration
+	out   []Effect
+	cfg   *fleet.Config
+	cfgAt time.Duration // when cfg came into force
+	// reviewedAt is when agents were last reviewed, resumedAt when this process
+	// was last found to have been paused.
+	reviewedAt, resumedAt time.Duration
+	services              map[string]*service
+	agents                map[string]*agent
+	entries               map[string]bool // other live entries, by id
+	subs                  map[task.SubmissionID]*submission
+	claims                map[uint64]*submission
+	quotas                map[string]*quota.Bucket // by team
+	nextReq               uint64
+	sessions              uint64 // dials so far, over all agents
+	timers                timers
+	dirty                 []*agent // agents to flush at the end of the step
+	active                []*service
+	draining              bool
+	drained               bool
+	stats                 Stats
 }
 
 // service is the state of one service.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -295,3 +295,22 @@
 		require.Equal(t, agents, told)
 	}
 }
+
+// An entry that was paused does not take all agents for slow as their reports
+// have not been read yet.
+func TestPausedEntryJudgesNobodyOverdue(t *testing.T) {
+	f := newFixture(t, "a")
+	sub := job(1)
+	sub.Tasks[0].Declared = 100 * time.Millisecond
+	require.Len(t, sends(f.submit(1, sub)), 1)
+	f.now = reviewEvery
+	f.step(Tick{})
+	f.now += 8 * time.Second
+	f.step(Tick{})
+	require.False(t, f.e.agents["a"].Slow, "after a pause")
+	for range 16 {
+		f.now += reviewEvery
+		f.step(Tick{})
+	}
+	require.True(t, f.e.agents["a"].Slow, "overdue since the pause")
+}
--- a/entry/speed.go
+++ b/entry/speed.go
@@ -30,6 +30,9 @@
 	overdueRatio = 2 * declaredFactor
 	// overdueLeast is the least time after which a task counts as overdue.
 	overdueLeast = time.Second
+	// pausedAfter is the time between two reviews from which on the process
+	// counts as having been paused.
+	pausedAfter = 2 * reviewEvery
 )
 
 // speed tracks the logarithm of real over declared run times.
@@ -58,6 +61,10 @@
 // and by those that are overdue.
 func (e *Entry) review() {
 	e.arm(timer{at: e.now + reviewEvery, kind: timerReview})
+	if e.now-e.reviewedAt > pausedAfter {
+		e.resumedAt = e.now
+	}
+	e.reviewedAt = e.now
 	for _, s := range e.services {
 		usual, known := e.usualPace(s)
 		for _, p := range s.pool.Shuffled() {
@@ -127,11 +134,13 @@
 	}
 }
 
-// overdue reports whether half or more of the tasks at an agent are overdue.
+// overdue reports whether half or more of the tasks at an agent are overdue. The
+// time before a pause of this process does not count: reports may have come
+// meanwhile.
 func (e *Entry) overdue(a *agent) bool {
 	n := 0
 	for _, rec := range a.sent {
-		if e.now-rec.at > max(overdueRatio*rec.declared, overdueLeast) {
+		if e.now-max(rec.at, e.resumedAt) > max(overdueRatio*rec.declared, overdueLeast) {
 			n++
 		}
 	}
