entry: agents that are not connected show no slots

Ruled out: load (the entry's log has the empty pool 15 ms after its configuration); placement, which counts slots of pooled agents only and sets them from the welcome. Change: of a listed agent the entry takes the service and the offer, not the slots. Test: TestOfferIsKnownFromTheDirectory has the case; it failed before.

--- a/entry/agent.go
+++ b/entry/agent.go
@@ -155,7 +155,9 @@
 		a.peer.Domain = m.Peer.Domain
 	}
 	if a.svc == nil {
-		e.workerChanged(a, *m.Worker)
+		a.worker = *m.Worker
+		a.svc = e.service(m.Worker.Service)
+		a.Offered = m.Worker.Offered
 	}
 	if a.link == linkIdle || moved && a.link == linkDialing {
 		a.redial = redialDelay
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -260,8 +260,9 @@
 	f := newFixture(t)
 	f.step(DirectoryChanged{Directory: wire.Directory{Full: true, Complete: true, Upserts: []wire.Member{{
 		Peer:   wire.Peer{Role: wire.RoleAgent, ID: "a", Incarnation: 1, Addr: "a"},
-		Worker: &wire.Worker{Service: "svc", Offered: task.Resources{MilliCPU: 8000}},
+		Worker: &wire.Worker{Service: "svc", Slots: benchSlots, Offered: task.Resources{MilliCPU: 8000}},
 	}}}})
+	require.Zero(t, f.e.View().Agents[0].Slots, "nothing is usable there yet")
 	f.step(Connected{Agent: "a", Session: 1, Welcome: &wire.Welcome{
 		From: wire.Peer{Role: wire.RoleAgent, ID: "a", Incarnation: 2}, Worker: &wire.Worker{}, Report: &wire.Report{Seq: 1},
 	}})
