entryd: log the submissions that have no answer when the entry ends

Cause: the logs of a restart can't tell the hypotheses of the incident apart. An entry that ends with requests waiting for an answer prints "drained" and "ended" like one that has answered all. Change: the number of callbacks that are left when Run returns is logged as an error. A count above zero points at the loop (H1), none with cuts at the servers (H2, H3).

--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -175,12 +175,24 @@
 		return err
 	})
 	d.log.Info("serving callers", "addr", ln.Addr())
-	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+	err = g.Wait()
+	d.logUnanswered()
+	if err != nil && !errors.Is(err, context.Canceled) {
 		return fmt.Errorf("entry %s: %w", d.opts.Self.ID, err)
 	}
 	return nil
 }
 
+// logUnanswered logs how many submissions have no answer when the entry ends.
+func (d *Daemon) logUnanswered() {
+	d.mu.Lock()
+	n := len(d.callbacks)
+	d.mu.Unlock()
+	if n > 0 {
+		d.log.Error("ended with unanswered submissions", "count", n)
+	}
+}
+
 func (d *Daemon) listen() (net.Listener, error) {
 	if d.opts.Listener != nil {
 		return d.opts.Listener, nil
