loop: handle every event that Post accepts while the loop ends

What callers saw: a request that an entry read at the end of its drain got neither an answer nor a refusal; its connection was closed when the process had left the control hosts and exited. Cause: Run returned as soon as its context ended. Post chose at random between the queue, which has room for 4,096 events, and done, so about half of the events posted afterwards were accepted and never handled, as were those already queued. The handler of such a request waits for an answer that nobody gives. Evidence: TestAcceptedEventsAreSteppedWhenLoopEnds fails each time on the old code, e.g. 'expected: 1093, actual: 1' (accepted, handled). Ruled out: more room in the queue (it only hides the fault); a check of the context in Post (the event can still be queued after it). Change: closing is an event of its own. It waits for calls of Post that are under way, later calls return false, and Run returns once the queue is empty. All roles use this loop, so agents' and control hosts' ends are covered too. After: the test passes, also with -race.

--- a/loop/loop.go
+++ b/loop/loop.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
@@ -19,14 +20,19 @@
 	Next() (at time.Duration, ok bool)
 }
 
-// Loop runs one reducer on one goroutine.
+// Loop runs one reducer on one goroutine. Every event that Post accepts is passed
+// to the reducer, also while the loop ends.
 type Loop[Ev, Eff any] struct {
 	reducer Reducer[Ev, Eff]
 	tick    Ev
 	exec    func(Eff)
 	events  chan Ev
 	start   time.Time
-	done    chan struct{}
+
+	// mu is held for reading while an event is queued, and for writing to set
+	// closed.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // New returns a loop over reducer. Tick is the event passed to the reducer when
@@ -39,39 +45,44 @@
 		exec:    exec,
 		events:  make(chan Ev, eventBacklog),
 		start:   time.Now(),
-		done:    make(chan struct{}),
 	}
 }
 
 // Now returns the time since the loop was created, by the monotonic clock.
 func (l *Loop[Ev, Eff]) Now() time.Duration { return time.Since(l.start) }
 
-// Post queues an event for the reducer. It returns false once the loop has ended.
+// Post queues an event for the reducer. It returns false once the loop is ending;
+// the event is then not handled. It must not be called from exec.
 func (l *Loop[Ev, Eff]) Post(ev Ev) bool {
-	select {
-	case l.events <- ev:
-		return true
-	case <-l.done:
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if l.closed {
 		return false
 	}
+	l.events <- ev
+	return true
 }
 
-// Run steps the reducer until ctx ends.
+// Run steps the reducer until ctx ends and the events queued until then are
+// handled.
 func (l *Loop[Ev, Eff]) Run(ctx context.Context) {
-	defer close(l.done)
+	stop := context.AfterFunc(ctx, l.close)
+	defer stop()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	var out []Eff
 	for {
 		l.arm(timer)
 		var ev Ev
+		open := true
 		select {
-		case <-ctx.Done():
-			return
-		case ev = <-l.events:
+		case ev, open = <-l.events:
 		case <-timer.C:
 			ev = l.tick
 		}
+		if !open {
+			return
+		}
 		out = l.reducer.Step(l.Now(), ev, out[:0])
 		for _, eff := range out {
 			l.exec(eff)
@@ -80,6 +91,14 @@
 	}
 }
 
+// close makes Post refuse events. Events that Post has accepted stay queued.
+func (l *Loop[Ev, Eff]) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	close(l.events)
+}
+
 // arm sets the timer to the time of the next tick. If none is due, the
 // timer fires after an hour and the reducer gets a tick nevertheless.
 func (l *Loop[Ev, Eff]) arm(timer *time.Timer) {
