--- /dev/null
+++ b/entryd/shutdown_test.go
@@ -0,0 +1,64 @@
+package entryd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/httpapi"
+	"github.com/fireflytray/fireflytray/task"
+)
+
+// A submission that arrives while the entry shuts down is answered.
+func TestSubmissionAtShutdownIsAnswered(t *testing.T) {
+	const (
+		submitters  = 64
+		loadTime    = 200 * time.Millisecond
+		answerLimit = 5 * time.Second
+	)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d := New(Options{
+		Log: log.New(io.Discard), Listener: ln, DrainTimeout: answerLimit,
+		HTTP: httpapi.Config{ShutdownDelay: time.Millisecond},
+	})
+	var ended atomic.Bool
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer ended.Store(true)
+	var unanswered atomic.Int64
+	for i := range submitters {
+		wg.Go(func() {
+			for n := 0; !ended.Load(); n++ {
+				answered := make(chan task.Answer, 1)
+				ref := fmt.Sprintf("%08x%08x", i, n)
+				d.SubmitJob(task.Submission{Ref: ref, Job: true, Service: "s", Tasks: []task.Spec{{Name: ref}}},
+					func(a task.Answer) { answered <- a })
+				select {
+				case <-answered:
+				case <-time.After(answerLimit):
+					unanswered.Add(1)
+					return
+				}
+			}
+		})
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	returned := make(chan error, 1)
+	go func() { returned <- d.Run(ctx) }()
+	time.Sleep(loadTime)
+	stop()
+	require.NoError(t, <-returned)
+	ended.Store(true)
+	wg.Wait()
+	require.Zero(t, unanswered.Load(), "of %d submitters got no answer to a submission that the entry had taken", submitters)
+}
