--- a/e2e/restart_test.go
+++ b/e2e/restart_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -133,14 +134,13 @@
 	f, l := restartFleet(t, 2, shortJobs)
 	f.check(l, f.restart(3, func(_ int, p *process) {
 		p.signal(t, syscall.SIGTERM)
-		go p.starve()
+		go starve(p.cmd.Process, p.ended)
 	}))
 }
 
 // starve stops and continues a process in turns until it has ended, as a limit of
 // its processor time does.
-func (p *process) starve() {
-	proc, ended := p.cmd.Process, p.ended
+func starve(proc *os.Process, ended <-chan struct{}) {
 	for {
 		_ = proc.Signal(syscall.SIGSTOP) // it may have ended
 		time.Sleep(starvePeriod - starveShare)
