platform: servers answer every request they have read before they stop

What callers saw: requests cut without an answer around a planned restart of an entry, also ones that were refused in time. Cause: serve returned as soon as the listener was closed, while the HTTP library's shutdown still waited for its handlers in a goroutine that nobody awaited and that was bounded by 200 ms; the process ended meanwhile. The library also closes each connection on which it waits for a request without a look at what has arrived, and drops a request that it reads at that moment. A connection on which nothing is ever sent holds it up for 5 s. Ruled out: a longer time-out of the shutdown, as nobody waits for it; closing connections only after a longer idle time, as a starved process has unread requests in its sockets at any time. Change: internal/httpserve stops a server in order: no connection left to accept, listener closed, quiet connections closed by a read deadline after which arrived bytes are still read, all others after their answer. Run returns after that. It logs open connections and requests in progress at the stop, and those cut off.

--- a/cmd/fireflytray-agent/main.go
+++ b/cmd/fireflytray-agent/main.go
@@ -10,6 +10,7 @@
 	"github.com/fireflytray/fireflytray/agentd"
 	"github.com/fireflytray/fireflytray/daemon"
 	"github.com/fireflytray/fireflytray/lease"
+	"github.com/fireflytray/fireflytray/logging"
 	"github.com/fireflytray/fireflytray/node"
 	"github.com/fireflytray/fireflytray/platform"
 	"github.com/fireflytray/fireflytray/settings"
@@ -37,7 +38,7 @@
 		Peers:    s.Peers,
 		Upstream: s.Upstream,
 		Rack:     s.Rack,
-		Leased:   leasedUpstream(s),
+		Leased:   leasedUpstream(rt, s),
 		Agent:    agent.Config{Policy: policy, QueueShare: s.QueueShare, OrphanAfter: s.OrphanAfter, Trace: s.LogTasks},
 		Offered: task.Resources{
 			MilliCPU:     s.Processors * 1000,
@@ -49,7 +50,7 @@
 
 // leasedUpstream configures an upstream that runs on the platform under a lease. It
 // returns nil if no heartbeat address is set.
-func leasedUpstream(s *settings.Agent) *agentd.LeasedOptions {
+func leasedUpstream(rt daemon.Runtime, s *settings.Agent) *agentd.LeasedOptions {
 	if s.Heartbeats == "" {
 		return nil
 	}
@@ -57,7 +58,7 @@
 		Executor: platform.NewRunClient(),
 		Config:   lease.Config{Lease: s.Lease},
 		Serve: func(ctx context.Context, to *agentd.LeasedRunner) error {
-			return platform.ServeUpstreams(ctx, s.Heartbeats, to)
+			return platform.ServeUpstreams(ctx, s.Heartbeats, to, rt.Logs.For(logging.PartAgent))
 		},
 	}
 }
--- a/cmd/fireflytray-control/main.go
+++ b/cmd/fireflytray-control/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/fireflytray/fireflytray/controld"
 	"github.com/fireflytray/fireflytray/daemon"
+	"github.com/fireflytray/fireflytray/logging"
 	"github.com/fireflytray/fireflytray/membership"
 	"github.com/fireflytray/fireflytray/node"
 	"github.com/fireflytray/fireflytray/platform"
@@ -27,7 +28,7 @@
 
 func run(ctx context.Context, rt daemon.Runtime, s *settings.Control) error {
 	if s.Data == "" {
-		return platform.ServeRedirect(ctx, s.Operators, s.Initial)
+		return platform.ServeRedirect(ctx, s.Operators, s.Initial, rt.Logs.For(logging.PartControl))
 	}
 	initial := settings.ReplacePort(s.Initial, s.PeerPort)
 	return node.RunControl(ctx, node.ControlOptions{
@@ -38,7 +39,7 @@
 		Initial:    initial,
 		Join:       s.Join || s.JoinUnlisted && !slices.Contains(initial, s.Peers),
 		Membership: membershipConfig(s),
-		Serve:      platformInterfaces(s),
+		Serve:      platformInterfaces(rt, s),
 
 		ElectionTimeout: s.ElectionTimeout,
 	})
@@ -53,13 +54,13 @@
 
 // platformInterfaces returns the servers of the platform interfaces that the
 // settings enable.
-func platformInterfaces(s *settings.Control) []func(context.Context, *controld.Host) error {
+func platformInterfaces(rt daemon.Runtime, s *settings.Control) []func(context.Context, *controld.Host) error {
 	if s.Operators == "" {
 		return nil
 	}
 	return []func(context.Context, *controld.Host) error{
 		func(ctx context.Context, h *controld.Host) error {
-			return platform.ServeOperators(ctx, s.Operators, operators{h})
+			return platform.ServeOperators(ctx, s.Operators, operators{h}, rt.Logs.For(logging.PartControl))
 		},
 	}
 }
--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -10,6 +10,7 @@
 	"github.com/fireflytray/fireflytray/entry/queue"
 	"github.com/fireflytray/fireflytray/entryd"
 	"github.com/fireflytray/fireflytray/httpapi"
+	"github.com/fireflytray/fireflytray/logging"
 	"github.com/fireflytray/fireflytray/node"
 	"github.com/fireflytray/fireflytray/platform"
 	"github.com/fireflytray/fireflytray/settings"
@@ -41,7 +42,7 @@
 		HTTP:    httpapi.Config{MaxBody: s.MaxBody},
 		Policy:  policy,
 		Order:   order,
-		Serve:   platformInterfaces(s),
+		Serve:   platformInterfaces(rt, s),
 
 		Trace:             s.LogJobs,
 		DemandFanout:      int(s.DemandFanout),
@@ -52,16 +53,17 @@
 
 // platformInterfaces returns the servers of the platform interfaces that the
 // settings enable.
-func platformInterfaces(s *settings.Entry) []func(context.Context, *entryd.Daemon) error {
+func platformInterfaces(rt daemon.Runtime, s *settings.Entry) []func(context.Context, *entryd.Daemon) error {
 	var list []func(context.Context, *entryd.Daemon) error
+	logger := rt.Logs.For(logging.PartEntry)
 	if s.Clients != "" {
 		list = append(list, func(ctx context.Context, d *entryd.Daemon) error {
-			return platform.NewClientServer(d).Serve(ctx, s.Clients)
+			return platform.NewClientServer(d).Serve(ctx, s.Clients, logger)
 		})
 	}
 	if s.Readiness != "" {
 		list = append(list, func(ctx context.Context, d *entryd.Daemon) error {
-			return platform.ServeReadiness(ctx, s.Readiness, d)
+			return platform.ServeReadiness(ctx, s.Readiness, d, logger)
 		})
 	}
 	return list
--- a/internal/httpstop/unread_test.go
+++ b/internal/httpserve/unread_test.go
@@ -1,8 +1,9 @@
-package httpstop
+package httpserve
 
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 )
@@ -18,9 +20,9 @@
 // answered.
 func TestUnreadRequestAtShutdownIsAnswered(t *testing.T) {
 	ln := newLateListener(t)
-	s := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}, CloseOnShutdown: true, IdleTimeout: time.Hour, ReadTimeout: 5 * time.Second}
+	s := New("test", &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}, IdleTimeout: time.Hour, ReadTimeout: 5 * time.Second}, ln, nil, log.New(io.Discard))
 	served := make(chan error, 1)
-	go func() { served <- s.Serve(ln) }()
+	go func() { served <- s.Serve() }()
 	conn, err := net.Dial("tcp", ln.Addr().String())
 	require.NoError(t, err)
 	defer conn.Close()
@@ -38,7 +40,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	stopped := make(chan error, 1)
-	go func() { stopped <- Shutdown(ctx, s, ln) }()
+	go func() { stopped <- s.Shutdown(ctx) }()
 	resp, err = http.ReadResponse(answers, nil)
 	require.NoError(t, err, "the request had arrived before the shutdown")
 	resp.Body.Close()
