entryd: stop the reducer only after the servers

What callers saw: a request that arrived at the end of an entry's drain hung until the process exited, and those whose outcome was not known when the drain ran out of time were cut off. Cause: the context of the servers, the sessions and the reducer was one and the same, so that the reducer ended while the servers still read requests. The reducer's 'nothing in flight' counts neither what is read but not yet submitted nor what is answered but not yet written. An error of any server ended all of them without a drain. A drain out of time returned without an answer to anyone. Change: drain in the order requests, servers, sessions, reducer. A server that fails starts the drain. What is unfinished when the drain is out of time is answered as unknown. The product's own server uses httpserve as well.

--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -7,7 +7,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +35,9 @@
 	claimTimeout = 5 * time.Second
 	// viewTimeout bounds the wait for a copy of the state.
 	viewTimeout = time.Second
+	// serverStopTimeout bounds the stop of the servers at the end of the drain.
+	// The requests that they read by then are answered at once.
+	serverStopTimeout = 500 * time.Millisecond
 	// defaultDrainTimeout applies if Options.DrainTimeout is zero.
 	defaultDrainTimeout = 30 * time.Second
 )
@@ -153,29 +158,31 @@
 	if err != nil {
 		return err
 	}
+	d.opts.HTTP.Log = d.log
 	d.api = httpapi.New(d, ln, d.opts.HTTP)
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	d.runCtx = inner
-	g, gctx := errgroup.WithContext(inner)
-	g.Go(func() error { d.loop.Run(gctx); return nil })
-	g.Go(func() error { d.reportMetrics(gctx); return nil })
-	g.Go(func() error { return d.api.Serve() })
+	var g errgroup.Group
+	g.Go(func() error { d.loop.Run(inner); return nil })
+	g.Go(func() error { d.reportMetrics(inner); return nil })
+	// A server that fails starts the drain like ctx does, so that the requests of
+	// the others are answered.
+	servers, failed := errgroup.WithContext(ctx)
+	serving, stopServing := context.WithCancel(inner)
+	defer stopServing()
+	servers.Go(d.api.Serve)
 	for _, serve := range d.opts.Serve {
-		g.Go(func() error { return serve(gctx, d) })
+		servers.Go(func() error { return serve(serving, d) })
 	}
-	g.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-gctx.Done():
-			return nil
-		}
-		err := d.drain()
-		stop()
-		return err
-	})
 	d.log.Info("serving callers", "addr", ln.Addr())
-	err = g.Wait()
+	<-failed.Done()
+	err = d.drain(func(ctx context.Context) error {
+		stopServing()
+		return errors.Join(d.api.Close(ctx), servers.Wait())
+	})
+	stop()
+	err = errors.Join(err, g.Wait())
 	d.logUnanswered()
 	if err != nil && !errors.Is(err, context.Canceled) {
 		return fmt.Errorf("entry %s: %w", d.opts.Self.ID, err)
@@ -204,26 +211,53 @@
 	return ln, nil
 }
 
-// drain stops accepting requests, waits until none is in flight and closes the
-// sessions.
-func (d *Daemon) drain() error {
+// drain stops accepting requests, waits until all are answered, stops the servers
+// and closes the sessions. The reducer runs until the servers have stopped, so that
+// requests that are read late are refused.
+func (d *Daemon) drain(stopServers func(context.Context) error) error {
 	d.log.Info("draining")
 	d.draining.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), d.opts.DrainTimeout)
 	defer cancel()
-	if err := d.api.Shutdown(ctx); err != nil {
+	err := d.finishRequests(ctx)
+	if err != nil {
+		d.answerUnfinished()
+	}
+	stopCtx, cancelStop := context.WithTimeout(context.Background(), serverStopTimeout)
+	defer cancelStop()
+	err = errors.Join(err, stopServers(stopCtx))
+	d.closeSessions(ctx)
+	d.resolver.drain()
+	d.log.Info("drained")
+	return err
+}
+
+// finishRequests stops the admission of requests and waits until none is in
+// flight.
+func (d *Daemon) finishRequests(ctx context.Context) error {
+	if err := d.api.Drain(ctx); err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
 	d.loop.Post(entry.Drain{})
 	select {
 	case <-d.drained:
+		return nil
 	case <-ctx.Done():
 		return fmt.Errorf("drain: %w", ctx.Err())
 	}
-	d.closeSessions(ctx)
-	d.resolver.drain()
-	d.log.Info("drained")
-	return nil
+}
+
+// answerUnfinished tells the callers of all submissions in flight that their
+// outcome is unknown, because the entry can't wait for it any longer.
+func (d *Daemon) answerUnfinished() {
+	d.loop.Post(entry.Drain{})
+	d.mu.Lock()
+	ids := slices.Collect(maps.Keys(d.callbacks))
+	d.mu.Unlock()
+	d.log.Warn("answering requests without their outcome", "count", len(ids))
+	for _, id := range ids {
+		d.answer(task.Answer{ID: id, State: task.Unknown, Reason: task.ReasonDraining, Detail: "this entry shut down before the outcome was known"})
+	}
 }
 
 // OnDirectory applies a difference to the list of members.
--- a/httpapi/backend.go
+++ b/httpapi/backend.go
@@ -6,6 +6,8 @@
 import (
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/fireflytray/fireflytray/task"
 )
 
@@ -51,6 +53,7 @@
 	IdleTimeout time.Duration
 	// ReadTimeout bounds the time to receive one complete request.
 	ReadTimeout time.Duration
+	Log         *log.Logger
 }
 
 // Defaults of the Config fields.
@@ -78,6 +81,7 @@
 	setDefault(&c.CollectGrace, DefaultCollectGrace)
 	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&c.ReadTimeout, DefaultReadTimeout)
+	setDefault(&c.Log, log.Default())
 	return c
 }
 
--- a/httpapi/conn.go
+++ b/httpapi/conn.go
@@ -54,7 +54,10 @@
 // connection with unread input resets it, and the caller would lose the answer.
 // The HTTP library's own later write fails because the write side is closed.
 func respondWithUnreadBody(ctx *fasthttp.RequestCtx) {
-	conn, ok := ctx.Conn().(*net.TCPConn)
+	conn, ok := ctx.Conn().(interface {
+		net.Conn
+		CloseWrite() error
+	})
 	if !ok {
 		return
 	}
--- a/httpapi/server.go
+++ b/httpapi/server.go
@@ -11,7 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/fireflytray/fireflytray/internal/httpstop"
+	"github.com/fireflytray/fireflytray/internal/httpserve"
 	"github.com/fireflytray/fireflytray/task"
 )
 
@@ -23,8 +23,7 @@
 	cfg     Config
 	backend Backend
 	jobs    *registry
-	http    *fasthttp.Server
-	ln      net.Listener
+	http    *httpserve.Server
 	// shuttingDown withdraws readiness; rejecting, set after ShutdownDelay,
 	// rejects new submissions.
 	shuttingDown atomic.Bool
@@ -37,8 +36,8 @@
 // connections from ln.
 func New(backend Backend, ln net.Listener, cfg Config) *Server {
 	cfg = cfg.withDefaults()
-	s := &Server{cfg: cfg, backend: backend, ln: ln, jobs: newRegistry(cfg, time.Now)}
-	s.http = &fasthttp.Server{
+	s := &Server{cfg: cfg, backend: backend, jobs: newRegistry(cfg, time.Now)}
+	s.http = httpserve.New("callers", &fasthttp.Server{
 		Handler:                       s.handle,
 		ErrorHandler:                  s.handleReadError,
 		Name:                          "fireflytray",
@@ -47,11 +46,10 @@
 		IdleTimeout:                   cfg.IdleTimeout,
 		DisablePreParseMultipartForm:  true,
 		NoDefaultContentType:          true,
-		CloseOnShutdown:               true,
 		TCPKeepalive:                  true,
 		DisableHeaderNamesNormalizing: false,
 		Logger:                        discardLogger{},
-	}
+	}, ln, nil, cfg.Log)
 	return s
 }
 
@@ -63,25 +61,33 @@
 
 // Serve handles requests until Shutdown is called or the listener fails.
 func (s *Server) Serve() error {
-	if err := s.http.Serve(s.ln); err != nil {
-		return fmt.Errorf("http: serve %s: %w", s.ln.Addr(), err)
+	if err := s.http.Serve(); err != nil {
+		return fmt.Errorf("http: %w", err)
 	}
 	return nil
 }
 
-// Shutdown drains the server. It withdraws readiness, waits for ShutdownDelay and
-// then rejects new submissions. It waits for the answers of submissions in flight
-// and, for at most CollectGrace, for callers to collect asynchronous jobs. Then it
-// closes the listener and the connections. It returns early only if ctx ends.
+// Shutdown drains and closes the server. It returns early only if ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
+	return errors.Join(s.Drain(ctx), s.Close(ctx))
+}
+
+// Drain withdraws readiness, waits for ShutdownDelay and then rejects new
+// submissions. It waits for the answers of submissions in flight and, for at most
+// CollectGrace, for callers to collect asynchronous jobs. It returns early only if
+// ctx ends. The server still serves: Close ends it.
+func (s *Server) Drain(ctx context.Context) error {
 	s.shuttingDown.Store(true)
 	sleep(ctx, s.cfg.ShutdownDelay)
 	s.rejecting.Store(true)
-	if err := s.awaitDrain(ctx); err != nil {
-		return err
-	}
-	if err := httpstop.Shutdown(ctx, s.http, s.ln); err != nil {
-		return fmt.Errorf("http: shut down: %w", err)
+	return s.awaitDrain(ctx)
+}
+
+// Close closes the listener and, once the requests that were read are answered,
+// the connections. It returns early only if ctx ends.
+func (s *Server) Close(ctx context.Context) error {
+	if err := s.http.Shutdown(ctx); err != nil {
+		return fmt.Errorf("http: %w", err)
 	}
 	return nil
 }
