controld: decide and answer the operators' requests before leaving the peers

What callers saw: an operator's change or read that a control host had taken when it was told to stop got no answer or 503. Cause: the operators' servers, the links to the peers and the directory ended together with the context; a change in progress can't be decided without the peers, its own context was cancelled, and the servers' shutdown was not awaited. Change: the servers stop first and answer what they have read under a context that outlasts them; then the host leaves.

--- a/controld/admin.go
+++ b/controld/admin.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -15,7 +14,7 @@
 	"github.com/fireflytray/fireflytray/adminapi"
 	"github.com/fireflytray/fireflytray/control"
 	"github.com/fireflytray/fireflytray/fleet"
-	"github.com/fireflytray/fireflytray/internal/httpstop"
+	"github.com/fireflytray/fireflytray/internal/httpserve"
 	"github.com/fireflytray/fireflytray/wire"
 )
 
@@ -24,6 +23,9 @@
 	adminWriteTimeout = 10 * time.Second
 	adminIdleTimeout  = time.Minute
 	adminConcurrency  = 64
+	// adminStopTimeout bounds how long requests in progress delay the end of the
+	// host.
+	adminStopTimeout = 2 * time.Second
 	// barrierTimeout bounds how long a read waits for the latest state.
 	barrierTimeout = time.Second
 )
@@ -39,38 +41,28 @@
 // error.
 type handler func(*adminCall) (any, error)
 
-// serveAdmin serves the admin interface until ctx ends.
-func (h *Host) serveAdmin(ctx context.Context) error {
+// serveAdmin serves the admin interface until ctx ends. Requests are handled under
+// handling.
+func (h *Host) serveAdmin(ctx, handling context.Context) error {
 	ln, err := h.adminListener()
 	if err != nil || ln == nil {
 		return err
 	}
-	tlsLn := tls.NewListener(ln, h.opts.Identity.ServerTLS(wire.RoleOperator))
 	server := &fasthttp.Server{
 		Name:               "fireflytray",
-		Handler:            h.adminHandler(ctx),
+		Handler:            h.adminHandler(handling),
 		ReadTimeout:        adminReadTimeout,
 		WriteTimeout:       adminWriteTimeout,
 		IdleTimeout:        adminIdleTimeout,
 		Concurrency:        adminConcurrency,
 		MaxRequestBodySize: adminapi.MaxBody,
-		CloseOnShutdown:    true,
 		Logger:             h.log,
 	}
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		<-ctx.Done()
-		closing, cancel := context.WithTimeout(context.Background(), adminWriteTimeout)
-		defer cancel()
-		_ = httpstop.Shutdown(closing, server, tlsLn)
-	}()
-	err = server.Serve(tlsLn)
-	if ctx.Err() != nil {
-		<-stopped
-		return nil
+	conf := h.opts.Identity.ServerTLS(wire.RoleOperator)
+	if err := httpserve.New("admin interface", server, ln, conf, h.log).Run(ctx, adminStopTimeout); err != nil {
+		return fmt.Errorf("controld: %w", err)
 	}
-	return fmt.Errorf("admin interface: %w", err)
+	return nil
 }
 
 func (h *Host) adminListener() (net.Listener, error) {
--- a/controld/controld.go
+++ b/controld/controld.go
@@ -157,21 +157,24 @@
 // Addr returns the peer address that the host listens on.
 func (h *Host) Addr() string { return h.listener.Addr() }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends. The operators' requests in progress are then answered
+// before the host leaves its peers, because a change can't be decided without them.
 func (h *Host) Run(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, inner := errgroup.WithContext(inner)
 	h.group = g
-	g.Go(func() error { h.loop.Run(ctx); return nil })
-	g.Go(func() error { h.accept(ctx); return nil })
-	g.Go(func() error { h.pushChanges(ctx); return nil })
-	g.Go(func() error { h.pollLogStatus(ctx); return nil })
-	g.Go(func() error { return h.serveAdmin(ctx) })
-	for _, serve := range h.opts.Serve {
-		g.Go(func() error { return serve(ctx, h) })
-	}
+	g.Go(func() error {
+		defer stop()
+		return h.serveOperators(ctx, inner)
+	})
+	g.Go(func() error { h.loop.Run(inner); return nil })
+	g.Go(func() error { h.accept(inner); return nil })
+	g.Go(func() error { h.pushChanges(inner); return nil })
+	g.Go(func() error { h.pollLogStatus(inner); return nil })
 	g.Go(func() error {
 		select {
-		case <-ctx.Done():
+		case <-inner.Done():
 		case <-h.replica.Done():
 		}
 		return errors.Join(h.listener.Close(), h.replica.Err())
@@ -185,6 +188,23 @@
 	return nil
 }
 
+// serveOperators serves the admin interface and those of Options.Serve until ctx
+// or inner ends or one of them fails, and returns once all have stopped. Requests
+// are handled under inner.
+func (h *Host) serveOperators(ctx, inner context.Context) error {
+	serving, stop := context.WithCancel(inner)
+	defer stop()
+	defer context.AfterFunc(ctx, stop)()
+	servers, failed := errgroup.WithContext(serving)
+	servers.Go(func() error { return h.serveAdmin(serving, inner) })
+	for _, serve := range h.opts.Serve {
+		servers.Go(func() error { return serve(serving, h) })
+	}
+	<-failed.Done()
+	stop()
+	return servers.Wait()
+}
+
 // pollLogStatus polls the status of the replicated log until ctx ends. It updates
 // the links to the other control hosts, the fresh quorum flag, the metrics and
 // the membership.
