agentd: answer announcements in progress when the agent ends

Cause: the agent closed the listener for its upstream's announcements and exited without waiting for those in progress. Change: the server runs under httpserve.

--- a/agentd/agentd.go
+++ b/agentd/agentd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -11,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fireflytray/fireflytray/agent"
+	"github.com/fireflytray/fireflytray/internal/httpserve"
 	"github.com/fireflytray/fireflytray/logging"
 	"github.com/fireflytray/fireflytray/loop"
 	"github.com/fireflytray/fireflytray/transport"
@@ -21,6 +21,9 @@
 	// lingerAfterDrain is the delay between the end of the drain and the close
 	// of the connections, so that the last messages can be sent.
 	lingerAfterDrain = 50 * time.Millisecond
+	// serverStopTimeout bounds the wait for the announcements in progress when
+	// the agent ends.
+	serverStopTimeout = 500 * time.Millisecond
 	// readTimeout bounds the time to read an announcement or a usage report.
 	readTimeout          = 5 * time.Second
 	maxAnnouncementBytes = 64 << 10
@@ -186,13 +189,11 @@
 }
 
 func (d *daemon) serveHTTP(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { d.announceListener.Close() })
-	defer stop()
-	err := d.http.Serve(d.announceListener)
-	if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-		return nil
+	server := httpserve.New("upstream", d.http, d.announceListener, nil, d.opts.Log)
+	if err := server.Run(ctx, serverStopTimeout); err != nil {
+		return fmt.Errorf("agent: %w", err)
 	}
-	return fmt.Errorf("agent: serve upstream on %s: %w", d.announceListener.Addr(), err)
+	return nil
 }
 
 func (d *daemon) close() {
