upstream: the stand-in stops its server like the others

Cause: the same class of fault in the stand-in upstream; a task request that arrived on an idle connection at the shutdown was reset.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -15,7 +15,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/fireflytray/fireflytray/internal/httpstop"
+	"github.com/fireflytray/fireflytray/internal/httpserve"
 )
 
 const (
@@ -89,7 +89,7 @@
 	opts           Options
 	instance       string
 	ln             *faultListener
-	http           *fasthttp.Server
+	http           *httpserve.Server
 	client         fasthttp.Client
 	tasks          *tasks
 	fault          *faults
@@ -115,13 +115,12 @@
 	s := &Server{opts: o, instance: rand.Text(), ln: newFaultListener(ln), fault: newFaults(), leaveRequested: make(chan struct{})}
 	s.killed, s.kill = context.WithCancel(context.Background())
 	s.tasks = newTasks(o, j, s.fault)
-	s.http = &fasthttp.Server{
+	s.http = httpserve.New("tasks", &fasthttp.Server{
 		Handler:               s.handle,
 		Name:                  "upstream",
 		MaxRequestBodySize:    maxPayloadBytes,
 		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-	}
+	}, s.ln, nil, o.Log)
 	return s, nil
 }
 
@@ -173,7 +172,7 @@
 	}
 	var g errgroup.Group
 	g.Go(func() error {
-		err := s.http.Serve(s.ln)
+		err := s.http.Serve()
 		if err != nil && s.killed.Err() == nil && !errors.Is(err, net.ErrClosed) {
 			return fmt.Errorf("upstream: serve %s: %w", s.Addr(), err)
 		}
@@ -243,7 +242,7 @@
 	}
 	s.tasks.wait(s.killed)
 	s.tasks.journal.close()
-	if err := httpstop.Shutdown(context.Background(), s.http, s.ln); err != nil {
+	if err := s.http.Shutdown(context.Background()); err != nil {
 		return fmt.Errorf("upstream: shut down %s: %w", s.Addr(), err)
 	}
 	return nil
