daemon: a further SIGTERM no longer cuts off a drain

What callers would see: a supervisor that sends SIGTERM again while an entry drains (overlapping restarts) ended the process at once with code 3. Every request in flight lost its connection without an answer.

Cause: daemon.wait took any second SIGTERM or SIGINT for an operator who forces the end. Ruled out: that the drain itself ends early; the stand-in program of the test does not return until it is released.

Now a second SIGINT (Ctrl-C twice) forces; a further SIGTERM, or the first SIGINT after a SIGTERM, is logged and the drain goes on. Each kind of signal has a channel of its own: the shared channel of four dropped a SIGTERM behind four SIGHUPs.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,8 +8,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -29,8 +27,8 @@
 	ExitFailed = 1
 	// ExitUsage means that the command line or the settings are invalid.
 	ExitUsage = 2
-	// ExitForced means that a second signal or the drain time-out cut off work
-	// in flight.
+	// ExitForced means that a second SIGINT or the drain time-out cut off work in
+	// flight.
 	ExitForced = 3
 )
 
@@ -121,9 +119,8 @@
 	defer d.rt.Metrics.Close()
 	d.rt.Metrics.CounterFunc("log_dropped_lines_total", "Lines that were not written as the reader of the log was too slow.",
 		func() float64 { return float64(logWriter.TotalDropped()) })
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	signals := notifySignals()
+	defer signals.stop()
 	ctx, drain := context.WithCancel(context.Background())
 	defer drain()
 	ended := make(chan error, 1)
@@ -180,11 +177,21 @@
 }
 
 // wait handles signals and the end of the program, and returns the exit code.
-func (d *daemon[S]) wait(ended <-chan error, signals <-chan os.Signal, drain func()) int {
+func (d *daemon[S]) wait(ended <-chan error, signals *signals, drain func()) int {
 	log := d.rt.Logs.For(logging.PartDaemon)
 	p := d.program.Process(d.settings)
 	log.Info("started", "program", d.program.Name, "id", p.ID, "domain", p.Domain, "site", p.Site)
 	var drainDeadline <-chan time.Time
+	startDrain := func(sig os.Signal) {
+		if drainDeadline != nil {
+			log.Info("already draining, signal ignored", "signal", sig)
+			return
+		}
+		log.Info("draining", "signal", sig, "timeout", p.DrainTimeout)
+		drainDeadline = time.After(p.DrainTimeout + drainGrace)
+		drain()
+	}
+	interrupts := 0
 	for {
 		select {
 		case err := <-ended:
@@ -197,18 +204,17 @@
 		case <-drainDeadline:
 			log.Error("drain timed out, work in flight is cut off", "timeout", p.DrainTimeout)
 			return ExitForced
-		case s := <-signals:
-			switch {
-			case s == syscall.SIGHUP:
-				d.reload()
-			case drainDeadline != nil:
-				log.Error("second signal, work in flight is cut off", "signal", s)
+		case <-signals.hangup:
+			d.reload()
+		case sig := <-signals.terminate:
+			startDrain(sig)
+		case sig := <-signals.interrupt:
+			interrupts++
+			if interrupts > 1 {
+				log.Error("second interrupt, work in flight is cut off", "signal", sig)
 				return ExitForced
-			default:
-				log.Info("draining", "signal", s, "timeout", p.DrainTimeout)
-				drainDeadline = time.After(p.DrainTimeout + drainGrace)
-				drain()
 			}
+			startDrain(sig)
 		}
 	}
 }
