daemon: register signals before settings and keys are read

What callers would see: an entry, agent or control host to which a supervisor sends SIGHUP while it starts (settings changed during a restart) is ended by the signal. Its start fails, and what was to be served there is not.

Cause: signal.Notify was called only after the settings were parsed and the keys loaded or made; until then Go's default action for SIGHUP and SIGTERM ends the process. At the other end signal.Stop ran before the log was flushed, so that a signal within those up to 200 ms replaced the exit code by death by signal. Ruled out: an error of the settings; the log was empty and the process state names the signal.

Main now registers the handlers first and takes them off last. SIGTERM or SIGINT during the start ends the process with code 0 before it serves. SIGHUP is kept and reloads once the process runs.

The tests start a real entry whose settings file is a named pipe, which keeps it starting while the signal arrives. Before, on the old code:

--- FAIL: TestSigtermDuringStartEndsWithoutServing (1.24s) signal_test.go:75: Should be true Messages: signal: terminated --- FAIL: TestHangupDuringStartReloads (1.24s) signal_test.go:60: Should be true Messages: signal: hangup

After: both pass. What remains: the Go runtime and the packages' init functions run before Main; a SIGHUP within that time still ends the process.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -65,6 +65,10 @@
 // Main runs a daemon and returns its exit code. Args don't include the program's
 // name.
 func Main[S any](p Program[S], args []string, stdout, stderr io.Writer) int {
+	// The handlers come first and go last, so that no signal ends a process that
+	// is starting or that is writing its last log lines.
+	signals := notifySignals()
+	defer signals.stop()
 	var opts options
 	parser := flags.NewNamedParser(p.Name, flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
@@ -87,7 +91,7 @@
 		fmt.Fprintf(stdout, "%s: no errors\n", opts.Config)
 		return ExitOK
 	}
-	d := &daemon[S]{program: p, path: opts.Config, settings: s}
+	d := &daemon[S]{program: p, path: opts.Config, settings: s, signals: signals}
 	return d.run(stdout, stderr)
 }
 
@@ -106,6 +110,7 @@
 	program  Program[S]
 	path     string
 	settings *S
+	signals  *signals
 	rt       Runtime
 }
 
@@ -119,13 +124,15 @@
 	defer d.rt.Metrics.Close()
 	d.rt.Metrics.CounterFunc("log_dropped_lines_total", "Lines that were not written as the reader of the log was too slow.",
 		func() float64 { return float64(logWriter.TotalDropped()) })
-	signals := notifySignals()
-	defer signals.stop()
+	if sig := d.signals.pendingEnd(); sig != nil {
+		d.rt.Logs.For(logging.PartDaemon).Info("ended before serving", "signal", sig)
+		return ExitOK
+	}
 	ctx, drain := context.WithCancel(context.Background())
 	defer drain()
 	ended := make(chan error, 1)
 	go func() { ended <- d.work(ctx) }()
-	return d.wait(ended, signals, drain)
+	return d.wait(ended, drain)
 }
 
 func (d *daemon[S]) prepare(logOutput io.Writer) error {
@@ -177,7 +184,7 @@
 }
 
 // wait handles signals and the end of the program, and returns the exit code.
-func (d *daemon[S]) wait(ended <-chan error, signals *signals, drain func()) int {
+func (d *daemon[S]) wait(ended <-chan error, drain func()) int {
 	log := d.rt.Logs.For(logging.PartDaemon)
 	p := d.program.Process(d.settings)
 	log.Info("started", "program", d.program.Name, "id", p.ID, "domain", p.Domain, "site", p.Site)
@@ -204,11 +211,11 @@
 		case <-drainDeadline:
 			log.Error("drain timed out, work in flight is cut off", "timeout", p.DrainTimeout)
 			return ExitForced
-		case <-signals.hangup:
+		case <-d.signals.hangup:
 			d.reload()
-		case sig := <-signals.terminate:
+		case sig := <-d.signals.terminate:
 			startDrain(sig)
-		case sig := <-signals.interrupt:
+		case sig := <-d.signals.interrupt:
 			interrupts++
 			if interrupts > 1 {
 				log.Error("second interrupt, work in flight is cut off", "signal", sig)
--- a/daemon/signals.go
+++ b/daemon/signals.go
@@ -34,3 +34,15 @@
 		signal.Stop(c)
 	}
 }
+
+// pendingEnd returns a signal to end that has arrived and was not handled, or nil.
+func (s *signals) pendingEnd() os.Signal {
+	select {
+	case sig := <-s.terminate:
+		return sig
+	case sig := <-s.interrupt:
+		return sig
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/e2e/signal_test.go
@@ -0,0 +1,83 @@
+package e2e
+
+import (
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// signalDelivery is enough time for a signal to be handled by a process, or to end
+// it.
+const signalDelivery = time.Second
+
+// pausedStart starts a process whose settings file is a named pipe, so that it is
+// still starting until the returned function passes the settings to it.
+func pausedStart(t *testing.T, p *process) (passSettings func()) {
+	t.Helper()
+	path := p.args[len(p.args)-1]
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.NoError(t, os.Remove(path))
+	require.NoError(t, syscall.Mkfifo(path, fileMode))
+	p.start(t)
+	var pipe *os.File
+	poll(t, p.name+" opens its settings", func() string {
+		// Without a reader, a non-blocking open for writing fails.
+		pipe, err = os.OpenFile(path, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+		if err != nil {
+			return err.Error()
+		}
+		return ""
+	})
+	return func() {
+		require.NoError(t, os.Remove(path))
+		require.NoError(t, os.WriteFile(path, text, fileMode))
+		_, err := pipe.Write(text)
+		require.NoError(t, err)
+		require.NoError(t, pipe.Close())
+	}
+}
+
+func awaitLogLine(t *testing.T, p *process, text string) {
+	t.Helper()
+	poll(t, p.name+" logs "+text, func() string {
+		if log := p.readLog(t); !strings.Contains(log, text) {
+			return log
+		}
+		return ""
+	})
+}
+
+// A SIGHUP that arrives while a process is starting must not end it; the keys and
+// the log level are reloaded once it runs.
+func TestHangupDuringStartReloads(t *testing.T) {
+	c := prepareCluster(t)
+	p := c.entries[0]
+	passSettings := pausedStart(t, p)
+	p.signal(t, syscall.SIGHUP)
+	time.Sleep(signalDelivery)
+	require.True(t, p.running(), "%s", p.cmd.ProcessState)
+	passSettings()
+	awaitLogLine(t, p, "keys reloaded")
+	p.signal(t, syscall.SIGTERM)
+	require.Zero(t, p.awaitExit(t))
+}
+
+// A SIGTERM that arrives while a process is starting ends it with code 0 before it
+// serves.
+func TestSigtermDuringStartEndsWithoutServing(t *testing.T) {
+	c := prepareCluster(t)
+	p := c.entries[0]
+	passSettings := pausedStart(t, p)
+	p.signal(t, syscall.SIGTERM)
+	time.Sleep(signalDelivery)
+	require.True(t, p.running(), "%s", p.cmd.ProcessState)
+	passSettings()
+	require.Zero(t, p.awaitExit(t))
+	require.Contains(t, p.readLog(t), "ended before serving")
+	require.NotContains(t, p.readLog(t), "serving callers")
+}
