--- a/e2e/signal_test.go
+++ b/e2e/signal_test.go
@@ -81,3 +81,36 @@
 	require.Contains(t, p.readLog(t), "ended before serving")
 	require.NotContains(t, p.readLog(t), "serving callers")
 }
+
+// A process whose log reader has gone must not be ended by SIGPIPE: it keeps
+// serving, and drains on SIGTERM.
+func TestLostLogReaderDoesNotEndProcess(t *testing.T) {
+	c := prepareCluster(t)
+	p := c.entries[0]
+	path := p.logPath
+	require.NoError(t, syscall.Mkfifo(path, fileMode))
+	reader, err := os.OpenFile(path, os.O_RDONLY|syscall.O_NONBLOCK, 0)
+	require.NoError(t, err)
+	p.start(t)
+	awaitHealthy := func() {
+		poll(t, p.name+" is healthy", func() string {
+			require.True(t, p.running(), "%s", p.cmd.ProcessState)
+			resp, err := c.client.Get("http://" + c.callerAddrs[0] + "/healthz")
+			if err != nil {
+				return err.Error()
+			}
+			resp.Body.Close()
+			return ""
+		})
+	}
+	awaitHealthy()
+	require.NoError(t, reader.Close())
+	// Each SIGHUP writes lines to the log.
+	for range 3 {
+		p.signal(t, syscall.SIGHUP)
+		time.Sleep(signalDelivery / 5)
+		awaitHealthy()
+	}
+	p.signal(t, syscall.SIGTERM)
+	require.Zero(t, p.awaitExit(t), "%s", p.cmd.ProcessState)
+}
