daemon: an unavailable metrics address no longer ends the daemon

What callers would see: a daemon whose metrics address is still held, for example by a predecessor that has not quite ended, served for a moment and then ended with code 1: its program was told to drain and the site lost an entry, agent or control host until its supervisor tried again.

Cause: the metrics server and the program shared an errgroup, so that any error of the metrics page cancelled the program's context. Ruled out: accept errors as the trigger; net/http waits and accepts again on EMFILE by itself.

The metrics are now served beside the program and tried again every 500 ms; each distinct error is logged once.

Before, on the old code:

--- FAIL: TestMetricsAddressInUseDoesNotEndDaemon (0.01s) daemon_test.go:201: "... ERRO daemon: ended err=\"metrics: listen 127.0.0.1:34747: listen tcp 127.0.0.1:34747: bind: address already in use\"\n" does not contain "metrics not served"

After: the page is served once the address is free, and SIGTERM ends the daemon with code 0.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,10 +8,10 @@
 	"fmt"
 	"io"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/jessevdk/go-flags"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/fireflytray/fireflytray/keys"
 	"github.com/fireflytray/fireflytray/logging"
@@ -35,6 +35,9 @@
 // drainGrace is how long a program may take to exit beyond its drain time-out.
 const drainGrace = 2 * time.Second
 
+// metricsRetryInterval is the time between two attempts to serve the metrics.
+const metricsRetryInterval = 500 * time.Millisecond
+
 // Runtime holds the resources that a daemon passes to its program.
 type Runtime struct {
 	Identity *keys.Identity
@@ -172,15 +175,37 @@
 // work runs the program and serves the metrics until the program ends.
 func (d *daemon[S]) work(ctx context.Context) error {
 	metricsCtx, stopMetrics := context.WithCancel(context.Background())
-	group, runCtx := errgroup.WithContext(ctx)
+	var served sync.WaitGroup
 	if addr := d.program.Process(d.settings).Metrics; addr != "" {
-		group.Go(func() error { return d.rt.Metrics.Serve(metricsCtx, addr) })
+		served.Go(func() { d.serveMetrics(metricsCtx, addr) })
+	}
+	err := d.program.Run(ctx, d.rt, d.settings)
+	stopMetrics()
+	served.Wait()
+	return err
+}
+
+// serveMetrics serves the metrics until ctx ends. It tries again after an error: the
+// address may be held by a predecessor that has not quite ended, and the program's
+// requests don't depend on its metrics.
+func (d *daemon[S]) serveMetrics(ctx context.Context, addr string) {
+	log := d.rt.Logs.For(logging.PartDaemon)
+	lastError := ""
+	for {
+		err := d.rt.Metrics.Serve(ctx, addr)
+		if err == nil {
+			return
+		}
+		if text := err.Error(); text != lastError {
+			lastError = text
+			log.Error("metrics not served, trying again", "err", err, "interval", metricsRetryInterval)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(metricsRetryInterval):
+		}
 	}
-	group.Go(func() error {
-		defer stopMetrics()
-		return d.program.Run(runCtx, d.rt, d.settings)
-	})
-	return group.Wait()
 }
 
 // wait handles signals and the end of the program, and returns the exit code.
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -4,16 +4,20 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/fireflytray/fireflytray/keys"
+	"github.com/fireflytray/fireflytray/metrics"
 	"github.com/fireflytray/fireflytray/settings"
 	"github.com/fireflytray/fireflytray/wire"
 )
@@ -175,6 +179,39 @@
 	require.True(t, drained)
 }
 
+// A metrics address that is still in use by the predecessor must not end the
+// daemon; the page is served once the address is free.
+func TestMetricsAddressInUseDoesNotEndDaemon(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer taken.Close()
+	addr := taken.Addr().String()
+	path := writeAgentFiles(t, "agent-1")
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	text = bytes.Replace(text, []byte("[listen]\n"), []byte("[listen]\nmetrics = "+addr+"\n"), 1)
+	require.NoError(t, os.WriteFile(path, text, 0o600))
+	out := newOutput()
+	p := program(func(ctx context.Context, _ Runtime, _ *settings.Agent) error {
+		<-ctx.Done()
+		return nil
+	})
+	code := make(chan int, 1)
+	go func() { code <- Main(p, []string{"--config", path}, out, out) }()
+	require.Contains(t, out.awaitAny(t, "metrics not served", "ended"), "metrics not served")
+	require.NoError(t, taken.Close())
+	require.Eventually(t, func() bool {
+		resp, err := http.Get("http://" + addr + metrics.Path)
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	}, 30*time.Second, 10*time.Millisecond)
+	signalSelf(t, syscall.SIGTERM)
+	require.Equal(t, ExitOK, <-code)
+}
+
 // Each error that prevents the start of a daemon is printed and has its exit code;
 // --check never starts the program.
 func TestStartupErrors(t *testing.T) {
