netlisten: listeners that outlast a lack of descriptors

What callers would see: when a burst takes an entry to its limit of descriptors (4,100 on the platform), one failed accept ends the whole process with code 1, and every request in flight there is cut off without an answer.

Cause: fasthttp's Serve returns on any accept error that is not a time-out, and the daemons' errgroups end the process with it. net/http differs: it waits and accepts again on EMFILE and ENFILE, so that the metrics page is not affected.

internal/netlisten wraps a listener: Accept waits 5 to 200 ms, doubling, and tries again on errors that pass (EMFILE, ENFILE, ENOBUFS, ENOMEM, ECONNABORTED, and the network errors of a single connection that accept(2) names). It logs the first failure of a series and its end. Close ends a wait, so that a drain does not hang on it. The stand-in upstream uses it.

Before, with the server of the test on the bare listener:

Permanent error when accepting new connections: accept tcp 127.0.0.1:41443: accept4: too many open files --- FAIL: TestServerOutlastsLackOfDescriptors/EMFILE_once (10.01s) Get "http://127.0.0.1:41443": context deadline exceeded

After: all of the package pass with -race, each error once and four times in a row; a permanent error (EBADF) is still returned at once.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fireflytray/fireflytray/internal/httpstop"
+	"github.com/fireflytray/fireflytray/internal/netlisten"
 )
 
 const (
@@ -103,7 +104,7 @@
 // yet.
 func New(o Options) (*Server, error) {
 	o = o.withDefaults()
-	ln, err := net.Listen("tcp", o.Tasks)
+	ln, err := netlisten.Listen(o.Tasks, o.Log)
 	if err != nil {
 		return nil, fmt.Errorf("upstream: listen %s: %w", o.Tasks, err)
 	}
