metrics: Serve waits for the scrapes under way

What callers would see: a scrape that is under way when a daemon has drained ends without an answer; the last values of the process are lost.

Cause: http.Server.Serve returns as soon as Shutdown begins. Serve took that for the end and the process exited beside the shutdown. Ruled out: the shutdown's time-out of 1 s, which was never reached.

Serve now returns with the result of Shutdown. Connections that are still open after 1 s are closed, and the daemon logs that.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -193,7 +193,10 @@
 	lastError := ""
 	for {
 		err := d.rt.Metrics.Serve(ctx, addr)
-		if err == nil {
+		if ctx.Err() != nil {
+			if err != nil {
+				log.Warn("metrics connections cut off", "err", err)
+			}
 			return
 		}
 		if text := err.Error(); text != lastError {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -87,7 +87,8 @@
 // Close reports the remaining values and stops reporting.
 func (r *Root) Close() error { return r.closer.Close() }
 
-// Serve exports the metrics on addr until ctx ends.
+// Serve exports the metrics on addr until ctx ends. It returns once the scrapes under
+// way are answered, for which they have shutdownTimeout.
 func (r *Root) Serve(ctx context.Context, addr string) error {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -96,14 +97,18 @@
 	mux := http.NewServeMux()
 	mux.Handle(Path, r.handler)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	shutdown := make(chan error, 1)
 	stop := context.AfterFunc(ctx, func() {
 		end, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
-		server.Shutdown(end)
+		shutdown <- server.Shutdown(end)
 	})
 	defer stop()
 	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("metrics: serve %s: %w", addr, err)
 	}
+	if err := <-shutdown; err != nil {
+		return fmt.Errorf("metrics: shut down %s: %w", addr, errors.Join(err, server.Close()))
+	}
 	return nil
 }
