agent: a drain waits until the entries know of it

What callers would see: during a planned restart of an agent's host, a request that its entry sends to that agent within one delay of the link after the SIGTERM fails about a second later with an unknown outcome (agent_gone), or is run a second time if it is idempotent. Nothing had run it.

Cause: with nothing running, the drain ended in the very step in which it sent the report that withdraws the slots. The process closed its sessions 50 ms later (lingerAfterDrain). An assignment that crossed the report on a link with a longer delay, or at an entry that was slow to read, found the session closed; the agent that could have said "not run" was gone. Ruled out: outcomes on their way, for which the drain already waits.

The agent now sends every connected entry a report when the drain begins and waits until it is acknowledged. The messages of a session arrive in order, so all assignments that the entry sent before it knew have then arrived and were refused as draining. The entry acknowledges a report with no slots at once, also one without outcomes. An entry of an older build, which does not, or one that does not answer, delays the drain by 1 s at most (WithdrawWithin).

Before, on the old code:

--- FAIL: TestAssignmentOnTheWayDuringDrainIsRefused (0.21s) transport: send *wire.Update to agent agent-1 127.0.0.1:58608: closed by peer (session ended: closed): closed --- FAIL: TestDrainAwaitsAssignmentsOnTheWay (0.00s) drain_test.go:66: Should be false Messages: the entry may still send tasks --- FAIL: TestWithdrawnSlotsAreAcknowledgedAtOnce (0.01s) entry_test.go:329: "[]" should have 1 item(s), but has 0

Not run: the soak, which found another one active on the machine.

--- a/agent/config.go
+++ b/agent/config.go
@@ -65,9 +65,11 @@
 	SuspendFirst time.Duration
 	SuspendMax   time.Duration
 	// DrainTimeout bounds the duration of a drain. AckWithin bounds the wait for
-	// the entries' acknowledgements after the last run has ended.
-	DrainTimeout time.Duration
-	AckWithin    time.Duration
+	// the entries' acknowledgements after the last run has ended. WithdrawWithin
+	// bounds the wait until the entries know of the drain.
+	DrainTimeout   time.Duration
+	AckWithin      time.Duration
+	WithdrawWithin time.Duration
 }
 
 // DefaultConfig returns the values that replace zero fields of a Config.
@@ -95,6 +97,7 @@
 		SuspendMax:         time.Minute,
 		DrainTimeout:       30 * time.Second,
 		AckWithin:          4 * time.Second,
+		WithdrawWithin:     time.Second,
 	}
 }
 
@@ -124,6 +127,7 @@
 	setDefault(&c.SuspendMax, d.SuspendMax)
 	setDefault(&c.DrainTimeout, d.DrainTimeout)
 	setDefault(&c.AckWithin, d.AckWithin)
+	setDefault(&c.WithdrawWithin, d.WithdrawWithin)
 	return c
 }
 
--- a/agent/deadlines.go
+++ b/agent/deadlines.go
@@ -42,6 +42,9 @@
 	s.addEntryDeadlines(&t)
 	if d := &s.drain; d.active && !d.done {
 		t.add(d.deadline)
+		if s.now < d.withdrawBy {
+			t.add(d.withdrawBy)
+		}
 		if d.idleAt > 0 {
 			t.add(d.idleAt + s.cfg.AckWithin)
 		}
--- a/agent/drain_test.go
+++ b/agent/drain_test.go
@@ -55,3 +55,53 @@
 	running, queued = s.Load()
 	require.Equal(t, []int{1, 0}, []int{running, queued})
 }
+
+// A drain must not end while an entry that has not learned of it may still have
+// assignments on the way: the end of the session would leave their outcomes unknown.
+func TestDrainAwaitsAssignmentsOnTheWay(t *testing.T) {
+	s := newTestState(Config{})
+	s.Step(0, Announced{testUpstream("a", true)}, nil)
+	opened := welcomeIn(t, s.Step(0, SessionOpened{Session: 1, Hello: hello(1, 1)}, nil)).Report.Seq
+	effs := s.Step(time.Second, Drain{}, nil)
+	require.False(t, drainedIn(effs), "the entry may still send tasks")
+	withdrawn := lastReport(t, effs)
+	require.Zero(t, withdrawn.Slots)
+	require.Zero(t, withdrawn.Credit)
+	one := []wire.Assignment{{ID: task.ID{Submission: task.NewSubmissionID(1, 1)}, StartWithin: time.Minute}}
+	effs = s.Step(1100*time.Millisecond, UpdateReceived{Session: 1, Update: &wire.Update{Seq: 1, Ack: opened, Tasks: one}}, nil)
+	require.False(t, drainedIn(effs), "its outcome is not acknowledged")
+	refused := lastReport(t, effs)
+	require.Equal(t, task.ReasonDraining, refused.Outcomes[0].Outcome.Reason)
+	effs = s.Step(1200*time.Millisecond, UpdateReceived{Session: 1, Update: &wire.Update{Seq: 2, Ack: refused.Seq}}, nil)
+	require.True(t, drainedIn(effs))
+}
+
+// An entry that does not acknowledge a drain delays it by WithdrawWithin at most.
+func TestDrainDoesNotAwaitUnresponsiveEntries(t *testing.T) {
+	s := newTestState(Config{})
+	s.Step(0, Announced{testUpstream("a", true)}, nil)
+	s.Step(0, SessionOpened{Session: 1, Hello: hello(1, 1)}, nil)
+	require.False(t, drainedIn(s.Step(time.Second, Drain{}, nil)))
+	at, ok := s.Next()
+	require.True(t, ok)
+	require.LessOrEqual(t, at, 2*time.Second)
+	require.True(t, drainedIn(s.Step(2*time.Second, Tick{}, nil)))
+}
+
+// A drain without sessions ends at once.
+func TestDrainWithoutSessionsEndsAtOnce(t *testing.T) {
+	s := newTestState(Config{})
+	s.Step(0, Announced{testUpstream("a", true)}, nil)
+	require.True(t, drainedIn(s.Step(time.Second, Drain{}, nil)))
+}
+
+func lastReport(t *testing.T, effs []Effect) *wire.Report {
+	t.Helper()
+	for i := len(effs) - 1; i >= 0; i-- {
+		if r, ok := effs[i].(SendReport); ok {
+			return r.Report
+		}
+	}
+	require.Fail(t, "no report")
+	return nil
+}
--- a/agent/session.go
+++ b/agent/session.go
@@ -27,6 +27,10 @@
 	welcomeSeq  uint64
 
 	reportSeq uint64 // sequence number of the last report
+	ackedSeq  uint64 // highest acknowledged sequence number of a report
+	// withdrawSeq is the sequence number of the first report that the entry got
+	// on its session after a drain began; zero without a drain.
+	withdrawSeq uint64
 	// unacked holds the tasks with unacknowledged outcomes. The first `sent` of
 	// them have been reported, in order of the reports' sequence numbers.
 	unacked      []*record
@@ -104,6 +108,9 @@
 		}
 	}
 	e.welcomeSeq = rep.Seq
+	if s.drain.active {
+		e.withdrawSeq = rep.Seq
+	}
 	w := s.worker()
 	s.emit(SendWelcome{
 		Session: e.session,
@@ -208,6 +215,7 @@
 // acknowledge drops the outcomes in reports up to sequence number ack. Their ids
 // are kept in s.finished.
 func (s *State) acknowledge(e *entry, ack uint64) {
+	e.ackedSeq = max(e.ackedSeq, ack)
 	if ack >= e.welcomeSeq {
 		e.historyLost = false
 	}
--- a/agentd/agentd_test.go
+++ b/agentd/agentd_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -192,6 +193,25 @@
 	require.Len(t, s.starts(), 8)
 }
 
+// A task that crosses the agent's drain on a link with a long delay must be refused:
+// if the session ends first, its outcome is unknown, and the request fails.
+func TestAssignmentOnTheWayDuringDrainIsRefused(t *testing.T) {
+	s := newFixture(t, agent.Config{})
+	c := s.dial(1, 0)
+	c.awaitSlots(8)
+	s.stopAgent()
+	// The entry learns of the drain after this delay; until then it sends tasks.
+	time.Sleep(4 * lingerAfterDrain)
+	late := taskID(1)
+	c.send(upstream.Payload{}, late)
+	out := c.result(late).Outcome
+	require.Equal(t, task.NotRun, out.State)
+	require.Equal(t, task.ReasonDraining, out.Reason)
+	c.update(&wire.Update{})
+	require.NoError(t, await(t, s.agentDone))
+	require.Empty(t, s.starts())
+}
+
 func TestResultsSurviveSessionLoss(t *testing.T) {
 	s := newFixture(t, agent.Config{})
 	c := s.dial(1, 0)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -318,3 +318,14 @@
 	}
 	require.True(t, f.e.agents["a"].Slow, "overdue since the pause")
 }
+
+// A draining agent waits until the entry acknowledges that it has no slots, also in
+// a report without outcomes.
+func TestWithdrawnSlotsAreAcknowledgedAtOnce(t *testing.T) {
+	f := newFixture(t, "a")
+	r := f.report("a", 0)
+	r.Slots = 0
+	sent := sends(f.step(Received{Agent: "a", Session: f.e.agents["a"].session, Report: r}))
+	require.Len(t, sent, 1)
+	require.Equal(t, r.Seq, sent[0].Update.Ack)
+}
--- a/entry/report.go
+++ b/entry/report.go
@@ -48,9 +48,9 @@
 		e.stats.Wasted.Credits++
 	}
 	switch {
-	case len(r.Outcomes) == 0 || a.ackScheduled:
 	case r.Slots == 0:
 		e.markDirty(a) // a draining agent waits for this acknowledgement
+	case len(r.Outcomes) == 0 || a.ackScheduled:
 	default:
 		a.ackScheduled = true
 		e.arm(timer{at: e.now + ackDelay, kind: timerAck, agent: a})
