controlclient: a call moves on when its control host ends

What callers would see: a request with an idempotency key that arrives while a control host is restarted as planned waits up to 1.5 s for its claim, longer than many tasks' objective, and gets nothing until then.

Cause: Client.try waited for the answer or callTimeout and did not notice that the connection, and with it any answer, had ended. Ruled out: the control hosts' own claimTimeout of 1.2 s, which never got to act as the process was gone.

try now also waits for the end of the connection. The end is signalled after all messages received before it are handled, so that an answer that came just before still counts. A claim that may have been recorded is safe to send to the next host: claims are idempotent by owner.

--- a/controlclient/calls.go
+++ b/controlclient/calls.go
@@ -130,12 +130,13 @@
 	return r.State == wire.ClaimUnavailable && r.RetryAfter == 0
 }
 
-// try sends a request to one control host and waits for its answer. sent is
-// false if there is no connection.
+// try sends a request to one control host and waits for its answer or the end of
+// the connection. sent is false if there is no connection.
 func (c *Client) try(ctx context.Context, s *session, newMessage func(id uint64) wire.Message) (reply *wire.ClaimReply, sent bool) {
 	id, ch := c.calls.open()
 	defer c.calls.close(id)
-	if !s.send(newMessage(id)) {
+	ended, sent := s.sendCall(newMessage(id))
+	if !sent {
 		return nil, false
 	}
 	timer := time.NewTimer(callTimeout)
@@ -143,6 +144,13 @@
 	select {
 	case reply := <-ch:
 		return reply, true
+	case <-ended:
+		// An answer that arrived before the end is in the channel by now.
+		select {
+		case reply := <-ch:
+			return reply, true
+		default:
+		}
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- a/controlclient/session.go
+++ b/controlclient/session.go
@@ -28,6 +28,8 @@
 
 	mu   sync.Mutex
 	conn *transport.Conn
+	// connEnded is closed once conn has ended and all of its messages are handled.
+	connEnded chan struct{}
 	// leaveAnswered is closed when the leaving announcement is answered. leaveSeq
 	// is its sequence number; zero until it is sent.
 	leaveAnswered chan struct{}
@@ -86,8 +88,10 @@
 	}
 	s.client.log.Info("session opened", "control", conn.Peer())
 	s.lastError = ""
-	s.setConn(conn)
-	defer s.setConn(nil)
+	ended := make(chan struct{})
+	defer close(ended)
+	s.setConn(conn, ended)
+	defer s.setConn(nil, nil)
 	defer conn.Close("session ended")
 	if !s.client.leaving.Load() {
 		s.announce(s.client.announcement())
@@ -101,10 +105,10 @@
 	}
 }
 
-func (s *session) setConn(conn *transport.Conn) {
+func (s *session) setConn(conn *transport.Conn, ended chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.conn = conn
+	s.conn, s.connEnded = conn, ended
 }
 
 func (s *session) handle(conn *transport.Conn, m wire.Message, stamp wire.Stamp) {
@@ -140,17 +144,24 @@
 // send queues a message. It returns false if there is no connection or the
 // message can't be queued; in the latter case it closes the connection.
 func (s *session) send(m wire.Message) bool {
+	_, sent := s.sendCall(m)
+	return sent
+}
+
+// sendCall is like send. The channel ended is closed once the connection has ended
+// and no answer can follow.
+func (s *session) sendCall(m wire.Message) (ended <-chan struct{}, sent bool) {
 	s.mu.Lock()
-	conn := s.conn
+	conn, ended := s.conn, s.connEnded
 	s.mu.Unlock()
 	if conn == nil {
-		return false
+		return nil, false
 	}
 	if err := conn.Send(m); err != nil {
 		conn.Close("can't send")
-		return false
+		return nil, false
 	}
-	return true
+	return ended, true
 }
 
 // announce sends an announcement and marks the connection to expect an answer, so
