controld: a proposal returns when its leader ends

What callers would see: an operator's change that reaches a control host while the leader is restarted as planned gets 503 after 900 ms, or an entry's claim "unavailable" after 1.2 s, although a new leader is there after an election (200 ms on the platform).

Cause: links.propose waited leaderTimeout (1 s) for an answer and did not notice that the connection to the leader, and with it any answer, had ended. As operators wait 900 ms only, their change was never retried. Ruled out: the retry itself, which is immediate once propose has returned.

propose now also waits for the end of the connection and returns an unknown outcome, which proposeWithRetry retries for idempotent commands. Those are recognised when they come twice: by operation id, by owner, or, for a published document, by its version (control/publish.go accepts a version that is in force). An answer received before the end still counts.

--- a/controld/links.go
+++ b/controld/links.go
@@ -43,6 +43,8 @@
 
 	mu   sync.Mutex
 	conn *transport.Conn
+	// connEnded is closed once conn has ended and all of its messages are handled.
+	connEnded chan struct{}
 }
 
 func newLinks(h *Host) *links {
@@ -100,8 +102,10 @@
 	if err != nil {
 		return fmt.Errorf("controld: %w", err)
 	}
-	l.setConn(conn)
-	defer l.setConn(nil)
+	ended := make(chan struct{})
+	defer close(ended)
+	l.setConn(conn, ended)
+	defer l.setConn(nil, nil)
 	defer conn.Close("link ended")
 	linkCtx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -170,29 +174,36 @@
 	}
 }
 
-func (l *link) setConn(conn *transport.Conn) {
+func (l *link) setConn(conn *transport.Conn, ended chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.conn = conn
+	l.conn, l.connEnded = conn, ended
 }
 
 // errNoLink is returned if there is no connection to a control host.
 var errNoLink = errors.New("not connected")
 
 func (t *links) send(addr string, m wire.Message) error {
+	_, err := t.sendCall(addr, m)
+	return err
+}
+
+// sendCall is like send. The channel ended is closed once the connection has ended
+// and no answer can follow.
+func (t *links) sendCall(addr string, m wire.Message) (ended <-chan struct{}, err error) {
 	t.mu.Lock()
 	l := t.byAddr[addr]
 	t.mu.Unlock()
 	if l == nil {
-		return errNoLink
+		return nil, errNoLink
 	}
 	l.mu.Lock()
-	conn := l.conn
+	conn, ended := l.conn, l.connEnded
 	l.mu.Unlock()
 	if conn == nil {
-		return errNoLink
+		return nil, errNoLink
 	}
-	return conn.Send(m)
+	return ended, conn.Send(m)
 }
 
 // sendRaft sends a message of the replicated log; the message may be lost.
@@ -200,13 +211,15 @@
 	_ = t.send(addr, &wire.Raft{Body: body})
 }
 
-// propose sends a proposal to the leader at addr and waits for the answer.
+// propose sends a proposal to the leader at addr and waits for the answer or the end
+// of the connection.
 func (t *links) propose(ctx context.Context, addr string, m *wire.Propose) (*wire.Proposed, error) {
 	id, ch := t.open()
 	defer t.close(id)
 	forwarded := *m
 	forwarded.Request = id
-	if err := t.send(addr, &forwarded); err != nil {
+	ended, err := t.sendCall(addr, &forwarded)
+	if err != nil {
 		return nil, fmt.Errorf("leader %s: %w", addr, err)
 	}
 	timer := time.NewTimer(leaderTimeout)
@@ -216,12 +229,25 @@
 		return nil, fmt.Errorf("leader %s: %w: %w", addr, ErrUnknownOutcome, ctx.Err())
 	case <-timer.C:
 		return nil, fmt.Errorf("leader %s: %w: no answer in %s", addr, ErrUnknownOutcome, leaderTimeout)
-	case reply := <-ch:
-		if err := proposedError(reply); err != nil {
-			return nil, fmt.Errorf("leader %s: %w", addr, err)
+	case <-ended:
+		// An answer that arrived before the end is in the channel by now.
+		select {
+		case reply := <-ch:
+			return proposed(addr, reply)
+		default:
+			return nil, fmt.Errorf("leader %s: %w: the connection ended", addr, ErrUnknownOutcome)
 		}
-		return reply, nil
+	case reply := <-ch:
+		return proposed(addr, reply)
+	}
+}
+
+// proposed returns the leader's answer, or the error that it carries.
+func proposed(addr string, reply *wire.Proposed) (*wire.Proposed, error) {
+	if err := proposedError(reply); err != nil {
+		return nil, fmt.Errorf("leader %s: %w", addr, err)
 	}
+	return reply, nil
 }
 
 // open returns the request number and the answer channel of a new proposal. close
