daemon: a drain that runs out of time ends with code 3

What operators would see: an entry whose drain-timeout passed with requests in flight cut them off and ended with code 1, "could not start or failed", and not with code 3 and the line that OPERATIONS.md gives for it. Which code came depended on who gave up first: the program, at drain-timeout, or the daemon, 2 s later (drainGrace), which the program normally doesn't live to see.

An error of the program during a drain that wraps context.DeadlineExceeded is now logged as "drain timed out, work in flight is cut off", with the error, and has code 3. Outside a drain such an error is still a failure, code 1.

Before, on the old code:

--- FAIL: TestDrainTimeoutHasForcedExitCode (0.01s) expected: 3 actual : 1

After: the package passes three times with -race.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -230,6 +230,10 @@
 	for {
 		select {
 		case err := <-ended:
+			if drainDeadline != nil && errors.Is(err, context.DeadlineExceeded) {
+				log.Error("drain timed out, work in flight is cut off", "timeout", p.DrainTimeout, "err", err)
+				return ExitForced
+			}
 			if err != nil {
 				log.Error("ended", "err", err)
 				return ExitFailed
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -245,3 +245,29 @@
 	}
 	require.False(t, started)
 }
+
+// A program whose drain runs out of time has cut work off: the exit code must say so,
+// whether the program reports it or the daemon gives up first.
+func TestDrainTimeoutHasForcedExitCode(t *testing.T) {
+	out := newOutput()
+	p := program(func(ctx context.Context, _ Runtime, _ *settings.Agent) error {
+		<-ctx.Done()
+		return fmt.Errorf("entry e: drain: 3 requests in flight: %w", context.DeadlineExceeded)
+	})
+	path := writeAgentFiles(t, "agent-1")
+	code := make(chan int, 1)
+	go func() { code <- Main(p, []string{"--config", path}, out, out) }()
+	out.await(t, "started")
+	signalSelf(t, syscall.SIGTERM)
+	require.Equal(t, ExitForced, <-code)
+	require.Contains(t, out.buf.String(), "3 requests in flight")
+}
+
+// An error of a program that is not draining is a failure.
+func TestFailureOutsideDrainHasFailedExitCode(t *testing.T) {
+	out := newOutput()
+	p := program(func(context.Context, Runtime, *settings.Agent) error {
+		return fmt.Errorf("dial control: %w", context.DeadlineExceeded)
+	})
+	require.Equal(t, ExitFailed, Main(p, []string{"--config", writeAgentFiles(t, "agent-1")}, out, out))
+}
