--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -243,7 +243,8 @@
 		}
 	}
 	s.tasks.wait(s.killed)
-	s.tasks.journal.close()
+	// Requests that are being read may still start tasks until the server is down.
+	defer s.tasks.journal.close()
 	if err := httpstop.Shutdown(context.Background(), s.http, s.ln); err != nil {
 		return fmt.Errorf("upstream: shut down %s: %w", s.Addr(), err)
 	}
