--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,12 +8,10 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
+	"sync"
 	"time"
 
 	"github.com/jessevdk/go-flags"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/fireflytray/fireflytray/keys"
 	"github.com/fireflytray/fireflytray/logging"
@@ -29,14 +27,17 @@
 	ExitFailed = 1
 	// ExitUsage means that the command line or the settings are invalid.
 	ExitUsage = 2
-	// ExitForced means that a second signal or the drain time-out cut off work
-	// in flight.
+	// ExitForced means that a second SIGINT or the drain time-out cut off work in
+	// flight.
 	ExitForced = 3
 )
 
 // drainGrace is how long a program may take to exit beyond its drain time-out.
 const drainGrace = 2 * time.Second
 
+// metricsRetryInterval is the time between two attempts to serve the metrics.
+const metricsRetryInterval = 500 * time.Millisecond
+
 // Runtime holds the resources that a daemon passes to its program.
 type Runtime struct {
 	Identity *keys.Identity
@@ -67,6 +68,10 @@
 // Main runs a daemon and returns its exit code. Args don't include the program's
 // name.
 func Main[S any](p Program[S], args []string, stdout, stderr io.Writer) int {
+	// The handlers come first and go last, so that no signal ends a process that
+	// is starting or that is writing its last log lines.
+	signals := notifySignals()
+	defer signals.stop()
 	var opts options
 	parser := flags.NewNamedParser(p.Name, flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
@@ -89,7 +94,7 @@
 		fmt.Fprintf(stdout, "%s: no errors\n", opts.Config)
 		return ExitOK
 	}
-	d := &daemon[S]{program: p, path: opts.Config, settings: s}
+	d := &daemon[S]{program: p, path: opts.Config, settings: s, signals: signals}
 	return d.run(stdout, stderr)
 }
 
@@ -108,6 +113,7 @@
 	program  Program[S]
 	path     string
 	settings *S
+	signals  *signals
 	rt       Runtime
 }
 
@@ -121,14 +127,15 @@
 	defer d.rt.Metrics.Close()
 	d.rt.Metrics.CounterFunc("log_dropped_lines_total", "Lines that were not written as the reader of the log was too slow.",
 		func() float64 { return float64(logWriter.TotalDropped()) })
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	if sig := d.signals.pendingEnd(); sig != nil {
+		d.rt.Logs.For(logging.PartDaemon).Info("ended before serving", "signal", sig)
+		return ExitOK
+	}
 	ctx, drain := context.WithCancel(context.Background())
 	defer drain()
 	ended := make(chan error, 1)
 	go func() { ended <- d.work(ctx) }()
-	return d.wait(ended, signals, drain)
+	return d.wait(ended, drain)
 }
 
 func (d *daemon[S]) prepare(logOutput io.Writer) error {
@@ -168,26 +175,65 @@
 // work runs the program and serves the metrics until the program ends.
 func (d *daemon[S]) work(ctx context.Context) error {
 	metricsCtx, stopMetrics := context.WithCancel(context.Background())
-	group, runCtx := errgroup.WithContext(ctx)
+	var served sync.WaitGroup
 	if addr := d.program.Process(d.settings).Metrics; addr != "" {
-		group.Go(func() error { return d.rt.Metrics.Serve(metricsCtx, addr) })
+		served.Go(func() { d.serveMetrics(metricsCtx, addr) })
+	}
+	err := d.program.Run(ctx, d.rt, d.settings)
+	stopMetrics()
+	served.Wait()
+	return err
+}
+
+// serveMetrics serves the metrics until ctx ends. It tries again after an error: the
+// address may be held by a predecessor that has not quite ended, and the program's
+// requests don't depend on its metrics.
+func (d *daemon[S]) serveMetrics(ctx context.Context, addr string) {
+	log := d.rt.Logs.For(logging.PartDaemon)
+	lastError := ""
+	for {
+		err := d.rt.Metrics.Serve(ctx, addr)
+		if ctx.Err() != nil {
+			if err != nil {
+				log.Warn("metrics connections cut off", "err", err)
+			}
+			return
+		}
+		if text := err.Error(); text != lastError {
+			lastError = text
+			log.Error("metrics not served, trying again", "err", err, "interval", metricsRetryInterval)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(metricsRetryInterval):
+		}
 	}
-	group.Go(func() error {
-		defer stopMetrics()
-		return d.program.Run(runCtx, d.rt, d.settings)
-	})
-	return group.Wait()
 }
 
 // wait handles signals and the end of the program, and returns the exit code.
-func (d *daemon[S]) wait(ended <-chan error, signals <-chan os.Signal, drain func()) int {
+func (d *daemon[S]) wait(ended <-chan error, drain func()) int {
 	log := d.rt.Logs.For(logging.PartDaemon)
 	p := d.program.Process(d.settings)
 	log.Info("started", "program", d.program.Name, "id", p.ID, "domain", p.Domain, "site", p.Site)
 	var drainDeadline <-chan time.Time
+	startDrain := func(sig os.Signal) {
+		if drainDeadline != nil {
+			log.Info("already draining, signal ignored", "signal", sig)
+			return
+		}
+		log.Info("draining", "signal", sig, "timeout", p.DrainTimeout)
+		drainDeadline = time.After(p.DrainTimeout + drainGrace)
+		drain()
+	}
+	interrupts := 0
 	for {
 		select {
 		case err := <-ended:
+			if drainDeadline != nil && errors.Is(err, context.DeadlineExceeded) {
+				log.Error("drain timed out, work in flight is cut off", "timeout", p.DrainTimeout, "err", err)
+				return ExitForced
+			}
 			if err != nil {
 				log.Error("ended", "err", err)
 				return ExitFailed
@@ -197,18 +243,17 @@
 		case <-drainDeadline:
 			log.Error("drain timed out, work in flight is cut off", "timeout", p.DrainTimeout)
 			return ExitForced
-		case s := <-signals:
-			switch {
-			case s == syscall.SIGHUP:
-				d.reload()
-			case drainDeadline != nil:
-				log.Error("second signal, work in flight is cut off", "signal", s)
+		case <-d.signals.hangup:
+			d.reload()
+		case sig := <-d.signals.terminate:
+			startDrain(sig)
+		case sig := <-d.signals.interrupt:
+			interrupts++
+			if interrupts > 1 {
+				log.Error("second interrupt, work in flight is cut off", "signal", sig)
 				return ExitForced
-			default:
-				log.Info("draining", "signal", s, "timeout", p.DrainTimeout)
-				drainDeadline = time.After(p.DrainTimeout + drainGrace)
-				drain()
 			}
+			startDrain(sig)
 		}
 	}
 }
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -4,16 +4,20 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/fireflytray/fireflytray/keys"
+	"github.com/fireflytray/fireflytray/metrics"
 	"github.com/fireflytray/fireflytray/settings"
 	"github.com/fireflytray/fireflytray/wire"
 )
@@ -45,6 +49,19 @@
 	}
 }
 
+// awaitAny returns the first line that contains one of the texts.
+func (o *output) awaitAny(t *testing.T, texts ...string) string {
+	t.Helper()
+	for line := range o.lines {
+		for _, text := range texts {
+			if strings.Contains(line, text) {
+				return line
+			}
+		}
+	}
+	return ""
+}
+
 const agentSettings = `[process]
 id = %s
 domain = sv-a
@@ -114,8 +131,8 @@
 	require.True(t, drained)
 }
 
-// A second signal forces the exit of a daemon whose program does not drain.
-func TestSecondSignalForcesExit(t *testing.T) {
+// A second SIGINT forces the exit of a daemon whose program does not drain.
+func TestSecondInterruptForcesExit(t *testing.T) {
 	out := newOutput()
 	release := make(chan struct{})
 	defer close(release)
@@ -123,13 +140,76 @@
 		<-release
 		return nil
 	})
+	path := writeAgentFiles(t, "agent-1")
+	code := make(chan int, 1)
+	go func() { code <- Main(p, []string{"--config", path}, out, out) }()
+	out.await(t, "started")
+	signalSelf(t, syscall.SIGINT)
+	out.await(t, "draining")
+	signalSelf(t, syscall.SIGINT)
+	require.Equal(t, ExitForced, <-code)
+}
+
+// Repeated SIGTERMs, as supervisors send them in overlapping restarts, must not cut
+// off work in flight.
+func TestRepeatedSigtermDoesNotCutOffDrain(t *testing.T) {
+	out := newOutput()
+	release := make(chan struct{})
+	drained := false
+	p := program(func(ctx context.Context, _ Runtime, _ *settings.Agent) error {
+		<-ctx.Done()
+		<-release
+		drained = true
+		return nil
+	})
+	path := writeAgentFiles(t, "agent-1")
 	code := make(chan int, 1)
-	go func() { code <- Main(p, []string{"--config", writeAgentFiles(t, "agent-1")}, out, out) }()
+	go func() { code <- Main(p, []string{"--config", path}, out, out) }()
 	out.await(t, "started")
 	signalSelf(t, syscall.SIGTERM)
 	out.await(t, "draining")
+	for range 3 {
+		signalSelf(t, syscall.SIGTERM)
+		require.Contains(t, out.awaitAny(t, "already draining", "cut off"), "already draining")
+	}
+	signalSelf(t, syscall.SIGINT)
+	require.Contains(t, out.awaitAny(t, "already draining", "cut off"), "already draining")
+	close(release)
+	require.Equal(t, ExitOK, <-code)
+	require.True(t, drained)
+}
+
+// A metrics address that is still in use by the predecessor must not end the
+// daemon; the page is served once the address is free.
+func TestMetricsAddressInUseDoesNotEndDaemon(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer taken.Close()
+	addr := taken.Addr().String()
+	path := writeAgentFiles(t, "agent-1")
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	text = bytes.Replace(text, []byte("[listen]\n"), []byte("[listen]\nmetrics = "+addr+"\n"), 1)
+	require.NoError(t, os.WriteFile(path, text, 0o600))
+	out := newOutput()
+	p := program(func(ctx context.Context, _ Runtime, _ *settings.Agent) error {
+		<-ctx.Done()
+		return nil
+	})
+	code := make(chan int, 1)
+	go func() { code <- Main(p, []string{"--config", path}, out, out) }()
+	require.Contains(t, out.awaitAny(t, "metrics not served", "ended"), "metrics not served")
+	require.NoError(t, taken.Close())
+	require.Eventually(t, func() bool {
+		resp, err := http.Get("http://" + addr + metrics.Path)
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	}, 30*time.Second, 10*time.Millisecond)
 	signalSelf(t, syscall.SIGTERM)
-	require.Equal(t, ExitForced, <-code)
+	require.Equal(t, ExitOK, <-code)
 }
 
 // Each error that prevents the start of a daemon is printed and has its exit code;
@@ -165,3 +245,29 @@
 	}
 	require.False(t, started)
 }
+
+// A program whose drain runs out of time has cut work off: the exit code must say so,
+// whether the program reports it or the daemon gives up first.
+func TestDrainTimeoutHasForcedExitCode(t *testing.T) {
+	out := newOutput()
+	p := program(func(ctx context.Context, _ Runtime, _ *settings.Agent) error {
+		<-ctx.Done()
+		return fmt.Errorf("entry e: drain: 3 requests in flight: %w", context.DeadlineExceeded)
+	})
+	path := writeAgentFiles(t, "agent-1")
+	code := make(chan int, 1)
+	go func() { code <- Main(p, []string{"--config", path}, out, out) }()
+	out.await(t, "started")
+	signalSelf(t, syscall.SIGTERM)
+	require.Equal(t, ExitForced, <-code)
+	require.Contains(t, out.buf.String(), "3 requests in flight")
+}
+
+// An error of a program that is not draining is a failure.
+func TestFailureOutsideDrainHasFailedExitCode(t *testing.T) {
+	out := newOutput()
+	p := program(func(context.Context, Runtime, *settings.Agent) error {
+		return fmt.Errorf("dial control: %w", context.DeadlineExceeded)
+	})
+	require.Equal(t, ExitFailed, Main(p, []string{"--config", writeAgentFiles(t, "agent-1")}, out, out))
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fireflytray/fireflytray/internal/httpserve"
+	"github.com/fireflytray/fireflytray/internal/netlisten"
 )
 
 const (
@@ -103,7 +104,7 @@
 // yet.
 func New(o Options) (*Server, error) {
 	o = o.withDefaults()
-	ln, err := net.Listen("tcp", o.Tasks)
+	ln, err := netlisten.Listen(o.Tasks, o.Log)
 	if err != nil {
 		return nil, fmt.Errorf("upstream: listen %s: %w", o.Tasks, err)
 	}
@@ -241,7 +242,8 @@
 		}
 	}
 	s.tasks.wait(s.killed)
-	s.tasks.journal.close()
+	// Requests that are being read may still start tasks until the server is down.
+	defer s.tasks.journal.close()
 	if err := s.http.Shutdown(context.Background()); err != nil {
 		return fmt.Errorf("upstream: shut down %s: %w", s.Addr(), err)
 	}
