httpserve: every server outlasts a lack of descriptors

What callers would see: when a burst takes a process to its limit of descriptors, one failed accept ends it with code 1 and cuts off every request in flight. Cause: the HTTP library's Serve returns on any accept error that is not a time-out. Change: httpserve wraps each listener with netlisten, which waits and accepts again; the callers', platform's, admin and announcement servers are covered. Before: without the wrapper TestServerOutlastsLackOfDescriptors ends with 'too many open files'. After: it passes, three times with -race.

--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -34,9 +34,6 @@
 // hasBacklog reports whether a connection waits to be accepted. It returns false
 // for a listener without a socket.
 func hasBacklog(ln net.Listener) bool {
-	if l, ok := ln.(*listener); ok {
-		ln = l.Listener
-	}
 	sc, ok := ln.(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -19,6 +19,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/valyala/fasthttp"
+
+	"github.com/fireflytray/fireflytray/internal/netlisten"
 )
 
 const (
@@ -36,10 +38,10 @@
 	name string
 	addr net.Addr
 	http *fasthttp.Server
-	// raw accepts connections; ln is raw, or raw under TLS.
-	raw net.Listener
-	ln  net.Listener
-	log *log.Logger
+	// socket is the listener that New was given; ln wraps it.
+	socket net.Listener
+	ln     net.Listener
+	log    *log.Logger
 
 	stopping atomic.Bool
 	// answered counts the requests answered since the server began to stop.
@@ -65,11 +67,12 @@
 
 // New returns a server that is not serving yet. The name identifies it in log
 // lines and errors. It takes over the Handler and the ConnState hook of s. With a
-// TLS configuration, connections from ln use TLS.
+// TLS configuration, connections from ln use TLS. Temporary errors of ln don't end
+// the server.
 func New(name string, s *fasthttp.Server, ln net.Listener, conf *tls.Config, l *log.Logger) *Server {
-	raw := &listener{ln}
+	raw := &listener{netlisten.Wrap(ln, l)}
 	out := &Server{
-		name: name, addr: ln.Addr(), http: s, raw: raw, ln: raw, log: l,
+		name: name, addr: ln.Addr(), http: s, socket: ln, ln: raw, log: l,
 		served: make(chan struct{}),
 		conns:  make(map[net.Conn]connState),
 	}
@@ -181,7 +184,7 @@
 // closeListener closes the listener once no connection waits to be accepted, and
 // waits for Serve to register the last one.
 func (s *Server) closeListener(ctx context.Context) error {
-	for s.serving() && hasBacklog(s.raw) && ctx.Err() == nil {
+	for s.serving() && hasBacklog(s.socket) && ctx.Err() == nil {
 		time.Sleep(time.Millisecond)
 	}
 	if err := s.ln.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
--- a/internal/httpserve/server_test.go
+++ b/internal/httpserve/server_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -203,3 +204,34 @@
 		t.Fatal("still serving")
 	}
 }
+
+// exhaustedListener fails to accept once for want of descriptors.
+type exhaustedListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	if !l.failed.Swap(true) {
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// A lack of descriptors must not end a server, which would cut off the requests in
+// progress.
+func TestServerOutlastsLackOfDescriptors(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := New("test", &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}, ReadTimeout: testTimeout},
+		&exhaustedListener{Listener: ln}, nil, log.New(io.Discard))
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx, testTimeout) }()
+	c := dial(t, s)
+	require.NoError(t, c.send(request))
+	_, err = c.receive()
+	require.NoError(t, err)
+	stop()
+	require.NoError(t, <-ended)
+}
