entryd: serve the requests that are read while the servers stop

What callers saw: for about half a second at the end of an entry's drain, each request on an open or a new connection was refused as not run, though the fleet had room; callers without a second try lost it. Cause: the reducer refused first and the servers stopped after. Change: the servers stop first. They close their listeners and quiet connections, serve what they read, and close each connection with its answer, so nothing is left to refuse. The reducer drains when they have stopped. What has no answer at the drain time-out is answered as unknown. Before: TestRequestReadWhileServersStopIsNotRefused, expected "busy", actual "draining"; TestUnfinishedRequestIsAnsweredWhenDrainTimesOut hangs.

--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -58,7 +58,7 @@
 	logger := rt.Logs.For(logging.PartEntry)
 	if s.Clients != "" {
 		list = append(list, func(ctx context.Context, d *entryd.Daemon) error {
-			return platform.NewClientServer(d).Serve(ctx, s.Clients, logger)
+			return platform.NewClientServer(d).Serve(ctx, s.Clients, s.DrainTimeout, logger)
 		})
 	}
 	if s.Readiness != "" {
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -35,8 +35,8 @@
 	claimTimeout = 5 * time.Second
 	// viewTimeout bounds the wait for a copy of the state.
 	viewTimeout = time.Second
-	// serverStopTimeout bounds the stop of the servers at the end of the drain.
-	// The requests that they read by then are answered at once.
+	// serverStopTimeout is how long the servers have to write the answers that
+	// they get when the drain is out of time.
 	serverStopTimeout = 500 * time.Millisecond
 	// defaultDrainTimeout applies if Options.DrainTimeout is zero.
 	defaultDrainTimeout = 30 * time.Second
@@ -177,9 +177,11 @@
 	}
 	d.log.Info("serving callers", "addr", ln.Addr())
 	<-failed.Done()
-	err = d.drain(func(ctx context.Context) error {
+	err = d.drain(func() <-chan error {
 		stopServing()
-		return errors.Join(d.api.Close(ctx), servers.Wait())
+		stopped := make(chan error, 1)
+		go func() { stopped <- errors.Join(d.api.Close(inner), servers.Wait()) }()
+		return stopped
 	})
 	stop()
 	err = errors.Join(err, g.Wait())
@@ -211,39 +213,46 @@
 	return ln, nil
 }
 
-// drain stops accepting requests, waits until all are answered, stops the servers
-// and closes the sessions. The reducer runs until the servers have stopped, so that
-// requests that are read late are refused.
-func (d *Daemon) drain(stopServers func(context.Context) error) error {
+// drain withdraws readiness, stops the servers, which still serve the requests that
+// they read, and closes the sessions. What has no answer when Options.DrainTimeout
+// has passed is answered as unknown. The function stopServers starts the stop of the
+// servers and returns a channel with its result.
+func (d *Daemon) drain(stopServers func() <-chan error) error {
 	d.log.Info("draining")
 	d.draining.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), d.opts.DrainTimeout)
 	defer cancel()
-	err := d.finishRequests(ctx)
-	if err != nil {
-		d.answerUnfinished()
+	err := d.api.Drain(ctx)
+	err = errors.Join(err, d.awaitServers(ctx, stopServers()))
+	d.loop.Post(entry.Drain{})
+	select {
+	case <-d.drained:
+	case <-ctx.Done():
+		err = errors.Join(err, ctx.Err())
 	}
-	stopCtx, cancelStop := context.WithTimeout(context.Background(), serverStopTimeout)
-	defer cancelStop()
-	err = errors.Join(err, stopServers(stopCtx))
 	d.closeSessions(ctx)
 	d.resolver.drain()
+	if err != nil {
+		return fmt.Errorf("drain: %w", err)
+	}
 	d.log.Info("drained")
-	return err
+	return nil
 }
 
-// finishRequests stops the admission of requests and waits until none is in
-// flight.
-func (d *Daemon) finishRequests(ctx context.Context) error {
-	if err := d.api.Drain(ctx); err != nil {
-		return fmt.Errorf("drain: %w", err)
-	}
-	d.loop.Post(entry.Drain{})
+// awaitServers waits until the servers have stopped. When ctx ends, it answers what
+// is unfinished, and gives up serverStopTimeout later.
+func (d *Daemon) awaitServers(ctx context.Context, stopped <-chan error) error {
 	select {
-	case <-d.drained:
-		return nil
+	case err := <-stopped:
+		return err
 	case <-ctx.Done():
-		return fmt.Errorf("drain: %w", ctx.Err())
+	}
+	d.answerUnfinished()
+	select {
+	case err := <-stopped:
+		return errors.Join(ctx.Err(), err)
+	case <-time.After(serverStopTimeout):
+		return fmt.Errorf("servers have not stopped: %w", ctx.Err())
 	}
 }
 
--- a/entryd/shutdown_test.go
+++ b/entryd/shutdown_test.go
@@ -62,3 +62,47 @@
 	wg.Wait()
 	require.Zero(t, unanswered.Load(), "of %d submitters got no answer to a submission that the entry had taken", submitters)
 }
+
+// A request that a server reads while it stops must be handled like any other and
+// not be refused because of the drain: its caller may have no second try.
+func TestRequestReadWhileServersStopIsNotRefused(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	answered := make(chan task.Answer, 1)
+	lateRequest := func(ctx context.Context, d *Daemon) error {
+		<-ctx.Done()
+		d.Submit(task.Submission{Service: "s", Tasks: []task.Spec{{}}}, func(a task.Answer) { answered <- a })
+		return nil
+	}
+	d := New(Options{
+		Log: log.New(io.Discard), Listener: ln, DrainTimeout: 5 * time.Second,
+		HTTP:  httpapi.Config{ShutdownDelay: time.Millisecond},
+		Serve: []func(context.Context, *Daemon) error{lateRequest},
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	require.NoError(t, d.Run(ctx))
+	// The entry has no configuration, which is the only reason to refuse.
+	require.Equal(t, task.ReasonBusy, (<-answered).Reason)
+}
+
+// A request whose outcome is still unknown when the drain is out of time must be
+// answered so and not be cut off.
+func TestUnfinishedRequestIsAnsweredWhenDrainTimesOut(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	answered := make(chan task.Answer, 1)
+	d := New(Options{
+		Log: log.New(io.Discard), Listener: ln, DrainTimeout: 50 * time.Millisecond,
+		HTTP: httpapi.Config{ShutdownDelay: time.Millisecond},
+	})
+	d.callbacks[task.NewSubmissionID(1, 1)] = func(a task.Answer) { answered <- a }
+	d.opts.Serve = []func(context.Context, *Daemon) error{func(ctx context.Context, d *Daemon) error {
+		<-ctx.Done()
+		require.Equal(t, task.Unknown, (<-answered).State)
+		return nil
+	}}
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	require.ErrorIs(t, d.Run(ctx), context.DeadlineExceeded)
+}
