e2e: signals during a drain lose no answer

A real fleet: an entry with 24 requests in flight gets SIGTERM, SIGHUP, SIGTERM, SIGHUP, SIGTERM; each request completes and the entry ends with code 0.

--- a/e2e/signal_test.go
+++ b/e2e/signal_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"syscall"
@@ -114,3 +115,32 @@
 	p.signal(t, syscall.SIGTERM)
 	require.Zero(t, p.awaitExit(t), "%s", p.cmd.ProcessState)
 }
+
+// Signals that arrive during a drain, as overlapping restarts and reloads send them,
+// must not cost a request its answer.
+func TestSignalsDuringDrainLoseNoAnswer(t *testing.T) {
+	const inFlight = 2 * agents * slots
+	c := newCluster(t)
+	wait := inBackground(inFlight, func(i int) answer { return c.request(0, longRunMS, "") })
+	poll(t, "all requests are in flight", func() string {
+		s, err := c.status(0)
+		if err != nil {
+			return err.Error()
+		}
+		if s.InFlight < inFlight {
+			return fmt.Sprintf("%d of %d in flight", s.InFlight, inFlight)
+		}
+		return ""
+	})
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		p := c.entries[0]
+		require.True(t, p.running(), "%s", p.cmd.ProcessState)
+		p.signal(t, s)
+		time.Sleep(signalDelivery / 20)
+	}
+	answers := wait()
+	c.requireAllAnswered(answers)
+	c.requireAllComplete(answers)
+	require.Zero(t, c.entries[0].awaitExit(t), c.entries[0].readLog(t))
+	c.checkStarts(answers)
+}
