logging: count the lines that can't be written

What operators would see: since a lost log reader no longer ends a daemon, its lines disappeared without a trace in log_dropped_lines_total.

Before, on the old code:

--- FAIL: TestAsyncWriterCountsFailedWrites (0.00s) expected: int(3) actual : uint64(0x0)

After: logging, daemon and settings pass twice with -race.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -125,7 +125,7 @@
 		return ExitFailed
 	}
 	defer d.rt.Metrics.Close()
-	d.rt.Metrics.CounterFunc("log_dropped_lines_total", "Lines that were not written as the reader of the log was too slow.",
+	d.rt.Metrics.CounterFunc("log_dropped_lines_total", "Lines that were not written as the reader of the log was too slow or had gone.",
 		func() float64 { return float64(logWriter.TotalDropped()) })
 	if sig := d.signals.pendingEnd(); sig != nil {
 		d.rt.Logs.For(logging.PartDaemon).Info("ended before serving", "signal", sig)
--- a/logging/async_writer.go
+++ b/logging/async_writer.go
@@ -17,8 +17,9 @@
 )
 
 // AsyncWriter is a writer whose Write never blocks. A bounded queue holds lines
-// for the underlying writer, which may block. Lines that do not fit are dropped and
-// counted, and the count is written once half of the queue is free.
+// for the underlying writer, which may block or fail. Lines that do not fit or can't
+// be written are dropped and counted, and the count is written once half of the queue
+// is free.
 type AsyncWriter struct {
 	w     io.Writer
 	lines chan []byte
@@ -77,12 +78,22 @@
 func (r *AsyncWriter) run() {
 	defer close(r.done)
 	for line := range r.lines {
-		// A write error of the log has nowhere to be reported.
-		_, _ = r.w.Write(line)
+		if _, err := r.w.Write(line); err != nil {
+			// A write error of the log can only be counted.
+			r.countFailed()
+			continue
+		}
 		r.reportDropped()
 	}
 }
 
+func (r *AsyncWriter) countFailed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unreported++
+	r.totalDropped++
+}
+
 // reportDropped writes the number of dropped lines once half of the queue is free.
 func (r *AsyncWriter) reportDropped() {
 	r.mu.Lock()
--- a/logging/async_writer_test.go
+++ b/logging/async_writer_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -70,3 +71,22 @@
 		_, _ = r.Write(line)
 	}
 }
+
+// brokenWriter fails like a pipe whose reader has gone.
+type brokenWriter struct{}
+
+func (brokenWriter) Write([]byte) (int, error) { return 0, syscall.EPIPE }
+
+// Lines that can't be written, because the reader of the log has gone, are counted as
+// dropped.
+func TestAsyncWriterCountsFailedWrites(t *testing.T) {
+	r := NewAsyncWriter(brokenWriter{})
+	const lines = 3
+	for range lines {
+		_, err := r.Write([]byte("line\n"))
+		require.NoError(t, err)
+	}
+	r.Close()
+	<-r.done
+	require.EqualValues(t, lines, r.TotalDropped())
+}
