e2e: read a process's state only once it has ended

Under -race the tests of signals, and all tests that ran beside them, failed: the message of a check read ProcessState while os/exec's Wait may write it.

WARNING: DATA RACE Write ... os/exec.(*Cmd).Wait() ... e2e.(*process).start.func1() Previous read ... TestSigtermDuringStartEndsWithoutServing() signal_test.go:79

The checks are the same.

--- a/e2e/signal_test.go
+++ b/e2e/signal_test.go
@@ -43,6 +43,14 @@
 	}
 }
 
+// requireRunning fails the test with the reason if the process has ended.
+func requireRunning(t *testing.T, p *process) {
+	t.Helper()
+	if !p.running() {
+		require.Fail(t, "process has ended", "%s: %s", p.name, p.cmd.ProcessState)
+	}
+}
+
 func awaitLogLine(t *testing.T, p *process, text string) {
 	t.Helper()
 	poll(t, p.name+" logs "+text, func() string {
@@ -61,7 +69,7 @@
 	passSettings := pausedStart(t, p)
 	p.signal(t, syscall.SIGHUP)
 	time.Sleep(signalDelivery)
-	require.True(t, p.running(), "%s", p.cmd.ProcessState)
+	requireRunning(t, p)
 	passSettings()
 	awaitLogLine(t, p, "keys reloaded")
 	p.signal(t, syscall.SIGTERM)
@@ -76,7 +84,7 @@
 	passSettings := pausedStart(t, p)
 	p.signal(t, syscall.SIGTERM)
 	time.Sleep(signalDelivery)
-	require.True(t, p.running(), "%s", p.cmd.ProcessState)
+	requireRunning(t, p)
 	passSettings()
 	require.Zero(t, p.awaitExit(t))
 	require.Contains(t, p.readLog(t), "ended before serving")
@@ -95,7 +103,7 @@
 	p.start(t)
 	awaitHealthy := func() {
 		poll(t, p.name+" is healthy", func() string {
-			require.True(t, p.running(), "%s", p.cmd.ProcessState)
+			requireRunning(t, p)
 			resp, err := c.client.Get("http://" + c.callerAddrs[0] + "/healthz")
 			if err != nil {
 				return err.Error()
@@ -113,7 +121,7 @@
 		awaitHealthy()
 	}
 	p.signal(t, syscall.SIGTERM)
-	require.Zero(t, p.awaitExit(t), "%s", p.cmd.ProcessState)
+	require.Zero(t, p.awaitExit(t), "exit code, -1 after a signal")
 }
 
 // Signals that arrive during a drain, as overlapping restarts and reloads send them,
@@ -134,7 +142,7 @@
 	})
 	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
 		p := c.entries[0]
-		require.True(t, p.running(), "%s", p.cmd.ProcessState)
+		requireRunning(t, p)
 		p.signal(t, s)
 		time.Sleep(signalDelivery / 20)
 	}
