--- a/e2e/signal_test.go
+++ b/e2e/signal_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"syscall"
@@ -42,6 +43,14 @@
 	}
 }
 
+// requireRunning fails the test with the reason if the process has ended.
+func requireRunning(t *testing.T, p *process) {
+	t.Helper()
+	if !p.running() {
+		require.Fail(t, "process has ended", "%s: %s", p.name, p.cmd.ProcessState)
+	}
+}
+
 func awaitLogLine(t *testing.T, p *process, text string) {
 	t.Helper()
 	poll(t, p.name+" logs "+text, func() string {
@@ -60,7 +69,7 @@
 	passSettings := pausedStart(t, p)
 	p.signal(t, syscall.SIGHUP)
 	time.Sleep(signalDelivery)
-	require.True(t, p.running(), "%s", p.cmd.ProcessState)
+	requireRunning(t, p)
 	passSettings()
 	awaitLogLine(t, p, "keys reloaded")
 	p.signal(t, syscall.SIGTERM)
@@ -75,7 +84,7 @@
 	passSettings := pausedStart(t, p)
 	p.signal(t, syscall.SIGTERM)
 	time.Sleep(signalDelivery)
-	require.True(t, p.running(), "%s", p.cmd.ProcessState)
+	requireRunning(t, p)
 	passSettings()
 	require.Zero(t, p.awaitExit(t))
 	require.Contains(t, p.readLog(t), "ended before serving")
@@ -94,7 +103,7 @@
 	p.start(t)
 	awaitHealthy := func() {
 		poll(t, p.name+" is healthy", func() string {
-			require.True(t, p.running(), "%s", p.cmd.ProcessState)
+			requireRunning(t, p)
 			resp, err := c.client.Get("http://" + c.callerAddrs[0] + "/healthz")
 			if err != nil {
 				return err.Error()
@@ -112,5 +121,34 @@
 		awaitHealthy()
 	}
 	p.signal(t, syscall.SIGTERM)
-	require.Zero(t, p.awaitExit(t), "%s", p.cmd.ProcessState)
+	require.Zero(t, p.awaitExit(t), "exit code, -1 after a signal")
+}
+
+// Signals that arrive during a drain, as overlapping restarts and reloads send them,
+// must not cost a request its answer.
+func TestSignalsDuringDrainLoseNoAnswer(t *testing.T) {
+	const inFlight = 2 * agents * slots
+	c := newCluster(t)
+	wait := inBackground(inFlight, func(i int) answer { return c.request(0, longRunMS, "") })
+	poll(t, "all requests are in flight", func() string {
+		s, err := c.status(0)
+		if err != nil {
+			return err.Error()
+		}
+		if s.InFlight < inFlight {
+			return fmt.Sprintf("%d of %d in flight", s.InFlight, inFlight)
+		}
+		return ""
+	})
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		p := c.entries[0]
+		requireRunning(t, p)
+		p.signal(t, s)
+		time.Sleep(signalDelivery / 20)
+	}
+	answers := wait()
+	c.requireAllAnswered(answers)
+	c.requireAllComplete(answers)
+	require.Zero(t, c.entries[0].awaitExit(t), c.entries[0].readLog(t))
+	c.checkStarts(answers)
 }
