upstream: wrap the listener once

httpserve already wraps the listeners of all servers with netlisten; a wrapped listener hides its socket from it.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -16,7 +16,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fireflytray/fireflytray/internal/httpserve"
-	"github.com/fireflytray/fireflytray/internal/netlisten"
 )
 
 const (
@@ -104,7 +103,7 @@
 // yet.
 func New(o Options) (*Server, error) {
 	o = o.withDefaults()
-	ln, err := netlisten.Listen(o.Tasks, o.Log)
+	ln, err := net.Listen("tcp", o.Tasks)
 	if err != nil {
 		return nil, fmt.Errorf("upstream: listen %s: %w", o.Tasks, err)
 	}
