e2e: restart tests wait until a started process listens

On a busy machine 300 ms after its start a process may not have its signal handlers: the SIGTERM of the next round ended it, and the test failed at the next signal ("os: process already finished", seen once in 14 runs of TestReloadDuringDrainCutsNoRequest beside other work). The rounds now wait for the listener.

--- a/e2e/restart_test.go
+++ b/e2e/restart_test.go
@@ -79,6 +79,20 @@
 
 func shortJobs(f *platformFleet, rng *rand.Rand) func() request { return f.jobs(rng, longestRunTime) }
 
+// awaitListening waits until a process listens on an address. It handles signals
+// by then.
+func awaitListening(t *testing.T, p *process, addr string) {
+	t.Helper()
+	poll(t, p.name+" listens", func() string {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			return err.Error()
+		}
+		conn.Close()
+		return ""
+	})
+}
+
 // restart stops all entries in rounds and starts each again after it has ended
 // with code 0 or one of the given codes. It returns when they ended.
 func (f *platformFleet) restart(rounds int, stop func(round int, p *process), codes ...int) []time.Time {
@@ -86,7 +100,7 @@
 	codes = append(codes, daemon.ExitOK)
 	var e ends
 	var wg sync.WaitGroup
-	for _, p := range f.entries {
+	for i, p := range f.entries {
 		wg.Go(func() {
 			for round := range rounds {
 				time.Sleep(loadTime)
@@ -95,6 +109,7 @@
 					f.t.Errorf("%s ended with code %d", p.name, code)
 				}
 				p.start(f.t)
+				awaitListening(f.t, p, f.clientAddrs[i])
 			}
 		})
 	}
@@ -225,6 +240,7 @@
 					t.Errorf("%s ended with code %d", p.name, code)
 				}
 				p.start(t)
+				awaitListening(t, p, f.clientAddrs[i])
 			})
 		}
 		wg.Wait()
@@ -267,6 +283,7 @@
 			t.Errorf("%s ended with code %d", p.name, code)
 		}
 		p.start(t)
+		awaitListening(t, p, f.heartbeatAddrs[i%len(f.agents)])
 		time.Sleep(time.Second)
 	}
 	f.check(l, e.list)
@@ -331,14 +348,7 @@
 			f.t.Errorf("%s ended with code %d", p.name, code)
 		}
 		p.start(f.t)
-		poll(f.t, p.name+" listens", func() string {
-			conn, err := net.Dial("tcp", addr)
-			if err != nil {
-				return err.Error()
-			}
-			conn.Close()
-			return ""
-		})
+		awaitListening(f.t, p, addr)
 	}
 	return e.list
 }
@@ -366,7 +376,7 @@
 	l := startLoad(t, clients)
 	var e ends
 	var wg sync.WaitGroup
-	for _, p := range c.entries {
+	for i, p := range c.entries {
 		wg.Go(func() {
 			for range 3 {
 				time.Sleep(loadTime)
@@ -375,6 +385,7 @@
 					t.Errorf("%s ended with code %d", p.name, code)
 				}
 				p.start(t)
+				awaitListening(t, p, c.callerAddrs[i])
 			}
 		})
 	}
