entryd: a copy of the state is refused at once after the end

What callers saw: an entry that had drained went on for one, two or more seconds with the requests that it had read, none of which was answered; one waited 2.1 s. Cause: View ignored that Post had rejected its event and waited viewTimeout for nobody. The goroutine that reports metrics takes a due tick as readily as the end of its context, and Run waits for it. Change: View returns an error when Post does.

httpserve: a connection found idle is shut for writing in the call that found no byte on it. In one of 14 trials with an entry at a tenth of a processor a request was reset unread between that look and the close; that the process waited for the processor there is inferred, not traced. TestIdleConnectionEndsWhenFoundIdle fails without it.

--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -315,7 +315,9 @@
 // View returns a copy of the state for status pages and metrics.
 func (d *Daemon) View() (entry.View, error) {
 	reply := make(chan entry.View, 1)
-	d.loop.Post(viewRequest{reply: reply})
+	if !d.loop.Post(viewRequest{reply: reply}) {
+		return entry.View{}, fmt.Errorf("entry %s: state not available: the entry has shut down", d.opts.Self.ID)
+	}
 	select {
 	case v := <-reply:
 		return v, nil
--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -17,7 +18,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if tcp, ok := c.(tcpConn); ok {
-		return &conn{tcp}, nil
+		return &conn{tcpConn: tcp}, nil
 	}
 	return c, err
 }
@@ -52,7 +53,11 @@
 // conn is a TCP connection whose reads return what has arrived even after the read
 // deadline. A request that reached this host before an idle connection is closed
 // is therefore answered. Closing the connection with unread bytes would reset it.
-type conn struct{ tcpConn }
+type conn struct {
+	tcpConn
+	// closing is set while the server closes the connection if it is idle.
+	closing atomic.Bool
+}
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
@@ -72,9 +77,25 @@
 		return 0
 	}
 	n := 0
-	err = raw.Control(func(fd uintptr) { n, _ = unix.Read(int(fd), p) })
+	err = raw.Control(func(fd uintptr) {
+		n, err = unix.Read(int(fd), p)
+		if err == unix.EAGAIN && c.closing.Load() {
+			// The client learns at once that nothing more is read. The
+			// process may have to wait for the processor before it closes
+			// the connection.
+			_ = unix.Shutdown(int(fd), unix.SHUT_WR)
+		}
+	})
 	if err != nil {
 		return 0
 	}
 	return max(n, 0)
 }
+
+// setClosing marks a connection as one to close if it is idle. It does nothing for
+// a TLS connection, whose client waits for the end of its session.
+func setClosing(c net.Conn, closing bool) {
+	if c, ok := c.(*conn); ok {
+		c.closing.Store(closing)
+	}
+}
--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -112,6 +112,7 @@
 	if s.http.ReadTimeout > 0 {
 		at = time.Now().Add(s.http.ReadTimeout)
 	}
+	setClosing(c, false)
 	s.setReadDeadline(c, at)
 }
 
@@ -223,6 +224,7 @@
 	now := time.Now()
 	for c, info := range s.conns {
 		if info.idle(now) {
+			setClosing(c, true)
 			s.setReadDeadline(c, time.Unix(1, 0))
 		}
 	}
--- a/internal/httpserve/server_test.go
+++ b/internal/httpserve/server_test.go
@@ -235,3 +235,25 @@
 	stop()
 	require.NoError(t, <-ended)
 }
+
+// A client must learn that its idle connection is closed at the moment at which the
+// server found it without a request: until a starved process closes it, the client
+// would send requests that nobody reads.
+func TestIdleConnectionEndsWhenFoundIdle(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	peer, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	defer peer.Close()
+	c, err := (&listener{ln}).Accept()
+	require.NoError(t, err)
+	defer c.Close()
+	setClosing(c, true)
+	require.NoError(t, c.SetReadDeadline(time.Unix(1, 0)))
+	_, err = c.Read(make([]byte, 64))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.NoError(t, peer.SetReadDeadline(time.Now().Add(testTimeout)))
+	_, err = peer.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+}
