controld: a stopped leader hands over before it leaves its peers

What callers saw: a control host that led and was stopped took 2.0 s (all of stopTimeout) to end and handed over to nobody, so the others elected a leader only after their election time-out (how the new leader came about is inferred, not traced). Cause: Run stopped the replica, which transfers the leadership, after the links and the listener were closed. Evidence: TestStoppedLeaderHandsOver, by the reviewer, on: "the leader ended after 2.000984677s", "2.00112726s is not less than 500ms". Change: the replica stops after serveOperators has returned and before the inner context ends. An error of closing its files at that time, which was dropped, can now be returned by Run. For the moment between the two ends the host refuses proposals as not executed, which their senders repeat.

--- a/controld/controld.go
+++ b/controld/controld.go
@@ -158,7 +158,8 @@
 func (h *Host) Addr() string { return h.listener.Addr() }
 
 // Run serves until ctx ends. The operators' requests in progress are then answered
-// before the host leaves its peers, because a change can't be decided without them.
+// and the leadership is transferred before the host leaves its peers, because neither
+// can be done without them.
 func (h *Host) Run(ctx context.Context) error {
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -166,6 +167,7 @@
 	h.group = g
 	g.Go(func() error {
 		defer stop()
+		defer h.replica.Stop()
 		return h.serveOperators(ctx, inner)
 	})
 	g.Go(func() error { h.loop.Run(inner); return nil })
@@ -180,9 +182,7 @@
 		return errors.Join(h.listener.Close(), h.replica.Err())
 	})
 	h.log.Info("serving", "peers", h.Addr(), "admin", h.opts.Admin)
-	err := g.Wait()
-	h.replica.Stop()
-	if err != nil {
+	if err := g.Wait(); err != nil {
 		return fmt.Errorf("controld: %w", err)
 	}
 	return nil
