agentd: a failed server starts a drain

What callers saw: an agent whose server for announcements or whose listener for entries failed ended at once, and the outcomes of its running tasks were lost (the loss by reading). Cause: the error cancelled the context of the loop and the sessions. Evidence: TestFailedServerStartsDrain, by the reviewer, on: "the agent ended without a drain". Change: the servers have a group of their own, whose first error starts the drain like the end of ctx does, as in package entryd, and is returned after it. The line "agent is draining" carries the cause. A server that fails during a drain no longer cuts that short.

--- a/agentd/agentd.go
+++ b/agentd/agentd.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -58,9 +59,9 @@
 	close()
 }
 
-// Run runs an agent until ctx ends and the agent has drained: running tasks have
-// ended and their outcomes are acknowledged, or the time limits of the drain have
-// passed.
+// Run runs an agent until ctx ends or a server fails, and the agent has drained:
+// running tasks have ended and their outcomes are acknowledged, or the time limits
+// of the drain have passed.
 func Run(ctx context.Context, o Options) error {
 	d, err := newDaemon(o.withDefaults())
 	if err != nil {
@@ -139,36 +140,32 @@
 func (d *daemon) run(ctx context.Context) error {
 	runCtx, stop := context.WithCancel(context.Background())
 	defer stop()
-	g, runCtx := errgroup.WithContext(runCtx)
+	var g errgroup.Group
 	g.Go(func() error { d.loop.Run(runCtx); return nil })
-	g.Go(func() error { return d.sessions.accept(runCtx, d.peerListener) })
-	g.Go(func() error { return d.serveUpstream(runCtx, g) })
-	g.Go(func() error {
-		defer stop()
-		return d.drainAfter(ctx, runCtx)
-	})
+	if d.leased != nil {
+		g.Go(func() error { d.leased.run(runCtx); return nil })
+	}
+	// A server that fails starts the drain like the end of ctx does, so that the
+	// running tasks are not cut off.
+	servers, failed := errgroup.WithContext(ctx)
+	servers.Go(func() error { return d.sessions.accept(runCtx, d.peerListener) })
+	servers.Go(func() error { return d.serveUpstream(runCtx) })
 	d.opts.Log.Info("agent is ready", "peers", d.peerListener.Addr(), "upstream", d.announceAddr(), "incarnation", d.opts.Self.Incarnation)
 	if d.opts.Ready != nil {
 		d.opts.Ready(d.peerListener.Addr(), d.announceAddr())
 	}
-	return g.Wait()
+	<-failed.Done()
+	d.drain(context.Cause(failed))
+	stop()
+	return errors.Join(servers.Wait(), g.Wait())
 }
 
-// drainAfter waits until ctx ends, then starts the drain and waits for its end.
-func (d *daemon) drainAfter(ctx, runCtx context.Context) error {
-	select {
-	case <-ctx.Done():
-	case <-runCtx.Done():
-		return nil
-	}
-	d.opts.Log.Info("agent is draining")
+// drain drains the agent and waits for the end of the drain.
+func (d *daemon) drain(cause error) {
+	d.opts.Log.Info("agent is draining", "cause", cause)
 	d.loop.Post(agent.Drain{})
-	select {
-	case <-d.drained:
-		time.Sleep(lingerAfterDrain)
-	case <-runCtx.Done():
-	}
-	return nil
+	<-d.drained
+	time.Sleep(lingerAfterDrain)
 }
 
 func (d *daemon) announceAddr() string {
@@ -178,13 +175,11 @@
 	return d.announceListener.Addr().String()
 }
 
-// serveUpstream accepts the upstream's announcements until ctx ends. For a leased
-// upstream it also starts the runner's loop in g.
-func (d *daemon) serveUpstream(ctx context.Context, g *errgroup.Group) error {
+// serveUpstream accepts the upstream's announcements until ctx ends.
+func (d *daemon) serveUpstream(ctx context.Context) error {
 	if d.leased == nil {
 		return d.serveHTTP(ctx)
 	}
-	g.Go(func() error { d.leased.run(ctx); return nil })
 	return d.opts.Leased.Serve(ctx, d.leased)
 }
 
