entryd: a drain waits for outcomes while it has time left

What callers saw: if control was away for more than 5 s at the end of a drain, the outcomes on their way to it were given up although the drain had time left; a resend of their requests was then told unknown (by reading). A drain that was out of time took up to 5 s more, beyond the 2 s after which package daemon ends the process. Cause: resolver.drain waited 5 s whatever was left of the drain. Evidence: TestDrainWaitsForOutcomesWhileTimeIsLeft with the old wait: 5s instead of 20s, 30s and 1s in three of its four cases, in simulated time. Change: resolver.drain waits until the context of the drain ends, but at least 1 s. After: it passes; all tests of the package pass, also with -race, and so do TestEntryDrains, TestAgentDrains, TestAllControlHostsKilled and TestKilledLeaderDuringChanges of package e2e.

--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -231,7 +231,7 @@
 		err = errors.Join(err, ctx.Err())
 	}
 	d.closeSessions(ctx)
-	d.resolver.drain()
+	d.resolver.drain(ctx)
 	if err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
--- a/entryd/resolve.go
+++ b/entryd/resolve.go
@@ -18,8 +18,10 @@
 	resolveTimeout = time.Hour
 	// maxPendingResolves bounds the outcomes being recorded at the same time.
 	maxPendingResolves = 10_000
-	// resolveDrainTimeout bounds how long a drain waits for pending outcomes.
-	resolveDrainTimeout = 5 * time.Second
+	// resolveDrainMinimum is how long a drain that is out of time still waits for
+	// pending outcomes. With serverStopTimeout it stays below the time that package
+	// daemon grants to a program beyond its drain.
+	resolveDrainMinimum = time.Second
 )
 
 // resolver records the outcomes of granted claims at the control hosts.
@@ -57,11 +59,11 @@
 	})
 }
 
-// drain waits up to resolveDrainTimeout for pending outcomes and cancels the
-// rest. record must not be called afterwards.
-func (r *resolver) drain() {
-	timer := time.AfterFunc(resolveDrainTimeout, r.cancel)
-	defer timer.Stop()
+// drain waits for pending outcomes until ctx ends, but at least resolveDrainMinimum,
+// and cancels the rest. record must not be called afterwards.
+func (r *resolver) drain(ctx context.Context) {
+	earliest := time.Now().Add(resolveDrainMinimum)
+	defer context.AfterFunc(ctx, func() { time.AfterFunc(time.Until(earliest), r.cancel) })()
 	r.pending.Wait()
 	r.cancel()
 }
