soak: judge every cut on planned restarts, over open connections

What was missing: the callers used net/http, which sends a request again without telling, through relays only, and a request without an answer was counted as `unanswered` and not judged. Nothing tied a cut to what the soak had done to the process, no fault of a series overlapped another of the same process, and SIGHUP and a second SIGTERM were never sent. A fleet whose control hosts took no document hung until go test's own time-out. Change: callers with raw kept-alive connections straight to the entries, read at all times, some idle for seconds. A request whose bytes were written and that got no complete answer is a violation unless the process was killed since the connection was opened, was paused during the request, or had not read the request: unread within 5 ms, shown by a reset or an end that came first, on a connection that was idle for 5 ms or new. Allowed cuts are counted and printed by reason. TestSoakPlannedRestarts sends planned signals only: rolling restarts that overlap, agents and control hosts restarted together, SIGHUP at any time and during drains, a second SIGTERM. A process that ends unasked is a violation. Sizes and the loopback addresses are flags; every wait has a bound that names what did not end. The soak's own acts stand in the processes' log.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +8,7 @@
 	"net/http"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,8 +32,16 @@
 	mu     sync.Mutex
 	// refusedJobs lists the jobs that were answered as not run.
 	refusedJobs []string
+	// exempted counts the cut requests of direct callers by the reason that allows
+	// the cut.
+	exempted map[string]int
 
 	complete, refusals, timedOut, unanswered atomic.Int64
+	// direct counts the answers to direct callers, cuts their requests that ended
+	// without a complete answer and without a reason that allows it.
+	direct, cuts atomic.Int64
+	// forced counts those cuts that followed a second SIGTERM.
+	forced atomic.Int64
 }
 
 // run submits one job at a time over kept-alive connections until ctx ends.
@@ -46,20 +54,8 @@
 }
 
 func (c *callers) submit(ctx context.Context, client *http.Client, rng *rand.Rand) {
-	id := fmt.Sprintf("%016x", rng.Uint64())
-	runTime := time.Duration(20+rng.IntN(250)) * time.Millisecond
-	body := fmt.Sprintf(`{"jobSpec":%s,"bestEffort":true,"steps":[{"count":%d,"cpu":500,"memMb":1,"estimateMs":%d}]}`,
-		strconv.Quote(standin.Payload(runTime, 500)), 1+rng.IntN(maxTasksPerJob), runTime.Milliseconds())
-	c.ledger.Submitted(id)
-	url := "http://" + address(netToEntry, rng.IntN(entries), portClients) + prefix + id
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewBufferString(body))
-	if err != nil {
-		c.ledger.AddViolation("request: %v", err)
-		return
-	}
-	req.Host = host
-	req.Header.Set("X-Fireflytray-Deadline-Ms", strconv.FormatInt(callerTimeout.Milliseconds(), 10))
-	resp, err := client.Do(req)
+	id, req := c.newJob(rng, address(netToEntry, rng.IntN(*entries), portClients))
+	resp, err := client.Do(req.WithContext(ctx))
 	if err != nil {
 		c.unanswered.Add(1)
 		return
@@ -73,6 +69,22 @@
 	c.answered(id, resp, string(text))
 }
 
+// newJob returns the id of a new job and the request that submits it to addr.
+func (c *callers) newJob(rng *rand.Rand, addr string) (string, *http.Request) {
+	id := fmt.Sprintf("%016x", rng.Uint64())
+	runTime := time.Duration(20+rng.IntN(250)) * time.Millisecond
+	body := fmt.Sprintf(`{"jobSpec":%s,"bestEffort":true,"steps":[{"count":%d,"cpu":500,"memMb":1,"estimateMs":%d}]}`,
+		strconv.Quote(standin.Payload(runTime, 500)), 1+rng.IntN(maxTasksPerJob), runTime.Milliseconds())
+	c.ledger.Submitted(id)
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+prefix+id, strings.NewReader(body))
+	if err != nil {
+		panic(err) // the address and the method are valid
+	}
+	req.Host = host
+	req.Header.Set("X-Fireflytray-Deadline-Ms", strconv.FormatInt(callerTimeout.Milliseconds(), 10))
+	return id, req
+}
+
 func (c *callers) answered(id string, resp *http.Response, text string) {
 	switch resp.StatusCode {
 	case http.StatusOK:
@@ -118,6 +130,8 @@
 	client http.Client
 	// published is the highest version sent, acked the highest acknowledged.
 	published, acked atomic.Int64
+	// lastResult describes the outcome of the last call.
+	lastResult atomic.Pointer[string]
 }
 
 func (o *operator) run(ctx context.Context, rng *rand.Rand) {
@@ -175,25 +189,32 @@
 	return got
 }
 
+// call calls a random host. The status is 0 if there was no complete answer.
 func (o *operator) call(ctx context.Context, rng *rand.Rand, method, body string) (int, string) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	url := "http://" + address(netControl, rng.IntN(controls), portOperators) + "/config"
-	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewBufferString(body))
+	url := "http://" + address(netControl, rng.IntN(*controls), portOperators) + "/config"
+	status, text, err := o.do(ctx, method, url, body)
+	result := fmt.Sprintf("%s %s: status %d, %v, %s", method, url, status, err, text)
+	o.lastResult.Store(&result)
+	return status, text
+}
+
+func (o *operator) do(ctx context.Context, method, url, body string) (int, string, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	if err != nil {
-		o.ledger.AddViolation("request: %v", err)
-		return 0, ""
+		return 0, "", err
 	}
 	resp, err := o.client.Do(req)
 	if err != nil {
-		return 0, ""
+		return 0, "", err
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return 0, ""
+		return 0, "", err
 	}
-	return resp.StatusCode, string(text)
+	return resp.StatusCode, string(text), nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"flag"
 	"fmt"
 	"os"
 	"os/exec"
@@ -12,13 +13,18 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/platform/standin"
 )
 
-const (
-	controls = 3
-	entries  = 2
-	agents   = 4
+var (
+	controls = flag.Int("soak.controls", 3, "number of control hosts")
+	entries  = flag.Int("soak.entries", 2, "number of entries")
+	agents   = flag.Int("soak.agents", 4, "number of agents, each with one upstream")
+	slot     = flag.Int("soak.slot", 0, "second octet of the loopback addresses; runs at the same time need different ones")
+)
 
+const (
 	portControl    = 17720
 	portAgent      = 17721
 	portOperators  = 17722
@@ -28,6 +34,11 @@
 	portCallers    = 17726
 	portHeartbeats = 17727
 	portUpstream   = 17728
+
+	// stopTimeout bounds a planned stop: the drain time-out of 5 s in the settings,
+	// and the 2 s that a program may take beyond it.
+	stopTimeout = 8 * time.Second
+	killTimeout = 5 * time.Second
 )
 
 // process is one of the programs under test.
@@ -37,11 +48,34 @@
 	data       string // data folder
 	settings   string // path of the settings file
 
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	done chan struct{}
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	done   chan struct{}
+	starts []time.Time // of all incarnations
+	// stopping is set once the current incarnation has been told to end.
+	stopping bool
+	// disturbances lists the unplanned faults, planned the signals that operators
+	// send, both of all incarnations.
+	disturbances []disturbance
+	planned      []plannedSignal
+}
+
+// disturbance is an unplanned fault of a process.
+type disturbance struct {
+	kind     string
+	from, to time.Time // to is zero while the fault lasts
+}
+
+type plannedSignal struct {
+	name string
+	at   time.Time
 }
 
+const (
+	disturbanceKill  = "process killed"
+	disturbancePause = "process paused"
+)
+
 // fleet holds the processes of one run and the relays between them.
 type fleet struct {
 	t         *testing.T
@@ -51,9 +85,10 @@
 	// relays forward the traffic of callers and upstreams, and that of entries
 	// and agents to the control hosts in their settings.
 	relays []*relay
+	ledger *standin.Ledger
 }
 
-// Third octets of the addresses, 127.0.NET.i.
+// Third octets of the addresses, 127.SLOT.NET.i.
 const (
 	netControl = 1 + iota
 	netEntry
@@ -64,7 +99,7 @@
 	netToUpstream
 )
 
-func address(net, i, port int) string { return fmt.Sprintf("127.0.%d.%d:%d", net, i+1, port) }
+func address(net, i, port int) string { return fmt.Sprintf("127.%d.%d.%d:%d", *slot, net, i+1, port) }
 
 func (f *fleet) addRelays(net, to, count, port int) {
 	for i := range count {
@@ -72,24 +107,24 @@
 	}
 }
 
-func newFleet(t *testing.T, dir, bin string) *fleet {
-	f := &fleet{t: t, dir: dir}
+func newFleet(t *testing.T, dir, bin string, ledger *standin.Ledger) *fleet {
+	f := &fleet{t: t, dir: dir, ledger: ledger}
 	var err error
 	f.logFile, err = os.Create(filepath.Join(dir, "processes.log"))
 	require.NoError(t, err)
-	for i := range controls {
+	for i := range *controls {
 		f.add("control", i, netControl)
 	}
-	for i := range entries {
+	for i := range *entries {
 		f.add("entry", i, netEntry)
 	}
-	for i := range agents {
+	for i := range *agents {
 		f.add("agent", i, netAgent)
 	}
-	f.addRelays(netToControl, netControl, controls, portControl)
-	f.addRelays(netToEntry, netEntry, entries, portClients)
-	f.addRelays(netToAgent, netAgent, agents, portHeartbeats)
-	f.addRelays(netToUpstream, netAgent, agents, portUpstream)
+	f.addRelays(netToControl, netControl, *controls, portControl)
+	f.addRelays(netToEntry, netEntry, *entries, portClients)
+	f.addRelays(netToAgent, netAgent, *agents, portHeartbeats)
+	f.addRelays(netToUpstream, netAgent, *agents, portUpstream)
 	for _, p := range f.processes {
 		f.writeSettings(p, false)
 		f.start(bin, p)
@@ -100,14 +135,14 @@
 func (f *fleet) add(role string, i, net int) {
 	name := fmt.Sprintf("%s-%d", role, i+1)
 	f.processes = append(f.processes, &process{
-		name: name, role: role, addr: fmt.Sprintf("127.0.%d.%d", net, i+1),
+		name: name, role: role, addr: fmt.Sprintf("127.%d.%d.%d", *slot, net, i+1),
 		data: filepath.Join(f.dir, name), settings: filepath.Join(f.dir, name+".ini"),
 	})
 }
 
 func controlAddresses(net int) string {
 	var list []string
-	for i := range controls {
+	for i := range *controls {
 		list = append(list, address(net, i, portControl))
 	}
 	return strings.Join(list, ",")
@@ -131,25 +166,119 @@
 	require.NoError(f.t, os.WriteFile(p.settings, []byte(text), 0o600))
 }
 
+// start starts a process. It reports a failure without ending the test's
+// goroutine, because faults call it from goroutines of their own.
 func (f *fleet) start(bin string, p *process) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cmd := exec.Command(filepath.Join(bin, "fireflytray-"+p.role), "--config", p.settings)
 	cmd.Stdout, cmd.Stderr = f.logFile, f.logFile
-	require.NoError(f.t, cmd.Start())
+	if err := cmd.Start(); err != nil {
+		f.t.Errorf("start %s: %v", p.name, err)
+		return
+	}
 	done := make(chan struct{})
+	p.cmd, p.done, p.stopping = cmd, done, false
+	p.starts = append(p.starts, time.Now())
+	f.note("%s started, pid %d", p.name, cmd.Process.Pid)
 	go func() {
-		_ = cmd.Wait() // returns an error for killed processes
+		err := cmd.Wait() // returns an error for killed processes
+		f.note("%s ended: %v", p.name, err)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if !p.stopping {
+			f.ledger.AddViolation("%s ended by itself: %v", p.name, err)
+		}
 		close(done)
 	}()
-	p.cmd, p.done = cmd, done
 }
 
+// note writes a line of the soak into the log of the processes.
+func (f *fleet) note(format string, args ...any) {
+	fmt.Fprintf(f.logFile, "%s soak: %s\n", logTime(time.Now()), fmt.Sprintf(format, args...))
+}
+
+// logTime formats a time as the logs of the processes do.
+func logTime(t time.Time) string { return t.UTC().Format("2006-01-02T15:04:05.000Z") }
+
 // signal sends a signal to a process that the fleet started.
-func (p *process) signal(s syscall.Signal) {
+func (f *fleet) signal(p *process, s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	// The record precedes the signal, so that no effect is seen before it.
+	now := time.Now()
+	switch s {
+	case syscall.SIGKILL:
+		p.stopping = true
+		p.disturbances = append(p.disturbances, disturbance{disturbanceKill, now, now})
+	case syscall.SIGSTOP:
+		p.disturbances = append(p.disturbances, disturbance{kind: disturbancePause, from: now})
+	case syscall.SIGTERM:
+		p.stopping = true
+		p.planned = append(p.planned, plannedSignal{"SIGTERM", now})
+	case syscall.SIGHUP:
+		p.planned = append(p.planned, plannedSignal{"SIGHUP", now})
+	}
+	f.note("%s receives %v", p.name, s)
 	_ = p.cmd.Process.Signal(s) // it may have exited
+	if n := len(p.disturbances); s == syscall.SIGCONT && n > 0 && p.disturbances[n-1].to.IsZero() {
+		p.disturbances[n-1].to = time.Now()
+	}
+}
+
+// disturbed returns the kind of an unplanned fault that explains the end of a
+// connection: a kill since it was opened, or a pause during the request.
+func (p *process) disturbed(opened, written, ended time.Time) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, d := range p.disturbances {
+		begin := written
+		if d.kind == disturbanceKill {
+			begin = opened
+		}
+		if d.from.Before(ended) && (d.to.IsZero() || d.to.After(begin)) {
+			return d.kind
+		}
+	}
+	return ""
+}
+
+// plannedBefore describes the planned signals, before the end of a connection, to
+// the incarnation that was the last to start before it was opened, and counts its
+// SIGTERMs.
+func (p *process) plannedBefore(opened, ended time.Time) (terms int, text string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var begin time.Time
+	for _, at := range p.starts {
+		if at.Before(opened) {
+			begin = at
+		}
+	}
+	var list []string
+	for _, s := range p.planned {
+		if s.at.Before(begin) || s.at.After(ended) {
+			continue
+		}
+		if s.name == "SIGTERM" {
+			terms++
+		}
+		list = append(list, fmt.Sprintf("%s %d ms before the end", s.name, ended.Sub(s.at).Milliseconds()))
+	}
+	return terms, "signals: " + strings.Join(list, ", ")
+}
+
+// uptime returns how long the current incarnation has run.
+func (p *process) uptime() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.starts) == 0 {
+		return 0 // the start failed
+	}
+	return time.Since(p.starts[len(p.starts)-1])
 }
 
 // awaitExit waits for the process to exit and reports whether it exited in time.
@@ -157,6 +286,9 @@
 	p.mu.Lock()
 	done := p.done
 	p.mu.Unlock()
+	if done == nil {
+		return true
+	}
 	select {
 	case <-done:
 		return true
@@ -165,15 +297,40 @@
 	}
 }
 
-func (p *process) killAndWait() {
-	p.signal(syscall.SIGKILL)
-	p.awaitExit(5 * time.Second)
+func (f *fleet) killAndWait(p *process) {
+	f.signal(p, syscall.SIGKILL)
+	if !p.awaitExit(killTimeout) {
+		f.t.Errorf("%s did not end within %s of SIGKILL", p.name, killTimeout)
+	}
+}
+
+// stop sends SIGTERM, calls draining and waits until the process has ended.
+func (f *fleet) stop(p *process, draining func()) {
+	f.signal(p, syscall.SIGTERM)
+	draining()
+	if !p.awaitExit(stopTimeout) {
+		f.t.Errorf("%s did not end within %s of SIGTERM", p.name, stopTimeout)
+		f.killAndWait(p)
+	}
 }
 
+func (f *fleet) byRole(role string) []*process {
+	var list []*process
+	for _, p := range f.processes {
+		if p.role == role {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// entry returns the entry with the address of index i.
+func (f *fleet) entry(i int) *process { return f.byRole("entry")[i] }
+
 func (f *fleet) close() {
 	for _, p := range f.processes {
-		p.signal(syscall.SIGCONT)
-		p.killAndWait()
+		f.signal(p, syscall.SIGCONT)
+		f.killAndWait(p)
 	}
 	for _, r := range f.relays {
 		r.close()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,51 +28,108 @@
 )
 
 const (
-	// concurrentJobs is the number of jobs in flight.
-	concurrentJobs = 6
+	// relayedCallers is the number of callers that reach the entries through
+	// relays.
+	relayedCallers = 6
+	// directCallersPerAgent is the number of callers that connect to the entries for
+	// each agent. One of them idles for seconds between its requests.
+	directCallersPerAgent = 3
 	// readyTimeout bounds start-up and recovery. Replacing a host takes 3 s, and
 	// a paused one resumes after up to 3 s.
 	readyTimeout = 25 * time.Second
 	// minWipeInterval is the minimum time between two disk losses. The deployment
 	// tolerates one lost disk, so the first host must be repaired in between.
 	minWipeInterval = 12 * time.Second
+	// maxFaultTime bounds the time that begun faults take to end, some of which wait
+	// for another one of the same process.
+	maxFaultTime = 60 * time.Second
+	// callersTimeout bounds the end of the callers and of the operator.
+	callersTimeout = answerTimeout + dialTimeout + 5*time.Second
+	// buildTimeout bounds the build of the programs.
+	buildTimeout = 3 * time.Minute
 )
 
-// regressions lists seeds that once failed, with the cause of each failure.
-var regressions = []uint64{
-	102, // an entry assumed that a restarted agent, whose upstream was not known yet, had no capacity
+// mode selects the faults of a run.
+type mode struct {
+	name string
+	// regressions lists seeds that once failed, with the cause of each failure.
+	regressions []uint64
+	// inject injects faults for *faultDuration and returns once all have ended.
+	inject func(ctx context.Context, f *fleet, bin string, seed uint64)
 }
 
+// TestSoak injects unplanned and planned faults of processes and links.
 func TestSoak(t *testing.T) {
+	runSeeds(t, mode{
+		name: "mixed",
+		regressions: []uint64{
+			102, // an entry assumed that a restarted agent, whose upstream was not known yet, had no capacity
+		},
+		inject: injectMixed,
+	})
+}
+
+// TestSoakPlannedRestarts guards against requests that end without an answer while
+// planned restarts and reloads overlap: such work must cut none.
+func TestSoakPlannedRestarts(t *testing.T) {
+	runSeeds(t, mode{
+		name: "planned",
+		regressions: []uint64{
+			3,  // an entry accepted a request after its reducer had ended
+			4,  // a second SIGTERM ended an entry with requests in flight
+			13, // the drain of an entry waited for sessions with restarting agents until its time-out, and then cut a request
+		},
+		inject: injectPlanned,
+	})
+}
+
+func runSeeds(t *testing.T, m mode) {
 	if testing.Short() {
 		t.Skip("runs the real programs")
 	}
 	bin := t.TempDir()
-	build := exec.Command("go", "build", "-o", bin, "../cmd/...")
+	ctx, cancel := context.WithTimeout(context.Background(), buildTimeout)
+	defer cancel()
+	build := exec.CommandContext(ctx, "go", "build", "-o", bin, "../cmd/...")
 	out, err := build.CombinedOutput()
 	require.NoError(t, err, string(out))
 	requireSingleRun(t)
-	list := append([]uint64(nil), regressions...)
+	list := append([]uint64(nil), m.regressions...)
 	for i := range *seedCount {
 		list = append(list, *firstSeed+i)
 	}
 	for _, seed := range list {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSeed(t, bin, seed) })
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSeed(t, m, bin, seed) })
 	}
 }
 
-func runSeed(t *testing.T, bin string, seed uint64) {
+func newRand(seed, n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, n)) }
+
+func injectMixed(ctx context.Context, f *fleet, bin string, seed uint64) {
+	linkCtx, stop := context.WithCancel(ctx)
+	var links sync.WaitGroup
+	links.Go(func() { f.injectLinkFaults(linkCtx, newRand(seed, 5)) })
+	(&faultInjector{f: f, bin: bin, rng: newRand(seed, 3)}).run(*faultDuration)
+	stop()
+	waitAll(f.t.Fatalf, &links, maxFaultTime, "the link faults")
+}
+
+func injectPlanned(_ context.Context, f *fleet, bin string, seed uint64) {
+	(&plannedInjector{f: f, bin: bin, rng: newRand(seed, 6)}).run(*faultDuration)
+}
+
+func runSeed(t *testing.T, m mode, bin string, seed uint64) {
 	dir := t.TempDir()
 	ctx, cancel := context.WithCancel(context.Background())
 	ledger := standin.NewLedger()
-	f := newFleet(t, dir, bin)
-	defer func() { saveLogs(t, dir, seed, ledger.Violations()) }()
-	var wg sync.WaitGroup
-	defer wg.Wait()
+	f := newFleet(t, dir, bin, ledger)
+	defer func() { saveLogs(t, dir, fmt.Sprintf("%s-%d", m.name, seed), ledger.Violations()) }()
+	var upstreams sync.WaitGroup
+	defer waitAll(t.Errorf, &upstreams, callersTimeout, "the upstreams")
 	defer f.close()
 	defer cancel()
-	for i := range agents {
-		wg.Go(func() {
+	for i := range *agents {
+		upstreams.Go(func() {
 			err := standin.Run(ctx, standin.Options{
 				ID: fmt.Sprintf("up-%d", i+1), Service: service, MilliCPU: 4000, MaxLease: time.Second, Ledger: ledger,
 				Addr: address(netAgent, i, portUpstream), Announced: address(netToUpstream, i, portUpstream), Agent: address(netToAgent, i, portHeartbeats),
@@ -82,30 +139,42 @@
 			}
 		})
 	}
-	rng := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, n)) }
 	op, jobs := &operator{ledger: ledger}, &callers{ledger: ledger}
-	op.publish(ctx, rng(1))
+	publishFirst(ctx, t, op, newRand(seed, 1))
 	loadCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	var loads sync.WaitGroup
-	loads.Go(func() { op.run(loadCtx, rng(2)) })
-	for i := range uint64(concurrentJobs) {
-		loads.Go(func() { jobs.run(loadCtx, rng(10+i)) })
+	loads.Go(func() { op.run(loadCtx, newRand(seed, 2)) })
+	for i := range uint64(relayedCallers) {
+		loads.Go(func() { jobs.run(loadCtx, newRand(seed, 10+i)) })
+	}
+	for i := range uint64(directCallersPerAgent * *agents) {
+		caller := &directCaller{callers: jobs, f: f, idles: i%directCallersPerAgent == 0}
+		loads.Go(func() { caller.run(loadCtx, newRand(seed, 1000+i)) })
 	}
 	awaitWork(t, jobs)
-	faultCtx, stopFaults := context.WithCancel(ctx)
-	loads.Go(func() { f.injectLinkFaults(faultCtx, rng(5)) })
-	(&faultInjector{f: f, bin: bin, rng: rng(3)}).run(*faultDuration)
-	stopFaults()
+	m.inject(ctx, f, bin, seed)
 	awaitWork(t, jobs)
-	awaitRead(ctx, t, op, rng(4))
+	awaitRead(ctx, t, op, newRand(seed, 4))
 	stop()
-	loads.Wait()
+	waitAll(t.Fatalf, &loads, callersTimeout, "the callers")
 	jobs.check()
-	t.Logf("seed %d: complete %d, refused %d, timed out %d, no answer %d; versions acknowledged up to %d",
-		seed, jobs.complete.Load(), jobs.refusals.Load(), jobs.timedOut.Load(), jobs.unanswered.Load(), op.acked.Load())
+	t.Logf("%s seed %d: complete %d, refused %d, timed out %d, no answer through relays %d; versions acknowledged up to %d; direct callers: answers %d, cut %d (%d after a second SIGTERM), allowed %s",
+		m.name, seed, jobs.complete.Load(), jobs.refusals.Load(), jobs.timedOut.Load(), jobs.unanswered.Load(), op.acked.Load(),
+		jobs.direct.Load(), jobs.cuts.Load(), jobs.forced.Load(), jobs.exemptions())
 	if v := ledger.Violations(); len(v) > 0 {
-		t.Errorf("seed %d: violations:\n%s", seed, strings.Join(v, "\n"))
+		t.Errorf("%s seed %d: violations:\n%s", m.name, seed, strings.Join(v, "\n"))
+	}
+}
+
+// publishFirst publishes the first document, without which no entry serves.
+func publishFirst(ctx context.Context, t *testing.T, o *operator, rng *rand.Rand) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	o.publish(ctx, rng)
+	if o.acked.Load() == 0 {
+		t.Fatalf("no control host accepted the first document within %s; last call: %s", readyTimeout, *o.lastResult.Load())
 	}
 }
 
@@ -127,13 +196,13 @@
 // requireSingleRun fails the test if another soak run uses the same addresses,
 // because the callers of one run would reach the fleet of the other.
 func requireSingleRun(t *testing.T) {
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.0.1.250:%d", portAdmin))
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.1.250:%d", *slot, portAdmin))
 	require.NoError(t, err, "another soak run is active on this machine")
 	t.Cleanup(func() { ln.Close() })
 }
 
 // saveLogs copies the logs of a failed seed, followed by the violations.
-func saveLogs(t *testing.T, dir string, seed uint64, violations []string) {
+func saveLogs(t *testing.T, dir, name string, violations []string) {
 	if *logFolder == "" || !t.Failed() {
 		return
 	}
@@ -141,7 +210,7 @@
 	require.NoError(t, err)
 	require.NoError(t, os.MkdirAll(*logFolder, 0o755))
 	text = append(text, strings.Join(violations, "\n")...)
-	require.NoError(t, os.WriteFile(filepath.Join(*logFolder, fmt.Sprintf("seed-%d.log", seed)), text, 0o600))
+	require.NoError(t, os.WriteFile(filepath.Join(*logFolder, name+".log"), text, 0o600))
 }
 
 // faultInjector injects process faults. Faults of different processes overlap;
@@ -170,7 +239,7 @@
 		})
 		time.Sleep(time.Duration(100+c.rng.IntN(900)) * time.Millisecond)
 	}
-	c.wg.Wait()
+	waitAll(c.f.t.Fatalf, &c.wg, maxFaultTime, "the process faults")
 }
 
 // drawFault draws a fault for a process. The returned function injects it and
@@ -180,21 +249,14 @@
 	pauseTime := time.Duration(200+c.rng.IntN(2500)) * time.Millisecond
 	switch n := c.rng.IntN(10); {
 	case n < 4:
-		return func() { p.killAndWait(); time.Sleep(downtime); c.f.start(c.bin, p) }
+		return func() { c.f.killAndWait(p); time.Sleep(downtime); c.f.start(c.bin, p) }
 	case n < 7:
-		return func() { p.signal(syscall.SIGSTOP); time.Sleep(pauseTime); p.signal(syscall.SIGCONT) }
+		return func() { c.f.signal(p, syscall.SIGSTOP); time.Sleep(pauseTime); c.f.signal(p, syscall.SIGCONT) }
 	case n == 7 && p.role == "control" && time.Since(c.lastWipe) > minWipeInterval:
 		c.lastWipe = time.Now()
 		return func() { c.wipeDisk(p, downtime) }
 	}
-	return func() {
-		p.signal(syscall.SIGTERM)
-		if !p.awaitExit(8 * time.Second) {
-			c.f.t.Errorf("%s did not end within 8 s of SIGTERM", p.name)
-			p.killAndWait()
-		}
-		c.f.start(c.bin, p)
-	}
+	return func() { c.f.stop(p, func() {}); c.f.start(c.bin, p) }
 }
 
 // injectLinkFaults injects faults into random links until ctx ends. Faults of
@@ -211,7 +273,7 @@
 // wipeDisk kills a control host, deletes its data and restarts it as a joining
 // host.
 func (c *faultInjector) wipeDisk(p *process, downtime time.Duration) {
-	p.killAndWait()
+	c.f.killAndWait(p)
 	if err := os.RemoveAll(p.data); err != nil {
 		c.f.t.Errorf("delete data of %s: %v", p.name, err)
 	}
