httpserve: measure quiet connections by the steady clock

What callers would see: after a step of the time of day backwards, connections with a recent byte count as busy for as long as the step, so that a stop takes all of its time. Cause: the arrival of bytes was kept as a time of day. Found by reading. Change: it is kept as a duration since the process began. An error of the shutdown for writing is named in a comment; it was ignored without one. After: the package passes with -race.

--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -60,10 +60,13 @@
 	tcpConn
 	// closing is set while the server closes the connection if it is idle.
 	closing atomic.Bool
-	// arrival is when bytes were last read, in nanoseconds of Unix time.
+	// arrival is when bytes were last read, in nanoseconds since epoch.
 	arrival atomic.Int64
 }
 
+// epoch is the origin of steady times, which steps of the time of day don't change.
+var epoch = time.Now()
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.tcpConn.Read(p)
@@ -79,7 +82,7 @@
 		}
 	}
 	if n > 0 {
-		c.arrival.Store(time.Now().UnixNano())
+		c.arrival.Store(int64(time.Since(epoch)))
 	}
 	return n, err
 }
@@ -105,11 +108,12 @@
 	}
 	n := 0
 	err = raw.Control(func(fd uintptr) {
-		n, err = unix.Read(int(fd), p)
-		if err == unix.EAGAIN && c.closing.Load() {
+		var readErr error
+		n, readErr = unix.Read(int(fd), p)
+		if readErr == unix.EAGAIN && c.closing.Load() {
 			// The client learns at once that nothing more is read. The
 			// process may have to wait for the processor before it closes
-			// the connection.
+			// the connection. An error means that the client has closed it.
 			_ = unix.Shutdown(int(fd), unix.SHUT_WR)
 		}
 	})
@@ -119,13 +123,12 @@
 	return max(n, 0)
 }
 
-// lastArrival returns when bytes last arrived on a connection, the zero time if it
-// is not known.
+// lastArrival returns when bytes last arrived on a connection, or epoch.
 func lastArrival(c net.Conn) time.Time {
 	if c := socket(c); c != nil {
-		return time.Unix(0, c.arrival.Load())
+		return epoch.Add(time.Duration(c.arrival.Load()))
 	}
-	return time.Time{}
+	return epoch
 }
 
 // setClosing marks a connection as one to close if it is idle.
