--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -53,20 +53,32 @@
 type mode struct {
 	name        string
 	plannedOnly bool
-	// regressions lists seeds that once failed, with the cause of each failure.
-	regressions []uint64
+	// seeds are those that always run.
+	seeds []uint64
 	// inject injects faults for *faultDuration and returns once all have ended.
 	inject func(ctx context.Context, f *fleet, bin string, seed uint64)
 }
 
+// mixedRegressions and plannedRegressions list seeds that once failed, with the cause
+// of each failure.
+var (
+	mixedRegressions = []uint64{
+		102,  // an entry assumed that a restarted agent, whose upstream was not known yet, had no capacity
+		2018, // an entry that stopped sent 408 on new connections whose first request was on its way
+	}
+	plannedRegressions = []uint64{
+		3,    // an entry accepted a request after its reducer had ended
+		4,    // a second SIGTERM ended an entry with requests in flight
+		13,   // the drain of an entry waited for sessions with restarting agents until its time-out, and then cut a request
+		4003, // cause unknown: a control host still ran 7 s after SIGTERM, with its servers and sessions closed
+	}
+)
+
 // TestSoak injects unplanned and planned faults of processes and links.
 func TestSoak(t *testing.T) {
 	runSeeds(t, mode{
-		name: "mixed",
-		regressions: []uint64{
-			102,  // an entry assumed that a restarted agent, whose upstream was not known yet, had no capacity
-			2018, // an entry that stopped sent 408 on new connections whose first request was on its way
-		},
+		name:   "mixed",
+		seeds:  append([]uint64(nil), mixedRegressions...),
 		inject: injectMixed,
 	})
 }
@@ -77,13 +89,8 @@
 	runSeeds(t, mode{
 		name:        "planned",
 		plannedOnly: true,
-		regressions: []uint64{
-			3,    // an entry accepted a request after its reducer had ended
-			4,    // a second SIGTERM ended an entry with requests in flight
-			13,   // the drain of an entry waited for sessions with restarting agents until its time-out, and then cut a request
-			4003, // cause unknown: a control host still ran 7 s after SIGTERM, with its servers and sessions closed
-		},
-		inject: injectPlanned,
+		seeds:       append([]uint64(nil), plannedRegressions...),
+		inject:      injectPlanned,
 	})
 }
 
@@ -98,7 +105,7 @@
 	out, err := build.CombinedOutput()
 	require.NoError(t, err, string(out))
 	requireSingleRun(t)
-	list := append([]uint64(nil), m.regressions...)
+	list := m.seeds
 	for i := range *seedCount {
 		list = append(list, *firstSeed+i)
 	}
