--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
@@ -99,11 +100,14 @@
 		t.Skip("runs the real programs")
 	}
 	bin := t.TempDir()
-	ctx, cancel := context.WithTimeout(context.Background(), buildTimeout)
-	defer cancel()
-	build := exec.CommandContext(ctx, "go", "build", "-o", bin, "../cmd/...")
-	out, err := build.CombinedOutput()
-	require.NoError(t, err, string(out))
+	build := exec.Command("go", "build", "-o", bin, "../cmd/...")
+	var out bytes.Buffer
+	build.Stdout, build.Stderr = &out, &out
+	require.NoError(t, build.Start())
+	kill := time.AfterFunc(buildTimeout, func() { _ = build.Process.Kill() })
+	err := build.Wait()
+	kill.Stop()
+	require.NoError(t, err, out.String())
 	requireSingleRun(t)
 	list := m.seeds
 	for i := range *seedCount {
