--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -49,7 +49,7 @@
 	ln     net.Listener
 	log    *log.Logger
 
-	// quiet is quietTime.
+	// quiet is quietTime, except in tests.
 	quiet    time.Duration
 	stopping atomic.Bool
 	// answered counts the requests answered since the server began to stop.
@@ -224,8 +224,7 @@
 	return nil
 }
 
-// serving reports whether Serve was called and has not returned. If it is called
-// after the listener was closed, it returns at once.
+// serving reports whether Serve was called and has not returned.
 func (s *Server) serving() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -273,6 +272,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		_ = c.Close() // the request is reported as cut off
+		_ = c.Close() // Shutdown reports the connection
 	}
 }
