agents: log each run's start, its stop and its end

Agents wrote a line only for a task that did not complete, and both runs of such a pair complete.

Each run now has a line when it is passed to the upstream, when its stop is ordered (reason, and how long the entry has been silent) and when it ends, with the task's name at the upstream, run number, submission, entry and its incarnation, and the upstream's instance. Each call that stops a run at a leased upstream has a line with its result: a stop that the upstream refuses, for example as fenced, was counted as answered and could not be told from one that was carried out. A pause of the agent, which restarts the time-outs of its entries, has a line, too. Each kind has a log budget of its own and is written only with log-tasks, but for pauses. New counters: runs_stopped{reason}, stop_calls{result}. No decision changes: StopAnswered.Refused is read by the log only.

--- a/agent/config.go
+++ b/agent/config.go
@@ -38,7 +38,7 @@
 	// BusyPause is how long no task starts after the upstream rejected one as
 	// busy although the agent counted a free slot.
 	BusyPause time.Duration
-	// Trace emits a Decision for each task that did not complete.
+	// Trace emits a RunStarted for each run and a Decision for each task that ended.
 	Trace bool
 	// OrphanAfter is how long after an entry's last message its runs continue,
 	// because its callers may submit the work elsewhere. Zero lets the runs end
--- a/agent/deadlines.go
+++ b/agent/deadlines.go
@@ -22,6 +22,7 @@
 	if !s.hasNextTick || s.now-s.nextTick < freezeThreshold {
 		return
 	}
+	s.emit(Paused{For: s.now - s.nextTick})
 	if s.up.leaseUntil > 0 {
 		s.up.leaseUntil = max(s.up.leaseUntil, s.now+s.up.Lease)
 	}
--- a/agent/effect.go
+++ b/agent/effect.go
@@ -84,12 +84,40 @@
 	Unacked int
 }
 
-// Decision describes, for the log, the outcome of a task that did not complete,
-// for example because it was refused, stopped or cut off.
-type Decision struct {
+// TaskRef names a task for the log as the agent, its entry and its upstream know it.
+type TaskRef struct {
 	// Task is the task's name at the upstream or, if that is empty, its id.
-	Task   string
-	Entry  string
+	Task string
+	// Run numbers the attempts of the submission's task from 1.
+	Run        uint32
+	Submission task.SubmissionID
+	// Entry and Incarnation identify the process that sent the task.
+	Entry       string
+	Incarnation uint64
+	// Instance is that of the upstream.
+	Instance string
+}
+
+// RunStarted describes, for the log, a run that is passed to the upstream.
+type RunStarted struct {
+	TaskRef
+	// Waited is the time the task spent queued at this agent.
+	Waited          time.Duration
+	Running, Queued int
+}
+
+// StopOrdered describes, for the log, that the upstream is requested to stop a run.
+type StopOrdered struct {
+	TaskRef
+	Reason task.Reason
+	Ran    time.Duration
+	// EntrySilent is the time since the last message of the entry.
+	EntrySilent time.Duration
+}
+
+// Decision describes, for the log, the outcome of a task.
+type Decision struct {
+	TaskRef
 	State  string
 	Reason task.Reason
 	// Waited is the time the task spent queued at this agent, Ran its run time.
@@ -97,6 +125,13 @@
 	Running, Queued int
 }
 
+// Paused reports, for the log, that the process was paused: an event arrived that much
+// later than the requested tick, and the time-outs have been restarted.
+type Paused struct{ For time.Duration }
+
+func (RunStarted) effect()     {}
+func (StopOrdered) effect()    {}
+func (Paused) effect()         {}
 func (Decision) effect()       {}
 func (SendWelcome) effect()    {}
 func (SendReport) effect()     {}
--- a/agent/run.go
+++ b/agent/run.go
@@ -164,6 +164,9 @@
 	}
 	s.up.reserve(r.need)
 	s.running = append(s.running, r)
+	if s.cfg.Trace {
+		s.emit(RunStarted{TaskRef: s.ref(r), Waited: s.now - r.arrived, Running: len(s.running), Queued: s.queue.len()})
+	}
 	s.emit(StartRun{Run: r.run, ID: r.id, Name: r.name, Payload: r.payload, Declared: r.declared, StartBy: r.startBy, RunBy: r.runBy})
 	r.payload = nil
 }
@@ -189,6 +192,7 @@
 	}
 	r.stopReason = reason
 	r.stopRequestedAt = s.now
+	s.emit(StopOrdered{TaskRef: s.ref(r), Reason: reason, Ran: s.now - r.started, EntrySilent: s.now - r.entry.lastMessageAt})
 	s.emit(StopRun{Run: r.run, ID: r.id})
 }
 
@@ -301,7 +305,7 @@
 		waited = r.started - r.arrived
 	}
 	out.Where = s.self.ID
-	if s.cfg.Trace && out.State != task.Complete {
+	if s.cfg.Trace {
 		s.emitDecision(r, &out, waited)
 	}
 	r.phase, r.payload = phaseEnded, nil
@@ -315,14 +319,22 @@
 	r.entry.unacked = append(r.entry.unacked, r)
 }
 
-// emitDecision emits the reason why a task did not complete.
-func (s *State) emitDecision(r *record, out *task.Outcome, waited time.Duration) {
+// ref names a task for the log.
+func (s *State) ref(r *record) TaskRef {
 	name := r.name
 	if name == "" {
 		name = r.id.String()
 	}
+	return TaskRef{
+		Task: name, Run: r.id.Attempt + 1, Submission: r.id.Submission,
+		Entry: r.entry.peer.ID, Incarnation: r.entry.peer.Incarnation, Instance: s.up.Instance,
+	}
+}
+
+// emitDecision emits the outcome of a task.
+func (s *State) emitDecision(r *record, out *task.Outcome, waited time.Duration) {
 	s.emit(Decision{
-		Task: name, Entry: r.entry.peer.ID, State: out.State.String(), Reason: out.Reason,
+		TaskRef: s.ref(r), State: out.State.String(), Reason: out.Reason,
 		Waited: waited, Ran: out.Ran, Running: len(s.running), Queued: s.queue.len(),
 	})
 }
--- a/agentd/agentd.go
+++ b/agentd/agentd.go
@@ -12,6 +12,7 @@
 
 	"github.com/fireflytray/fireflytray/agent"
 	"github.com/fireflytray/fireflytray/internal/httpserve"
+	"github.com/fireflytray/fireflytray/lease"
 	"github.com/fireflytray/fireflytray/logging"
 	"github.com/fireflytray/fireflytray/loop"
 	"github.com/fireflytray/fireflytray/transport"
@@ -103,7 +104,7 @@
 	d.sessions = newSessions(d.loop.Post, o.Log)
 	d.runner = newRunner(d.loop.Post, d.loop.Now)
 	if o.Leased != nil {
-		d.leased = newLeasedRunner(*o.Leased, d.loop.Post, d.meter, o.Log)
+		d.leased = newLeasedRunner(*o.Leased, d.loop.Post, d.meter, o.Log, d.logStop)
 		d.runner = d.leased
 	}
 	d.http = &fasthttp.Server{
@@ -229,24 +230,57 @@
 		if d.opts.Control != nil {
 			d.opts.Control.Announce(d.opts.Self, eff.Worker, eff.Leaving)
 		}
+	case agent.RunStarted:
+		d.logRunStarted(eff)
+	case agent.StopOrdered:
+		d.meter.recordStop(eff.Reason)
+		d.logStopOrdered(eff)
 	case agent.Decision:
 		d.logDecision(eff)
+	case agent.Paused:
+		d.opts.Log.Warn("agent was paused, time-outs restarted", "for", eff.For)
 	case agent.Drained:
 		d.opts.Log.Info("agent has drained", "unacknowledged", eff.Unacked)
 		close(d.drained)
 	}
 }
 
-// logDecision logs a decision about a task unless the lines about its state exceed
-// the log budget. Before the next line that is written, it logs how many lines were
-// left out.
+// logRunStarted, logStopOrdered and logDecision log one line about a task, each from
+// a log budget of its own.
+func (d *daemon) logRunStarted(eff agent.RunStarted) {
+	d.logTask("run started", "run started", &eff.TaskRef, "waited", eff.Waited, "running", eff.Running, "queued", eff.Queued)
+}
+
+func (d *daemon) logStopOrdered(eff agent.StopOrdered) {
+	d.logTask("stop ordered", "stop ordered", &eff.TaskRef, "reason", eff.Reason, "ran", eff.Ran, "entry-silent", eff.EntrySilent)
+}
+
 func (d *daemon) logDecision(eff agent.Decision) {
-	if !d.budget.Allow(eff.State, d.loop.Now()) {
+	d.logTask(eff.State, "task "+eff.State, &eff.TaskRef, "reason", eff.Reason,
+		"waited", eff.Waited, "ran", eff.Ran, "running", eff.Running, "queued", eff.Queued)
+}
+
+// logTask logs a line about a task unless the lines of its kind exceed the log
+// budget. Before the next line that is written, it logs how many lines were left out.
+func (d *daemon) logTask(kind, text string, ref *agent.TaskRef, inputs ...any) {
+	if !d.opts.Agent.Trace || !d.budget.Allow(kind, d.loop.Now()) {
 		return
 	}
 	for kind, n := range d.budget.Suppressed() {
 		d.opts.Log.Warn("lines left out", "kind", kind, "count", n)
 	}
-	d.opts.Log.Info("task "+eff.State, "task", eff.Task, "entry", eff.Entry, "reason", eff.Reason,
-		"waited", eff.Waited, "ran", eff.Ran, "running", eff.Running, "queued", eff.Queued)
+	d.opts.Lines.Info(text, append([]any{
+		"task", ref.Task, "run", ref.Run, "submission", ref.Submission, "entry", ref.Entry,
+		"incarnation", ref.Incarnation, "instance", ref.Instance,
+	}, inputs...)...)
+}
+
+// logStop logs a call that stops a run at a leased upstream. It is called
+// concurrently.
+func (d *daemon) logStop(c lease.StopCall, result string, took time.Duration) {
+	text := "stop call " + result
+	if !d.opts.Agent.Trace || !d.budget.Allow(text, d.loop.Now()) {
+		return
+	}
+	d.opts.Lines.Info(text, "task", c.Task, "run", c.Run, "instance", c.Target.Instance, "token", c.Fence, "took", took)
 }
--- a/agentd/leased.go
+++ b/agentd/leased.go
@@ -34,11 +34,13 @@
 	post     func(agent.Event) bool
 	meter    *meter
 	log      *log.Logger
-	loop     *loop.Loop[lease.Event, lease.Effect]
+	// logStop logs a call that stops a run, with its result and duration.
+	logStop func(c lease.StopCall, result string, took time.Duration)
+	loop    *loop.Loop[lease.Event, lease.Effect]
 }
 
-func newLeasedRunner(o LeasedOptions, post func(agent.Event) bool, m *meter, l *log.Logger) *LeasedRunner {
-	r := &LeasedRunner{executor: o.Executor, post: post, meter: m, log: l}
+func newLeasedRunner(o LeasedOptions, post func(agent.Event) bool, m *meter, l *log.Logger, logStop func(lease.StopCall, string, time.Duration)) *LeasedRunner {
+	r := &LeasedRunner{executor: o.Executor, post: post, meter: m, log: l, logStop: logStop}
 	// The first fencing token is the current Unix time in milliseconds, which is
 	// normally above the tokens of an earlier process. If the upstream rejects a
 	// token as too low, the reducer raises it.
@@ -63,7 +65,7 @@
 	case lease.StartCall:
 		go func() { r.loop.Post(r.executor.Start(eff)) }()
 	case lease.StopCall:
-		go func() { r.loop.Post(r.executor.Stop(eff)) }()
+		go r.stopRun(eff)
 	case lease.HoldCall:
 		go func() { r.loop.Post(r.executor.Hold(eff)) }()
 	case lease.Notify:
@@ -76,6 +78,31 @@
 	}
 }
 
+// Results of calls that stop a run. An accepted stop does not say that the run has
+// ended.
+const (
+	stopAccepted   = "accepted"
+	stopRefused    = "refused"
+	stopUnanswered = "unanswered"
+)
+
+// stopRun requests the upstream to stop a run and waits for the answer.
+func (r *LeasedRunner) stopRun(c lease.StopCall) {
+	sent := r.loop.Now()
+	a := r.executor.Stop(c)
+	took := r.loop.Now() - sent
+	r.loop.Post(a)
+	result := stopAccepted
+	switch {
+	case !a.OK:
+		result = stopUnanswered
+	case a.Refused:
+		result = stopRefused
+	}
+	r.meter.stopCalls[result].Inc(1)
+	r.logStop(c, result, took)
+}
+
 // setUpstream does nothing: the reducer learns of its upstream through Announce.
 func (r *LeasedRunner) setUpstream(agent.Upstream) {}
 
--- a/agentd/meter.go
+++ b/agentd/meter.go
@@ -9,7 +9,8 @@
 )
 
 // meter holds the agent's metrics. Only the agent's loop uses them, except for
-// cutOff, which the loop of LeasedRunner increments.
+// cutOff, which the loop of LeasedRunner increments, and stopCalls, which its calls
+// increment.
 type meter struct {
 	scope    tally.Scope
 	slots    tally.Gauge
@@ -24,6 +25,9 @@
 	// cutOff counts runs at a leased upstream that were terminated because their
 	// lease expired or the upstream ended.
 	cutOff tally.Counter
+	// stopCalls counts the calls that stop a run at a leased upstream, by result.
+	stopCalls map[string]tally.Counter
+	stops     map[task.Reason]tally.Counter
 }
 
 type outcomeKind struct {
@@ -45,9 +49,20 @@
 		ran:      metrics.DurationHistogram(scope, "run_seconds"),
 		waited:   metrics.DurationHistogram(scope, "queue_seconds"),
 		cutOff:   scope.Counter("runs_cut_off"),
+
+		stopCalls: stopCallCounters(scope),
+		stops:     make(map[task.Reason]tally.Counter),
 	}
 }
 
+func stopCallCounters(scope tally.Scope) map[string]tally.Counter {
+	counters := make(map[string]tally.Counter)
+	for _, result := range []string{stopAccepted, stopRefused, stopUnanswered} {
+		counters[result] = scope.Tagged(map[string]string{"result": result}).Counter("stop_calls")
+	}
+	return counters
+}
+
 func (m *meter) recordWorker(w wire.Worker) { m.slots.Update(float64(w.Slots)) }
 
 func (m *meter) recordConnections(open, idle int) {
@@ -80,3 +95,13 @@
 		m.waited.RecordDuration(r.WaitTime)
 	}
 }
+
+// recordStop counts a run that is requested to stop.
+func (m *meter) recordStop(reason task.Reason) {
+	c, ok := m.stops[reason]
+	if !ok {
+		c = m.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("runs_stopped")
+		m.stops[reason] = c
+	}
+	c.Inc(1)
+}
--- a/agentd/options.go
+++ b/agentd/options.go
@@ -11,6 +11,7 @@
 
 	"github.com/fireflytray/fireflytray/agent"
 	"github.com/fireflytray/fireflytray/keys"
+	"github.com/fireflytray/fireflytray/logging"
 	"github.com/fireflytray/fireflytray/task"
 	"github.com/fireflytray/fireflytray/wire"
 )
@@ -51,6 +52,8 @@
 	// Ready is called once the agent listens on both addresses.
 	Ready func(peers, upstream string)
 	Log   *log.Logger
+	// Lines writes the lines about tasks; Log does if it is nil.
+	Lines logging.LineLogger
 	Scope tally.Scope
 }
 
@@ -62,6 +65,9 @@
 	if o.Log == nil {
 		o.Log = log.New(io.Discard)
 	}
+	if o.Lines == nil {
+		o.Lines = o.Log
+	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
--- a/lease/types.go
+++ b/lease/types.go
@@ -51,10 +51,12 @@
 	Clock time.Duration
 }
 
-// StopAnswered is the outcome of a StopCall; OK is set if it was answered.
+// StopAnswered is the outcome of a StopCall; OK is set if it was answered, Refused if
+// the answer says that the stop was not carried out.
 type StopAnswered struct {
-	Call CallID
-	OK   bool
+	Call    CallID
+	OK      bool
+	Refused bool
 }
 
 // HoldAnswered is the outcome of a HoldCall.
--- a/node/agent.go
+++ b/node/agent.go
@@ -57,6 +57,7 @@
 			OnStamp:  client.ObserveStamp,
 			Ready:    o.Ready,
 			Log:      logger,
+			Lines:    o.Logs.Lines(logging.PartAgent),
 			Scope:    o.Scope,
 		})
 	})
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -124,7 +124,8 @@
 	// Heartbeats is the HTTP host:port for heartbeats of the platform's
 	// upstream; empty if the upstream announces itself at Upstream.
 	Heartbeats string
-	// LogTasks enables a log line for each task that did not complete.
+	// LogTasks enables log lines for the start of each run, each stop and the end of
+	// each task.
 	LogTasks bool
 	// OrphanAfter is how long tasks keep running after the last message of their
 	// entry; zero lets them finish.
@@ -308,7 +309,7 @@
 			CreditLend, CreditSplit, CreditSticky, CreditRank).withDefault(CreditLend),
 		number(&a.QueueShare, "credit", "queue-share", "Number of tasks that may wait at the agent, as a share of the slots.", 0, maxQueueShare).withDefault("0.5"),
 		peerPort(&a.PeerPort),
-		boolean(&a.LogTasks, "process", "log-tasks", "Whether to log each task that did not complete.").withDefault("true"),
+		boolean(&a.LogTasks, "process", "log-tasks", "Whether to log the start of each run, each stop and the end of each task.").withDefault("true"),
 		duration(&a.OrphanAfter, "entries", "orphan-after", "How long tasks keep running after the last message of their entry; 0s lets them finish. Set it to several times the pulse of the entries.", 0, maxKeepaliveInterval).withDefault("0s"),
 		optionalHostPort(&a.Heartbeats, "platform", "heartbeats", "HTTP address for heartbeats of the platform's upstream.").withDefault(""),
 		duration(&a.Lease, "platform", "lease", "Longest lease of a run at the platform's upstream.", minRunLease, maxLease).withDefault("1s"),
