entries: log a job that is sent again, and the submission of each answer

An entry that holds the job, or keeps its answer, joins the caller to it without a line.

Such a request now has a line (job, submission, whether answered, time since the first send) with a log budget of its own, and counts in jobs_resent{state}. A resend without such a line went to another entry.

--- a/entry/trace.go
+++ b/entry/trace.go
@@ -55,7 +55,7 @@
 		}
 	}
 	e.emit(Decision{Ref: s.ref(), Message: "answered", At: e.now, Incomplete: incomplete, Inputs: []any{
-		"state", a.State, "reason", a.Reason, "after", e.now - s.arrived, "objective", s.sub.Objective, "why", a.Detail,
+		"submission", s.id, "state", a.State, "reason", a.Reason, "after", e.now - s.arrived, "objective", s.sub.Objective, "why", a.Detail,
 	}})
 	s.trace = nil
 }
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -80,7 +80,9 @@
 	// Transport dials agents; its Identity and Stamp must be set.
 	Transport transport.Options
 	Log       *log.Logger
-	Scope     tally.Scope
+	// Lines writes the lines about submissions; Log does if it is nil.
+	Lines logging.LineLogger
+	Scope tally.Scope
 }
 
 // Daemon is a running entry.
@@ -121,6 +123,9 @@
 	if o.Log == nil {
 		o.Log = log.Default()
 	}
+	if o.Lines == nil {
+		o.Lines = o.Log
+	}
 	if o.DrainTimeout == 0 {
 		o.DrainTimeout = defaultDrainTimeout
 	}
@@ -395,5 +400,5 @@
 	if eff.Ref != "" {
 		kv = append([]any{"job", eff.Ref}, kv...)
 	}
-	d.log.Info(eff.Message, kv...)
+	d.opts.Lines.Info(eff.Message, kv...)
 }
--- a/entryd/jobs.go
+++ b/entryd/jobs.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/fireflytray/fireflytray/entry"
 	"github.com/fireflytray/fireflytray/fleet"
 	"github.com/fireflytray/fireflytray/task"
 )
@@ -29,6 +30,7 @@
 type jobRecord struct {
 	ref, route string
 	id         task.SubmissionID
+	openedAt   time.Duration
 	// submitted is closed once the submission is posted: a cancellation that is
 	// posted earlier has no effect.
 	submitted  chan struct{}
@@ -54,7 +56,7 @@
 	}
 	defer j.mu.Unlock()
 	if r == nil {
-		r, isNew = &jobRecord{ref: sub.Ref, route: sub.Route, id: id, submitted: make(chan struct{})}, true
+		r, isNew = &jobRecord{ref: sub.Ref, route: sub.Route, id: id, openedAt: now, submitted: make(chan struct{})}, true
 		j.byRef[sub.Ref] = r
 	}
 	r.callbacks = append(r.callbacks, done)
@@ -107,14 +109,35 @@
 // flight or its answer is still kept, done gets that answer and nothing is
 // submitted.
 func (d *Daemon) SubmitJob(sub task.Submission, done func(task.Answer)) {
-	r, isNew := d.jobs.open(d.loop.Now(), &sub, d.newSubmissionID(), done)
+	now := d.loop.Now()
+	r, isNew := d.jobs.open(now, &sub, d.newSubmissionID(), done)
 	if !isNew {
+		d.recordResend(now, r)
 		return
 	}
 	defer close(r.submitted)
 	d.submit(r.id, sub, func(a task.Answer) { d.jobs.close(d.loop.Now(), r, a) })
 }
 
+// recordResend counts and logs a job that is sent again while this entry holds it or
+// keeps its answer.
+func (d *Daemon) recordResend(now time.Duration, r *jobRecord) {
+	d.jobs.mu.Lock()
+	answered := r.answer != nil && r.answeredAt <= now
+	d.jobs.mu.Unlock()
+	if answered {
+		d.meter.metrics.ResentAnswered.Inc(1)
+	} else {
+		d.meter.metrics.ResentInFlight.Inc(1)
+	}
+	if !d.opts.Trace {
+		return
+	}
+	d.logDecision(entry.Decision{Ref: r.ref, Message: "job sent again", At: now, Inputs: []any{
+		"submission", r.id, "answered", answered, "first-sent", now - r.openedAt,
+	}})
+}
+
 // CancelJob cancels a job and reports whether it was in flight.
 func (d *Daemon) CancelJob(ref string) bool {
 	r := d.jobs.inFlight(ref)
--- a/metrics/roles.go
+++ b/metrics/roles.go
@@ -38,6 +38,10 @@
 	WastedMessages tally.Counter
 	// Retries counts further attempts at tasks that may have run.
 	Retries tally.Counter
+	// ResentInFlight and ResentAnswered count jobs that were sent again while this
+	// entry held them or kept their answer.
+	ResentInFlight tally.Counter
+	ResentAnswered tally.Counter
 	// Queue is the number of tasks queued at this entry.
 	Queue tally.Gauge
 	// Slots is the number of slots for which this entry holds credit.
@@ -72,6 +76,8 @@
 		Messages:       s.Counter("messages"),
 		WastedMessages: s.Counter("wasted_messages"),
 		Retries:        s.Counter("retries"),
+		ResentInFlight: s.Tagged(map[string]string{"state": "in_flight"}).Counter("jobs_resent"),
+		ResentAnswered: s.Tagged(map[string]string{"state": "answered"}).Counter("jobs_resent"),
 		Queue:          s.Gauge("queue"),
 		Slots:          s.Gauge("slots"),
 		QueueSeconds:   DurationHistogram(s, "queue_seconds"),
--- a/node/entry.go
+++ b/node/entry.go
@@ -72,6 +72,7 @@
 		Control:           client,
 		Transport:         t,
 		Log:               logger,
+		Lines:             o.Logs.Lines(logging.PartEntry),
 		Scope:             o.Scope,
 	})
 	return withClient(ctx, client, d.Run)
