explain: show runs of one task that overlap

From a job's id, explain now prints the agents' lines run started, stop ordered, stop call and task complete in order of time, and below the history one line for each two runs of one task that overlap, with upstream, entry and incarnation of each.

--- a/command/explain.go
+++ b/command/explain.go
@@ -32,7 +32,7 @@
 
 var _ = register("explain", "Show the history of a request",
 	"Reads the logs of any number of processes and prints, in time order, their decisions about one request "+
-		"and the lines about its agents meanwhile. The id is the one of the caller or of the submission.",
+		"and the lines about its agents meanwhile, then each two runs of one task that overlap. The id is the one of the caller or of the submission.",
 	func(e *Env) any { return &explainCommand{env: e} })
 
 type explainCommand struct {
@@ -72,6 +72,9 @@
 	for i := range all {
 		fmt.Fprintln(c.env.Stdout, all[i].format(all[0].Time))
 	}
+	for _, line := range overlaps(all) {
+		fmt.Fprintln(c.env.Stdout, line)
+	}
 	return nil
 }
 
--- a/command/explain_test.go
+++ b/command/explain_test.go
@@ -59,3 +59,49 @@
 	require.Contains(t, errs.String(), "none of 6 lines of our programs names cccc")
 	require.Equal(t, ExitUsage, Main([]string{"explain"}, &out, &errs))
 }
+
+const heldTwice = "b1e2bb27d5fad7d0"
+
+// Logs of two entries and two agents that hold the same job at once: its caller breaks
+// off at the first entry and sends the job again to the second.
+var heldTwiceLogs = map[string]string{
+	"front-1.log": `2026-02-23T01:27:34.4Z INFO entry: answered job=b1e2bb27d5fad7d0 at=12.4s submission=000000000000000700000000000000a1 state=complete reason="" after=2.4s objective=1s why=""
+`,
+	"front-2.log": `2026-02-23T01:27:34.7Z INFO entry: answered job=b1e2bb27d5fad7d0 at=7.1s submission=000000000000000900000000000000b2 state=complete reason="" after=1.4s objective=1s why=""
+`,
+	"side-1.log": `2026-02-23T01:27:32.1Z INFO agent: run started task=b1e2bb27d5fad7d0.0.0.0 run=1 submission=000000000000000700000000000000a1 entry=front-1 incarnation=7 instance=i-1@100 waited=1ms running=1 queued=0
+2026-02-23T01:27:34.3Z INFO agent: task complete task=b1e2bb27d5fad7d0.0.0.0 run=1 submission=000000000000000700000000000000a1 entry=front-1 incarnation=7 instance=i-1@100 reason="" waited=1ms ran=2.2s running=0 queued=0
+2026-02-23T01:27:34.35Z INFO agent: run started task=b1e2bb27d5fad7d0.0.0.1 run=1 submission=000000000000000700000000000000a1 entry=front-1 incarnation=7 instance=i-1@100 waited=1ms running=1 queued=0
+`,
+	"side-2.log": `{"time":"2026-02-23T01:27:33.4Z","level":"info","prefix":"agent","msg":"run started","task":"b1e2bb27d5fad7d0.0.0.0","run":1,"submission":"000000000000000900000000000000b2","entry":"front-2","incarnation":9,"instance":"i-2@50","waited":"1ms","running":1,"queued":0}
+{"time":"2026-02-23T01:27:34.6Z","level":"info","prefix":"agent","msg":"task complete","task":"b1e2bb27d5fad7d0.0.0.0","run":1,"submission":"000000000000000900000000000000b2","entry":"front-2","incarnation":9,"instance":"i-2@50","reason":"","waited":"1ms","ran":"1.2s","running":0,"queued":0}
+`,
+}
+
+// In the users' record of two runs at once no line named either run, so that nothing led
+// from the job to the two entries that held it.
+func TestExplainShowsTwoEntriesThatHoldOneJob(t *testing.T) {
+	dir := t.TempDir()
+	args := []string{"explain", heldTwice}
+	for name, text := range heldTwiceLogs {
+		file := filepath.Join(dir, name)
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+		args = append(args, file)
+	}
+	var out, errs bytes.Buffer
+	require.Equal(t, ExitOK, Main(args, &out, &errs), errs.String())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	require.Len(t, lines, 8, out.String())
+	for i, want := range []string{
+		"+0.000 ms   [" + filepath.Join(dir, "side-1.log") + "] agent: run started",
+		"+1300.000 ms   [" + filepath.Join(dir, "side-2.log") + "] agent: run started",
+		"+2200.000 ms   [" + filepath.Join(dir, "side-1.log") + "] agent: task complete",
+		"+2250.000 ms   [" + filepath.Join(dir, "side-1.log") + "] agent: run started",
+		"+2300.000 ms   [" + filepath.Join(dir, "front-1.log") + "] entry: answered",
+		"+2500.000 ms   [" + filepath.Join(dir, "side-2.log") + "] agent: task complete",
+		"+2600.000 ms   [" + filepath.Join(dir, "front-2.log") + "] entry: answered",
+	} {
+		require.Contains(t, lines[i], want)
+	}
+	require.Equal(t, "two runs at once for 900ms: b1e2bb27d5fad7d0.0.0.0 run 1 on i-1@100 from front-1 incarnation 7, and run 1 on i-2@50 from front-2 incarnation 9", lines[7])
+}
