--- a/soak/doc.go
+++ b/soak/doc.go
@@ -1,7 +1,7 @@
 // Package soak holds a randomized test that runs the real programs as separate
 // processes on loopback, with stand-ins for the surrounding platform. One mode
-// kills, pauses, stops and restarts the programs and disturbs links, the other only
-// sends the signals of planned work, in series that overlap. Both check what
-// callers, operators and upstreams observe. docs/OPERATIONS.md describes how to run
-// it by hand.
+// kills, pauses, stops and restarts the programs and disturbs links, another only
+// sends the signals of planned work, in series that overlap. Both are also run with
+// callers that send their jobs again to any entry. All check what callers, operators
+// and upstreams observe. docs/OPERATIONS.md describes how to run it by hand.
 package soak
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -35,13 +35,15 @@
 	portHeartbeats = 17727
 	portUpstream   = 17728
 
-	// stopTimeout bounds a planned stop: the drain time-out of 5 s in the settings,
-	// and the 2 s that a program may take beyond it.
-	stopTimeout = 8 * time.Second
 	killTimeout = 5 * time.Second
-	// stopGrace is the time that the platform gives a process to end after SIGTERM
-	// before it is killed.
-	stopGrace = 6 * time.Second
+	// defaultDrain is the drain time-out in the settings.
+	defaultDrain = 5 * time.Second
+	// stopGrace is the time beyond the drain time-out that the platform gives a
+	// process to end after SIGTERM before it is killed.
+	stopGrace = time.Second
+	// stopTimeout bounds the time beyond the drain time-out that a planned stop
+	// takes. A program may take 2 s.
+	stopTimeout = 3 * time.Second
 )
 
 // process is one of the programs under test.
@@ -92,6 +94,8 @@
 	// plannedOnly makes each code other than 0 a violation: all work is planned, and
 	// must not be cut off by the time-out of a drain.
 	plannedOnly bool
+	// drain is the drain time-out in the settings.
+	drain time.Duration
 
 	mu sync.Mutex
 	// stops counts the incarnations that ended after SIGTERM, by role and status.
@@ -117,8 +121,8 @@
 	}
 }
 
-func newFleet(t *testing.T, dir, bin string, ledger *standin.Ledger, plannedOnly bool) *fleet {
-	f := &fleet{t: t, dir: dir, ledger: ledger, plannedOnly: plannedOnly, stops: map[string]int{}}
+func newFleet(t *testing.T, dir, bin string, ledger *standin.Ledger, m mode) *fleet {
+	f := &fleet{t: t, dir: dir, ledger: ledger, plannedOnly: m.plannedOnly, drain: m.drain, stops: map[string]int{}}
 	var err error
 	f.logFile, err = os.Create(filepath.Join(dir, "processes.log"))
 	require.NoError(t, err)
@@ -160,8 +164,8 @@
 
 // writeSettings writes the settings that deploy/ renders on the platform.
 func (f *fleet) writeSettings(p *process, join bool) {
-	text := fmt.Sprintf("[process]\nid = %s\ndomain = zone-%s\nsite = soak\nsilence = 500ms\ndrain-timeout = 5s\n[keys]\nself-signed = true\n",
-		p.name, p.name[len(p.name)-1:])
+	text := fmt.Sprintf("[process]\nid = %s\ndomain = zone-%s\nsite = soak\nsilence = 500ms\ndrain-timeout = %s\n[keys]\nself-signed = true\n",
+		p.name, p.name[len(p.name)-1:], f.drain)
 	switch p.role {
 	case "control":
 		text += fmt.Sprintf("[listen]\nadmin = %s:%d\npeers = %s:%d\n[data]\nfolder = %s\n[cluster]\ninitial = %s\njoin = %t\nmanaged = true\nelection-timeout = 300ms\n[platform]\noperators = %s:%d\n",
@@ -338,12 +342,12 @@
 func (f *fleet) stop(p *process, draining func()) {
 	f.signal(p, syscall.SIGTERM)
 	draining()
-	if f.plannedOnly && !p.awaitExit(stopGrace) {
-		f.t.Errorf("%s did not end within %s of SIGTERM, its goroutines are in the log", p.name, stopGrace)
+	if f.plannedOnly && !p.awaitExit(f.drain+stopGrace) {
+		f.t.Errorf("%s did not end within %s of SIGTERM, its goroutines are in the log", p.name, f.drain+stopGrace)
 		f.signal(p, syscall.SIGQUIT)
 	}
-	if !p.awaitExit(stopTimeout) {
-		f.t.Errorf("%s did not end within %s of SIGTERM", p.name, stopTimeout)
+	if !p.awaitExit(f.drain + stopTimeout) {
+		f.t.Errorf("%s did not end within %s of SIGTERM", p.name, f.drain+stopTimeout)
 		f.killAndWait(p)
 	}
 }
--- a/soak/relay_test.go
+++ b/soak/relay_test.go
@@ -25,10 +25,26 @@
 	faultCount
 )
 
+// Faults of the links from callers to entries only.
+const (
+	// faultLoseCallers resets the callers' connections time and again. Those to the
+	// target stay open and silent, also when a caller closes its own.
+	faultLoseCallers = faultCount + 1 + iota
+	// faultHold holds all data and each end of a connection back until the fault
+	// ends.
+	faultHold
+	// faultHoldLost is like faultHold, but the ends never arrive.
+	faultHoldLost
+	callerFaultEnd
+)
+
 const (
 	// relayDelay is added to each packet or read in both directions.
 	relayDelay       = 120 * time.Millisecond
 	maxDatagramBytes = 2048
+	// loseInterval is the time between two resets of the callers' connections.
+	loseInterval = 200 * time.Millisecond
+	holdInterval = 5 * time.Millisecond
 )
 
 // relay forwards TCP and UDP traffic from one address to a target and injects
@@ -39,7 +55,8 @@
 	tcp    net.Listener
 	udp    net.PacketConn
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// conns holds all connections, with true for those that callers opened.
 	conns     map[net.Conn]bool
 	peerConns map[string]net.Conn
 }
@@ -77,24 +94,56 @@
 	}
 }
 
+// drawCallerFault is like drawFault for the faults of links from callers.
+func (r *relay) drawCallerFault(rng *rand.Rand) func() {
+	kind := faultLoseCallers + linkFault(rng.IntN(int(callerFaultEnd-faultLoseCallers)))
+	duration := time.Duration(200+rng.IntN(2500)) * time.Millisecond
+	return func() {
+		r.fault.Store(int32(kind))
+		for end := time.Now().Add(duration); kind == faultLoseCallers && time.Now().Before(end); {
+			r.resetCallers()
+			time.Sleep(loseInterval)
+		}
+		if kind != faultLoseCallers {
+			time.Sleep(duration)
+		}
+		r.fault.Store(int32(faultNone))
+	}
+}
+
+// resetCallers resets the connections that callers opened.
+func (r *relay) resetCallers() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c, fromCaller := range r.conns {
+		if fromCaller {
+			resetConn(c)
+		}
+	}
+}
+
+func resetConn(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 // resetConns resets every connection.
 func (r *relay) resetConns() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			tcp.SetLinger(0)
-		}
-		c.Close()
+		resetConn(c)
 	}
 	clear(r.conns)
 	clear(r.peerConns)
 }
 
-func (r *relay) track(c net.Conn) {
+func (r *relay) track(c net.Conn, fromCaller bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.conns[c] = true
+	r.conns[c] = fromCaller
 }
 
 func (r *relay) untrack(c net.Conn) {
@@ -120,19 +169,43 @@
 }
 
 func (r *relay) proxyTCP(c net.Conn) {
-	r.track(c)
+	r.track(c, true)
 	defer r.untrack(c)
 	to, err := net.Dial("tcp", r.target)
 	if err != nil {
 		return
 	}
-	r.track(to)
-	defer r.untrack(to)
+	r.track(to, false)
 	go func() {
 		r.copy(c, to, true)
 		c.Close()
 	}()
-	r.copy(to, c, false)
+	lost := r.copy(to, c, false)
+	switch linkFault(r.fault.Load()) {
+	case faultLoseCallers, faultHoldLost:
+		lost = true
+	}
+	if lost {
+		return // to stays open until the relay is closed
+	}
+	r.awaitRelease()
+	r.untrack(to)
+}
+
+// awaitRelease waits until no data is held back, and reports whether the ends of
+// connections that were held back never arrive.
+func (r *relay) awaitRelease() bool {
+	lost := false
+	for {
+		switch linkFault(r.fault.Load()) {
+		case faultHold:
+		case faultHoldLost:
+			lost = true
+		default:
+			return lost
+		}
+		time.Sleep(holdInterval)
+	}
 }
 
 // applyFault applies the current fault and reports whether data may pass.
@@ -149,21 +222,23 @@
 }
 
 // copy forwards a stream. Once data has been dropped, the stream is corrupt, so
-// all later data is dropped as well.
-func (r *relay) copy(to io.Writer, from io.Reader, isReply bool) {
+// all later data is dropped as well. It reports whether the end of the stream must
+// not arrive.
+func (r *relay) copy(to io.Writer, from io.Reader, isReply bool) (lost bool) {
 	buffer := make([]byte, 32<<10)
 	dropping := false
 	for {
 		n, err := from.Read(buffer)
 		if err != nil {
-			return
+			return lost
 		}
+		lost = r.awaitRelease() || lost
 		dropping = dropping || !r.applyFault(isReply)
 		if dropping {
 			continue
 		}
 		if _, err := to.Write(buffer[:n]); err != nil {
-			return
+			return lost
 		}
 	}
 }
@@ -196,7 +271,7 @@
 	if err != nil {
 		return nil
 	}
-	r.peerConns[from.String()], r.conns[to] = to, true
+	r.peerConns[from.String()], r.conns[to] = to, false
 	go r.proxyReplies(to, from)
 	return to
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -56,8 +56,16 @@
 	plannedOnly bool
 	// seeds are those that always run.
 	seeds []uint64
-	// inject injects faults for *faultDuration and returns once all have ended.
-	inject func(ctx context.Context, f *fleet, bin string, seed uint64)
+	// duration is the time for which faults are injected.
+	duration time.Duration
+	// drain is the drain time-out of all processes.
+	drain time.Duration
+	// inject injects faults for a duration and returns once all have ended.
+	inject func(ctx context.Context, f *fleet, bin string, seed uint64, d time.Duration)
+	// load starts the callers, which run until ctx ends.
+	load func(ctx context.Context, wg *sync.WaitGroup, f *fleet, jobs *callers, seed uint64)
+	// upstream, if set, changes the options of an upstream.
+	upstream func(o *standin.Options, i int, seed uint64)
 }
 
 // mixedRegressions and plannedRegressions list seeds that once failed, with the cause
@@ -78,9 +86,12 @@
 // TestSoak injects unplanned and planned faults of processes and links.
 func TestSoak(t *testing.T) {
 	runSeeds(t, mode{
-		name:   "mixed",
-		seeds:  append([]uint64(nil), mixedRegressions...),
-		inject: injectMixed,
+		name:     "mixed",
+		seeds:    append([]uint64(nil), mixedRegressions...),
+		duration: *faultDuration,
+		drain:    defaultDrain,
+		inject:   injectMixed,
+		load:     submitOnce,
 	})
 }
 
@@ -91,11 +102,21 @@
 		name:        "planned",
 		plannedOnly: true,
 		seeds:       append([]uint64(nil), plannedRegressions...),
+		duration:    *faultDuration,
+		drain:       defaultDrain,
 		inject:      injectPlanned,
+		load:        submitOnce,
 	})
 }
 
 func runSeeds(t *testing.T, m mode) {
+	bin := buildPrograms(t)
+	requireSingleRun(t)
+	runSeedsOf(t, m, bin)
+}
+
+// buildPrograms returns the folder of the programs.
+func buildPrograms(t *testing.T) string {
 	if testing.Short() {
 		t.Skip("runs the real programs")
 	}
@@ -108,7 +129,11 @@
 	err := build.Wait()
 	kill.Stop()
 	require.NoError(t, err, out.String())
-	requireSingleRun(t)
+	return bin
+}
+
+// runSeedsOf runs the seeds of a mode one after another.
+func runSeedsOf(t *testing.T, m mode, bin string) {
 	list := m.seeds
 	for i := range *seedCount {
 		list = append(list, *firstSeed+i)
@@ -120,24 +145,36 @@
 
 func newRand(seed, n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, n)) }
 
-func injectMixed(ctx context.Context, f *fleet, bin string, seed uint64) {
+func injectMixed(ctx context.Context, f *fleet, bin string, seed uint64, d time.Duration) {
 	linkCtx, stop := context.WithCancel(ctx)
 	var links sync.WaitGroup
 	links.Go(func() { f.injectLinkFaults(linkCtx, newRand(seed, 5)) })
-	(&faultInjector{f: f, bin: bin, rng: newRand(seed, 3)}).run(*faultDuration)
+	(&faultInjector{f: f, bin: bin, rng: newRand(seed, 3)}).run(d)
 	stop()
 	waitAll(f.t.Fatalf, &links, maxFaultTime, "the link faults")
 }
 
-func injectPlanned(_ context.Context, f *fleet, bin string, seed uint64) {
-	(&plannedInjector{f: f, bin: bin, rng: newRand(seed, 6)}).run(*faultDuration)
+func injectPlanned(_ context.Context, f *fleet, bin string, seed uint64, d time.Duration) {
+	(&plannedInjector{f: f, bin: bin, rng: newRand(seed, 6)}).run(d)
+}
+
+// submitOnce starts callers that submit each job once, some of them through relays.
+func submitOnce(ctx context.Context, wg *sync.WaitGroup, f *fleet, jobs *callers, seed uint64) {
+	for i := range uint64(relayedCallers) {
+		wg.Go(func() { jobs.run(ctx, newRand(seed, 10+i)) })
+	}
+	for i := range uint64(directCallersPerAgent * *agents) {
+		caller := &directCaller{callers: jobs, f: f, idles: i%directCallersPerAgent == 0}
+		wg.Go(func() { caller.run(ctx, newRand(seed, 1000+i)) })
+	}
 }
 
 func runSeed(t *testing.T, m mode, bin string, seed uint64) {
 	dir := t.TempDir()
 	ctx, cancel := context.WithCancel(context.Background())
 	ledger := standin.NewLedger()
-	f := newFleet(t, dir, bin, ledger, m.plannedOnly)
+	f := newFleet(t, dir, bin, ledger, m)
+	ledger.SetTrace(f.note)
 	defer func() { saveLogs(t, dir, fmt.Sprintf("%s-%d", m.name, seed), ledger.Violations()) }()
 	var upstreams sync.WaitGroup
 	defer waitAll(t.Errorf, &upstreams, callersTimeout, "the upstreams")
@@ -145,11 +182,14 @@
 	defer cancel()
 	for i := range *agents {
 		upstreams.Go(func() {
-			err := standin.Run(ctx, standin.Options{
+			o := standin.Options{
 				ID: fmt.Sprintf("up-%d", i+1), Service: service, MilliCPU: 4000, MaxLease: time.Second, Ledger: ledger,
 				Addr: address(netAgent, i, portUpstream), Announced: address(netToUpstream, i, portUpstream), Agent: address(netToAgent, i, portHeartbeats),
-			})
-			if err != nil {
+			}
+			if m.upstream != nil {
+				m.upstream(&o, i, seed)
+			}
+			if err := standin.Run(ctx, o); err != nil {
 				ledger.AddViolation("%v", err)
 			}
 		})
@@ -160,22 +200,16 @@
 	defer stop()
 	var loads sync.WaitGroup
 	loads.Go(func() { op.run(loadCtx, newRand(seed, 2)) })
-	for i := range uint64(relayedCallers) {
-		loads.Go(func() { jobs.run(loadCtx, newRand(seed, 10+i)) })
-	}
-	for i := range uint64(directCallersPerAgent * *agents) {
-		caller := &directCaller{callers: jobs, f: f, idles: i%directCallersPerAgent == 0}
-		loads.Go(func() { caller.run(loadCtx, newRand(seed, 1000+i)) })
-	}
+	m.load(loadCtx, &loads, f, jobs, seed)
 	awaitWork(t, jobs)
-	m.inject(ctx, f, bin, seed)
+	m.inject(ctx, f, bin, seed, m.duration)
 	awaitWork(t, jobs)
 	awaitRead(ctx, t, op, newRand(seed, 4))
 	stop()
 	waitAll(t.Fatalf, &loads, callersTimeout, "the callers")
 	jobs.check()
-	t.Logf("%s seed %d: complete %d, refused %d, timed out %d, no answer through relays %d; versions acknowledged up to %d; direct callers: answers %d, cut %d (%d after a second SIGTERM), allowed %s; stops %s",
-		m.name, seed, jobs.complete.Load(), jobs.refusals.Load(), jobs.timedOut.Load(), jobs.unanswered.Load(), op.acked.Load(),
+	t.Logf("%s seed %d: concurrent runs %d; complete %d, refused %d, timed out %d, no answer through relays %d; versions acknowledged up to %d; direct callers: answers %d, cut %d (%d after a second SIGTERM), allowed %s; stops %s",
+		m.name, seed, ledger.Concurrent(), jobs.complete.Load(), jobs.refusals.Load(), jobs.timedOut.Load(), jobs.unanswered.Load(), op.acked.Load(),
 		jobs.direct.Load(), jobs.cuts.Load(), jobs.forced.Load(), jobs.exemptions(), f.countedStops())
 	if v := ledger.Violations(); len(v) > 0 {
 		t.Errorf("%s seed %d: violations:\n%s", m.name, seed, strings.Join(v, "\n"))
