--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -132,6 +132,9 @@
 		freeAddr(f.t), strings.Join(f.controlAddrs, ", "), heartbeats)))
 }
 
+// upstreamMilliCPU is the capacity of each upstream in thousandths of a core.
+const upstreamMilliCPU = 16_000
+
 func upstreamID(i int) string { return fmt.Sprintf("up-%d", i+1) }
 
 func (f *platformFleet) runUpstreams() {
@@ -140,7 +143,7 @@
 	for i := range f.agents {
 		wg.Go(func() {
 			err := standin.Run(ctx, standin.Options{
-				ID: upstreamID(i), Service: service, MilliCPU: 16_000, MaxLease: time.Second, Ledger: f.ledger,
+				ID: upstreamID(i), Service: service, MilliCPU: upstreamMilliCPU, MaxLease: time.Second, Ledger: f.ledger,
 				Addr: f.upstreamAddrs[i], Agent: f.heartbeatAddrs[i],
 			})
 			assert.NoError(f.t, err)
