lease: repeat a stop until the end of its run is known

Cause: a stop was sent once. After a lost stop the token was raised and the lists were requested, but a run that was still listed got no second stop, and each hold renewed its lease. The same held for runs of a predecessor. Moreover platform counted every readable answer to a stop as success, also 409 and 503.

Stops are now kept until the end of the run is known.

TestPredecessorRunsAreStoppedBeforeAnnouncement changes in one place: OK: true of the answer becomes Result: StopAccepted.

--- a/lease/hold.go
+++ b/lease/hold.go
@@ -149,6 +149,7 @@
 	s.lastEndSeq = e.Seq
 	key := runKey{e.Task, e.Run}
 	delete(s.unknownRuns, key)
+	s.removeStop(key)
 	r := s.runs[key]
 	if r == nil {
 		return
@@ -178,12 +179,13 @@
 		if s.runs[key] == nil && !s.unknownRuns[key] {
 			s.log("stopping unknown run", "task", key.task, "run", key.run)
 			s.unknownRuns[key] = true
-			s.sendStop(key)
+			s.requestStop(key)
 		}
 	}
 	for key := range s.unknownRuns {
 		if !listed[key] {
 			delete(s.unknownRuns, key)
+			s.removeStop(key)
 		}
 	}
 	for _, r := range s.sortedRuns() {
@@ -221,16 +223,9 @@
 	switch {
 	case r.phase == phaseUnconfirmed && listed:
 		r.phase, r.lastCall = phaseRunning, s.lastCallID
-		if r.stopRequested {
-			s.sendStop(r.key)
-		}
 	case r.phase == phaseUnconfirmed && h.fence >= r.fence:
 		s.log("start was not carried out", "task", r.key.task, "run", r.key.run)
-		if r.stopRequested || s.now >= r.StartBy {
-			s.end(r, agent.EndRejected)
-			return
-		}
-		s.sendStart(r)
+		s.resendStart(r)
 	case r.phase == phaseRunning && !listed && h.call > r.lastCall:
 		s.log("run is missing from the upstream's list", "task", r.key.task, "run", r.key.run)
 		s.end(r, agent.EndCutOff)
@@ -289,6 +284,11 @@
 	if s.ackAt > 0 {
 		add(s.ackAt)
 	}
+	for _, p := range s.stops {
+		if s.canSend(p) {
+			add(p.sendAt)
+		}
+	}
 	if len(s.runs) > 0 && s.failures >= failuresToSuspect && s.clockAt > 0 {
 		if at := s.leasesExpiredAt(); at > s.now {
 			add(at)
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -183,7 +183,7 @@
 	require.Empty(t, b.events, "the upstream is not announced yet")
 	b.step(startEvent(firstRun, "a"))
 	require.Equal(t, agent.EndRejected, b.ends()[0].End)
-	b.step(StopAnswered{Call: b.stops[0].Call, OK: true})
+	b.step(StopAnswered{Call: b.stops[0].Call, Result: StopAccepted})
 	b.answer(View{Ended: []Ended{{Seq: 1, Task: "old", Run: 3, How: EndStopped}}})
 	require.Contains(t, b.events, agent.Event(agent.Announced{Upstream: announcement(1).Upstream}))
 }
--- a/lease/state.go
+++ b/lease/state.go
@@ -53,6 +53,9 @@
 	// failuresToSuspect is how many consecutive holds without an answer make
 	// the upstream count as unreachable.
 	failuresToSuspect = 2
+	// stopEffectTimeout is how long a run may go on after its stop was accepted
+	// before the stop is sent again.
+	stopEffectTimeout = 250 * time.Millisecond
 	// idleAckDelay is how long the acknowledgement of ended runs is delayed
 	// when no run is left.
 	idleAckDelay = 100 * time.Millisecond
@@ -83,14 +86,24 @@
 	lastCall CallID
 	// fence is the token of the last start. Once that start got no answer, it is
 	// the lowest token with which the upstream will reject the lost start.
-	fence         uint64
-	stopRequested bool
+	fence uint64
 	// percent is the highest progress listed so far, progressedAt when it last
 	// grew.
 	percent      int
 	progressedAt time.Duration
 }
 
+// pendingStop is a run that was requested to end and may still run. Its stop is
+// sent again until the end is known.
+type pendingStop struct {
+	key runKey
+	// call is the stop in flight; zero if none. fence is the token of the last
+	// stop.
+	call   CallID
+	fence  uint64
+	sendAt time.Duration
+}
+
 // hold is a hold in flight. The field probe is the instance for which the agent
 // requested a probe, empty for none.
 type hold struct {
@@ -115,6 +128,8 @@
 	// unknownRuns holds listed runs that this agent did not start; they are
 	// being stopped.
 	unknownRuns map[runKey]bool
+	// stops holds the stops of known and unknown runs, in order of the requests.
+	stops []*pendingStop
 
 	fence      uint64
 	lastCallID CallID
@@ -189,6 +204,7 @@
 	case Tick:
 	}
 	s.expire()
+	s.sendStops()
 	s.maintainHold()
 	out, s.out = s.out, nil
 	return out
@@ -247,6 +263,7 @@
 	}
 	s.holds = s.holds[:0]
 	clear(s.unknownRuns)
+	s.stops = s.stops[:0]
 	s.failures, s.retryAt, s.ackAt = 0, 0, 0
 }
 
@@ -299,9 +316,6 @@
 	switch ev.Result {
 	case StartAccepted:
 		r.phase, r.lastCall = phaseRunning, s.lastCallID
-		if r.stopRequested {
-			s.sendStop(r.key)
-		}
 	case StartLost:
 		s.markUnconfirmed(r)
 	case StartFenced:
@@ -326,6 +340,16 @@
 	}
 }
 
+// resendStart sends a start again that was certainly not carried out, unless the
+// run is no longer wanted.
+func (s *State) resendStart(r *run) {
+	if s.stopOf(r.key) != nil || s.now >= r.StartBy {
+		s.end(r, agent.EndRejected)
+		return
+	}
+	s.sendStart(r)
+}
+
 // markUnconfirmed keeps a run whose start got no answer until the upstream has
 // seen a higher token.
 func (s *State) markUnconfirmed(r *run) {
@@ -345,35 +369,10 @@
 	return nil
 }
 
-// stop requests the end of a run. If the run is not known to have started, the
-// stop is sent once it is.
-func (s *State) stop(id agent.RunID) {
-	r := s.runsByID[id]
-	if r == nil || r.stopRequested {
-		return
-	}
-	r.stopRequested = true
-	if r.phase == phaseRunning {
-		s.sendStop(r.key)
-	}
-}
-
-func (s *State) sendStop(key runKey) {
-	s.emit(StopCall{Call: s.nextCall(), Target: s.target, Task: key.task, Run: key.run, Fence: s.fence})
-}
-
-// stopAnswered raises the token after a stop without an answer, so that the
-// stop, if carried out late, can't end a newer run of the task.
-func (s *State) stopAnswered(ev StopAnswered) {
-	if !ev.OK {
-		s.fence++
-	}
-	s.requestLists()
-}
-
 // end removes a run and reports its end to the agent.
 func (s *State) end(r *run, how agent.End) {
 	delete(s.runs, r.key)
 	delete(s.runsByID, r.Run)
+	s.removeStop(r.key)
 	s.notify(agent.RunEnded{Run: r.Run, End: how, Ran: s.now - r.startedAt})
 }
--- a/lease/types.go
+++ b/lease/types.go
@@ -51,10 +51,10 @@
 	Clock time.Duration
 }
 
-// StopAnswered is the outcome of a StopCall; OK is set if it was answered.
+// StopAnswered is the outcome of a StopCall.
 type StopAnswered struct {
-	Call CallID
-	OK   bool
+	Call   CallID
+	Result StopResult
 }
 
 // HoldAnswered is the outcome of a HoldCall.
@@ -160,6 +160,22 @@
 	StartWrongInstance
 )
 
+// StopResult is an upstream's answer to a stop.
+type StopResult uint8
+
+// The answers to a stop.
+const (
+	// StopLost means that there was no answer: the stop may have been carried
+	// out, or may be later.
+	StopLost StopResult = iota
+	// StopAccepted means that the run ends soon, and can't start if it has not.
+	StopAccepted
+	// StopFenced means that the token was lower than one seen before.
+	StopFenced
+	// StopRefused means that the upstream did nothing.
+	StopRefused
+)
+
 // HoldResult is an upstream's answer to a hold.
 type HoldResult uint8
 
