lease: let the leases expire when a stop has no effect

Holds and starts extend no lease once a stop has been without an effect for 100 ms, and extend it again when the end of the run is known. Withholding from the first moment would let overlapping stops of a busy agent expire healthy runs. A start within that time takes the lease end that was sent last.

--- a/lease/hold.go
+++ b/lease/hold.go
@@ -28,8 +28,7 @@
 		Call: h.call, Target: s.target, AckSeq: s.lastEndSeq, Fence: s.fence,
 		Wait: wait, AnswerTimeout: answerTimeout,
 	}
-	if s.failures < failuresToSuspect {
-		// The leases of an upstream that does not answer must expire.
+	if s.mayRenew() {
 		eff.Until = s.newLeaseEnd()
 	}
 	s.holds = append(s.holds, h)
--- a/lease/state.go
+++ b/lease/state.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fireflytray/fireflytray/agent"
@@ -56,6 +57,9 @@
 	// stopEffectTimeout is how long a run may go on after its stop was accepted
 	// before the stop is sent again.
 	stopEffectTimeout = 250 * time.Millisecond
+	// stopPatience is how long a stop may remain without an effect before the
+	// leases are no longer renewed, so that the run ends in any case.
+	stopPatience = 100 * time.Millisecond
 	// idleAckDelay is how long the acknowledgement of ended runs is delayed
 	// when no run is left.
 	idleAckDelay = 100 * time.Millisecond
@@ -102,6 +106,9 @@
 	call   CallID
 	fence  uint64
 	sendAt time.Duration
+	// withoutEffectSince is when the end was requested, or when an accepted stop
+	// should have ended the run.
+	withoutEffectSince time.Duration
 }
 
 // hold is a hold in flight. The field probe is the instance for which the agent
@@ -290,10 +297,25 @@
 	r.lastCall = r.call
 	s.emit(StartCall{
 		Call: r.call, Target: s.target, Task: r.key.task, Run: r.key.run,
-		Payload: r.Payload, Until: s.newLeaseEnd(), Fence: s.fence,
+		Payload: r.Payload, Until: s.startLeaseEnd(), Fence: s.fence,
 	})
 }
 
+// mayRenew reports whether calls may extend the leases. They must not while the
+// upstream does not answer or does not carry out a stop.
+func (s *State) mayRenew() bool {
+	return s.failures < failuresToSuspect && !slices.ContainsFunc(s.stops, s.isIneffective)
+}
+
+// startLeaseEnd returns the end of the lease in a start. If the leases may not be
+// renewed, it is one that has been sent before.
+func (s *State) startLeaseEnd() time.Duration {
+	if s.mayRenew() {
+		return s.newLeaseEnd()
+	}
+	return s.latestLeaseEnd
+}
+
 // newLeaseEnd returns the end of a lease that begins now, on the upstream's
 // clock, and records the latest one.
 func (s *State) newLeaseEnd() time.Duration {
--- a/lease/stop.go
+++ b/lease/stop.go
@@ -15,7 +15,7 @@
 
 func (s *State) requestStop(key runKey) {
 	if s.stopOf(key) == nil {
-		s.stops = append(s.stops, &pendingStop{key: key})
+		s.stops = append(s.stops, &pendingStop{key: key, withoutEffectSince: s.now})
 	}
 }
 
@@ -49,6 +49,11 @@
 	return p.call == 0 && (r == nil || r.phase == phaseRunning)
 }
 
+// isIneffective reports whether a run goes on although it should have ended.
+func (s *State) isIneffective(p *pendingStop) bool {
+	return s.now >= p.withoutEffectSince+stopPatience
+}
+
 // stopAnswered schedules the stop's repetition and requests the lists, which show
 // whether the run has ended. The token is raised after a stop without an answer,
 // so that the stop can't be carried out late.
@@ -67,6 +72,7 @@
 	switch result {
 	case StopAccepted:
 		p.sendAt = s.now + stopEffectTimeout
+		p.withoutEffectSince = p.sendAt
 	case StopFenced:
 		if p.fence == s.fence {
 			s.fence += fenceIncrement
--- a/lease/stop_test.go
+++ b/lease/stop_test.go
@@ -9,6 +9,38 @@
 	"github.com/fireflytray/fireflytray/agent"
 )
 
+// latestUntil returns the latest end of a lease in any call, on the clock of the
+// harness.
+func (b *harness) latestUntil() time.Duration {
+	last := time.Duration(0)
+	for _, h := range b.holds {
+		last = max(last, h.Until)
+	}
+	for _, st := range b.starts {
+		last = max(last, st.Until)
+	}
+	return last - b.upstreamClock
+}
+
+// keepListing answers each hold within d with the same lists and no stop at all.
+func (b *harness) keepListing(d time.Duration, v View) {
+	const step, stopTimeout = 10 * time.Millisecond, 150 * time.Millisecond
+	lost := 0
+	for i := range int(d / step) {
+		b.advance(step)
+		if len(b.s.holds) > 0 {
+			b.answer(v)
+		}
+		if i%int(stopTimeout/step) != 0 {
+			continue
+		}
+		for _, c := range b.stops[lost:] {
+			b.step(StopAnswered{Call: c.Call})
+			lost++
+		}
+	}
+}
+
 func running(tasks ...string) View {
 	var v View
 	for _, t := range tasks {
@@ -43,6 +75,23 @@
 	require.Len(t, b.stops, 2)
 }
 
+// A run whose stops are all lost had its lease renewed without end.
+func TestLeaseOfRunThatCannotBeStoppedExpires(t *testing.T) {
+	b := newHarness(t).announceUpstream()
+	b.startRun(firstRun, "a")
+	b.startRun(2, "b")
+	requestedAt := b.now
+	b.step(Stop{Run: firstRun})
+	b.keepListing(900*time.Millisecond, running("a", "b"))
+	b.step(startEvent(3, "c"))
+	require.LessOrEqual(t, b.latestUntil(), requestedAt+100*time.Millisecond+DefaultConfig().Lease)
+	b.answer(View{
+		Running: []Running{{Task: "b", Run: 1}},
+		Ended:   []Ended{{Seq: 1, Task: "a", Run: 1, How: EndStopped}},
+	})
+	require.Equal(t, b.now+DefaultConfig().Lease, b.latestUntil(), "the other runs go on")
+}
+
 // A fenced stop is sent again with a token that the upstream takes.
 func TestFencedStopIsSentAgain(t *testing.T) {
 	b := newHarness(t).announceUpstream()
