lease: don't send a fenced start again once its run is cancelled

A start that was answered as fenced was sent again even if a stop of its run had been requested meanwhile or its start deadline had passed, so a task could begin after its cancellation. Before, TestFencedStartOfStoppedRunIsNotSentAgain saw a second start. A fenced start was certainly not carried out, so the run ends as rejected.

--- a/lease/state.go
+++ b/lease/state.go
@@ -345,7 +345,7 @@
 			s.fence += fenceIncrement
 			s.log("fencing token was too low", "task", r.key.task, "token", s.fence)
 		}
-		s.sendStart(r)
+		s.resendStart(r)
 	case StartStale:
 		s.end(r, agent.EndRejected)
 	case StartExpired:
--- a/lease/stop_test.go
+++ b/lease/stop_test.go
@@ -117,3 +117,13 @@
 		require.Len(t, b.stops, 2)
 	}
 }
+
+// A start that was fenced was sent again although its run was already cancelled.
+func TestFencedStartOfStoppedRunIsNotSentAgain(t *testing.T) {
+	b := newHarness(t).announceUpstream()
+	b.step(startEvent(firstRun, "a"))
+	b.step(Stop{Run: firstRun})
+	b.step(StartAnswered{Call: b.starts[0].Call, Result: StartFenced})
+	require.Len(t, b.starts, 1)
+	require.Equal(t, agent.EndRejected, b.ends()[0].End)
+}
