lease: holds of an agent that is not reconciled renew no lease

Evidence: before, TestUnreconciledAgentRenewsNoLease saw the second hold extend the lease by a second, and each one after it.

The successor's holds now carry no lease end until the lists show no run of a predecessor, so these runs are over when the predecessor's last lease ends (1 s on a clock up to 2 % slow: 1,020 ms after its last hold or start was sent), whether the successor's stops arrive or not. Starts are rejected until then anyway.

--- a/lease/state.go
+++ b/lease/state.go
@@ -302,9 +302,10 @@
 }
 
 // mayRenew reports whether calls may extend the leases. They must not while the
-// upstream does not answer or does not carry out a stop.
+// upstream does not answer, may have runs of a predecessor or does not carry out
+// a stop.
 func (s *State) mayRenew() bool {
-	return s.failures < failuresToSuspect && !slices.ContainsFunc(s.stops, s.isIneffective)
+	return s.reconciled && s.failures < failuresToSuspect && !slices.ContainsFunc(s.stops, s.isIneffective)
 }
 
 // startLeaseEnd returns the end of the lease in a start. If the leases may not be
--- a/lease/stop_test.go
+++ b/lease/stop_test.go
@@ -127,3 +127,18 @@
 	require.Len(t, b.starts, 1)
 	require.Equal(t, agent.EndRejected, b.ends()[0].End)
 }
+
+// A restarted agent kept the runs of its predecessor alive while it learned of
+// them, although the entries had given them up.
+func TestUnreconciledAgentRenewsNoLease(t *testing.T) {
+	b := newHarness(t)
+	b.step(announcement(1))
+	b.keepListing(time.Second, running("old"))
+	require.NotEmpty(t, b.holds)
+	for _, h := range b.holds {
+		require.Zero(t, h.Until)
+	}
+	b.answer(View{Ended: []Ended{{Seq: 1, Task: "old", Run: 1, How: EndLeaseExpired}}})
+	b.startRun(firstRun, "a")
+	require.Equal(t, b.now+DefaultConfig().Lease, b.latestUntil())
+}
