agent: give orphans a short grace after a pause of the agent

After a pause the agent restarted the orphan time-out of every entry.

Evidence: before, TestPausedAgentStopsOrphansSoon saw the next deadline at 1.85 s after a wake-up at 1.05 s; now 1.15 s. TestPausedAgentStartsNoTaskOfSilentEntry saw the queued task start.

Messages that arrived during the pause are read within milliseconds, so the runs get 100 ms (freezeGrace). Queued tasks of entries that were silent for longer than the orphan time-out are refused: they have not started, so the entry can place them elsewhere. TestPausedAgentKeepsRunsOfLivingEntry guards the other side.

--- a/agent/deadlines.go
+++ b/agent/deadlines.go
@@ -10,13 +10,18 @@
 // the agent assumes that its own process, and not the upstream, was frozen.
 const freezeThreshold = 250 * time.Millisecond
 
+// freezeGrace is the time after a freeze within which the messages that arrived
+// during it are read.
+const freezeGrace = 100 * time.Millisecond
+
 // Next returns the time at which Step must be called with a Tick; ok is false if
 // no deadline is pending.
 func (s *State) Next() (at time.Duration, ok bool) { return s.nextTick, s.hasNextTick }
 
-// extendAfterFreeze restarts the upstream's lease, the grace periods of stopped
-// runs and the orphan timeouts of entries if this process was frozen, because
-// messages sent during the freeze are still unread. Start deadlines are not
+// extendAfterFreeze restarts the upstream's lease and the grace periods of
+// stopped runs if this process was frozen, because messages sent during the
+// freeze are still unread. The runs of entries whose orphan time-out has passed
+// go on for freezeGrace; their queued tasks are refused. Start deadlines are not
 // extended.
 func (s *State) extendAfterFreeze() {
 	if !s.hasNextTick || s.now-s.nextTick < freezeThreshold {
@@ -30,8 +35,9 @@
 			r.stopRequestedAt = s.now
 		}
 	}
+	s.refuseOrphans()
 	for _, e := range s.entryList {
-		e.lastMessageAt = s.now
+		e.lastMessageAt = max(e.lastMessageAt, s.now+freezeGrace-s.cfg.OrphanAfter)
 	}
 }
 
--- /dev/null
+++ b/agent/orphan_test.go
@@ -0,0 +1,56 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+const testOrphanAfter = 800 * time.Millisecond
+
+// newOrphanTest returns the state of an agent whose only entry sent its last
+// message at 0 s. Task 0 runs, task 1 is queued.
+func newOrphanTest() *State {
+	s := newTestState(Config{OrphanAfter: testOrphanAfter})
+	s.Step(0, Announced{leasedUpstream(1000)}, nil)
+	s.Step(0, SessionOpened{Session: 1, Hello: hello(1, 1)}, nil)
+	s.Step(0, UpdateReceived{Session: 1, Update: &wire.Update{Seq: 1, Tasks: []wire.Assignment{assignmentOf(0, 800), assignmentOf(1, 800)}}}, nil)
+	return s
+}
+
+func stopOf(run RunID, i uint32) Effect {
+	return StopRun{Run: run, ID: assignmentOf(i, 0).ID}
+}
+
+// The runs of an entry that died while the agent was paused went on for the whole
+// orphan time-out after the pause.
+func TestPausedAgentStopsOrphansSoon(t *testing.T) {
+	s := newOrphanTest()
+	const wokenAt = testOrphanAfter + freezeThreshold
+	require.NotContains(t, s.Step(wokenAt, Tick{}, nil), stopOf(1, 0), "messages may be unread")
+	at, ok := s.Next()
+	require.True(t, ok)
+	require.LessOrEqual(t, at, wokenAt+freezeGrace)
+	require.Contains(t, s.Step(wokenAt+freezeGrace, Tick{}, nil), stopOf(1, 0))
+}
+
+// A message that is read after the pause keeps the runs of its entry.
+func TestPausedAgentKeepsRunsOfLivingEntry(t *testing.T) {
+	s := newOrphanTest()
+	const wokenAt = testOrphanAfter + freezeThreshold
+	s.Step(wokenAt, Tick{}, nil)
+	s.Step(wokenAt, UpdateReceived{Session: 1, Update: &wire.Update{Seq: 2, SentAt: wokenAt}}, nil)
+	require.NotContains(t, s.Step(wokenAt+testOrphanAfter-1, Tick{}, nil), stopOf(1, 0))
+}
+
+// A paused agent must not start tasks that it can't know to be wanted still.
+func TestPausedAgentStartsNoTaskOfSilentEntry(t *testing.T) {
+	s := newOrphanTest()
+	effs := s.Step(testOrphanAfter+freezeThreshold, RunEnded{Run: 1, End: EndComplete}, nil)
+	require.Zero(t, startsIn(effs))
+	_, queued := s.Load()
+	require.Zero(t, queued)
+}
--- a/agent/run.go
+++ b/agent/run.go
@@ -332,7 +332,8 @@
 	s.health.expireSuspension(s.now)
 	s.expireUpstream()
 	s.expireEntries()
-	s.expireOrphans()
+	s.refuseOrphans()
+	s.stopOrphans()
 	s.expireQueued()
 	for i := 0; i < len(s.running); i++ {
 		if r := s.running[i]; s.expireRun(r) {
--- a/agent/session.go
+++ b/agent/session.go
@@ -267,17 +267,18 @@
 	s.entryList = slices.DeleteFunc(s.entryList, func(o *entry) bool { return o == e })
 }
 
-// expireOrphans stops the runs and refuses the queued tasks of entries that have
-// sent no message for OrphanAfter.
-func (s *State) expireOrphans() {
-	if s.cfg.OrphanAfter == 0 {
-		return
-	}
+// refuseOrphans refuses the queued tasks of entries that have sent no message for
+// OrphanAfter.
+func (s *State) refuseOrphans() {
 	for _, r := range slices.Clone(s.queue.recs) {
 		if s.isOrphan(r.entry) {
 			s.refuse(r, task.ReasonEntryGone)
 		}
 	}
+}
+
+// stopOrphans stops the runs of such entries.
+func (s *State) stopOrphans() {
 	for _, r := range s.running {
 		if s.isOrphan(r.entry) {
 			s.stop(r, task.ReasonEntryGone)
@@ -285,7 +286,9 @@
 	}
 }
 
-func (s *State) isOrphan(e *entry) bool { return s.now >= e.lastMessageAt+s.cfg.OrphanAfter }
+func (s *State) isOrphan(e *entry) bool {
+	return s.cfg.OrphanAfter > 0 && s.now >= e.lastMessageAt+s.cfg.OrphanAfter
+}
 
 // expireEntries forgets entries that have had no session for EntryTTL.
 func (s *State) expireEntries() {
