agent: count the orphan time-out from when a message was sent

The transit delay that already shortens start deadlines is now deducted here, too. An assignment of an orphan is refused as entry_gone, not run.

--- a/agent/run.go
+++ b/agent/run.go
@@ -73,6 +73,8 @@
 	case s.now >= r.startBy:
 		s.stats.Stale++
 		return task.ReasonStartExpired
+	case s.isOrphan(r.entry):
+		return task.ReasonEntryGone
 	case s.drain.active || s.up.leaving:
 		return task.ReasonDraining
 	case s.up.leaseUntil == 0:
--- a/agent/session.go
+++ b/agent/session.go
@@ -18,7 +18,8 @@
 	sessionNo      uint64 // Hello.Session of the last session
 	lastSeq        uint64 // sequence number of the last update of the session
 	disconnectedAt time.Duration
-	// lastMessageAt is when the entry last sent anything on a session.
+	// lastMessageAt is when the entry last sent anything on a session, not when
+	// that arrived.
 	lastMessageAt time.Duration
 
 	// historyLost is set if this incarnation may have had sessions whose state
@@ -74,10 +75,9 @@
 	}
 	s.forgetOlderIncarnations(h.From)
 	e.peer, e.session, e.sessionNo, e.lastSeq = h.From, id, h.Session, 0
-	e.lastMessageAt = s.now
 	e.demand, e.credit = wire.Demand{}, 0
 	s.sessions[id] = e
-	s.observeTransit(e, h.SentAt)
+	e.lastMessageAt = max(e.lastMessageAt, s.now-s.observeTransit(e, h.SentAt))
 	s.welcome(e, h)
 }
 
@@ -162,8 +162,8 @@
 		s.stats.Duplicates++
 		return
 	}
-	e.lastMessageAt = s.now
 	lag := s.observeTransit(e, u.SentAt)
+	e.lastMessageAt = max(e.lastMessageAt, s.now-lag)
 	switch {
 	case u.Seq != e.lastSeq+1:
 		s.endSession(e, CloseGap)
