lease: ignore the departure of an upstream that does not drain

A departure names an id without an incarnation, and an upstream may start again under its id. A departure that arrived late ended the runs of the new process: they were reported as cut off, and started elsewhere, while they went on for up to a lease. Found by reading; not seen in a run.

Before, TestLateDepartureOfOlderIncarnationIsIgnored saw the run of an upstream that does not drain reported as cut off.

An upstream announces that it drains before it leaves, so only then does a departure count. If that announcement was lost, holds without an answer end the runs once their lease has run out.

--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -263,3 +263,17 @@
 	b.answer(View{Ended: []Ended{{Seq: 1, Task: "a", Run: 1, How: EndDone}}})
 	require.Equal(t, agent.EndComplete, b.ends()[0].End)
 }
+
+// A departure carries no incarnation: one that arrives late ended the runs of the
+// process that had started again under the same id.
+func TestLateDepartureOfOlderIncarnationIsIgnored(t *testing.T) {
+	b := newHarness(t).announceUpstream()
+	b.startRun(firstRun, "a")
+	b.step(Left{ID: "i-1"})
+	require.Empty(t, b.ends(), "the process has not announced that it drains")
+	draining := announcement(2)
+	draining.Upstream.Draining = true
+	b.step(draining)
+	b.step(Left{ID: "i-1"})
+	require.Equal(t, agent.EndCutOff, b.ends()[0].End)
+}
--- a/lease/state.go
+++ b/lease/state.go
@@ -252,10 +252,16 @@
 	s.requestLists()
 }
 
+// left handles a departure. It does not say which incarnation has left, and may
+// arrive late, so it counts only if the current one has announced that it drains.
 func (s *State) left(id string) {
 	if !s.haveUpstream || s.lastAnnounced.ID != id {
 		return
 	}
+	if !s.upstream.Draining {
+		s.log("ignoring departure of an upstream that does not drain", "instance", s.upstream.Instance)
+		return
+	}
 	s.log("upstream has shut down", "instance", s.upstream.Instance)
 	s.notify(agent.Left{Instance: s.upstream.Instance})
 	s.endAllRuns()
