lease: count the lease that a predecessor sent last

A start that may renew no lease carries the end that was sent last.

The lists by which the agent is reconciled give the upstream's clock; a predecessor's lease ends at most one lease later, and its late calls are fenced from then on.

--- a/lease/hold.go
+++ b/lease/hold.go
@@ -127,6 +127,8 @@
 	s.matchRunning(h, v)
 	if !s.reconciled && len(s.unknownRuns) == 0 {
 		s.reconciled = true
+		// The lease that a predecessor sent last.
+		s.latestLeaseEnd = v.Clock + s.cfg.Lease
 		s.log("upstream is ready", "instance", s.upstream.Instance, "clock", v.Clock)
 		s.notify(agent.Announced{Upstream: s.upstream})
 	}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -277,3 +277,17 @@
 	b.step(Left{ID: "i-1"})
 	require.Equal(t, agent.EndCutOff, b.ends()[0].End)
 }
+
+// A run that started under a predecessor's lease counted as expired at once.
+func TestPredecessorLeaseCountsUntilItHasExpired(t *testing.T) {
+	b := newHarness(t)
+	b.step(announcement(1))
+	b.step(announcement(2))
+	b.step(announcement(3))
+	b.answer(View{})
+	readyAt := b.now
+	b.advance(DefaultConfig().AnswerTimeout)
+	b.startRun(firstRun, "a")
+	b.advance(readyAt + DefaultConfig().Lease - b.now)
+	require.Empty(t, b.ends())
+}
