lease: estimate the upstream's clock as a lower bound

The estimate added the agent's own time to the last clock seen, so on an upstream whose clock runs 2 % slow it got ahead: by 0.2 s after an idle stretch of 10 s. A call of an agent that had ended, if carried out late, then extended the lease beyond the length counted from its sending.

Evidence: before, TestLeaseEndAllowsForSlowClock saw a lease end 0.2 s too late.

The estimate now assumes the slowest clock, and a clock seen is taken only if it is ahead of the estimate. So that the estimate stays close while there are no calls, and a first start is not refused as late, the clock in heartbeats is read, too (TestHeartbeatUpdatesClock).

--- a/lease/hold.go
+++ b/lease/hold.go
@@ -134,10 +134,10 @@
 	}
 }
 
-// observeClock records the upstream's clock. An answer that arrives out of order
-// carries an older clock and is ignored.
+// observeClock records the upstream's clock. A message that was delayed carries an
+// older clock and is ignored.
 func (s *State) observeClock(clock time.Duration) {
-	if clock > s.clock || s.clockAt == 0 && clock > 0 {
+	if clock > 0 && (s.clockAt == 0 || clock > s.clockNow()) {
 		s.clock, s.clockAt = clock, s.now
 	}
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -278,6 +278,31 @@
 	require.Equal(t, agent.EndCutOff, b.ends()[0].End)
 }
 
+// The estimate of an upstream's clock that runs slow got ahead of it, so that a
+// call that was carried out late extended the lease beyond its length.
+func TestLeaseEndAllowsForSlowClock(t *testing.T) {
+	b := newHarness(t).announceUpstream()
+	const idle = 10 * time.Second
+	b.advance(idle)
+	b.step(startEvent(firstRun, "a"))
+	slowest := b.upstreamClock + time.Second + idle*(100-2)/100
+	require.LessOrEqual(t, b.starts[0].Until, slowest+DefaultConfig().Lease)
+}
+
+// Heartbeats keep the estimate of the clock close while there are no calls. An
+// older clock in a late one does not set it back.
+func TestHeartbeatUpdatesClock(t *testing.T) {
+	b := newHarness(t).announceUpstream()
+	b.advance(10 * time.Second)
+	for i, age := range []time.Duration{0, time.Second} {
+		beat := announcement(uint64(i + 2))
+		beat.Clock = b.upstreamClock + b.now - age
+		b.step(beat)
+	}
+	b.step(startEvent(firstRun, "a"))
+	require.Equal(t, b.upstreamClock+b.now+DefaultConfig().Lease, b.starts[0].Until)
+}
+
 // A run that started under a predecessor's lease counted as expired at once.
 func TestPredecessorLeaseCountsUntilItHasExpired(t *testing.T) {
 	b := newHarness(t)
--- a/lease/state.go
+++ b/lease/state.go
@@ -243,6 +243,7 @@
 		s.clock, s.clockAt, s.latestLeaseEnd = 0, 0, 0
 		s.lastEndSeq, s.ackedSeq = 0, 0
 	}
+	s.observeClock(ev.Clock)
 	s.upstream = up
 	s.target = Target{Addr: up.Addr, Instance: up.Instance}
 	if s.reconciled {
@@ -323,13 +324,18 @@
 	return s.latestLeaseEnd
 }
 
+// clockNow returns a time that the upstream's clock has certainly reached.
+func (s *State) clockNow() time.Duration {
+	return s.clock + time.Duration(float64(s.now-s.clockAt)*(1-maxClockDrift))
+}
+
 // newLeaseEnd returns the end of a lease that begins now, on the upstream's
 // clock, and records the latest one.
 func (s *State) newLeaseEnd() time.Duration {
 	if s.clockAt == 0 {
 		return 0
 	}
-	until := s.clock + (s.now - s.clockAt) + s.cfg.Lease
+	until := s.clockNow() + s.cfg.Lease
 	s.latestLeaseEnd = max(s.latestLeaseEnd, until)
 	return until
 }
--- a/lease/types.go
+++ b/lease/types.go
@@ -23,6 +23,8 @@
 	// the announcements of one incarnation. A stale announcement is ignored.
 	Born uint64
 	Seq  uint64
+	// Clock is the upstream's clock; zero if unknown.
+	Clock time.Duration
 }
 
 // Left reports that the upstream has shut down gracefully.
