lease: test that a run cancelled during its start is stopped

An agent paused for 0.3 to 0.9 s right before a start may send it after the caller has left. The upstream takes it while the lease end in it, set before the pause, lies ahead. The cancellation is read within milliseconds of waking, and the stop follows the answer to the start.

--- a/lease/stop_test.go
+++ b/lease/stop_test.go
@@ -142,3 +142,15 @@
 	b.startRun(firstRun, "a")
 	require.Equal(t, b.now+DefaultConfig().Lease, b.latestUntil())
 }
+
+// A start that was sent late, as by an agent paused right before the call, must
+// not outlive the cancellation that was read meanwhile.
+func TestRunCancelledWhileItsStartIsInFlightIsStopped(t *testing.T) {
+	b := newHarness(t).announceUpstream()
+	b.step(startEvent(firstRun, "a"))
+	b.now += 900 * time.Millisecond
+	b.step(Stop{Run: firstRun})
+	require.Empty(t, b.stops, "the run is not there yet")
+	b.step(StartAnswered{Call: b.starts[0].Call, Result: StartAccepted, Clock: b.upstreamClock + b.now})
+	require.Len(t, b.stops, 1)
+}
