--- a/agentd/log_test.go
+++ b/agentd/log_test.go
@@ -90,7 +90,7 @@
 	m := newMeter(scope)
 	m.recordStop(task.ReasonEntryGone)
 	var results []string
-	executor := stopResults{{OK: true}, {OK: true, Refused: true}, {}}
+	executor := stopResults{{Result: lease.StopAccepted}, {Result: lease.StopRefused}, {}}
 	r := newLeasedRunner(LeasedOptions{Executor: &executor}, func(agent.Event) bool { return true }, m, nil,
 		func(_ lease.StopCall, result string, _ time.Duration) { results = append(results, result) })
 	for range 3 {
