--- a/proof/simulation_test.go
+++ b/proof/simulation_test.go
@@ -4,7 +4,9 @@
 	"container/heap"
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -46,6 +48,14 @@
 	controlUp     bool                    // reports whether control hosts answer claims
 	claims        map[string]wire.Claim   // by idempotency key
 	outcomes      map[string]task.Outcome // by idempotency key
+
+	// running counts the runs in progress of each named task over all upstreams,
+	// concurrent holds the names of tasks that had two or more.
+	running    map[string]int
+	concurrent map[string]bool
+	// lease is how long the runs of an agent go on after it is killed or frozen;
+	// zero means until they end.
+	lease time.Duration
 }
 
 type taskKey struct {
@@ -101,7 +111,7 @@
 	tickAt      time.Duration // time of the last scheduled tick; -1 once delivered
 	cfg         agent.Config
 	worker      workerSpec
-	runs        map[agent.RunID]bool // in progress at the upstream
+	runs        map[agent.RunID]string // in progress at the upstream, with the task's name
 }
 
 // workerSpec describes the fake upstream behind an agent.
@@ -137,6 +147,9 @@
 	agentCfg     agent.Config
 	config       *fleet.Config
 	demandFanout int
+	keepalive    time.Duration
+	agentTimeout time.Duration
+	lease        time.Duration
 }
 
 func newSimulation(o simulationOptions) *simulation {
@@ -157,6 +170,10 @@
 		controlUp:   true,
 		claims:      make(map[string]wire.Claim),
 		outcomes:    make(map[string]task.Outcome),
+
+		running:    make(map[string]int),
+		concurrent: make(map[string]bool),
+		lease:      o.lease,
 	}
 	if sim.config == nil {
 		sim.config = testConfig()
@@ -217,6 +234,9 @@
 		Seed:         o.seed + e.incarnation,
 		Config:       sim.config,
 		DemandFanout: o.demandFanout,
+
+		KeepaliveInterval: o.keepalive,
+		AgentTimeout:      o.agentTimeout,
 	})
 	sim.entries = append(sim.entries, e)
 	sim.stepEntry(e, entry.DirectoryChanged{Directory: sim.directory()})
@@ -246,7 +266,7 @@
 	a := &simAgent{
 		id: id, incarnation: sim.newIncarnation(), cfg: cfg, worker: spec, tickAt: -1,
 		links: make(map[agent.SessionID]*simLink),
-		runs:  make(map[agent.RunID]bool),
+		runs:  make(map[agent.RunID]string),
 	}
 	a.reducer = agent.New(a.peer(), cfg)
 	sim.agents[id] = a
@@ -370,12 +390,11 @@
 	case agent.StartRun:
 		sim.startRun(a, eff)
 	case agent.StopRun:
-		if a.runs[eff.Run] {
-			delete(a.runs, eff.Run)
+		if sim.endRun(a, eff.Run) {
 			sim.at(sim.now, func() { sim.stepAgent(a, agent.RunEnded{Run: eff.Run, End: agent.EndStopped}) })
 		}
 	case agent.AbandonRun:
-		delete(a.runs, eff.Run)
+		sim.endRun(a, eff.Run)
 	}
 }
 
@@ -398,15 +417,55 @@
 		run = time.Millisecond
 		ev = agent.RunEnded{Run: eff.Run, End: agent.EndFailed, Ran: run}
 	}
-	a.runs[eff.Run] = true
+	sim.beginRun(a, eff)
 	sim.at(sim.now+run, func() {
-		if a.runs[eff.Run] {
-			delete(a.runs, eff.Run)
+		if sim.endRun(a, eff.Run) {
 			sim.stepAgent(a, ev)
 		}
 	})
 }
 
+func (sim *simulation) beginRun(a *simAgent, eff agent.StartRun) {
+	a.runs[eff.Run] = eff.Name
+	if eff.Name == "" {
+		return
+	}
+	sim.running[eff.Name]++
+	if sim.running[eff.Name] > 1 {
+		sim.concurrent[eff.Name] = true
+	}
+}
+
+// endRun ends a run at its upstream and reports whether it was in progress.
+func (sim *simulation) endRun(a *simAgent, run agent.RunID) bool {
+	name, ok := a.runs[run]
+	if !ok {
+		return false
+	}
+	delete(a.runs, run)
+	if name != "" {
+		sim.running[name]--
+	}
+	return true
+}
+
+// expireRuns ends the runs of a killed or frozen agent once their lease has
+// expired.
+func (sim *simulation) expireRuns(a *simAgent) {
+	if sim.lease == 0 {
+		return
+	}
+	sim.at(sim.now+sim.lease, func() {
+		if !a.dead && !a.frozen {
+			return
+		}
+		for _, run := range slices.Sorted(maps.Keys(a.runs)) {
+			sim.endRun(a, run)
+			sim.stepAgent(a, agent.RunEnded{Run: run, End: agent.EndCutOff})
+		}
+	})
+}
+
 func (sim *simulation) stepAgentLater(a *simAgent, ev agent.Event, d time.Duration) {
 	sim.at(sim.now+d, func() { sim.stepAgent(a, ev) })
 }
@@ -496,6 +555,7 @@
 	a := sim.agents[id]
 	links := sim.openLinks(a)
 	a.dead = true
+	sim.expireRuns(a)
 	sim.at(sim.now+silenceTimeout, func() {
 		for _, l := range links {
 			sim.breakLink(l)
@@ -526,6 +586,7 @@
 		return
 	}
 	a.frozen = true
+	sim.expireRuns(a)
 	links := sim.openLinks(a)
 	sim.at(sim.now+silenceTimeout, func() {
 		if a.frozen {
