wire: requests and answers about job locks

Update carries requests and releases of job locks, Report the answers, and Welcome says within which time the runs of a lost agent have ended. New keys only, left out while empty: a message without locks has the keys of older builds, which skip keys that they do not know.

--- a/wire/wire.go
+++ b/wire/wire.go
@@ -107,6 +107,10 @@
 	// reports each pending task that never arrived as NotRun (never_received).
 	// Nil from other roles.
 	Report *Report `msg:"o"`
+	// RunsEndWithin bounds the time from when the agent stops holding a run to
+	// the end of that run at its upstream. Zero means that the agent keeps no job
+	// locks.
+	RunsEndWithin time.Duration `msg:"e,omitempty"`
 }
 
 // Worker describes an upstream and the worker that it runs on.
@@ -149,7 +153,8 @@
 }
 
 // Update is the one message type that an entry sends to an agent during a
-// session. It carries tasks, cancellations, acknowledgements and demand.
+// session. It carries tasks, cancellations, acknowledgements, demand and requests
+// for job locks.
 type Update struct {
 	// Seq numbers the updates of a session, starting at 1.
 	Seq uint64 `msg:"q"`
@@ -160,10 +165,58 @@
 	Demand Demand        `msg:"d"`
 	Tasks  []Assignment  `msg:"a"`
 	Cancel []task.ID     `msg:"c"`
+	// Release is applied before Acquire.
+	Release []LockRef     `msg:"l,omitempty"`
+	Acquire []LockRequest `msg:"k,omitempty"`
+}
+
+// LockRef identifies the lock of a job and the submission that holds it or
+// waits for it.
+type LockRef struct {
+	// Ref is the caller's own id of the job.
+	Ref        string            `msg:"r"`
+	Submission task.SubmissionID `msg:"s"`
+}
+
+// LockRequest requests the lock of a job for a submission.
+type LockRequest struct {
+	Ref        string            `msg:"r"`
+	Submission task.SubmissionID `msg:"s"`
+	// Age is the time since the submission arrived at its entry. Of two
+	// submissions of a job, the younger one gets the lock.
+	Age time.Duration `msg:"a"`
+	// Within bounds the time from sending during which the submission may have
+	// runs.
+	Within time.Duration `msg:"w"`
+}
+
+// LockState is the state of a request for a job lock.
+type LockState uint8
+
+// The states of a request.
+const (
+	// LockGranted means that no other submission of the job may have runs.
+	LockGranted LockState = iota + 1
+	// LockQueued means that the lock is granted once its holder has released it.
+	LockQueued
+	// LockRevoked means that a younger submission of the job holds the lock or
+	// waits for it. The submission must be given up and the lock released once
+	// its last run has ended.
+	LockRevoked
+	// LockUnavailable means that the agent can't keep more locks.
+	LockUnavailable
+)
+
+// LockAnswer is the state of a lock request. It answers the request and reports
+// each later change.
+type LockAnswer struct {
+	Ref        string            `msg:"r"`
+	Submission task.SubmissionID `msg:"s"`
+	State      LockState         `msg:"t"`
 }
 
 // Report is the one message type that an agent sends to an entry during a
-// session. It carries outcomes, refusals and credit.
+// session. It carries outcomes, refusals, credit and answers about job locks.
 type Report struct {
 	// Seq numbers the reports to one entry incarnation, starting at 1, across
 	// all its sessions.
@@ -187,6 +240,8 @@
 	// this session.
 	Worker   *Worker  `msg:"k"`
 	Outcomes []Result `msg:"o"`
+	// Locks answers lock requests.
+	Locks []LockAnswer `msg:"j,omitempty"`
 }
 
 // Result is the outcome of one task.
--- a/wire/wire_gen.go
+++ b/wire/wire_gen.go
@@ -1453,6 +1453,272 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *LockAnswer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "r"
+	o = append(o, 0x83, 0xa1, 0x72)
+	o = msgp.AppendString(o, z.Ref)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o, err = z.Submission.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Submission")
+		return
+	}
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendUint8(o, uint8(z.State))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LockAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.Ref, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ref")
+				return
+			}
+		case "s":
+			bts, err = z.Submission.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Submission")
+				return
+			}
+		case "t":
+			{
+				var zb0002 uint8
+				zb0002, bts, err = msgp.ReadUint8Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+				z.State = LockState(zb0002)
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LockAnswer) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Ref) + 2 + z.Submission.Msgsize() + 2 + msgp.Uint8Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LockRef) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "r"
+	o = append(o, 0x82, 0xa1, 0x72)
+	o = msgp.AppendString(o, z.Ref)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o, err = z.Submission.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Submission")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LockRef) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.Ref, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ref")
+				return
+			}
+		case "s":
+			bts, err = z.Submission.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Submission")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LockRef) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Ref) + 2 + z.Submission.Msgsize()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LockRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "r"
+	o = append(o, 0x84, 0xa1, 0x72)
+	o = msgp.AppendString(o, z.Ref)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o, err = z.Submission.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Submission")
+		return
+	}
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendDuration(o, z.Age)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendDuration(o, z.Within)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LockRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.Ref, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ref")
+				return
+			}
+		case "s":
+			bts, err = z.Submission.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Submission")
+				return
+			}
+		case "a":
+			z.Age, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Age")
+				return
+			}
+		case "w":
+			z.Within, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Within")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LockRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Ref) + 2 + z.Submission.Msgsize() + 2 + msgp.DurationSize + 2 + msgp.DurationSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z LockState) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendUint8(o, uint8(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LockState) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 uint8
+		zb0001, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = LockState(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z LockState) Msgsize() (s int) {
+	s = msgp.Uint8Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2300,64 +2566,89 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
-	// string "q"
-	o = append(o, 0x8a, 0xa1, 0x71)
-	o = msgp.AppendUint64(o, z.Seq)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, z.Ack)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendDuration(o, z.SentAt)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendUint32(o, z.Credit)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendUint32(o, z.Running)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendUint32(o, z.Queued)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendUint32(o, z.Slots)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendFloat32(o, z.LogRunTimeRatio)
-	// string "k"
-	o = append(o, 0xa1, 0x6b)
-	if z.Worker == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o, err = z.Worker.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Worker")
-			return
-		}
-	}
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Outcomes)))
-	for za0001 := range z.Outcomes {
-		// map header, size 3
-		// string "i"
-		o = append(o, 0x83, 0xa1, 0x69)
-		o, err = z.Outcomes[za0001].ID.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Outcomes", za0001, "ID")
-			return
+	// check for omitted fields
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
+	_ = zb0001Mask
+	if z.Locks == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "q"
+		o = append(o, 0xa1, 0x71)
+		o = msgp.AppendUint64(o, z.Seq)
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendUint64(o, z.Ack)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendDuration(o, z.SentAt)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendUint32(o, z.Credit)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendUint32(o, z.Running)
+		// string "u"
+		o = append(o, 0xa1, 0x75)
+		o = msgp.AppendUint32(o, z.Queued)
+		// string "l"
+		o = append(o, 0xa1, 0x6c)
+		o = msgp.AppendUint32(o, z.Slots)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendFloat32(o, z.LogRunTimeRatio)
+		// string "k"
+		o = append(o, 0xa1, 0x6b)
+		if z.Worker == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			o, err = z.Worker.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Worker")
+				return
+			}
 		}
 		// string "o"
 		o = append(o, 0xa1, 0x6f)
-		o, err = z.Outcomes[za0001].Outcome.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Outcomes", za0001, "Outcome")
-			return
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Outcomes)))
+		for za0001 := range z.Outcomes {
+			// map header, size 3
+			// string "i"
+			o = append(o, 0x83, 0xa1, 0x69)
+			o, err = z.Outcomes[za0001].ID.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Outcomes", za0001, "ID")
+				return
+			}
+			// string "o"
+			o = append(o, 0xa1, 0x6f)
+			o, err = z.Outcomes[za0001].Outcome.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Outcomes", za0001, "Outcome")
+				return
+			}
+			// string "w"
+			o = append(o, 0xa1, 0x77)
+			o = msgp.AppendDuration(o, z.Outcomes[za0001].WaitTime)
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "j"
+			o = append(o, 0xa1, 0x6a)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Locks)))
+			for za0002 := range z.Locks {
+				o, err = z.Locks[za0002].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Locks", za0002)
+					return
+				}
+			}
 		}
-		// string "w"
-		o = append(o, 0xa1, 0x77)
-		o = msgp.AppendDuration(o, z.Outcomes[za0001].WaitTime)
 	}
 	return
 }
@@ -2511,6 +2802,29 @@
 					}
 				}
 			}
+		case "j":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Locks")
+				return
+			}
+			if zb0004 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Locks) >= int(zb0004) {
+				z.Locks = (z.Locks)[:zb0004]
+			} else {
+				z.Locks = make([]LockAnswer, zb0004)
+			}
+			for za0002 := range z.Locks {
+				bts, err = z.Locks[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Locks", za0002)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2535,6 +2849,10 @@
 	for za0001 := range z.Outcomes {
 		s += 1 + 2 + z.Outcomes[za0001].ID.Msgsize() + 2 + z.Outcomes[za0001].Outcome.Msgsize() + 2 + msgp.DurationSize
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Locks {
+		s += z.Locks[za0002].Msgsize()
+	}
 	return
 }
 
@@ -2825,43 +3143,90 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Update) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "q"
-	o = append(o, 0x86, 0xa1, 0x71)
-	o = msgp.AppendUint64(o, z.Seq)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, z.Ack)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendDuration(o, z.SentAt)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	// map header, size 2
-	// string "w"
-	o = append(o, 0x82, 0xa1, 0x77)
-	o = msgp.AppendUint32(o, z.Demand.Waiting)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendFloat64(o, z.Demand.Rank)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
-	for za0001 := range z.Tasks {
-		o, err = z.Tasks[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Tasks", za0001)
-			return
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.Release == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.Acquire == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "q"
+		o = append(o, 0xa1, 0x71)
+		o = msgp.AppendUint64(o, z.Seq)
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendUint64(o, z.Ack)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendDuration(o, z.SentAt)
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		// map header, size 2
+		// string "w"
+		o = append(o, 0x82, 0xa1, 0x77)
+		o = msgp.AppendUint32(o, z.Demand.Waiting)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendFloat64(o, z.Demand.Rank)
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
+		for za0001 := range z.Tasks {
+			o, err = z.Tasks[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Tasks", za0001)
+				return
+			}
+		}
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Cancel)))
+		for za0002 := range z.Cancel {
+			o, err = z.Cancel[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Cancel", za0002)
+				return
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "l"
+			o = append(o, 0xa1, 0x6c)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Release)))
+			for za0003 := range z.Release {
+				// map header, size 2
+				// string "r"
+				o = append(o, 0x82, 0xa1, 0x72)
+				o = msgp.AppendString(o, z.Release[za0003].Ref)
+				// string "s"
+				o = append(o, 0xa1, 0x73)
+				o, err = z.Release[za0003].Submission.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Release", za0003, "Submission")
+					return
+				}
+			}
 		}
-	}
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Cancel)))
-	for za0002 := range z.Cancel {
-		o, err = z.Cancel[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Cancel", za0002)
-			return
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "k"
+			o = append(o, 0xa1, 0x6b)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Acquire)))
+			for za0004 := range z.Acquire {
+				o, err = z.Acquire[za0004].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Acquire", za0004)
+					return
+				}
+			}
 		}
 	}
 	return
@@ -2992,6 +3357,85 @@
 					return
 				}
 			}
+		case "l":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Release")
+				return
+			}
+			if zb0005 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Release) >= int(zb0005) {
+				z.Release = (z.Release)[:zb0005]
+			} else {
+				z.Release = make([]LockRef, zb0005)
+			}
+			for za0003 := range z.Release {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Release", za0003)
+					return
+				}
+				if zb0006 > z5817a858limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Release", za0003)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "r":
+						z.Release[za0003].Ref, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Release", za0003, "Ref")
+							return
+						}
+					case "s":
+						bts, err = z.Release[za0003].Submission.UnmarshalMsg(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Release", za0003, "Submission")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Release", za0003)
+							return
+						}
+					}
+				}
+			}
+		case "k":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Acquire")
+				return
+			}
+			if zb0007 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Acquire) >= int(zb0007) {
+				z.Acquire = (z.Acquire)[:zb0007]
+			} else {
+				z.Acquire = make([]LockRequest, zb0007)
+			}
+			for za0004 := range z.Acquire {
+				bts, err = z.Acquire[za0004].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Acquire", za0004)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3014,43 +3458,69 @@
 	for za0002 := range z.Cancel {
 		s += z.Cancel[za0002].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Release {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Release[za0003].Ref) + 2 + z.Release[za0003].Submission.Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0004 := range z.Acquire {
+		s += z.Acquire[za0004].Msgsize()
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Welcome) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "f"
-	o = append(o, 0x84, 0xa1, 0x66)
-	o, err = z.From.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendDuration(o, z.SentAt)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	if z.Worker == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o, err = z.Worker.MarshalMsg(o)
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.RunsEndWithin == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o, err = z.From.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Worker")
+			err = msgp.WrapError(err, "From")
 			return
 		}
-	}
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	if z.Report == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o, err = z.Report.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Report")
-			return
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendDuration(o, z.SentAt)
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		if z.Worker == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			o, err = z.Worker.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Worker")
+				return
+			}
+		}
+		// string "o"
+		o = append(o, 0xa1, 0x6f)
+		if z.Report == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			o, err = z.Report.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Report")
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "e"
+			o = append(o, 0xa1, 0x65)
+			o = msgp.AppendDuration(o, z.RunsEndWithin)
 		}
 	}
 	return
@@ -3124,6 +3594,12 @@
 					return
 				}
 			}
+		case "e":
+			z.RunsEndWithin, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RunsEndWithin")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3150,6 +3626,7 @@
 	} else {
 		s += z.Report.Msgsize()
 	}
+	s += 2 + msgp.DurationSize
 	return
 }
 
