agent: keep job locks for entries

An agent keeps locks of jobs by the callers' own ids, as soft state: the younger submission of a job gets the lock, but only once the entry of the older one has released it or that entry can have no more runs. No entry asks for locks yet.

A table that is full and has no expired lock answers "unavailable", so that the entry asks another agent: granting without a record would guard nothing, and queueing behind nobody would never end.

An agent keeps locks only if it is told the bound within which the runs that it no longer holds have ended (Config.RunsEndWithin); nothing sets it yet.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -21,6 +21,7 @@
 	queue    queue
 	running  []*record
 	lastRun  RunID
+	locks    locks
 
 	up upstream
 	// meanNeed is a moving average of the resource needs of received tasks.
@@ -65,6 +66,7 @@
 		entries:  make(map[uint64]*entry),
 		sessions: make(map[SessionID]*entry),
 		tasks:    make(map[task.ID]*record),
+		locks:    locks{byRef: make(map[string]*jobLock)},
 		finished: newFinishedIDs(cfg.MaxFinishedIDs),
 		health:   health{threshold: cfg.SuspendAfter, firstSuspension: cfg.SuspendFirst, maxSuspension: cfg.SuspendMax},
 	}
@@ -83,6 +85,7 @@
 	s.now, s.out = max(s.now, now), out
 	s.extendAfterFreeze()
 	s.expire()
+	s.expireLocks()
 	switch ev := ev.(type) {
 	case SessionOpened:
 		s.openSession(ev.Session, ev.Hello)
--- a/agent/config.go
+++ b/agent/config.go
@@ -44,6 +44,11 @@
 	// because its callers may submit the work elsewhere. Zero lets the runs end
 	// normally.
 	OrphanAfter time.Duration
+	// RunsEndWithin bounds the time from when the agent stops holding a run, for
+	// example because its process ends, to the end of that run at the upstream.
+	// Entries rely on it in the use of job locks. With zero, the agent keeps no
+	// locks.
+	RunsEndWithin time.Duration
 	// EntryTTL is how long the state of an entry without a session is kept.
 	EntryTTL time.Duration
 	// MaxUnacked bounds the number of unacknowledged outcomes kept for one
--- a/agent/deadlines.go
+++ b/agent/deadlines.go
@@ -40,6 +40,7 @@
 	s.addUpstreamDeadlines(&t)
 	s.addTaskDeadlines(&t)
 	s.addEntryDeadlines(&t)
+	s.addLockDeadlines(&t)
 	if d := &s.drain; d.active && !d.done {
 		t.add(d.deadline)
 		if s.now < d.withdrawBy {
--- a/agent/report.go
+++ b/agent/report.go
@@ -5,9 +5,9 @@
 	"github.com/fireflytray/fireflytray/wire"
 )
 
-// flush sends a report to each connected entry for which there are new outcomes,
-// whose last report has an outdated number of slots or offer, or which has to learn
-// of a drain. It then sends credit for the remaining free slots.
+// flush sends a report to each connected entry for which there are new outcomes or
+// answers about locks, whose last report has an outdated number of slots or offer,
+// or which has to learn of a drain. It then sends credit for the remaining free slots.
 func (s *State) flush() {
 	s.expireReservations()
 	slots, current := uint32(s.slots()), s.offer()
@@ -18,7 +18,7 @@
 		for len(e.unacked) > e.sent {
 			s.sendReport(e)
 		}
-		if e.reportedSlots != slots || e.reportedOffer != current || e.reportSeq < e.withdrawSeq {
+		if e.reportedSlots != slots || e.reportedOffer != current || e.reportSeq < e.withdrawSeq || len(e.lockAnswers) > 0 {
 			s.sendReport(e)
 		}
 	}
@@ -53,7 +53,9 @@
 		Slots:           slots,
 		LogRunTimeRatio: s.runTimeRatio.value(),
 		Outcomes:        s.takeUnsent(e),
+		Locks:           e.lockAnswers,
 	}
+	e.lockAnswers = nil
 	if current := s.offer(); e.reportedOffer != current {
 		w := s.worker()
 		rep.Worker, e.reportedOffer = &w, current
--- a/agent/session.go
+++ b/agent/session.go
@@ -50,6 +50,8 @@
 	// idleCreditAt is the earliest time of the next report that only grants
 	// credit to the entry while it is idle.
 	idleCreditAt time.Duration
+	// lockAnswers are sent in the next report.
+	lockAnswers []wire.LockAnswer
 	// forgotten is set once the entry is dropped; outcomes of its tasks are
 	// then discarded.
 	forgotten bool
@@ -101,6 +103,7 @@
 func (s *State) welcome(e *entry, h *wire.Hello) {
 	e.sent = 0
 	e.reportedOffer = s.offer()
+	s.repeatRevocations(e)
 	rep := s.nextReport(e)
 	for _, id := range h.Pending {
 		if out, ok := s.pendingOutcome(e, h, id); ok {
@@ -114,7 +117,7 @@
 	w := s.worker()
 	s.emit(SendWelcome{
 		Session: e.session,
-		Welcome: &wire.Welcome{From: s.self, SentAt: s.now, Worker: &w, Report: rep},
+		Welcome: &wire.Welcome{From: s.self, SentAt: s.now, Worker: &w, Report: rep, RunsEndWithin: s.cfg.RunsEndWithin},
 	})
 }
 
@@ -150,12 +153,14 @@
 func (s *State) detach(e *entry) {
 	delete(s.sessions, e.session)
 	e.session, e.disconnectedAt = 0, s.now
+	e.lockAnswers = nil
 	e.demand, e.credit = wire.Demand{}, 0
 }
 
 // handleUpdate applies an entry's update: its acknowledgement, its demand, its
-// assignments and its cancellations. It ignores duplicates and closes a session
-// with inconsistent sequence numbers or too many unacknowledged outcomes.
+// assignments, its cancellations and its requests for job locks. It ignores
+// duplicates and closes a session with inconsistent sequence numbers or too many
+// unacknowledged outcomes.
 func (s *State) handleUpdate(id SessionID, u *wire.Update) {
 	e := s.sessions[id]
 	if e == nil || u.Seq <= e.lastSeq {
@@ -186,6 +191,7 @@
 	for _, id := range u.Cancel {
 		s.cancel(e, id)
 	}
+	s.handleLocks(e, u, lag)
 }
 
 // exceedsUnackedLimits reports whether accepting an update could exceed the
@@ -249,6 +255,7 @@
 // forget drops all state of an entry incarnation that will not reconnect.
 func (s *State) forget(e *entry) {
 	e.forgotten = true
+	s.forgetLocks(e)
 	for _, r := range slices.Clone(s.queue.recs) {
 		if r.entry == e {
 			s.refuse(r, task.ReasonEntryRestarted)
