entry: a job is placed only once its lock is granted

Two entries hold the same job, because the caller broke off, the first entry did not learn of it, and the caller sent the job again elsewhere. Looking at the connection more closely does not rule that out: a silent link or a paused entry shows the break too late or never.

A submission with a caller's id now requests the lock of its job from an agent, chosen by rendezvous hashing of both ids, and queues no task before it is granted; so a refusal meanwhile is truly not run. Submissions without an id are handled as before.

The release of a job that simply ends waits for the next update to that agent. A request that is not answered within 150 ms goes to the next agent, after two of them the job runs without a lock, with a log line. When an agent is lost, comes back or answers again, the jobs whose lock it should keep request it there. For 1 s after an agent came back, new jobs need the lock of the next agent as well, since other entries may not have requested theirs there yet.

--- a/entry/agent.go
+++ b/entry/agent.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fireflytray/fireflytray/entry/placement"
 	"github.com/fireflytray/fireflytray/task"
 	"github.com/fireflytray/fireflytray/wire"
@@ -42,9 +44,13 @@
 	sent           map[task.ID]sentTask
 	// dirty is set if an update is due at the end of the step. toAssign and
 	// toCancel are the assignments and cancellations that it will carry.
-	dirty          bool
-	toAssign       []wire.Assignment
-	toCancel       []task.ID
+	dirty    bool
+	toAssign []wire.Assignment
+	toCancel []task.ID
+	// toAcquire goes with the update of the step. toRelease may wait for an update
+	// that is sent anyway.
+	toAcquire      []wire.LockRequest
+	toRelease      []wire.LockRef
 	updateSeq      uint64 // sequence number of the last update sent
 	unacked        []unackedUpdate
 	lastReportSeq  uint64        // highest report sequence number handled
@@ -69,6 +75,20 @@
 	// is the time from one probe to the next.
 	probeAt   time.Duration
 	probeWait time.Duration
+
+	// runsEndWithin is that of the last welcome; an agent without it keeps no job
+	// locks.
+	runsEndWithin time.Duration
+	// lockHash is the hash of the agent's id.
+	lockHash uint64
+	// lockUnanswered is set from a lock request that was not answered in time to
+	// the next report.
+	lockUnanswered bool
+	// lockSettledAt is when the agent has been back for lockSettleTime.
+	lockSettledAt time.Duration
+	// locks counts the requests of this entry on the current session whose
+	// submissions may have runs.
+	locks int
 }
 
 // sentTask is an attempt at a task that was sent to an agent and has not ended.
@@ -155,6 +175,7 @@
 	if a == nil {
 		a = &agent{sent: make(map[task.ID]sentTask), redialDelay: minRedialDelay}
 		a.ID = m.Peer.ID
+		a.lockHash = xxhash.Sum64String(a.ID)
 		a.peer = m.Peer
 		e.agents[m.Peer.ID] = a
 	}
@@ -198,6 +219,9 @@
 		return
 	}
 	w := ev.Welcome
+	if a.incarnation != 0 {
+		a.lockSettledAt = e.now + lockSettleTime
+	}
 	if w.From.Incarnation != a.incarnation {
 		e.agentRestarted(a, w.From)
 	}
@@ -207,6 +231,8 @@
 	a.unacked = a.unacked[:0]
 	a.sentDemand = 0
 	a.expectSent = false
+	a.locks, a.lockUnanswered = 0, false
+	a.runsEndWithin = w.RunsEndWithin
 	if w.Worker != nil {
 		e.workerChanged(a, *w.Worker)
 	}
@@ -215,6 +241,9 @@
 		e.handleReport(a, w.Report)
 	}
 	e.cancelAnswered(a)
+	if a.runsEndWithin > 0 {
+		e.lockAgentChanged(a.svc)
+	}
 }
 
 // workerChanged applies an agent's description of its worker. If the agent does
@@ -226,8 +255,7 @@
 		return
 	}
 	if a.pooled && a.svc.name != w.Service {
-		a.svc.pool.Remove(&a.Agent)
-		a.pooled = false
+		e.withdraw(a)
 	}
 	a.svc = e.service(w.Service)
 	a.Offered = w.Offered
@@ -240,6 +268,10 @@
 	}
 	a.svc.pool.Add(&a.Agent)
 	a.pooled = true
+	if a.runsEndWithin > 0 {
+		a.svc.setLockAgent(a, true)
+		a.svc.runsEndWithin = max(a.svc.runsEndWithin, a.runsEndWithin)
+	}
 }
 
 // agentRestarted ends the tasks that the previous incarnation held. The new
@@ -291,6 +323,7 @@
 	a.link = linkIdle
 	e.removeFromPool(a)
 	if wasOpen {
+		e.lockAgentChanged(a.svc)
 		a.disconnectedAt = e.now
 		e.arm(timer{at: e.now + e.opts.AgentTimeout, kind: timerAgentTimeout, agent: a})
 		e.dial(a)
@@ -309,12 +342,20 @@
 // pending, and an agent of the same incarnation reports them as never received.
 func (e *Entry) removeFromPool(a *agent) {
 	if a.pooled {
-		a.svc.pool.Remove(&a.Agent)
-		a.pooled = false
+		e.withdraw(a)
 	}
 	a.Credit = 0
 	a.toAssign = nil
 	a.toCancel = nil
+	a.toAcquire = nil
+	a.toRelease = nil
+}
+
+// withdraw removes a pooled agent from its service.
+func (e *Entry) withdraw(a *agent) {
+	a.svc.pool.Remove(&a.Agent)
+	a.svc.setLockAgent(a, false)
+	a.pooled = false
 }
 
 func (e *Entry) dialDue(a *agent) {
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -27,9 +27,14 @@
 	seq  map[string]uint64
 	now  time.Duration
 	next uint64
+	// locks is set if the agents keep job locks and the jobs have ids of their
+	// callers.
+	locks bool
 }
 
-func newBenchFleet(order queue.Order) *benchFleet {
+func newBenchFleet(order queue.Order) *benchFleet { return newBenchFleetWith(order, false) }
+
+func newBenchFleetWith(order queue.Order, locks bool) *benchFleet {
 	cfg := &fleet.Config{
 		Index:    1,
 		Services: map[string]fleet.Service{"svc": {Name: "svc", MaxTasks: 1000, Deadline: time.Hour, MaxDeadline: time.Hour, MaxWaiting: 1 << 20}},
@@ -42,6 +47,8 @@
 	f := &benchFleet{
 		e:   New(Options{Self: wire.Peer{Role: wire.RoleEntry, ID: "e", Incarnation: 1}, Policy: placement.Credits{}, Order: order, Config: cfg}),
 		seq: make(map[string]uint64),
+
+		locks: locks,
 	}
 	d := wire.Directory{Full: true, Complete: true}
 	for i := range benchAgents {
@@ -65,30 +72,40 @@
 		switch eff := eff.(type) {
 		case Dial:
 			f.seq[eff.Peer.ID]++
-			f.step(Connected{Agent: eff.Peer.ID, Session: eff.Hello.Session, Welcome: &wire.Welcome{
+			w := &wire.Welcome{
 				From:   eff.Peer,
 				Worker: &wire.Worker{Service: "svc", Slots: benchSlots},
 				Report: &wire.Report{Seq: f.seq[eff.Peer.ID], Credit: benchSlots, Slots: benchSlots},
-			}})
+			}
+			if f.locks {
+				w.RunsEndWithin = time.Second
+			}
+			f.step(Connected{Agent: eff.Peer.ID, Session: eff.Hello.Session, Welcome: w})
 		case Send:
 			f.finish(eff)
 		}
 	}
 }
 
-// finish reports all tasks of an update as complete.
+// finish grants the locks that an update requests and reports its tasks as complete.
 func (f *benchFleet) finish(s Send) {
 	f.seq[s.Agent]++
 	r := &wire.Report{Seq: f.seq[s.Agent], Ack: s.Update.Seq, Credit: benchSlots, Slots: benchSlots}
 	for _, t := range s.Update.Tasks {
 		r.Outcomes = append(r.Outcomes, wire.Result{ID: t.ID, Outcome: task.Outcome{State: task.Complete, Ran: 100 * time.Millisecond}})
 	}
+	for _, l := range s.Update.Acquire {
+		r.Locks = append(r.Locks, wire.LockAnswer{Ref: l.Ref, Submission: l.Submission, State: wire.LockGranted})
+	}
 	f.step(Received{Agent: s.Agent, Session: s.Session, Report: r})
 }
 
 func (f *benchFleet) submit(tasks int) {
 	f.next++
 	sub := task.Submission{Service: "svc", Team: teamName(int(f.next) % benchTeams), Job: true, Tasks: make([]task.Spec, tasks)}
+	if f.locks {
+		sub.Ref = fmt.Sprintf("%016x", f.next)
+	}
 	for i := range sub.Tasks {
 		sub.Tasks[i].DeclaredRunTime = 100 * time.Millisecond
 	}
@@ -107,6 +124,17 @@
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "tasks/s")
 }
 
+// BenchmarkLockedTasks does the same for jobs that need a lock.
+func BenchmarkLockedTasks(b *testing.B) {
+	f := newBenchFleetWith(queue.LeftOverSlowdown, true)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for n := 0; n < b.N; n += benchJob {
+		f.submit(benchJob)
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "tasks/s")
+}
+
 // BenchmarkStateMemory reports the memory used by an entry with 1,500 agents and
 // 260 teams.
 func BenchmarkStateMemory(b *testing.B) {
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -59,7 +59,7 @@
 	switch r.State {
 	case wire.ClaimGranted:
 		s.claimStage = claimHeld
-		e.enqueue(s)
+		e.start(s)
 	case wire.ClaimDone:
 		e.replay(s, r)
 	case wire.ClaimPending:
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -185,13 +185,13 @@
 		if a.link == linkOpen {
 			e.sendUpdate(a)
 		}
-		a.toAssign, a.toCancel = nil, nil
+		a.toAssign, a.toCancel, a.toAcquire = nil, nil, nil
 	}
 	e.dirty = e.dirty[:0]
 }
 
-// sendUpdate sends the agent's assignments and cancellations with the current
-// demand and an acknowledgement of its last report.
+// sendUpdate sends the agent's assignments, cancellations and requests for job
+// locks with the current demand and an acknowledgement of its last report.
 func (e *Entry) sendUpdate(a *agent) {
 	a.updateSeq++
 	a.updateSentAt = e.now
@@ -202,10 +202,16 @@
 		Demand: e.demand(a.svc),
 		Tasks:  a.toAssign,
 		Cancel: a.toCancel,
+
+		Release: a.toRelease,
+		Acquire: a.toAcquire,
 	}
+	a.toRelease = nil
 	switch {
 	case len(a.toAssign) > 0:
 		a.unacked = append(a.unacked, unackedUpdate{a.updateSeq, len(a.toAssign)})
+	case len(a.toAcquire) > 0:
+		e.stats.Wasted.Locks++
 	case a.ackedReportSeq < a.lastReportSeq || len(a.toCancel) > 0:
 		e.stats.Wasted.Acks++
 	default:
@@ -222,7 +228,7 @@
 // updateExpect informs the driver when reports from an agent become due or are
 // no longer due.
 func (e *Entry) updateExpect(a *agent) {
-	awaiting := len(a.sent) > 0
+	awaiting := len(a.sent) > 0 || a.locks > 0
 	if a.link != linkOpen || awaiting == a.expectSent {
 		return
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -103,15 +103,19 @@
 	entries               map[string]bool // entries in the directory by id, usually including this one
 	subs                  map[task.SubmissionID]*submission
 	claims                map[uint64]*submission
-	quotas                map[string]*quota.Bucket // by team
-	lastRequest           uint64
-	lastSession           uint64 // number of dials so far, over all agents
-	timers                timers
-	dirty                 []*agent // agents to flush at the end of the step
-	active                []*service
-	draining              bool
-	drained               bool
-	stats                 Stats
+	// byRef holds the last submission of each job with a caller's id, until it is
+	// over; lingering those that are answered and may have runs.
+	byRef       map[string]*submission
+	lingering   map[task.SubmissionID]*submission
+	quotas      map[string]*quota.Bucket // by team
+	lastRequest uint64
+	lastSession uint64 // number of dials so far, over all agents
+	timers      timers
+	dirty       []*agent // agents to flush at the end of the step
+	active      []*service
+	draining    bool
+	drained     bool
+	stats       Stats
 }
 
 // service is the state of one service.
@@ -134,6 +138,10 @@
 	forecast forecast
 	limit    *limit.Limiter
 	retries  *retry.Budget
+	// lockAgents lists the connected agents that keep job locks. runsEndWithin is
+	// the longest of their bounds so far.
+	lockAgents    []*agent
+	runsEndWithin time.Duration
 	// inSystem counts the tasks that are admitted and whose submissions are not
 	// answered.
 	inSystem int
@@ -148,7 +156,11 @@
 		entries:  make(map[string]bool),
 		subs:     make(map[task.SubmissionID]*submission),
 		claims:   make(map[uint64]*submission),
-		quotas:   make(map[string]*quota.Bucket),
+
+		byRef:     make(map[string]*submission),
+		lingering: make(map[task.SubmissionID]*submission),
+
+		quotas: make(map[string]*quota.Bucket),
 	}
 	if e.opts.Policy == nil {
 		e.opts.Policy = placement.Credits{}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -18,11 +18,19 @@
 	e   *Entry
 	now time.Duration
 	seq map[string]uint64
+	// runsEndWithin is that of the agents' welcomes.
+	runsEndWithin time.Duration
 }
 
 func newFixture(t *testing.T, agents ...string) *fixture {
+	return newLockFixture(t, 0, agents...)
+}
+
+// newLockFixture returns an entry whose agents keep job locks if runsEndWithin is
+// above zero.
+func newLockFixture(t *testing.T, runsEndWithin time.Duration, agents ...string) *fixture {
 	b := newBenchFleet(queue.LeftOverSlowdown)
-	f := &fixture{t: t, seq: make(map[string]uint64)}
+	f := &fixture{t: t, seq: make(map[string]uint64), runsEndWithin: runsEndWithin}
 	f.e = New(Options{Self: wire.Peer{Role: wire.RoleEntry, ID: "e", Incarnation: 1}, Order: queue.LeftOverSlowdown, Config: b.e.cfg})
 	d := wire.Directory{Full: true, Complete: true}
 	for _, id := range agents {
@@ -44,6 +52,8 @@
 		From:   d.Peer,
 		Worker: &wire.Worker{Service: "svc", Slots: benchSlots, Offered: task.Resources{MilliCPU: 8000, MemoryMB: 16000}},
 		Report: f.report(d.Peer.ID, benchSlots),
+
+		RunsEndWithin: f.runsEndWithin,
 	}})
 }
 
--- a/entry/report.go
+++ b/entry/report.go
@@ -32,6 +32,7 @@
 			newOutcomes++
 		}
 	}
+	e.handleLocks(a, r.Locks)
 	if r.Worker != nil {
 		e.workerChanged(a, *r.Worker)
 		e.addToPool(a)
@@ -42,6 +43,8 @@
 	useful := hadNoCredit && a.Credit > 0 && a.svc.q.Len() > 0
 	switch {
 	case newOutcomes > 0 || useful:
+	case len(r.Locks) > 0:
+		e.stats.Wasted.Locks++
 	case len(r.Outcomes) > 0:
 		e.stats.Wasted.Late++
 	default:
@@ -125,11 +128,15 @@
 	}
 	s := rec.sub
 	s.svc.q.EndTask(s.sub.Team)
+	s.inFlight--
+	if o.State == task.Unknown {
+		s.runsUntil = e.now + s.svc.runsEndWithin
+	}
 	if s.answered {
 		e.stats.OrphanedResults++
+		e.checkOver(s)
 		return
 	}
-	s.inFlight--
 	s.tasks[rec.index].agent = nil
 	e.trace(s, "task ended", "task", rec.index, "attempt", id.Attempt, "agent", a.ID, "state", o.State,
 		"reason", o.Reason, "ran", o.Ran, "declared", rec.declared, "after", e.now-rec.at)
--- a/entry/stats.go
+++ b/entry/stats.go
@@ -44,11 +44,14 @@
 	// Late counts reports with nothing new or with no result that was still
 	// needed.
 	Late uint64
+	// Locks counts messages that only carry requests for job locks or answers to
+	// them.
+	Locks uint64
 }
 
 // Total returns the sum over all causes.
 func (w Waste) Total() uint64 {
-	return w.Acks + w.Demands + w.Credits + w.Refusals + w.Late
+	return w.Acks + w.Demands + w.Credits + w.Refusals + w.Late + w.Locks
 }
 
 func (s *Stats) answered(a task.Answer) {
@@ -131,6 +134,7 @@
 	task.ReasonAgentGone:         "the agent was lost while it held the task",
 	task.ReasonAgentRestarted:    "the agent restarted while it held the task",
 	task.ReasonDeadline:          "the deadline can't be kept",
+	task.ReasonSuperseded:        "the job was submitted again",
 	task.ReasonCancelled:         "cancelled by the caller",
 	task.ReasonNeverFits:         "no worker offers what the task needs",
 	task.ReasonClaimedElsewhere:  "the idempotency key is held by a submission without an outcome yet",
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -30,17 +30,20 @@
 
 // submission is the state of a submission from admission to answer.
 type submission struct {
-	id           task.SubmissionID
-	sub          task.Submission // as received from the caller; without its tasks once answered
-	svc          *service
-	job          queue.Job
-	tasks        []taskRecord
-	ready        []uint32 // indices of waiting tasks; the last one is next
-	remaining    int      // number of tasks that are not done
-	arrived      time.Duration
-	deadline     time.Duration
-	mayHaveRun   bool // an attempt ended with an outcome other than not run
-	inFlight     int  // number of tasks sent and not ended
+	id         task.SubmissionID
+	sub        task.Submission // as received from the caller; without its tasks once answered
+	svc        *service
+	job        queue.Job
+	tasks      []taskRecord
+	ready      []uint32 // indices of waiting tasks; the last one is next
+	remaining  int      // number of tasks that are not done
+	arrived    time.Duration
+	deadline   time.Duration
+	mayHaveRun bool // an attempt ended with an outcome other than not run
+	inFlight   int  // number of tasks sent and not ended
+	// runsUntil is when the runs with an unknown outcome have ended.
+	runsUntil    time.Duration
+	lock         jobLock
 	answered     bool
 	claimStage   claimStage
 	claimRequest uint64
@@ -93,12 +96,12 @@
 	return s
 }
 
-// enqueue queues the submission's tasks for placement and sets its timers.
-func (e *Entry) enqueue(s *submission) {
+// start sets the timers of an admitted submission and queues its tasks, if it has
+// a caller's id once no other submission of the job can have runs.
+func (e *Entry) start(s *submission) {
 	e.trace(s, "admitted", "service", s.sub.Service, "route", s.sub.Route, "priority", s.sub.Priority,
 		"tasks", len(s.tasks), "objective", s.sub.Objective, "deadline", s.deadline-e.now,
 		"waiting", s.svc.q.Len(), "agents", s.svc.pool.Len(), "config", e.cfg.Index)
-	s.svc.q.Add(&s.job, uint32(len(s.ready)))
 	e.arm(timer{at: s.deadline, kind: timerDeadline, sub: s})
 	if at := s.deadline - s.job.LongestDeclared/declaredErrorFactor; s.job.LongestDeclared > 0 && at > e.now {
 		e.arm(timer{at: at, kind: timerInfeasible, sub: s})
@@ -107,6 +110,16 @@
 		e.arm(timer{at: s.arrived + s.sub.Objective/forecastCheckDivisor, kind: timerForecastCheck, sub: s})
 		e.arm(timer{at: s.job.StartBy, kind: timerLatestStart, sub: s})
 	}
+	if s.sub.Ref != "" {
+		e.awaitLock(s)
+		return
+	}
+	e.enqueue(s)
+}
+
+// enqueue queues the submission's tasks for placement.
+func (e *Entry) enqueue(s *submission) {
+	s.svc.q.Add(&s.job, uint32(len(s.ready)))
 	e.markActive(s.svc)
 }
 
@@ -194,6 +207,7 @@
 	s.sub.Tasks = nil
 	s.tasks = nil
 	s.ready = nil
+	e.checkOver(s)
 }
 
 // cancelSent cancels the submission's tasks at each agent that holds one, with
@@ -240,13 +254,15 @@
 
 // deadlinePassed gives up a submission at its deadline. Only waiting tasks
 // count as late for the limiter, since a running task may simply take longer
-// than its deadline allows.
+// than its deadline allows. Nor does a wait for a job lock show load.
 func (e *Entry) deadlinePassed(s *submission) {
 	if s.answered {
 		return
 	}
-	for range s.ready {
-		s.svc.limit.RecordLate(e.now)
+	if !s.lock.waiting() {
+		for range s.ready {
+			s.svc.limit.RecordLate(e.now)
+		}
 	}
 	e.answerAbandoned(s, task.ReasonDeadline)
 }
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -53,7 +53,7 @@
 		e.requestClaim(s)
 		return
 	}
-	e.enqueue(s)
+	e.start(s)
 }
 
 // admit checks a submission against the configuration, the announced workers,
--- a/entry/timers.go
+++ b/entry/timers.go
@@ -19,6 +19,8 @@
 	timerReview
 	timerDemand
 	timerKeepalive
+	timerLock
+	timerOver
 )
 
 // timer fires once. Its handler checks whether it is still relevant.
@@ -89,6 +91,10 @@
 			e.reviewAgents()
 		case timerKeepalive:
 			e.sendKeepalives()
+		case timerLock:
+			e.lockTimedOut(t.sub)
+		case timerOver:
+			e.checkOver(t.sub)
 		case timerDemand:
 			e.demandDue(t.svc)
 		}
--- a/entry/trace.go
+++ b/entry/trace.go
@@ -79,6 +79,18 @@
 	e.emit(Decision{Ref: ref, Message: "refused", At: e.now, Incomplete: true, Inputs: inputs})
 }
 
+// emitLock emits a change of a submission's request for the lock of its job.
+func (e *Entry) emitLock(s *submission, message string, a *agent) {
+	if !e.opts.Trace {
+		return
+	}
+	inputs := []any{"age", e.now - s.arrived}
+	if a != nil {
+		inputs = append(inputs, "agent", a.ID)
+	}
+	e.emit(Decision{Ref: s.ref(), Message: message, At: e.now, Inputs: inputs})
+}
+
 // emitAgentChange emits a change of an agent's slow state.
 func (e *Entry) emitAgentChange(message string, a *agent, reportedSlow, overdue bool) {
 	if !e.opts.Trace {
--- a/httpapi/problem.go
+++ b/httpapi/problem.go
@@ -75,6 +75,7 @@
 	task.ReasonDeadline:          {fasthttp.StatusGatewayTimeout, "The deadline can't be kept"},
 	task.ReasonStartExpired:      {fasthttp.StatusGatewayTimeout, "The task could not start in time"},
 	task.ReasonCancelled:         {fasthttp.StatusConflict, "The submission was cancelled"},
+	task.ReasonSuperseded:        {fasthttp.StatusConflict, "The job was submitted again"},
 	task.ReasonCallerGone:        {fasthttp.StatusConflict, "The caller went away"},
 	task.ReasonClaimedElsewhere:  {fasthttp.StatusConflict, "The idempotency key is in use"},
 	task.ReasonClaimMismatch:     {fasthttp.StatusUnprocessableEntity, "The idempotency key was used for a different request"},
--- a/task/task.go
+++ b/task/task.go
@@ -168,6 +168,7 @@
 	ReasonEntryRestarted    Reason = "entry_restarted"        // the entry incarnation that sent the task will not reconnect
 	ReasonEntryGone         Reason = "entry_gone"             // the agent received no message from the entry for too long
 	ReasonCallerGone        Reason = "caller_gone"
+	ReasonSuperseded        Reason = "superseded" // the same job was submitted again
 	ReasonDuplicateTaskID   Reason = "duplicate_task_id"
 )
 
