agentd: agents of leased upstreams keep job locks

The bound within which the runs of a lost agent have ended follows from the lease: its length on an upstream's clock that is 2% slow, and a margin. With it set, agents announce in their welcome that they keep locks, and jobs of the platform's clients get one holder over all entries.

Agents of upstreams without leases keep no locks and are not asked.

--- a/agentd/agentd.go
+++ b/agentd/agentd.go
@@ -98,6 +98,9 @@
 		budget:           logging.NewBudget(logging.LinesPerSecond),
 		drained:          make(chan struct{}),
 	}
+	if o.Leased != nil && o.Agent.RunsEndWithin == 0 {
+		o.Agent.RunsEndWithin = o.Leased.Config.RunsEndWithin()
+	}
 	state := agent.New(o.Self, o.Agent)
 	d.loop = loop.New[agent.Event, agent.Effect](state, agent.Tick{}, d.execute)
 	d.sessions = newSessions(d.loop.Post, o.Log)
--- a/proof/resend_test.go
+++ b/proof/resend_test.go
@@ -28,7 +28,7 @@
 	o.entries, o.agents, o.slots = 3, 6, 8
 	o.keepalive, o.agentTimeout = 250*time.Millisecond, time.Second
 	o.lease = 1040 * time.Millisecond
-	o.agentCfg = agent.Config{OrphanAfter: 800 * time.Millisecond}
+	o.agentCfg = agent.Config{OrphanAfter: 800 * time.Millisecond, RunsEndWithin: o.lease}
 	return o
 }
 
