agent: refuse an assignment that is older than the orphan time-out

An agent that was paused for 2.5 s reads, when it wakes, an assignment that was sent at the beginning of the pause, and starts it. Its entry has answered agent_gone meanwhile, its lock is released after the bound for lost agents, and the job runs elsewhere.

Cause: extendAfterFreeze lets all entries count as heard from at the end of a pause, and an assignment's start deadline leaves seconds. An agent stops the runs of an entry that it has not heard for the orphan time-out; it must not start a task that was sent longer ago than that.

--- a/agent/lock_test.go
+++ b/agent/lock_test.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	testRef           = "a4ffeeefb5705593"
-	testOrphanAfter   = 800 * time.Millisecond
-	testRunsEndWithin = time.Second
+	lockRef           = "a4ffeeefb5705593"
+	lockOrphanAfter   = 800 * time.Millisecond
+	lockRunsEndWithin = time.Second
 )
 
 // lockFixture is an agent with sessions of entries of the incarnations 1, 2 and 3,
@@ -35,7 +35,7 @@
 }
 
 func newLockAgent(t *testing.T) *lockFixture {
-	return newLockFixture(t, Config{OrphanAfter: testOrphanAfter, RunsEndWithin: testRunsEndWithin})
+	return newLockFixture(t, Config{OrphanAfter: lockOrphanAfter, RunsEndWithin: lockRunsEndWithin})
 }
 
 func (f *lockFixture) step(ev Event) []Effect { return f.s.Step(f.now, ev, nil) }
@@ -54,11 +54,11 @@
 
 // acquire requests the lock for a submission of the entry with the given session.
 func (f *lockFixture) acquire(session SessionID, n uint64, age, within time.Duration) []string {
-	return f.update(session, wire.Update{Acquire: []wire.LockRequest{{Ref: testRef, Submission: submissionOf(session, n), Age: age, Within: within}}})
+	return f.update(session, wire.Update{Acquire: []wire.LockRequest{{Ref: lockRef, Submission: submissionOf(session, n), Age: age, Within: within}}})
 }
 
 func (f *lockFixture) release(session SessionID, n uint64) []string {
-	return f.update(session, wire.Update{Release: []wire.LockRef{{Ref: testRef, Submission: submissionOf(session, n)}}})
+	return f.update(session, wire.Update{Release: []wire.LockRef{{Ref: lockRef, Submission: submissionOf(session, n)}}})
 }
 
 func submissionOf(session SessionID, n uint64) task.SubmissionID {
@@ -141,9 +141,9 @@
 	f.now += time.Second
 	require.Equal(t, []string{"2.1:queued"}, f.acquire(2, 1, 0, 10*time.Second))
 	w := f.open(4, 1, "entry-1")
-	require.Equal(t, testRunsEndWithin, w.RunsEndWithin)
+	require.Equal(t, lockRunsEndWithin, w.RunsEndWithin)
 	require.Equal(t, []string{"1.1:revoked"}, describeAnswers(w.Report))
-	require.Equal(t, []string{"2.1:granted"}, f.update(4, wire.Update{Release: []wire.LockRef{{Ref: testRef, Submission: submissionOf(1, 1)}}}))
+	require.Equal(t, []string{"2.1:granted"}, f.update(4, wire.Update{Release: []wire.LockRef{{Ref: lockRef, Submission: submissionOf(1, 1)}}}))
 }
 
 // The locks of an entry that restarted end once its runs have ended at all agents.
@@ -153,7 +153,7 @@
 	f.acquire(2, 1, 0, time.Minute)
 	f.step(SessionClosed{Session: 1})
 	f.open(4, 4, "entry-1")
-	f.now += testOrphanAfter + testRunsEndWithin - time.Millisecond
+	f.now += lockOrphanAfter + lockRunsEndWithin - time.Millisecond
 	require.Empty(t, lockAnswers(f.step(Tick{})))
 	f.now += time.Millisecond
 	require.Equal(t, []string{"2.1:granted"}, lockAnswers(f.step(Tick{})))
--- a/agent/run.go
+++ b/agent/run.go
@@ -36,6 +36,11 @@
 	s.tasks[r.id] = r
 	e.held++
 	s.meanNeed.observe(r.need)
+	if s.cfg.OrphanAfter > 0 && lag >= s.cfg.OrphanAfter {
+		// The entry may have been given up, or have given up the task.
+		s.refuse(r, task.ReasonEntryGone)
+		return
+	}
 	if reason := s.refusalReason(r); reason != task.ReasonNone {
 		s.refuse(r, reason)
 		return
