entry: a job lock is held at a majority of three agents

What callers would see: TWICE again, when the agent that keeps a lock is lost, paused or cut off from one of the entries while that entry asks, since the lock then moved to the next agent for one entry and not yet, or not at all, for the other. Waiting for the agent instead would refuse the jobs of a slow agent, which is a single fault.

The lock of a job now has three members, the agents with the highest scores in different failure domains as far as possible, also if an entry can't reach them, and is held once a majority has granted it. Any two majorities have an agent in common, so the loss of one agent or of one domain, a restart without state, or a link that one entry has lost gives nobody a second lock. Two members are asked; the third in place of one that fails to answer in 150 ms, is lost, or has queued the request for 1 s. So a paused agent also no longer makes a job run without a lock, and agents that come back need no special care. Without a majority a job waits, and its timers refuse it as not run.

Cost: four messages a job instead of two.

--- a/entry/agent.go
+++ b/entry/agent.go
@@ -79,13 +79,11 @@
 	// runsEndWithin is that of the last welcome; an agent without it keeps no job
 	// locks.
 	runsEndWithin time.Duration
-	// lockHash is the hash of the agent's id.
-	lockHash uint64
+	// lockHash and domainHash are the hashes of the agent's id and domain.
+	lockHash, domainHash uint64
 	// lockUnanswered is set from a lock request that was not answered in time to
 	// the next report.
 	lockUnanswered bool
-	// lockSettledAt is when the agent has been back for lockSettleTime.
-	lockSettledAt time.Duration
 	// locks counts the requests of this entry on the current session whose
 	// submissions may have runs.
 	locks int
@@ -162,6 +160,7 @@
 	if a.link == linkIdle && len(a.sent) == 0 {
 		delete(e.agents, a.peer.ID)
 	}
+	e.updateLockAgent(a)
 }
 
 // agentListed applies a directory entry of an agent. It dials an agent that has
@@ -190,6 +189,7 @@
 		a.svc = e.service(m.Worker.Service)
 		a.Offered = m.Worker.Offered
 	}
+	e.updateLockAgent(a)
 	if a.link == linkIdle || moved && a.link == linkDialing {
 		a.redialDelay = minRedialDelay
 		e.dial(a)
@@ -219,9 +219,6 @@
 		return
 	}
 	w := ev.Welcome
-	if a.incarnation != 0 {
-		a.lockSettledAt = e.now + lockSettleTime
-	}
 	if w.From.Incarnation != a.incarnation {
 		e.agentRestarted(a, w.From)
 	}
@@ -233,6 +230,8 @@
 	a.expectSent = false
 	a.locks, a.lockUnanswered = 0, false
 	a.runsEndWithin = w.RunsEndWithin
+	e.runsEndWithin = max(e.runsEndWithin, a.runsEndWithin)
+	e.updateLockAgent(a)
 	if w.Worker != nil {
 		e.workerChanged(a, *w.Worker)
 	}
@@ -241,9 +240,6 @@
 		e.handleReport(a, w.Report)
 	}
 	e.cancelAnswered(a)
-	if a.runsEndWithin > 0 {
-		e.lockAgentChanged(a.svc)
-	}
 }
 
 // workerChanged applies an agent's description of its worker. If the agent does
@@ -268,10 +264,6 @@
 	}
 	a.svc.pool.Add(&a.Agent)
 	a.pooled = true
-	if a.runsEndWithin > 0 {
-		a.svc.setLockAgent(a, true)
-		a.svc.runsEndWithin = max(a.svc.runsEndWithin, a.runsEndWithin)
-	}
 }
 
 // agentRestarted ends the tasks that the previous incarnation held. The new
@@ -322,8 +314,8 @@
 	wasOpen := a.link == linkOpen
 	a.link = linkIdle
 	e.removeFromPool(a)
+	e.updateLockAgent(a)
 	if wasOpen {
-		e.lockAgentChanged(a.svc)
 		a.disconnectedAt = e.now
 		e.arm(timer{at: e.now + e.opts.AgentTimeout, kind: timerAgentTimeout, agent: a})
 		e.dial(a)
@@ -354,7 +346,6 @@
 // withdraw removes a pooled agent from its service.
 func (e *Entry) withdraw(a *agent) {
 	a.svc.pool.Remove(&a.Agent)
-	a.svc.setLockAgent(a, false)
 	a.pooled = false
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -105,17 +105,25 @@
 	claims                map[uint64]*submission
 	// byRef holds the last submission of each job with a caller's id, until it is
 	// over; lingering those that are answered and may have runs.
-	byRef       map[string]*submission
-	lingering   map[task.SubmissionID]*submission
-	quotas      map[string]*quota.Bucket // by team
-	lastRequest uint64
-	lastSession uint64 // number of dials so far, over all agents
-	timers      timers
-	dirty       []*agent // agents to flush at the end of the step
-	active      []*service
-	draining    bool
-	drained     bool
-	stats       Stats
+	byRef     map[string]*submission
+	lingering map[task.SubmissionID]*submission
+	// lockAgents lists the agents that may keep job locks; lockAgentsChanged is set
+	// if one was added, removed, connected or lost in this step. The result of
+	// lockAgentsOf is kept in members.
+	lockAgents        []*agent
+	lockAgentsChanged bool
+	members           []*agent
+	// runsEndWithin is the longest of the agents' bounds; zero if none keeps locks.
+	runsEndWithin time.Duration
+	quotas        map[string]*quota.Bucket // by team
+	lastRequest   uint64
+	lastSession   uint64 // number of dials so far, over all agents
+	timers        timers
+	dirty         []*agent // agents to flush at the end of the step
+	active        []*service
+	draining      bool
+	drained       bool
+	stats         Stats
 }
 
 // service is the state of one service.
@@ -138,10 +146,6 @@
 	forecast forecast
 	limit    *limit.Limiter
 	retries  *retry.Budget
-	// lockAgents lists the connected agents that keep job locks. runsEndWithin is
-	// the longest of their bounds so far.
-	lockAgents    []*agent
-	runsEndWithin time.Duration
 	// inSystem counts the tasks that are admitted and whose submissions are not
 	// answered.
 	inSystem int
@@ -206,6 +210,7 @@
 		e.draining = true
 	case Tick:
 	}
+	e.advanceLocks()
 	e.fireTimers()
 	e.dispatchActive()
 	e.flush()
--- a/entry/lock.go
+++ b/entry/lock.go
@@ -12,15 +12,16 @@
 )
 
 const (
-	// lockAnswerTimeout is how long an agent may take to answer a lock request.
+	// lockMembers is the number of agents that may keep the lock of a job; it is
+	// held by a majority of them.
+	lockMembers = 3
+	// lockAnswerTimeout is how long an agent may take to answer a lock request
+	// before another member is asked as well.
 	lockAnswerTimeout = 150 * time.Millisecond
-	// maxUnansweredLocks is how many agents may fail to answer before a job runs
-	// without a lock.
-	maxUnansweredLocks = 2
-	// lockSettleTime is how long the lock of a job is also requested from the next
-	// agent after its agent comes back. Entries that have runs of older jobs
-	// request the locks of these from it meanwhile.
-	lockSettleTime = time.Second
+	// lockQueuedTimeout is how long a submission waits for the holder of its lock
+	// before the remaining members are asked as well. It is longer than entries take
+	// to notice that an agent which granted them a lock is lost.
+	lockQueuedTimeout = time.Second
 	// maxDeferredReleases bounds the releases that wait for another update to the
 	// same agent.
 	maxDeferredReleases = 64
@@ -36,19 +37,18 @@
 	lockAwaitsTurn lockStage = iota + 1
 	// lockRequested: no task is queued for placement before the lock is granted.
 	lockRequested
-	// lockPassed: the submission has its lock, or goes on without one.
+	// lockPassed: the submission has had its lock, or needs none.
 	lockPassed
 )
 
 // jobLock is the state of a submission's request for the lock of its job, which
 // keeps submissions of one job at several entries from having runs at the same
-// time. Each agent may keep locks; which one does for a job follows from the ids
-// of both.
+// time. Which agents are its members follows from their ids and that of the job.
 type jobLock struct {
 	stage    lockStage
 	requests []lockRequest
-	// unanswered counts the agents that did not answer or can't keep the lock.
-	unanswered int
+	// majority is the number of members that must grant the lock.
+	majority int
 	// releaseNow is set if another submission waits for the lock.
 	releaseNow bool
 	// previous and next are the neighbours among the submissions of the job at
@@ -65,12 +65,26 @@
 	sentAt  time.Duration
 	// state is zero until the agent has answered.
 	state wire.LockState
-	// failed is set if the agent did not answer in time or can't keep the lock.
+	// failed is set if the agent did not answer or grant the lock in time, or can't
+	// keep it. It may still grant the lock later.
 	failed bool
+	// member is set if the agent was a member when members were last determined.
+	member bool
 }
 
 func (r *lockRequest) live() bool { return r.agent.link == linkOpen && r.agent.session == r.session }
 
+// overdue reports whether the agent has not answered or granted the lock in time.
+func (r *lockRequest) overdue(now time.Duration) bool {
+	switch r.state {
+	case 0:
+		return now >= r.sentAt+lockAnswerTimeout
+	case wire.LockQueued:
+		return now >= r.sentAt+lockQueuedTimeout
+	}
+	return false
+}
+
 // request returns the request on the current session with an agent, or nil.
 func (l *jobLock) request(a *agent) *lockRequest {
 	for i := range l.requests {
@@ -92,20 +106,15 @@
 	l.requests = append(l.requests, r)
 }
 
-// progress reports whether an answer or a grant is pending, and whether the lock
-// was granted at any agent.
-func (l *jobLock) progress() (pending, granted bool) {
+// granted reports whether a majority of the members has granted the lock.
+func (l *jobLock) granted() bool {
+	n := 0
 	for i := range l.requests {
-		r := &l.requests[i]
-		switch {
-		case !r.live() || r.failed:
-		case r.state == wire.LockGranted:
-			granted = true
-		default:
-			pending = true
+		if r := &l.requests[i]; r.member && r.state == wire.LockGranted && r.live() {
+			n++
 		}
 	}
-	return pending, granted
+	return n >= l.majority
 }
 
 // waiting reports whether the submission waits for its lock or for its turn.
@@ -122,43 +131,52 @@
 	return x ^ x>>33
 }
 
-// setLockAgent records whether an agent of the service keeps locks.
-func (s *service) setLockAgent(a *agent, on bool) {
-	for i, o := range s.lockAgents {
-		if o == a {
-			if !on {
-				s.lockAgents = append(s.lockAgents[:i], s.lockAgents[i+1:]...)
-			}
-			return
-		}
-	}
-	if on {
-		s.lockAgents = append(s.lockAgents, a)
+// updateLockAgent adds an agent to those that may keep locks, or removes it. They
+// include agents that are listed but not connected, so that all entries find the
+// same members for a job.
+func (e *Entry) updateLockAgent(a *agent) {
+	a.domainHash = xxhash.Sum64String(a.peer.Domain)
+	older := a.incarnation != 0 && a.runsEndWithin == 0
+	on := e.agents[a.ID] == a && (a.listed || a.link == linkOpen) && !older
+	i := slices.Index(e.lockAgents, a)
+	switch {
+	case on && i < 0:
+		e.lockAgents = append(e.lockAgents, a)
+	case !on && i >= 0:
+		e.lockAgents = slices.Delete(e.lockAgents, i, i+1)
 	}
+	e.lockAgentsChanged = true
 }
 
-// lockAgents returns the agent that keeps the lock of a job and, if that agent has
-// come back only recently, the one that kept it meanwhile. Agents that failed to
-// answer are passed over.
-func (e *Entry) lockAgents(s *submission) (first, settled *agent) {
-	refHash := xxhash.Sum64String(s.sub.Ref)
-	var firstScore, settledScore uint64
-	for _, a := range s.svc.lockAgents {
-		score := lockScore(a.lockHash, refHash)
-		if score <= settledScore || a.lockUnanswered {
-			continue
-		}
-		if r := s.lock.request(a); r != nil && r.failed {
-			continue
-		}
-		if score > firstScore {
-			first, firstScore = a, score
+// lockAgentsOf returns the members for the lock of a job: the agents with the
+// highest scores, in different failure domains as far as possible.
+func (e *Entry) lockAgentsOf(ref string) []*agent {
+	refHash := xxhash.Sum64String(ref)
+	members := e.members[:0]
+	for range lockMembers {
+		var best *agent
+		var bestScore uint64
+		bestIsNew := false
+		for _, a := range e.lockAgents {
+			isNew, chosen := true, false
+			for _, m := range members {
+				chosen = chosen || m == a
+				isNew = isNew && m.domainHash != a.domainHash
+			}
+			if chosen || bestIsNew && !isNew {
+				continue
+			}
+			if score := lockScore(a.lockHash, refHash); best == nil || isNew && !bestIsNew || score > bestScore {
+				best, bestScore, bestIsNew = a, score, isNew
+			}
 		}
-		if e.now >= a.lockSettledAt {
-			settled, settledScore = a, score
+		if best == nil {
+			break
 		}
+		members = append(members, best)
 	}
-	return first, settled
+	e.members = members
+	return members
 }
 
 // awaitLock queues an admitted submission once no other submission of its job can
@@ -178,67 +196,83 @@
 	}
 }
 
-// advanceLock requests the lock wherever it is kept now and has not been requested
-// yet, and queues the tasks if nothing is left to wait for.
+// advanceLock requests the lock from as many members as may grant a majority, and
+// queues the tasks if no agent keeps locks.
 func (e *Entry) advanceLock(s *submission) {
 	if s.lock.stage != lockPassed {
 		s.lock.stage = lockRequested
 	}
-	if s.lock.unanswered < maxUnansweredLocks {
-		first, settled := e.lockAgents(s)
-		e.requestLock(s, first)
-		e.requestLock(s, settled)
+	if e.runsEndWithin == 0 {
+		e.passLock(s, "no agent keeps job locks")
+		return
+	}
+	members := e.lockAgentsOf(s.sub.Ref)
+	s.lock.majority = len(members)/2 + 1
+	asked := s.lock.countMembers(members)
+	for _, slow := range []bool{false, true} {
+		for _, a := range members {
+			if asked < s.lock.majority && a.link == linkOpen && a.lockUnanswered == slow && s.lock.request(a) == nil {
+				e.requestLock(s, a)
+				asked++
+			}
+		}
 	}
 	e.checkLock(s)
 }
 
-func (e *Entry) requestLock(s *submission, a *agent) {
-	if a == nil || s.lock.request(a) != nil {
-		return
+// countMembers marks the requests to members and returns how many of them have not
+// failed.
+func (l *jobLock) countMembers(members []*agent) int {
+	n := 0
+	for i := range l.requests {
+		r := &l.requests[i]
+		r.member = slices.Contains(members, r.agent)
+		if r.member && r.live() && !r.failed {
+			n++
+		}
 	}
+	return n
+}
+
+func (e *Entry) requestLock(s *submission, a *agent) {
 	if s.lock.stage == lockPassed {
 		e.emitLock(s, "lock moved", a)
 	}
-	s.lock.add(lockRequest{agent: a, session: a.session, sentAt: e.now})
+	s.lock.add(lockRequest{agent: a, session: a.session, sentAt: e.now, member: true})
 	a.toAcquire = append(a.toAcquire, wire.LockRequest{
 		Ref:        s.sub.Ref,
 		Submission: s.id,
 		Age:        e.now - s.arrived,
-		Within:     max(s.deadline-e.now, 0) + s.svc.runsEndWithin,
+		Within:     max(s.deadline-e.now, 0) + e.runsEndWithin,
 	})
 	a.locks++
 	e.markDirty(a)
 	e.arm(timer{at: e.now + lockAnswerTimeout, kind: timerLock, sub: s})
 }
 
-// checkLock queues the tasks of a submission once its lock is granted by every
-// agent that was asked, or if no agent keeps it.
+// checkLock queues the tasks of a submission once its lock is granted.
 func (e *Entry) checkLock(s *submission) {
-	if s.lock.stage != lockRequested || s.answered {
-		return
+	if s.lock.stage == lockRequested && s.lock.granted() {
+		e.passLock(s, "lock granted")
 	}
-	pending, granted := s.lock.progress()
-	if pending {
+}
+
+// passLock queues the tasks of a submission that waits no longer for its lock.
+func (e *Entry) passLock(s *submission, message string) {
+	if s.lock.stage == lockPassed || s.answered {
 		return
 	}
 	s.lock.stage = lockPassed
-	if granted {
-		e.trace(s, "lock granted", "after", e.now-s.arrived)
-	} else {
-		e.emitLock(s, "no agent keeps job locks", nil)
-	}
+	e.trace(s, message, "after", e.now-s.arrived)
 	e.enqueue(s)
 }
 
 // handleLocks handles the answers about locks in a report.
 func (e *Entry) handleLocks(a *agent, answers []wire.LockAnswer) {
+	a.lockUnanswered = false
 	for i := range answers {
 		e.lockAnswered(a, &answers[i])
 	}
-	if a.lockUnanswered {
-		a.lockUnanswered = false
-		e.lockAgentChanged(a.svc)
-	}
 }
 
 // lockAnswered handles an agent's answer about a lock.
@@ -262,14 +296,17 @@
 	}
 	q.state = r.State
 	switch r.State {
+	case wire.LockGranted:
+		e.checkLock(s)
+		return
 	case wire.LockQueued:
 		e.emitLock(s, "lock queued", a)
-	case wire.LockUnavailable:
-		e.lockFailed(s, q)
+		e.arm(timer{at: q.sentAt + lockQueuedTimeout, kind: timerLock, sub: s})
+	default:
+		q.failed = true
+		e.emitLock(s, "lock unavailable", a)
 		e.advanceLock(s)
-		return
 	}
-	e.checkLock(s)
 }
 
 // lockRevoked gives up a submission because its job was submitted again elsewhere.
@@ -298,8 +335,9 @@
 	})
 }
 
-// lockTimedOut gives up the requests that were not answered within
-// lockAnswerTimeout. Their agents are passed over until their next report.
+// lockTimedOut asks another member in place of those that have not answered within
+// lockAnswerTimeout, which are asked last until their next report, or not granted
+// the lock within lockQueuedTimeout.
 func (e *Entry) lockTimedOut(s *submission) {
 	if s.answered {
 		return
@@ -307,44 +345,43 @@
 	failed := false
 	for i := range s.lock.requests {
 		r := &s.lock.requests[i]
-		if !r.live() || r.failed || r.state != 0 || e.now < r.sentAt+lockAnswerTimeout {
+		if r.failed || !r.live() || !r.overdue(e.now) {
 			continue
 		}
-		r.agent.lockUnanswered = true
-		e.lockFailed(s, r)
-		failed = true
+		r.failed, failed = true, true
+		if r.state == 0 {
+			r.agent.lockUnanswered = true
+			e.emitLock(s, "lock not answered", r.agent)
+		}
 	}
 	if failed {
 		e.advanceLock(s)
 	}
 }
 
-func (e *Entry) lockFailed(s *submission, r *lockRequest) {
-	r.failed = true
-	s.lock.unanswered++
-	e.emitLock(s, "lock not answered", r.agent)
-}
-
-// lockAgentChanged requests the locks of a service again after one of its agents
-// connected, was lost or answered again.
-func (e *Entry) lockAgentChanged(svc *service) {
+// advanceLocks requests locks again after agents were listed, connected or lost.
+func (e *Entry) advanceLocks() {
+	if !e.lockAgentsChanged {
+		return
+	}
+	e.lockAgentsChanged = false
 	if len(e.byRef) == 0 {
 		return
 	}
-	for _, s := range e.lockedSubmissions(svc) {
+	for _, s := range e.lockedSubmissions() {
 		if !s.lock.over {
 			e.advanceLock(s)
 		}
 	}
 }
 
-// lockedSubmissions returns the submissions of a service that have requested their
-// locks and may have runs, in a deterministic order.
-func (e *Entry) lockedSubmissions(svc *service) []*submission {
+// lockedSubmissions returns the submissions that have requested their locks and may
+// have runs, in a deterministic order.
+func (e *Entry) lockedSubmissions() []*submission {
 	var out []*submission
 	for _, subs := range []map[task.SubmissionID]*submission{e.subs, e.lingering} {
 		for _, s := range subs {
-			if s.svc == svc && s.lock.stage >= lockRequested {
+			if s.lock.stage >= lockRequested {
 				out = append(out, s)
 			}
 		}
@@ -358,11 +395,13 @@
 func (e *Entry) releaseLocks(s *submission) {
 	for i := range s.lock.requests {
 		r := &s.lock.requests[i]
-		if !r.live() {
+		a := r.agent
+		if a.link != linkOpen {
 			continue
 		}
-		a := r.agent
-		a.locks--
+		if r.live() {
+			a.locks--
+		}
 		a.toRelease = append(a.toRelease, wire.LockRef{Ref: s.sub.Ref, Submission: s.id})
 		if s.lock.releaseNow || len(a.toRelease) >= maxDeferredReleases {
 			e.markDirty(a)
--- a/entry/lock_test.go
+++ b/entry/lock_test.go
@@ -86,42 +86,53 @@
 	}
 }
 
-// ranked returns the agents that keep locks, the one for testRef first.
-func (f *fixture) ranked() []string {
+// members returns the agents that may keep the lock of testRef, the first one first.
+func (f *fixture) members() []string {
 	var out []string
-	s := &submission{svc: f.e.services["svc"], sub: task.Submission{Ref: testRef}}
-	for {
-		a, _ := f.e.lockAgents(s)
-		if a == nil {
-			break
-		}
+	for _, a := range f.e.lockAgentsOf(testRef) {
 		out = append(out, a.ID)
-		a.lockUnanswered = true
 	}
-	for _, a := range f.e.agents {
-		a.lockUnanswered = false
+	return out
+}
+
+// grant grants the lock of a submission at each of the agents and returns the
+// effects of the last answer.
+func (f *fixture) grant(n uint64, agents ...string) []Effect {
+	var out []Effect
+	for _, a := range agents {
+		out = f.answerLock(a, n, wire.LockGranted)
 	}
 	return out
 }
 
 // startJob submits a job of one task, grants its lock and returns its agent.
-func (f *fixture) startJob(n uint64, lockAgent string) (agent string, id task.ID) {
+func (f *fixture) startJob(n uint64) (agent string, id task.ID) {
 	f.t.Helper()
 	f.submit(n, jobWithRef(1))
-	return assigned(f.t, f.answerLock(lockAgent, n, wire.LockGranted))
+	return assigned(f.t, f.grant(n, f.members()[:2]...))
 }
 
-// A job of a caller with ids of its own is placed only once its lock is granted.
+func locksAt(n int, agents ...string) []string {
+	var out []string
+	for _, a := range agents {
+		out = append(out, fmt.Sprintf("%s.%d", a, n))
+	}
+	return out
+}
+
+// A job of a caller with ids of its own is placed only once a majority of the agents
+// that may keep its lock has granted it. No more than a majority is asked.
 func TestJobIsPlacedOnceItsLockIsGranted(t *testing.T) {
-	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
-	first := f.ranked()[0]
+	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3", "a4")
+	members := f.members()
 	out := f.submit(1, jobWithRef(3))
-	require.Equal(t, []string{first + ".1"}, acquires(out))
+	require.Equal(t, locksAt(1, members[:2]...), acquires(out))
 	require.Equal(t, 5*time.Second+testRunsEndWithin, sends(out)[0].Update.Acquire[0].Within)
 	requireNoTasks(t, out)
-	requireNoTasks(t, f.answerLock(first, 1, wire.LockQueued))
+	requireNoTasks(t, f.answerLock(members[0], 1, wire.LockGranted))
+	requireNoTasks(t, f.answerLock(members[1], 1, wire.LockQueued))
 	requireNoTasks(t, f.wait(lockAnswerTimeout))
-	assigned(t, f.answerLock(first, 1, wire.LockGranted))
+	assigned(t, f.answerLock(members[1], 1, wire.LockGranted))
 }
 
 // Agents of older builds keep no locks and are not asked.
@@ -130,50 +141,74 @@
 	out := f.submit(1, jobWithRef(1))
 	require.Empty(t, acquires(out))
 	assigned(t, out)
+	require.Empty(t, f.e.lockAgents)
 }
 
-// Every entry finds the same agent for a job, whatever the order in which its
+// Every entry finds the same agents for a job, whatever the order in which its
 // agents connected.
-func TestLockAgentDoesNotDependOnOrder(t *testing.T) {
+func TestLockAgentsDoNotDependOnOrder(t *testing.T) {
 	a := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3", "a4")
 	b := newLockFixture(t, testRunsEndWithin, "a4", "a2", "a3", "a1")
-	require.Equal(t, a.ranked(), b.ranked())
-	require.Len(t, a.ranked(), 4)
+	require.Len(t, a.members(), lockMembers)
+	require.Equal(t, a.members(), b.members())
+	b.step(Disconnected{Agent: a.members()[0], Session: b.e.agents[a.members()[0]].session})
+	require.Equal(t, a.members(), b.members(), "an agent that one entry can't reach")
+}
+
+// The loss of a failure domain costs at most one of the agents that keep a lock.
+func TestLockAgentsAreInDifferentDomains(t *testing.T) {
+	f := newFixture(t)
+	d := wire.Directory{Full: true, Complete: true}
+	for i := range 12 {
+		id := fmt.Sprintf("a%d", i)
+		d.Upserts = append(d.Upserts, wire.Member{
+			Peer:   wire.Peer{Role: wire.RoleAgent, ID: id, Incarnation: 1, Addr: id, Domain: fmt.Sprint("zone-", i%3)},
+			Worker: &wire.Worker{Service: "svc"},
+		})
+	}
+	f.step(DirectoryChanged{Directory: d})
+	for i := range 100 {
+		domains := make(map[string]bool)
+		for _, a := range f.e.lockAgentsOf(fmt.Sprint("job-", i)) {
+			domains[a.peer.Domain] = true
+		}
+		require.Len(t, domains, 3)
+	}
 }
 
 // A job that is refused while it waits for its lock has started nothing.
 func TestJobRefusedWhileLockIsQueuedHasNotRun(t *testing.T) {
 	f := newLockFixture(t, testRunsEndWithin, "a1", "a2")
-	first := f.ranked()[0]
+	members := f.members()
 	f.submit(1, jobWithRef(2))
-	requireNoTasks(t, f.answerLock(first, 1, wire.LockQueued))
+	requireNoTasks(t, f.answerLock(members[0], 1, wire.LockQueued))
+	requireNoTasks(t, f.answerLock(members[1], 1, wire.LockGranted))
 	out := f.wait(5 * time.Second)
 	require.Equal(t, task.NotRun, answers(out)[0].State)
 	requireNoTasks(t, out)
-	requireNoTasks(t, f.answerLock(first, 1, wire.LockGranted))
+	requireNoTasks(t, f.answerLock(members[0], 1, wire.LockGranted))
 }
 
 // A revoked submission is answered at once, its tasks are cancelled, and its lock is
 // released only when the last of them has ended.
 func TestRevokedLockIsReleasedAfterTheLastRun(t *testing.T) {
 	f := newLockFixture(t, testRunsEndWithin, "a1", "a2")
-	first := f.ranked()[0]
+	members := f.members()
 	f.submit(1, jobWithRef(2*benchSlots))
-	out := f.answerLock(first, 1, wire.LockGranted)
 	sent := make(map[string][]task.ID)
-	for _, s := range sends(out) {
+	for _, s := range sends(f.grant(1, members...)) {
 		for _, a := range s.Update.Tasks {
 			sent[s.Agent] = append(sent[s.Agent], a.ID)
 		}
 	}
 	require.Len(t, sent, 2)
-	out = f.answerLock(first, 1, wire.LockRevoked)
+	out := f.answerLock(members[0], 1, wire.LockRevoked)
 	require.Equal(t, task.Failed, answers(out)[0].State)
 	require.Equal(t, task.ReasonSuperseded, answers(out)[0].Reason)
 	require.Len(t, sends(out), 2)
 	require.Empty(t, releases(out))
 	left := 2 * benchSlots
-	for _, agent := range []string{"a1", "a2"} {
+	for _, agent := range members {
 		for _, id := range sent[agent] {
 			left--
 			got := releases(f.endTask(agent, id, task.Failed))
@@ -181,42 +216,64 @@
 				require.Empty(t, got)
 				continue
 			}
-			require.Equal(t, []string{first + ".1"}, got)
+			require.ElementsMatch(t, locksAt(1, members...), got)
 		}
 	}
 }
 
 // A run of a lost agent may go on until its lease has expired.
 func TestLockIsKeptWhileRunOfLostAgentMayGoOn(t *testing.T) {
-	f := newLockFixture(t, testRunsEndWithin, "a1", "a2")
-	ranked := f.ranked()
-	agent, _ := f.startJob(1, ranked[0])
+	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
+	agent, _ := f.startJob(1)
 	f.step(Disconnected{Agent: agent, Session: f.e.agents[agent].session})
-	lockAgent := ranked[0]
-	if agent == lockAgent {
-		lockAgent = ranked[1]
-	}
-	f.answerLock(lockAgent, 1, wire.LockGranted)
 	out := f.wait(f.e.opts.AgentTimeout)
 	require.Equal(t, task.ReasonAgentGone, answers(out)[0].Reason)
-	require.Empty(t, releases(f.answerLock(lockAgent, 1, wire.LockRevoked)))
+	var connected string
+	for _, m := range f.members() {
+		if m != agent {
+			connected = m
+		}
+	}
+	require.Empty(t, releases(f.answerLock(connected, 1, wire.LockRevoked)))
 	require.Empty(t, releases(f.wait(testRunsEndWithin-5*time.Millisecond)))
-	require.Equal(t, []string{lockAgent + ".1"}, releases(f.wait(5*time.Millisecond)))
+	require.Contains(t, releases(f.wait(5*time.Millisecond)), connected+".1")
 }
 
 // The release of a job that has simply ended goes with the next update to the agent.
 func TestReleaseOfEndedJobNeedsNoMessage(t *testing.T) {
-	f := newLockFixture(t, testRunsEndWithin, "a1", "a2")
-	first := f.ranked()[0]
-	agent, id := f.startJob(1, first)
+	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
+	members := f.members()[:2]
+	agent, id := f.startJob(1)
 	out := f.endTask(agent, id, task.Complete)
 	require.Equal(t, task.Complete, answers(out)[0].State)
 	require.Empty(t, sends(out))
 	require.Empty(t, f.e.byRef)
 	require.Empty(t, f.e.lingering)
+	for _, m := range members {
+		require.Zero(t, f.e.agents[m].locks)
+	}
 	out = f.submit(2, jobWithRef(1))
-	require.Equal(t, []string{first + ".1"}, releases(out))
-	require.Equal(t, []string{first + ".2"}, acquires(out))
+	require.ElementsMatch(t, locksAt(1, members...), releases(out))
+	require.ElementsMatch(t, locksAt(2, members...), acquires(out))
+}
+
+// A release that was due while the agent had another session is not lost: it goes to
+// the agent on any session.
+func TestLockIsReleasedOnLaterSession(t *testing.T) {
+	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
+	members := f.members()
+	agent, id := f.startJob(1)
+	kept := members[0]
+	if agent == kept {
+		kept = members[1]
+	}
+	for _, eff := range f.step(Disconnected{Agent: kept, Session: f.e.agents[kept].session}) {
+		if d, ok := eff.(Dial); ok {
+			f.welcome(d)
+		}
+	}
+	f.answerLock(members[2], 1, wire.LockRevoked)
+	require.Contains(t, releases(f.endTask(agent, id, task.Failed)), kept+".1")
 }
 
 // An entry that has forgotten a submission, or ended it, releases its lock when it
@@ -228,78 +285,97 @@
 	}
 }
 
-// An agent that does not answer is passed over, also for other jobs, until its next
-// report. After two such agents the job goes on without a lock.
+// In place of an agent that does not answer another one is asked. Later jobs ask it
+// last until its next report.
 func TestUnansweredLockRequest(t *testing.T) {
 	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
-	ranked := f.ranked()
-	require.Equal(t, []string{ranked[0] + ".1"}, acquires(f.submit(1, jobWithRef(1))))
-	out := f.wait(lockAnswerTimeout)
-	require.Equal(t, []string{ranked[1] + ".1"}, acquires(out))
-	requireNoTasks(t, out)
-	assigned(t, f.wait(lockAnswerTimeout))
-	require.True(t, f.e.agents[ranked[0]].lockUnanswered)
-	f.answerLock(ranked[0], 1, wire.LockGranted)
-	require.False(t, f.e.agents[ranked[0]].lockUnanswered)
+	members := f.members()
+	f.submit(1, jobWithRef(1))
+	requireNoTasks(t, f.answerLock(members[1], 1, wire.LockGranted))
+	require.Equal(t, locksAt(1, members[2]), acquires(f.wait(lockAnswerTimeout)))
+	agent, id := assigned(t, f.answerLock(members[2], 1, wire.LockGranted))
+	f.endTask(agent, id, task.Complete)
+	if agent == members[0] {
+		f.e.agents[agent].lockUnanswered = true
+	}
+	require.Equal(t, locksAt(2, members[1:]...), acquires(f.submit(2, jobWithRef(1))))
+	f.grant(1, members[0])
+	require.Equal(t, locksAt(3, members[:2]...), acquires(f.submit(3, jobWithRef(1))))
 }
 
-// An agent whose table is full is passed over for this job only.
+// In place of an agent that can't keep another lock another one is asked.
 func TestUnavailableLockIsRequestedElsewhere(t *testing.T) {
 	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
-	ranked := f.ranked()
+	members := f.members()
+	f.submit(1, jobWithRef(1))
+	require.Equal(t, locksAt(1, members[2]), acquires(f.answerLock(members[0], 1, wire.LockUnavailable)))
+	f.grant(1, members[1])
+	assigned(t, f.grant(1, members[2]))
+}
+
+// A holder that never releases the lock at one agent, for example because it is cut
+// off from it, does not block the job for its whole time.
+func TestLockQueuedForLongIsRequestedElsewhere(t *testing.T) {
+	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
+	members := f.members()
 	f.submit(1, jobWithRef(1))
-	require.Equal(t, []string{ranked[1] + ".1"}, acquires(f.answerLock(ranked[0], 1, wire.LockUnavailable)))
-	require.Equal(t, ranked, f.ranked())
-	assigned(t, f.answerLock(ranked[1], 1, wire.LockGranted))
+	f.answerLock(members[0], 1, wire.LockQueued)
+	f.answerLock(members[1], 1, wire.LockGranted)
+	require.Empty(t, acquires(f.wait(lockQueuedTimeout/2)))
+	require.Equal(t, locksAt(1, members[2]), acquires(f.wait(lockQueuedTimeout/2)))
+	assigned(t, f.grant(1, members[2]))
 }
 
-// A job whose lock agent is lost requests the lock from the next one, and from the
-// lost one again when that comes back.
-func TestLockMovesWithItsAgent(t *testing.T) {
+// A job that loses an agent that keeps its lock requests it from the third one, with
+// its age since its arrival.
+func TestLockMovesWithItsAgents(t *testing.T) {
 	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
-	ranked := f.ranked()
-	f.startJob(1, ranked[0])
+	members := f.members()
+	f.startJob(1)
 	f.now += time.Second
-	out := f.step(Disconnected{Agent: ranked[0], Session: f.e.agents[ranked[0]].session})
-	require.Equal(t, []string{ranked[1] + ".1"}, acquires(out))
+	out := f.step(Disconnected{Agent: members[0], Session: f.e.agents[members[0]].session})
+	require.Equal(t, locksAt(1, members[2]), acquires(out))
 	for _, s := range sends(out) {
 		for _, r := range s.Update.Acquire {
-			require.Greater(t, r.Age, time.Second, "the age counts from the arrival")
+			require.Greater(t, r.Age, time.Second)
 		}
 	}
-	f.answerLock(ranked[1], 1, wire.LockGranted)
+	f.grant(1, members[2])
+	out = f.step(Disconnected{Agent: members[1], Session: f.e.agents[members[1]].session})
+	require.Empty(t, acquires(out), "no other member is connected")
 	for _, eff := range out {
 		if d, ok := eff.(Dial); ok {
-			back := f.step(Connected{Agent: ranked[0], Session: d.Hello.Session, Welcome: &wire.Welcome{
-				From: d.Peer, Worker: &wire.Worker{Service: "svc", Slots: benchSlots}, Report: f.report(ranked[0], 0), RunsEndWithin: testRunsEndWithin,
-			}})
-			require.Equal(t, []string{ranked[0] + ".1"}, acquires(back))
+			require.Equal(t, locksAt(1, members[1]), acquires(f.step(Connected{Agent: members[1], Session: d.Hello.Session, Welcome: &wire.Welcome{
+				From: d.Peer, Worker: &wire.Worker{Service: "svc", Slots: benchSlots}, Report: f.report(members[1], 0), RunsEndWithin: testRunsEndWithin,
+			}})))
 		}
 	}
 }
 
-// While an agent has only just come back, entries may not have requested the locks
-// of their older jobs there yet, so new jobs need the lock of the next one as well.
-func TestAgentThatComesBackIsNotTrustedAlone(t *testing.T) {
+// While too few of the agents that keep a lock are connected, its job waits.
+func TestJobWaitsForMajorityOfLockAgents(t *testing.T) {
 	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
-	ranked := f.ranked()
-	dial := f.restart(ranked[0])
-	f.seq[ranked[0]] = 0
-	f.welcome(dial)
-	require.Equal(t, []string{ranked[0] + ".1", ranked[1] + ".1"}, acquires(f.submit(1, jobWithRef(1))))
-	requireNoTasks(t, f.answerLock(ranked[0], 1, wire.LockGranted))
-	agent, id := assigned(t, f.answerLock(ranked[1], 1, wire.LockGranted))
-	f.endTask(agent, id, task.Complete)
-	f.now += lockSettleTime
-	require.Equal(t, []string{ranked[0] + ".2"}, acquires(f.submit(2, jobWithRef(1))))
+	members := f.members()
+	var dials []Dial
+	for _, m := range members[1:] {
+		for _, eff := range f.step(Disconnected{Agent: m, Session: f.e.agents[m].session}) {
+			if d, ok := eff.(Dial); ok {
+				dials = append(dials, d)
+			}
+		}
+	}
+	require.Equal(t, locksAt(1, members[0]), acquires(f.submit(1, jobWithRef(1))))
+	requireNoTasks(t, f.grant(1, members[0]))
+	f.welcome(dials[0])
+	assigned(t, f.grant(1, members[1]))
 }
 
 // A job that is submitted again at the same entry waits until the earlier
 // submission, which it supersedes, has no more runs.
 func TestLaterSubmissionAtSameEntryWaitsForRuns(t *testing.T) {
 	f := newLockFixture(t, testRunsEndWithin, "a1", "a2")
-	first := f.ranked()[0]
-	agent, id := f.startJob(1, first)
+	members := f.members()
+	agent, id := f.startJob(1)
 	out := f.submit(2, jobWithRef(1))
 	require.Equal(t, task.ReasonSuperseded, answers(out)[0].Reason)
 	require.Empty(t, acquires(out))
@@ -307,8 +383,8 @@
 	require.Equal(t, task.NewSubmissionID(1, 2), answers(out)[0].ID)
 	require.Empty(t, acquires(out))
 	out = f.endTask(agent, id, task.Failed)
-	require.Equal(t, []string{first + ".3"}, acquires(out))
-	agent, id = assigned(t, f.answerLock(first, 3, wire.LockGranted))
+	require.ElementsMatch(t, locksAt(3, members...), acquires(out))
+	agent, id = assigned(t, f.grant(3, members...))
 	f.endTask(agent, id, task.Complete)
 	require.Empty(t, f.e.byRef)
 	require.Empty(t, f.e.lingering)
--- a/entry/report.go
+++ b/entry/report.go
@@ -130,7 +130,7 @@
 	s.svc.q.EndTask(s.sub.Team)
 	s.inFlight--
 	if o.State == task.Unknown {
-		s.runsUntil = e.now + s.svc.runsEndWithin
+		s.runsUntil = e.now + e.runsEndWithin
 	}
 	if s.answered {
 		e.stats.OrphanedResults++
