proof: resent jobs under faults, and what a lock costs

TestResentJobNeverRunsTwiceUnderFaults: callers whose breaks no entry sees send again while entries are killed or paused, sessions break and links are cut, one by one and together, and while agents are killed or paused one at a time. No two runs of a task overlap, each submission has one answer, what is answered as not run has started nothing. The simulation gets paused entries, killed entries and a silence time-out.

TestLockCostsFourMessagesPerJob bounds the messages.

--- a/proof/resend_test.go
+++ b/proof/resend_test.go
@@ -18,6 +18,8 @@
 	resendDelay = 1300 * time.Millisecond
 	// resendDeadline is the deadline of each send.
 	resendDeadline = 6 * time.Second
+	// resendSeeds is the number of seeds of each kind of fault.
+	resendSeeds = 20
 	// maxSends bounds how often a caller sends one job.
 	maxSends = 3
 )
@@ -27,7 +29,7 @@
 	o := defaultOptions(seed)
 	o.entries, o.agents, o.slots = 3, 6, 8
 	o.keepalive, o.agentTimeout = 250*time.Millisecond, time.Second
-	o.lease = 1040 * time.Millisecond
+	o.lease, o.silence = 1040*time.Millisecond, 500*time.Millisecond
 	o.agentCfg = agent.Config{OrphanAfter: 800 * time.Millisecond, RunsEndWithin: o.lease}
 	return o
 }
@@ -101,3 +103,148 @@
 		})
 	}
 }
+
+// resendFaults disturbs a simulation at random.
+type resendFaults struct {
+	sim     *simulation
+	options simulationOptions
+}
+
+func (f resendFaults) within(limit time.Duration) time.Duration {
+	return time.Duration(f.sim.rng.Int64N(int64(limit)))
+}
+
+func (f resendFaults) randomEntry() *simEntry {
+	return f.sim.entries[f.sim.rng.IntN(len(f.sim.entries))]
+}
+
+func (f resendFaults) randomAgent() string {
+	return fmt.Sprintf("a%02d", f.sim.rng.IntN(f.options.agents))
+}
+
+func (f resendFaults) killEntry() {
+	e := f.randomEntry()
+	if e.dead || e.frozen {
+		return
+	}
+	f.sim.killEntry(e)
+	f.sim.at(f.sim.now+f.within(3*time.Second), func() { f.sim.startEntry(e.id, f.options) })
+}
+
+func (f resendFaults) freezeEntry() { f.sim.freezeEntry(f.randomEntry(), f.within(3*time.Second)) }
+
+func (f resendFaults) breakSession() {
+	if l := f.randomEntry().links[f.randomAgent()]; l != nil {
+		f.sim.breakLink(l)
+	}
+}
+
+func (f resendFaults) killAgent() {
+	id := f.randomAgent()
+	if f.sim.agents[id].dead || f.sim.agents[id].frozen {
+		return
+	}
+	f.sim.killAgent(id)
+	f.sim.at(f.sim.now+f.within(3*time.Second), func() { f.sim.restartAgent(id) })
+}
+
+func (f resendFaults) freezeAgent() { f.sim.freezeAgent(f.randomAgent(), f.within(3*time.Second)) }
+
+func (f resendFaults) cut() {
+	e, id := f.randomEntry(), f.randomAgent()
+	pair := e.id + "|" + id
+	if f.sim.partitioned[pair] {
+		return
+	}
+	f.sim.partitioned[pair] = true
+	for _, l := range f.sim.openLinks(f.sim.agents[id]) {
+		if l.entry.id == e.id {
+			f.sim.at(f.sim.now+f.sim.silence, func() { f.sim.breakLink(l) })
+		}
+	}
+	f.sim.at(f.sim.now+f.sim.silence+f.within(3*time.Second), func() { delete(f.sim.partitioned, pair) })
+}
+
+// checkAnswers checks that each submission has one answer, or at most one if its
+// entry died, and that one answered as not run has started nothing.
+func (r *resender) checkAnswers(t *testing.T) {
+	for _, s := range r.sends {
+		answers := r.sim.answers[s.id]
+		if s.entry.dead {
+			require.LessOrEqual(t, len(answers), 1, "submission %s", s.id)
+		} else {
+			require.Len(t, answers, 1, "submission %s", s.id)
+		}
+		if len(answers) == 0 || answers[0].State != task.NotRun {
+			continue
+		}
+		for i := range r.tasks {
+			require.Zero(t, r.sim.startsOf[taskKey{s.id, uint32(i)}], "%s was answered as not run: %s", s.id, answers[0].Reason)
+		}
+	}
+}
+
+// The same holds while entries are killed or paused, sessions break, links between
+// single entries and agents are cut, and, one at a time, agents are killed or paused.
+func TestResentJobNeverRunsTwiceUnderFaults(t *testing.T) {
+	// agentFaultInterval is longer than an agent is away and entries take to notice.
+	const entryFaultInterval, agentFaultInterval = 700 * time.Millisecond, 5 * time.Second
+	all := []func(resendFaults){
+		resendFaults.killEntry, resendFaults.freezeEntry, resendFaults.breakSession, resendFaults.cut,
+	}
+	for name, c := range map[string]struct {
+		faults   []func(resendFaults)
+		interval time.Duration
+	}{
+		"killed entries":  {all[:1], entryFaultInterval},
+		"paused entries":  {all[1:2], entryFaultInterval},
+		"broken sessions": {all[2:3], entryFaultInterval},
+		"cut links":       {all[3:], entryFaultInterval},
+		"all of these":    {all, entryFaultInterval},
+		"killed agents":   {[]func(resendFaults){resendFaults.killAgent}, agentFaultInterval},
+		"paused agents":   {[]func(resendFaults){resendFaults.freezeAgent}, agentFaultInterval},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := uint64(1); seed <= resendSeeds; seed++ {
+				o := resendOptions(seed)
+				sim := newSimulation(o)
+				sim.run(time.Second)
+				f := resendFaults{sim, o}
+				for at := sim.now; at < 30*time.Second; at += c.interval {
+					sim.at(at, func() { c.faults[sim.rng.IntN(len(c.faults))](f) })
+				}
+				resenders := startResenders(sim, 60, 30*time.Second)
+				sim.run(60 * time.Second)
+				require.Empty(t, slices.Sorted(maps.Keys(sim.concurrent)), "seed %d", seed)
+				for _, r := range resenders {
+					r.checkAnswers(t)
+				}
+			}
+		})
+	}
+}
+
+// Without faults and resends, a lock costs two messages to and from each of two
+// agents, and none for its end.
+func TestLockCostsFourMessagesPerJob(t *testing.T) {
+	const jobs = 50
+	messages := func(refs bool) int {
+		sim := newSimulation(resendOptions(1))
+		sim.run(time.Second)
+		var ids []task.SubmissionID
+		for n := range jobs {
+			sub := newResender(sim, n).submission()
+			if !refs {
+				sub.Ref = ""
+			}
+			ids = append(ids, sim.submit(sim.entries[n%len(sim.entries)], sub))
+			sim.run(sim.now + 200*time.Millisecond)
+		}
+		sim.run(sim.now + 5*time.Second)
+		for _, id := range ids {
+			require.Equal(t, task.Complete, sim.answers[id][0].State)
+		}
+		return sim.messages
+	}
+	require.LessOrEqual(t, messages(true)-messages(false), 4*jobs)
+}
--- a/proof/simulation_test.go
+++ b/proof/simulation_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"cmp"
 	"container/heap"
 	"encoding/binary"
 	"fmt"
@@ -56,6 +57,8 @@
 	// lease is how long the runs of an agent go on after it is killed or frozen;
 	// zero means until they end.
 	lease time.Duration
+	// silence is how long a session takes to detect a silent peer.
+	silence time.Duration
 }
 
 type taskKey struct {
@@ -93,6 +96,8 @@
 	reducer        *entry.Entry
 	effects        []entry.Effect
 	dead           bool
+	frozen         bool
+	deferred       []func() // events that arrived while frozen
 	lastSubmission uint64
 	links          map[string]*simLink // by agent ID
 	tickAt         time.Duration       // time of the scheduled tick, or -1
@@ -150,6 +155,7 @@
 	keepalive    time.Duration
 	agentTimeout time.Duration
 	lease        time.Duration
+	silence      time.Duration
 }
 
 func newSimulation(o simulationOptions) *simulation {
@@ -174,6 +180,7 @@
 		running:    make(map[string]int),
 		concurrent: make(map[string]bool),
 		lease:      o.lease,
+		silence:    cmp.Or(o.silence, silenceTimeout),
 	}
 	if sim.config == nil {
 		sim.config = testConfig()
@@ -310,6 +317,10 @@
 	if e.dead {
 		return
 	}
+	if e.frozen {
+		e.deferred = append(e.deferred, func() { sim.stepEntry(e, ev) })
+		return
+	}
 	e.effects = e.reducer.Step(sim.now, ev, e.effects[:0])
 	for _, eff := range e.effects {
 		sim.entryEffect(e, eff)
@@ -317,7 +328,7 @@
 	if at, ok := e.reducer.Next(); ok && (e.tickAt < 0 || at < e.tickAt || e.tickAt <= sim.now) {
 		e.tickAt = at
 		sim.at(at, func() {
-			if e.tickAt == at {
+			if e.tickAt == at && !e.frozen {
 				e.tickAt = -1
 				sim.stepEntry(e, entry.Tick{})
 			}
@@ -547,7 +558,8 @@
 	return out
 }
 
-// silenceTimeout is how long a fake session takes to detect a silent peer.
+// silenceTimeout is how long a fake session takes to detect a silent peer, unless
+// simulationOptions.silence is set.
 const silenceTimeout = 2 * time.Second
 
 // killAgent kills an agent, which loses all its state; its upstream keeps running.
@@ -556,7 +568,7 @@
 	links := sim.openLinks(a)
 	a.dead = true
 	sim.expireRuns(a)
-	sim.at(sim.now+silenceTimeout, func() {
+	sim.at(sim.now+sim.silence, func() {
 		for _, l := range links {
 			sim.breakLink(l)
 		}
@@ -588,7 +600,7 @@
 	a.frozen = true
 	sim.expireRuns(a)
 	links := sim.openLinks(a)
-	sim.at(sim.now+silenceTimeout, func() {
+	sim.at(sim.now+sim.silence, func() {
 		if a.frozen {
 			for _, l := range links {
 				sim.breakLink(l)
@@ -606,6 +618,33 @@
 	})
 }
 
+// freezeEntry pauses an entry for d: messages and submissions that arrive are
+// buffered, its runs and its sessions go on.
+func (sim *simulation) freezeEntry(e *simEntry, d time.Duration) {
+	if e.frozen || e.dead {
+		return
+	}
+	e.frozen = true
+	sim.at(sim.now+d, func() {
+		e.frozen = false
+		deferred := e.deferred
+		e.deferred = nil
+		for _, do := range deferred {
+			do()
+		}
+		sim.stepEntry(e, entry.Tick{})
+	})
+}
+
+// killEntry kills an entry. Its sessions end once its agents detect the silence.
+func (sim *simulation) killEntry(e *simEntry) {
+	e.dead = true
+	for _, id := range slices.Sorted(maps.Keys(e.links)) {
+		l := e.links[id]
+		sim.at(sim.now+sim.silence, func() { sim.breakLink(l) })
+	}
+}
+
 // submit sends a submission to an entry.
 func (sim *simulation) submit(e *simEntry, s task.Submission) task.SubmissionID {
 	e.lastSubmission++
