entry: agents that announce no service keep no job locks

What callers would see: TWICE, after entries were restarted. An entry does not dial an agent without a service, for example one that was restarted and has no upstream, but one that knows it from before stays connected. The two would find different members for a job, and majorities of different members need not meet. Found by reading.

Now the directory decides for both. TestAgentWithoutServiceKeepsNoLocks failed before: the connected agent stayed a member.

The lines about locks name the submission, as the answered line does.

--- a/entry/agent.go
+++ b/entry/agent.go
@@ -33,8 +33,9 @@
 	// incarnation is the one that sent the last welcome, zero before the first.
 	incarnation uint64
 	session     uint64
-	// listed reports whether the agent is in the directory.
-	listed bool
+	// listed reports whether the agent is in the directory, announcesService
+	// whether its record there names a service.
+	listed, announcesService bool
 	// pooled reports whether the agent is in its service's pool.
 	pooled bool
 	// disconnectedAt is when the last session ended; not valid while one is
@@ -167,10 +168,14 @@
 // no session and is not being dialled, and dials again if the address changed
 // during a dial.
 func (e *Entry) agentListed(m wire.Member) {
+	a := e.agents[m.Peer.ID]
 	if m.Worker == nil || m.Worker.Service == "" {
+		if a != nil {
+			a.announcesService = false
+			e.updateLockAgent(a)
+		}
 		return
 	}
-	a := e.agents[m.Peer.ID]
 	if a == nil {
 		a = &agent{sent: make(map[task.ID]sentTask), redialDelay: minRedialDelay}
 		a.ID = m.Peer.ID
@@ -178,7 +183,7 @@
 		a.peer = m.Peer
 		e.agents[m.Peer.ID] = a
 	}
-	a.listed = true
+	a.listed, a.announcesService = true, true
 	moved := m.Peer.Addr != a.peer.Addr
 	if m.Peer.Incarnation > a.peer.Incarnation || a.link != linkOpen {
 		a.peer.Addr = m.Peer.Addr
--- a/entry/lock.go
+++ b/entry/lock.go
@@ -132,12 +132,12 @@
 }
 
 // updateLockAgent adds an agent to those that may keep locks, or removes it. They
-// include agents that are listed but not connected, so that all entries find the
-// same members for a job.
+// include agents that are listed but not connected, and exclude those that entries
+// which start now do not know, so that all entries find the same members for a job.
 func (e *Entry) updateLockAgent(a *agent) {
 	a.domainHash = xxhash.Sum64String(a.peer.Domain)
 	older := a.incarnation != 0 && a.runsEndWithin == 0
-	on := e.agents[a.ID] == a && (a.listed || a.link == linkOpen) && !older
+	on := e.agents[a.ID] == a && (a.listed || a.link == linkOpen) && a.announcesService && !older
 	i := slices.Index(e.lockAgents, a)
 	switch {
 	case on && i < 0:
--- a/entry/lock_test.go
+++ b/entry/lock_test.go
@@ -155,6 +155,18 @@
 	require.Equal(t, a.members(), b.members(), "an agent that one entry can't reach")
 }
 
+// An entry does not dial an agent that announces no service yet. So that all entries
+// find the same agents, one that is connected does not count either.
+func TestAgentWithoutServiceKeepsNoLocks(t *testing.T) {
+	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
+	restarted := wire.Member{Peer: wire.Peer{Role: wire.RoleAgent, ID: "a1", Incarnation: 2, Addr: "a1"}, Worker: &wire.Worker{}}
+	f.step(DirectoryChanged{Directory: wire.Directory{Upserts: []wire.Member{restarted}}})
+	require.ElementsMatch(t, []string{"a2", "a3"}, f.members())
+	restarted.Worker.Service = "svc"
+	f.step(DirectoryChanged{Directory: wire.Directory{Upserts: []wire.Member{restarted}}})
+	require.ElementsMatch(t, []string{"a1", "a2", "a3"}, f.members())
+}
+
 // The loss of a failure domain costs at most one of the agents that keep a lock.
 func TestLockAgentsAreInDifferentDomains(t *testing.T) {
 	f := newFixture(t)
--- a/entry/trace.go
+++ b/entry/trace.go
@@ -84,7 +84,7 @@
 	if !e.opts.Trace {
 		return
 	}
-	inputs := []any{"age", e.now - s.arrived}
+	inputs := []any{"submission", s.id, "age", e.now - s.arrived}
 	if a != nil {
 		inputs = append(inputs, "agent", a.ID)
 	}
