--- a/entry/agent.go
+++ b/entry/agent.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fireflytray/fireflytray/entry/placement"
 	"github.com/fireflytray/fireflytray/task"
 	"github.com/fireflytray/fireflytray/wire"
@@ -31,8 +33,9 @@
 	// incarnation is the one that sent the last welcome, zero before the first.
 	incarnation uint64
 	session     uint64
-	// listed reports whether the agent is in the directory.
-	listed bool
+	// listed reports whether the agent is in the directory, announcesService
+	// whether its record there names a service.
+	listed, announcesService bool
 	// pooled reports whether the agent is in its service's pool.
 	pooled bool
 	// disconnectedAt is when the last session ended; not valid while one is
@@ -42,9 +45,13 @@
 	sent           map[task.ID]sentTask
 	// dirty is set if an update is due at the end of the step. toAssign and
 	// toCancel are the assignments and cancellations that it will carry.
-	dirty          bool
-	toAssign       []wire.Assignment
-	toCancel       []task.ID
+	dirty    bool
+	toAssign []wire.Assignment
+	toCancel []task.ID
+	// toAcquire goes with the update of the step. toRelease may wait for an update
+	// that is sent anyway.
+	toAcquire      []wire.LockRequest
+	toRelease      []wire.LockRef
 	updateSeq      uint64 // sequence number of the last update sent
 	unacked        []unackedUpdate
 	lastReportSeq  uint64        // highest report sequence number handled
@@ -69,6 +76,18 @@
 	// is the time from one probe to the next.
 	probeAt   time.Duration
 	probeWait time.Duration
+
+	// runsEndWithin is that of the last welcome; an agent without it keeps no job
+	// locks.
+	runsEndWithin time.Duration
+	// lockHash and domainHash are the hashes of the agent's id and domain.
+	lockHash, domainHash uint64
+	// lockUnanswered is set from a lock request that was not answered in time to
+	// the next report.
+	lockUnanswered bool
+	// locks counts the requests of this entry on the current session whose
+	// submissions may have runs.
+	locks int
 }
 
 // sentTask is an attempt at a task that was sent to an agent and has not ended.
@@ -142,23 +161,29 @@
 	if a.link == linkIdle && len(a.sent) == 0 {
 		delete(e.agents, a.peer.ID)
 	}
+	e.updateLockAgent(a)
 }
 
 // agentListed applies a directory entry of an agent. It dials an agent that has
 // no session and is not being dialled, and dials again if the address changed
 // during a dial.
 func (e *Entry) agentListed(m wire.Member) {
+	a := e.agents[m.Peer.ID]
 	if m.Worker == nil || m.Worker.Service == "" {
+		if a != nil {
+			a.announcesService = false
+			e.updateLockAgent(a)
+		}
 		return
 	}
-	a := e.agents[m.Peer.ID]
 	if a == nil {
 		a = &agent{sent: make(map[task.ID]sentTask), redialDelay: minRedialDelay}
 		a.ID = m.Peer.ID
+		a.lockHash = xxhash.Sum64String(a.ID)
 		a.peer = m.Peer
 		e.agents[m.Peer.ID] = a
 	}
-	a.listed = true
+	a.listed, a.announcesService = true, true
 	moved := m.Peer.Addr != a.peer.Addr
 	if m.Peer.Incarnation > a.peer.Incarnation || a.link != linkOpen {
 		a.peer.Addr = m.Peer.Addr
@@ -169,6 +194,7 @@
 		a.svc = e.service(m.Worker.Service)
 		a.Offered = m.Worker.Offered
 	}
+	e.updateLockAgent(a)
 	if a.link == linkIdle || moved && a.link == linkDialing {
 		a.redialDelay = minRedialDelay
 		e.dial(a)
@@ -207,6 +233,10 @@
 	a.unacked = a.unacked[:0]
 	a.sentDemand = 0
 	a.expectSent = false
+	a.locks, a.lockUnanswered = 0, false
+	a.runsEndWithin = w.RunsEndWithin
+	e.runsEndWithin = max(e.runsEndWithin, a.runsEndWithin)
+	e.updateLockAgent(a)
 	if w.Worker != nil {
 		e.workerChanged(a, *w.Worker)
 	}
@@ -226,8 +256,7 @@
 		return
 	}
 	if a.pooled && a.svc.name != w.Service {
-		a.svc.pool.Remove(&a.Agent)
-		a.pooled = false
+		e.withdraw(a)
 	}
 	a.svc = e.service(w.Service)
 	a.Offered = w.Offered
@@ -290,6 +319,7 @@
 	wasOpen := a.link == linkOpen
 	a.link = linkIdle
 	e.removeFromPool(a)
+	e.updateLockAgent(a)
 	if wasOpen {
 		a.disconnectedAt = e.now
 		e.arm(timer{at: e.now + e.opts.AgentTimeout, kind: timerAgentTimeout, agent: a})
@@ -309,12 +339,19 @@
 // pending, and an agent of the same incarnation reports them as never received.
 func (e *Entry) removeFromPool(a *agent) {
 	if a.pooled {
-		a.svc.pool.Remove(&a.Agent)
-		a.pooled = false
+		e.withdraw(a)
 	}
 	a.Credit = 0
 	a.toAssign = nil
 	a.toCancel = nil
+	a.toAcquire = nil
+	a.toRelease = nil
+}
+
+// withdraw removes a pooled agent from its service.
+func (e *Entry) withdraw(a *agent) {
+	a.svc.pool.Remove(&a.Agent)
+	a.pooled = false
 }
 
 func (e *Entry) dialDue(a *agent) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -103,15 +103,27 @@
 	entries               map[string]bool // entries in the directory by id, usually including this one
 	subs                  map[task.SubmissionID]*submission
 	claims                map[uint64]*submission
-	quotas                map[string]*quota.Bucket // by team
-	lastRequest           uint64
-	lastSession           uint64 // number of dials so far, over all agents
-	timers                timers
-	dirty                 []*agent // agents to flush at the end of the step
-	active                []*service
-	draining              bool
-	drained               bool
-	stats                 Stats
+	// byRef holds the last submission of each job with a caller's id, until it is
+	// over; lingering those that are answered and may have runs.
+	byRef     map[string]*submission
+	lingering map[task.SubmissionID]*submission
+	// lockAgents lists the agents that may keep job locks; lockAgentsChanged is set
+	// if one was added, removed, connected or lost in this step. The result of
+	// lockAgentsOf is kept in members.
+	lockAgents        []*agent
+	lockAgentsChanged bool
+	members           []*agent
+	// runsEndWithin is the longest of the agents' bounds; zero if none keeps locks.
+	runsEndWithin time.Duration
+	quotas        map[string]*quota.Bucket // by team
+	lastRequest   uint64
+	lastSession   uint64 // number of dials so far, over all agents
+	timers        timers
+	dirty         []*agent // agents to flush at the end of the step
+	active        []*service
+	draining      bool
+	drained       bool
+	stats         Stats
 }
 
 // service is the state of one service.
@@ -148,7 +160,11 @@
 		entries:  make(map[string]bool),
 		subs:     make(map[task.SubmissionID]*submission),
 		claims:   make(map[uint64]*submission),
-		quotas:   make(map[string]*quota.Bucket),
+
+		byRef:     make(map[string]*submission),
+		lingering: make(map[task.SubmissionID]*submission),
+
+		quotas: make(map[string]*quota.Bucket),
 	}
 	if e.opts.Policy == nil {
 		e.opts.Policy = placement.Credits{}
@@ -194,6 +210,7 @@
 		e.draining = true
 	case Tick:
 	}
+	e.advanceLocks()
 	e.fireTimers()
 	e.dispatchActive()
 	e.flush()
