soak: resending callers can do without relays

With -soak.break-off=0 and direct callers only, the mixed mode shows what is left beside lost callers.

--- a/soak/resend_test.go
+++ b/soak/resend_test.go
@@ -19,14 +19,14 @@
 var (
 	resendDuration = flag.Duration("soak.resend-for", 4*time.Second, "duration of each mode of the test of jobs that are sent again, per seed")
 	breakOffRate   = flag.Float64("soak.break-off", 0.25, "share of the sends of such a job that its caller breaks off")
+	relayResends   = flag.Bool("soak.relay-resends", true, "half of these callers reach the entries through relays, whose links have faults in the mixed mode")
 )
 
 const (
 	// resendDelay is the time after which a job without an answer is sent again.
 	resendDelay = 1300 * time.Millisecond
 	maxSends    = 3
-	// resendingCallers is the number of callers that send again. Every other one
-	// reaches the entries through relays.
+	// resendingCallers is the number of callers that send again.
 	resendingCallers = 16
 	shortDeadline    = 1500 * time.Millisecond
 	longDeadline     = 6 * time.Second
@@ -113,7 +113,7 @@
 // resend starts callers that send a job again until it is answered.
 func resend(ctx context.Context, wg *sync.WaitGroup, f *fleet, jobs *callers, seed uint64) {
 	for i := range uint64(resendingCallers) {
-		caller := &resendingCaller{directCaller: directCaller{callers: jobs, f: f}, relayed: i%2 == 1}
+		caller := &resendingCaller{directCaller: directCaller{callers: jobs, f: f}, relayed: *relayResends && i%2 == 1}
 		wg.Go(func() { caller.run(ctx, newRand(seed, 2000+i)) })
 	}
 }
