httpserve: one look at all waiting clients' connections

Servers had no shared way to learn that a client has left: package httpapi peeked at the socket of each waiting request every 100 ms, package platform did not look at all. The peek also sees no end of the input behind unread bytes, such as a pipelined request.

Watch reports a connection that its peer has closed or reset. Each server polls all watched descriptors with one poll(2) every 100 ms, for POLLRDHUP, POLLHUP and POLLERR; nothing runs while no request waits. TLS connections are watched at their socket; connections that the server did not accept never leave. Package httpapi uses it, and cancels with reason caller_gone instead of cancelled, so that logs tell the two apart; the reducer traces what of the submission was sent and what waited.

Weighed: epoll with EPOLLRDHUP, which would tell at once, for two system calls for each request and a goroutine.

--- a/command/caller_test.go
+++ b/command/caller_test.go
@@ -42,9 +42,9 @@
 	return id
 }
 
-func (b *stubBackend) Cancel(ids []task.SubmissionID) {
+func (b *stubBackend) Cancel(ids []task.SubmissionID, reason task.Reason) {
 	for _, id := range ids {
-		(<-b.held)(task.Answer{ID: id, State: task.NotRun, Reason: task.ReasonCancelled})
+		(<-b.held)(task.Answer{ID: id, State: task.NotRun, Reason: reason})
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -177,7 +177,7 @@
 	case Submit:
 		e.submit(ev)
 	case Cancel:
-		e.cancel(ev.IDs)
+		e.cancel(ev)
 	case DirectoryChanged:
 		e.applyDirectory(ev.Directory)
 	case ConfigChanged:
--- a/entry/event.go
+++ b/entry/event.go
@@ -19,7 +19,11 @@
 
 // Cancel requests the end of submissions. Each submission still gets exactly
 // one answer.
-type Cancel struct{ IDs []task.SubmissionID }
+type Cancel struct {
+	IDs []task.SubmissionID
+	// Reason is that of the answers; empty means task.ReasonCancelled.
+	Reason task.Reason
+}
 
 // DirectoryChanged carries changes of the member directory, or its full list.
 type DirectoryChanged struct{ Directory wire.Directory }
--- a/entry/stats.go
+++ b/entry/stats.go
@@ -132,6 +132,7 @@
 	task.ReasonAgentRestarted:    "the agent restarted while it held the task",
 	task.ReasonDeadline:          "the deadline can't be kept",
 	task.ReasonCancelled:         "cancelled by the caller",
+	task.ReasonCallerGone:        "the caller has closed its connection",
 	task.ReasonNeverFits:         "no worker offers what the task needs",
 	task.ReasonClaimedElsewhere:  "the idempotency key is held by a submission without an outcome yet",
 	task.ReasonClaimMismatch:     "the idempotency key was used for a different request",
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -209,14 +209,21 @@
 	}
 }
 
-// cancel ends submissions at the request of their callers.
-func (e *Entry) cancel(ids []task.SubmissionID) {
-	for _, id := range ids {
+// cancel ends submissions at the request of their callers, or because these have
+// left.
+func (e *Entry) cancel(ev Cancel) {
+	reason := ev.Reason
+	if reason == task.ReasonNone {
+		reason = task.ReasonCancelled
+	}
+	for _, id := range ev.IDs {
 		s := e.subs[id]
 		if s == nil {
 			continue
 		}
-		e.answerAbandoned(s, task.ReasonCancelled)
+		e.trace(s, "cancelled", "submission", s.id, "reason", reason, "age", e.now-s.arrived,
+			"tasks_sent", s.inFlight, "tasks_waiting", len(s.ready))
+		e.answerAbandoned(s, reason)
 	}
 }
 
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -309,7 +309,9 @@
 }
 
 // Cancel implements httpapi.Backend.
-func (d *Daemon) Cancel(ids []task.SubmissionID) { d.loop.Post(entry.Cancel{IDs: ids}) }
+func (d *Daemon) Cancel(ids []task.SubmissionID, reason task.Reason) {
+	d.loop.Post(entry.Cancel{IDs: ids, Reason: reason})
+}
 
 // Ready implements httpapi.Backend. An entry without a configuration has no
 // services and is not ready. An isolated or draining entry can still be ready;
--- a/entryd/jobs.go
+++ b/entryd/jobs.go
@@ -122,7 +122,7 @@
 		return false
 	}
 	<-r.submitted
-	d.Cancel([]task.SubmissionID{r.id})
+	d.Cancel([]task.SubmissionID{r.id}, task.ReasonCancelled)
 	return true
 }
 
--- a/httpapi/backend.go
+++ b/httpapi/backend.go
@@ -17,8 +17,8 @@
 	// goroutine, with the final answer, possibly before Submit returns.
 	Submit(s task.Submission, done func(task.Answer)) task.SubmissionID
 	// Cancel requests the cancellation of submissions. Each of them still gets
-	// its one answer through done.
-	Cancel(ids []task.SubmissionID)
+	// its one answer through done, with the reason given here.
+	Cancel(ids []task.SubmissionID, reason task.Reason)
 	// Ready reports whether the backend accepts new submissions and, if not,
 	// describes the cause.
 	Ready() (ok bool, detail string)
--- a/httpapi/bench_test.go
+++ b/httpapi/bench_test.go
@@ -25,7 +25,7 @@
 	return id
 }
 
-func (b *immediateBackend) Cancel([]task.SubmissionID) {}
+func (b *immediateBackend) Cancel([]task.SubmissionID, task.Reason) {}
 
 func (b *immediateBackend) Ready() (bool, string) { return true, "" }
 
--- a/httpapi/collect.go
+++ b/httpapi/collect.go
@@ -49,7 +49,7 @@
 		return
 	}
 	if !isAnswered(j) {
-		s.backend.Cancel([]task.SubmissionID{j.id})
+		s.backend.Cancel([]task.SubmissionID{j.id}, task.ReasonCancelled)
 	}
 	s.writePending(ctx, j.id, fasthttp.StatusAccepted)
 }
@@ -72,7 +72,7 @@
 		return
 	}
 	if len(ids) > 0 {
-		s.backend.Cancel(ids)
+		s.backend.Cancel(ids, task.ReasonCancelled)
 	}
 	writeJSON(ctx, fasthttp.StatusAccepted, answer)
 }
--- a/httpapi/fake_test.go
+++ b/httpapi/fake_test.go
@@ -46,14 +46,14 @@
 }
 
 // Cancel answers the held submissions among ids as not run.
-func (f *fakeBackend) Cancel(ids []task.SubmissionID) {
+func (f *fakeBackend) Cancel(ids []task.SubmissionID, reason task.Reason) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cancelled = append(f.cancelled, ids...)
 	for _, id := range ids {
 		if done := f.held[id]; done != nil {
 			delete(f.held, id)
-			go done(task.Answer{ID: id, State: task.NotRun, Reason: task.ReasonCancelled})
+			go done(task.Answer{ID: id, State: task.NotRun, Reason: reason})
 		}
 	}
 }
--- a/httpapi/submit.go
+++ b/httpapi/submit.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/fireflytray/fireflytray/internal/httpserve"
 	"github.com/fireflytray/fireflytray/task"
 )
 
@@ -88,25 +89,21 @@
 // caller disconnects first; the submission is then cancelled if
 // cancelOnDisconnect allows it.
 func (s *Server) submitAndWait(ctx *fasthttp.RequestCtx, sub task.Submission) (task.Answer, bool) {
-	answer := make(chan task.Answer, 1)
+	answer, gone := make(chan task.Answer, 1), make(chan struct{})
+	stop := httpserve.Watch(ctx.Conn(), func() { close(gone) })
+	defer stop()
 	id := s.backend.Submit(sub, func(a task.Answer) { answer <- a })
-	poll := time.NewTicker(disconnectPollInterval)
-	defer poll.Stop()
-	for {
-		select {
-		case a := <-answer:
-			return a, true
-		case <-poll.C:
-		}
-		if callerDisconnected(ctx.Conn()) {
-			if cancelOnDisconnect(&sub) {
-				s.backend.Cancel([]task.SubmissionID{id})
-			}
-			ctx.SetConnectionClose()
-			<-answer
-			return task.Answer{}, false
-		}
+	select {
+	case a := <-answer:
+		return a, true
+	case <-gone:
 	}
+	if cancelOnDisconnect(&sub) {
+		s.backend.Cancel([]task.SubmissionID{id}, task.ReasonCallerGone)
+	}
+	ctx.SetConnectionClose()
+	<-answer
+	return task.Answer{}, false
 }
 
 // cancelOnDisconnect reports whether a submission may be cancelled when its
--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -17,13 +17,16 @@
 const maxDiscardBytes = 64 << 10
 
 // listener wraps the TCP connections that it accepts.
-type listener struct{ net.Listener }
+type listener struct {
+	net.Listener
+	watcher *watcher
+}
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if tcp, ok := c.(tcpConn); ok {
-		return &conn{tcpConn: tcp}, nil
+		return &conn{tcpConn: tcp, watcher: l.watcher}, nil
 	}
 	return c, err
 }
@@ -58,6 +61,7 @@
 // is therefore answered. Closing the connection with unread bytes would reset it.
 type conn struct {
 	tcpConn
+	watcher *watcher
 	// closing is set while the server closes the connection if it is idle.
 	closing atomic.Bool
 	// arrival is when bytes were last read, in nanoseconds since epoch.
--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -78,7 +78,7 @@
 // TLS configuration, connections from ln use TLS. Temporary errors of ln don't end
 // the server.
 func New(name string, s *fasthttp.Server, ln net.Listener, conf *tls.Config, l *log.Logger) *Server {
-	raw := &listener{netlisten.Wrap(ln, l)}
+	raw := &listener{netlisten.Wrap(ln, l), &watcher{}}
 	out := &Server{
 		name: name, addr: ln.Addr(), http: s, socket: ln, ln: raw, log: l, quiet: quietTime,
 		served: make(chan struct{}),
--- /dev/null
+++ b/internal/httpserve/watch.go
@@ -0,0 +1,148 @@
+package httpserve
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// watchInterval is how often watched connections are checked.
+	watchInterval = 100 * time.Millisecond
+	// pollDisconnected is the set of poll(2) results of a connection whose peer has
+	// closed or reset it. Unlike an end of file, POLLRDHUP is visible behind unread
+	// bytes.
+	pollDisconnected = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR | unix.POLLNVAL
+)
+
+// Disconnected reports whether the peer has closed or reset a connection that a
+// Server accepted. It consumes no input. It returns false for any other connection.
+func Disconnected(c net.Conn) bool {
+	s := socket(c)
+	if s == nil {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
+	fds := []unix.PollFd{{Events: unix.POLLRDHUP}}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		fds[0].Fd = int32(fd)
+		n, _ = unix.Poll(fds, 0)
+	})
+	return err != nil || n > 0 && fds[0].Revents&pollDisconnected != 0
+}
+
+// Watch calls gone once if the peer closes or resets a connection that a Server
+// accepted. It does nothing for any other connection. A handler must call stop
+// before it returns. The call of gone may be in progress when stop returns.
+func Watch(c net.Conn, gone func()) (stop func()) {
+	s := socket(c)
+	if s == nil {
+		return func() {}
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		go gone()
+		return func() {}
+	}
+	w := &watch{gone: gone}
+	err = raw.Control(func(fd uintptr) { s.watcher.add(w, int32(fd)) })
+	if err != nil {
+		go gone()
+		return func() {}
+	}
+	return func() { s.watcher.remove(w) }
+}
+
+// watcher checks all connections that are watched with one system call. It is safe
+// for concurrent use.
+type watcher struct {
+	mu sync.Mutex
+	// watches and fds have the same indices.
+	watches []*watch
+	fds     []unix.PollFd
+	// timer is set once a connection has been watched; scheduled is set while it
+	// runs.
+	timer     *time.Timer
+	scheduled bool
+}
+
+// watch is one watched connection. Its index is -1 once it is removed.
+type watch struct {
+	gone  func()
+	index int
+}
+
+func (w *watcher) add(x *watch, fd int32) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	x.index = len(w.watches)
+	w.watches = append(w.watches, x)
+	w.fds = append(w.fds, unix.PollFd{Fd: fd, Events: unix.POLLRDHUP})
+	w.schedule()
+}
+
+func (w *watcher) remove(x *watch) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if x.index >= 0 {
+		w.removeAt(x.index)
+	}
+}
+
+// removeAt moves the last watch to index i.
+func (w *watcher) removeAt(i int) {
+	last := len(w.watches) - 1
+	w.watches[i].index = -1
+	if i < last {
+		w.watches[i], w.fds[i] = w.watches[last], w.fds[last]
+		w.watches[i].index = i
+	}
+	w.watches[last] = nil
+	w.watches, w.fds = w.watches[:last], w.fds[:last]
+}
+
+// schedule sets the timer unless it runs or nothing is watched.
+func (w *watcher) schedule() {
+	if w.scheduled || len(w.watches) == 0 {
+		return
+	}
+	w.scheduled = true
+	if w.timer == nil {
+		w.timer = time.AfterFunc(watchInterval, w.check)
+		return
+	}
+	w.timer.Reset(watchInterval)
+}
+
+// check calls gone for each connection that its peer has closed or reset.
+func (w *watcher) check() {
+	for _, x := range w.takeDisconnected() {
+		x.gone()
+	}
+}
+
+// takeDisconnected removes and returns the watches of connections that their peers
+// have closed or reset. A descriptor stays valid during the call, because its
+// handler has not returned yet.
+func (w *watcher) takeDisconnected() (out []*watch) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.scheduled = false
+	defer w.schedule()
+	if n, err := unix.Poll(w.fds, 0); n <= 0 || err != nil {
+		return nil // an error such as EINTR is temporary
+	}
+	for i := len(w.fds) - 1; i >= 0; i-- {
+		if w.fds[i].Revents&pollDisconnected != 0 {
+			out = append(out, w.watches[i])
+			w.removeAt(i)
+		}
+	}
+	return out
+}
