entryd: cancel a job when its last caller has left

What callers saw: a caller that closes or resets its connection sends its job again 1,300 ms later, to any entry.

Cause: the platform's client server waited for the answer only and never looked at the connection.

Change: a job's record knows the callers that wait for it. One that leaves is answered alone; when the last one leaves, the submission is cancelled with reason caller_gone. From then on the record answers nobody: the same id is a new submission, whose Submit is posted after the Cancel of the earlier one. Of an abandoned job only a complete answer is kept, because it is true; any other one comes from the cancellation. A cancellation by DELETE is as before.

--- a/entryd/jobs.go
+++ b/entryd/jobs.go
@@ -1,10 +1,13 @@
 package entryd
 
 import (
+	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/fireflytray/fireflytray/fleet"
+	"github.com/fireflytray/fireflytray/internal/httpserve"
 	"github.com/fireflytray/fireflytray/task"
 )
 
@@ -29,55 +32,121 @@
 type jobRecord struct {
 	ref, route string
 	id         task.SubmissionID
+	openedAt   time.Duration
+	// previous is closed once the cancellation of the ref's abandoned submission
+	// is posted; nil if there is none.
+	previous <-chan struct{}
 	// submitted is closed once the submission is posted: a cancellation that is
 	// posted earlier has no effect.
-	submitted  chan struct{}
-	callbacks  []func(task.Answer)
+	submitted chan struct{}
+	callers   []*jobCaller
+	// abandoned is set when the last caller has left. Nobody joins the job then.
+	abandoned bool
+	// cancelled is closed once the cancellation of an abandoned job is posted.
+	cancelled  chan struct{}
 	answer     *task.Answer
 	answeredAt time.Duration
 }
 
+// jobCaller is a caller that waits for the answer to a job.
+type jobCaller struct {
+	done func(task.Answer)
+	// stopWatch ends the watch of the caller's connection.
+	stopWatch func()
+	// record is nil until the caller has joined a job. left is set if it has left
+	// before.
+	record *jobRecord
+	left   bool
+}
+
+// answer answers a caller that has not left.
+func (c *jobCaller) answer(a task.Answer) {
+	c.stopWatch()
+	c.done(a)
+}
+
 func newJobs() *jobs { return &jobs{byRef: make(map[string]*jobRecord)} }
 
-// open returns the record of a job and adds done to its callbacks; isNew is set
-// if the record was created, with id as its submission. If the job has already been
-// answered, done is called at once.
-func (j *jobs) open(now time.Duration, sub *task.Submission, id task.SubmissionID, done func(task.Answer)) (r *jobRecord, isNew bool) {
+// open returns the record of a job and adds c to its callers; isNew is set if the
+// record was created, with id as its submission. If the job has already been
+// answered, c is answered at once. The result is nil if c has left.
+func (j *jobs) open(now time.Duration, sub *task.Submission, id task.SubmissionID, c *jobCaller) (r *jobRecord, isNew bool) {
 	j.mu.Lock()
 	j.expire(now)
 	r = j.byRef[sub.Ref]
 	if r != nil && r.answer != nil {
 		a := *r.answer
 		j.mu.Unlock()
-		done(a)
+		c.answer(a)
 		return r, false
 	}
 	defer j.mu.Unlock()
-	if r == nil {
-		r, isNew = &jobRecord{ref: sub.Ref, route: sub.Route, id: id, submitted: make(chan struct{})}, true
+	if c.left {
+		return nil, false
+	}
+	if r == nil || r.abandoned {
+		isNew = true
+		r = newJobRecord(now, sub, id, r)
 		j.byRef[sub.Ref] = r
 	}
-	r.callbacks = append(r.callbacks, done)
+	c.record = r
+	r.callers = append(r.callers, c)
 	return r, isNew
 }
 
-// close passes the answer to all waiting callbacks. If the job did not run, its
+// newJobRecord returns the record of a new job. The record abandoned is that of the
+// ref's earlier submission, nil if there is none.
+func newJobRecord(now time.Duration, sub *task.Submission, id task.SubmissionID, abandoned *jobRecord) *jobRecord {
+	r := &jobRecord{
+		ref: sub.Ref, route: sub.Route, id: id, openedAt: now,
+		submitted: make(chan struct{}), cancelled: make(chan struct{}),
+	}
+	if abandoned != nil {
+		r.previous = abandoned.cancelled
+	}
+	return r
+}
+
+// leave removes a caller whose connection has ended from its job and returns the
+// number of those that stay. The job is abandoned if there is none. The result r is
+// nil if c has no job or was answered.
+func (j *jobs) leave(c *jobCaller) (r *jobRecord, remaining int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if c.record == nil {
+		c.left = true
+		return nil, 0
+	}
+	r = c.record
+	i := slices.Index(r.callers, c)
+	if i < 0 {
+		return nil, 0
+	}
+	r.callers = slices.Delete(r.callers, i, i+1)
+	r.abandoned = len(r.callers) == 0
+	return r, len(r.callers)
+}
+
+// close passes the answer to all waiting callers. If the job did not run, its
 // record is removed, so that the ref can be submitted again at once. Any other
-// answer is kept for answerRetention.
+// answer is kept for answerRetention. Of an abandoned job, only a complete answer is
+// kept: any other one results from its cancellation.
 func (j *jobs) close(now time.Duration, r *jobRecord, a task.Answer) {
+	a.Outcomes = nil
 	j.mu.Lock()
-	callbacks := r.callbacks
-	r.callbacks = nil
-	if a.State == task.NotRun {
-		delete(j.byRef, r.ref)
-	} else {
-		a.Outcomes = nil
-		r.answer, r.answeredAt = &a, now
-		j.answered = append(j.answered, r)
+	callers := r.callers
+	r.callers = nil
+	if j.byRef[r.ref] == r {
+		if a.State == task.NotRun || r.abandoned && a.State != task.Complete {
+			delete(j.byRef, r.ref)
+		} else {
+			r.answer, r.answeredAt = &a, now
+			j.answered = append(j.answered, r)
+		}
 	}
 	j.mu.Unlock()
-	for _, done := range callbacks {
-		done(a)
+	for _, c := range callers {
+		c.answer(a)
 	}
 }
 
@@ -97,7 +166,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	r := j.byRef[ref]
-	if r == nil || r.answer != nil {
+	if r == nil || r.answer != nil || r.abandoned {
 		return nil
 	}
 	return r
@@ -105,16 +174,53 @@
 
 // SubmitJob submits a job that its client identifies by Ref. If the job is in
 // flight or its answer is still kept, done gets that answer and nothing is
-// submitted.
-func (d *Daemon) SubmitJob(sub task.Submission, done func(task.Answer)) {
-	r, isNew := d.jobs.open(d.loop.Now(), &sub, d.newSubmissionID(), done)
+// submitted. If the client closes conn, done gets an answer with reason
+// task.ReasonCallerGone, and the job is cancelled once no other client waits for it.
+func (d *Daemon) SubmitJob(sub task.Submission, conn net.Conn, done func(task.Answer)) {
+	c := &jobCaller{done: done}
+	c.stopWatch = httpserve.Watch(conn, func() { d.callerLeft(c) })
+	r, isNew := d.jobs.open(d.loop.Now(), &sub, d.newSubmissionID(), c)
+	if r == nil {
+		c.answer(task.Answer{State: task.NotRun, Reason: task.ReasonCallerGone, Detail: detailCallerLeft})
+		return
+	}
 	if !isNew {
 		return
 	}
+	if r.previous != nil {
+		<-r.previous
+	}
 	defer close(r.submitted)
 	d.submit(r.id, sub, func(a task.Answer) { d.jobs.close(d.loop.Now(), r, a) })
 }
 
+// detailCallerLeft is the detail of an answer whose caller has left.
+const detailCallerLeft = "the caller has closed its connection"
+
+// callerLeft withdraws a caller whose connection has ended, and cancels its job if
+// no other caller waits for it.
+func (d *Daemon) callerLeft(c *jobCaller) {
+	r, remaining := d.jobs.leave(c)
+	if r == nil {
+		return
+	}
+	d.logCallerLeft(r, remaining)
+	if remaining == 0 {
+		<-r.submitted
+		d.Cancel([]task.SubmissionID{r.id}, task.ReasonCallerGone)
+		close(r.cancelled)
+	}
+	c.done(task.Answer{ID: r.id, State: task.Unknown, Reason: task.ReasonCallerGone, Detail: detailCallerLeft})
+}
+
+func (d *Daemon) logCallerLeft(r *jobRecord, remaining int) {
+	const message = "caller left"
+	now := d.loop.Now()
+	if d.budget.Allow(message, now) {
+		d.log.Info(message, "job", r.ref, "submission", r.id, "age", (now - r.openedAt).Round(time.Microsecond), "callers_left", remaining)
+	}
+}
+
 // CancelJob cancels a job and reports whether it was in flight.
 func (d *Daemon) CancelJob(ref string) bool {
 	r := d.jobs.inFlight(ref)
@@ -138,7 +244,7 @@
 	defer d.jobs.mu.Unlock()
 	n := 0
 	for _, r := range d.jobs.byRef {
-		if r.route == route && r.answer == nil {
+		if r.route == route && r.answer == nil && !r.abandoned {
 			n++
 		}
 	}
--- a/entryd/jobs_test.go
+++ b/entryd/jobs_test.go
@@ -26,7 +26,7 @@
 		}
 	}()
 	<-filled
-	go d.SubmitJob(task.Submission{Ref: testRef, Job: true, Service: "s", Tasks: []task.Spec{{Name: "a"}}}, func(task.Answer) {})
+	go d.SubmitJob(task.Submission{Ref: testRef, Job: true, Service: "s", Tasks: []task.Spec{{Name: "a"}}}, nil, func(task.Answer) {})
 	require.Eventually(t, func() bool { return d.InFlight(testRef) }, 5*time.Second, time.Millisecond)
 	time.Sleep(20 * time.Millisecond)
 	r := d.jobs.inFlight(testRef)
@@ -38,7 +38,7 @@
 func TestCancellationFollowsItsSubmission(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := New(Options{Log: log.New(io.Discard)})
-		r, _ := d.jobs.open(0, &task.Submission{Ref: testRef}, d.newSubmissionID(), func(task.Answer) {})
+		r, _ := d.jobs.open(0, &task.Submission{Ref: testRef}, d.newSubmissionID(), &jobCaller{done: func(task.Answer) {}})
 		acknowledged := make(chan bool, 1)
 		go func() { acknowledged <- d.CancelJob(testRef) }()
 		synctest.Wait()
@@ -47,3 +47,83 @@
 		require.True(t, <-acknowledged)
 	})
 }
+
+func newTestCaller() (c *jobCaller, answers chan task.Answer) {
+	answers = make(chan task.Answer, 2)
+	return &jobCaller{done: func(a task.Answer) { answers <- a }, stopWatch: func() {}}, answers
+}
+
+// The reducer keeps a new submission of a job from starting before the runs of the
+// cancelled one have ended. It must learn of the cancellation first.
+func TestResubmissionFollowsCancellation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Options{Log: log.New(io.Discard)})
+		c, answers := newTestCaller()
+		sub := task.Submission{Ref: testRef, Job: true, Service: "s", Tasks: []task.Spec{{Name: "a"}}}
+		r, _ := d.jobs.open(0, &sub, d.newSubmissionID(), c)
+		left := make(chan struct{})
+		go func() { defer close(left); d.callerLeft(c) }()
+		synctest.Wait()
+		resubmitted := make(chan struct{})
+		go func() { defer close(resubmitted); d.SubmitJob(sub, nil, func(task.Answer) {}) }()
+		synctest.Wait()
+		require.Empty(t, d.callbacks, "the cancellation is not posted yet")
+		close(r.submitted)
+		<-left
+		<-resubmitted
+		require.Len(t, d.callbacks, 1)
+		require.Equal(t, task.ReasonCallerGone, (<-answers).Reason)
+		require.Empty(t, answers)
+	})
+}
+
+// An abandoned job that has completed before its cancellation must not run again,
+// while any other answer to it results from the cancellation and is true for nobody.
+func TestAbandonedJobAnswersOnlyIfComplete(t *testing.T) {
+	for _, state := range []task.State{task.Complete, task.Failed, task.Unknown, task.NotRun} {
+		t.Run(state.String(), func(t *testing.T) {
+			j := newJobs()
+			sub := task.Submission{Ref: testRef}
+			c, _ := newTestCaller()
+			r, _ := j.open(0, &sub, task.NewSubmissionID(1, 1), c)
+			j.leave(c)
+			j.close(0, r, task.Answer{State: state, Reason: task.ReasonCallerGone})
+			again, answers := newTestCaller()
+			_, isNew := j.open(0, &sub, task.NewSubmissionID(1, 2), again)
+			require.Equal(t, state != task.Complete, isNew)
+			if !isNew {
+				require.Equal(t, task.Complete, (<-answers).State)
+			}
+		})
+	}
+}
+
+// The end of an abandoned job must not remove or answer the submission that has
+// replaced it.
+func TestAbandonedJobDoesNotEndItsSuccessor(t *testing.T) {
+	for _, state := range []task.State{task.Complete, task.Failed, task.NotRun} {
+		j := newJobs()
+		sub := task.Submission{Ref: testRef}
+		c, _ := newTestCaller()
+		r, _ := j.open(0, &sub, task.NewSubmissionID(1, 1), c)
+		j.leave(c)
+		again, answers := newTestCaller()
+		next, isNew := j.open(0, &sub, task.NewSubmissionID(1, 2), again)
+		require.True(t, isNew)
+		j.close(0, r, task.Answer{State: state})
+		require.Same(t, next, j.inFlight(testRef))
+		require.Empty(t, answers)
+	}
+}
+
+// A caller whose connection ends while its job is being submitted must not leave a
+// job in flight that nobody waits for.
+func TestCallerThatLeavesBeforeItsJobIsOpenSubmitsNothing(t *testing.T) {
+	j := newJobs()
+	c, _ := newTestCaller()
+	j.leave(c)
+	r, isNew := j.open(0, &task.Submission{Ref: testRef}, task.NewSubmissionID(1, 1), c)
+	require.Nil(t, r)
+	require.False(t, isNew)
+	require.Nil(t, j.inFlight(testRef))
+}
