httpserve: close connections of late requests without an answer

Cause: the HTTP library answers a read time-out. On a connection that was silent since it was accepted it does so when ReadTimeout (5 s) has passed, although no request has begun; a client that sends its first request at that moment takes the 408 for its answer. A request of which only a part arrives in time, as behind a silent link or from a paused sender, gets 408, or 400 if its headers are not complete; a stopping server sets that deadline after 250 ms.

Change: a read that fails for its deadline ends the connection as one that was closed. A server with an ErrorHandler (package httpapi, whose page lists 408) still answers a request of which a part has arrived.

Evidence: TestLateRequestIsClosedWithoutAnswer failed on in 10 of 12 cases, over TCP and TLS: 408 for a silent connection, a part of a body and a part of a chunk, 400 for a part of the headers.

--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -20,13 +21,15 @@
 type listener struct {
 	net.Listener
 	watcher *watcher
+	// closesLate is that of the connections.
+	closesLate bool
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if tcp, ok := c.(tcpConn); ok {
-		return &conn{tcpConn: tcp, watcher: l.watcher}, nil
+		return &conn{tcpConn: tcp, watcher: l.watcher, closesLate: l.closesLate}, nil
 	}
 	return c, err
 }
@@ -62,6 +65,9 @@
 type conn struct {
 	tcpConn
 	watcher *watcher
+	// closesLate is set if a request that doesn't arrive in time ends the
+	// connection without an answer.
+	closesLate bool
 	// closing is set while the server closes the connection if it is idle.
 	closing atomic.Bool
 	// arrival is when bytes were last read, in nanoseconds since epoch.
@@ -79,10 +85,12 @@
 		switch {
 		case n > 0:
 			err = nil
+		// For a time-out, the HTTP server would answer 408 or 400, which a client
+		// could take for the answer to its next request.
 		case c.closing.Load():
-			// For a time-out, the HTTP server would answer 408, which a
-			// client could take for the answer to its next request.
 			err = io.EOF
+		case c.closesLate, c.arrival.Load() == 0:
+			err = fmt.Errorf("%w: %w", net.ErrClosed, err)
 		}
 	}
 	if n > 0 {
--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -76,9 +76,11 @@
 // New returns a server that is not serving yet. The name identifies it in log
 // lines and errors. It takes over the Handler and the ConnState hook of s. With a
 // TLS configuration, connections from ln use TLS. Temporary errors of ln don't end
-// the server.
+// the server. Unless s has an ErrorHandler, a request that does not arrive within
+// its ReadTimeout ends the connection without an answer; a connection on which
+// nothing has arrived always ends so.
 func New(name string, s *fasthttp.Server, ln net.Listener, conf *tls.Config, l *log.Logger) *Server {
-	raw := &listener{netlisten.Wrap(ln, l), &watcher{}}
+	raw := &listener{netlisten.Wrap(ln, l), &watcher{}, s.ErrorHandler == nil}
 	out := &Server{
 		name: name, addr: ln.Addr(), http: s, socket: ln, ln: raw, log: l, quiet: quietTime,
 		served: make(chan struct{}),
