httpapi: tell a half-closed caller the answer, not an empty 200

What callers saw: a caller that closes its half of the connection while its request waits, and still reads, got "200 OK" without a body, although its request had been cancelled.

Cause: submitAndWait gave the handler nothing to write once the caller counted as disconnected, and the HTTP library then writes its default answer.

Change: the answer of the submission is written, 409 with caller_gone after a cancellation.

--- a/httpapi/server_test.go
+++ b/httpapi/server_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -286,6 +287,24 @@
 	b.release(echo)
 }
 
+// A caller that closes its half of the connection while it waits must not be told
+// that its cancelled request was handled.
+func TestAnswerAfterDisconnectIsThatOfTheCancellation(t *testing.T) {
+	b := &fakeBackend{}
+	_, url := startServer(t, b, Config{})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /v1/services/s/requests HTTP/1.1\r\nHost: x\r\n%s: t\r\n%s: true\r\nContent-Length: 0\r\n\r\n", HeaderTeam, HeaderIdempotent)
+	require.NoError(t, err)
+	eventually(t, func() bool { return b.heldCount() == 1 })
+	require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+	text, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.Contains(t, string(text), "HTTP/1.1 409")
+	require.Contains(t, string(text), string(task.ReasonCallerGone))
+}
+
 func TestReadinessReportsBackendState(t *testing.T) {
 	b := &fakeBackend{notReadyReason: "no agent yet"}
 	_, url := startServer(t, b, Config{})
--- a/httpapi/submit.go
+++ b/httpapi/submit.go
@@ -27,10 +27,7 @@
 	if s.rejectIfDraining(ctx) {
 		return
 	}
-	a, ok := s.submitAndWait(ctx, sub)
-	if !ok {
-		return
-	}
+	a := s.submitAndWait(ctx, sub)
 	if a.State != task.Complete {
 		answerProblem(a).write(ctx)
 		return
@@ -53,9 +50,8 @@
 		s.submitAsync(ctx, sub)
 		return
 	}
-	if a, ok := s.submitAndWait(ctx, sub); ok {
-		writeJobAnswer(ctx, &a)
-	}
+	a := s.submitAndWait(ctx, sub)
+	writeJobAnswer(ctx, &a)
 }
 
 func (s *Server) decodeJob(ctx *fasthttp.RequestCtx, service string) (task.Submission, bool, error) {
@@ -85,25 +81,23 @@
 	return true
 }
 
-// submitAndWait submits sub and waits for the answer. It returns false if the
-// caller disconnects first; the submission is then cancelled if
-// cancelOnDisconnect allows it.
-func (s *Server) submitAndWait(ctx *fasthttp.RequestCtx, sub task.Submission) (task.Answer, bool) {
+// submitAndWait submits sub and waits for the answer. If the caller disconnects
+// first, the submission is cancelled if cancelOnDisconnect allows it.
+func (s *Server) submitAndWait(ctx *fasthttp.RequestCtx, sub task.Submission) task.Answer {
 	answer, gone := make(chan task.Answer, 1), make(chan struct{})
 	stop := httpserve.Watch(ctx.Conn(), func() { close(gone) })
 	defer stop()
 	id := s.backend.Submit(sub, func(a task.Answer) { answer <- a })
 	select {
 	case a := <-answer:
-		return a, true
+		return a
 	case <-gone:
 	}
 	if cancelOnDisconnect(&sub) {
 		s.backend.Cancel([]task.SubmissionID{id}, task.ReasonCallerGone)
 	}
 	ctx.SetConnectionClose()
-	<-answer
-	return task.Answer{}, false
+	return <-answer
 }
 
 // cancelOnDisconnect reports whether a submission may be cancelled when its
