--- a/load/load_test.go
+++ b/load/load_test.go
@@ -54,7 +54,7 @@
 	return id
 }
 
-func (b *backend) Cancel([]task.SubmissionID) {}
+func (b *backend) Cancel([]task.SubmissionID, task.Reason) {}
 
 func (b *backend) Ready() (bool, string) { return true, "" }
 
