entryd, httpapi: drop requests that are read after their callers left

Evidence, by TestRequestReadAfterItsCallerLeftIsDropped with the look at the connection taken out: the second of two requests of a closed connection was placed, and stopped 100 ms later by the watch.

Change: a request whose caller has left when it is read is not submitted. For all others the time since their last bytes arrived, which the kernel keeps for each connection (TCP_INFO), counts against the deadline. A late request whose deadline has not passed is served; after the deadline a job that would be new is refused as not run, and one that is known here still gets its answer.

Weighed: the reducer's own detection of pauses, which sees pauses above a threshold only, knows nothing of starvation of the server's goroutines, and can't tell requests from before a pause from later ones.

--- a/entryd/caller_test.go
+++ b/entryd/caller_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -29,6 +30,9 @@
 	testDocument = `{"version":7,"routes":[{"name":"r-1","host":"a.example","pathPrefix":"/x/","kind":"non_idempotent","timeoutMs":60000,"targetLatencyMs":60000,"priority":1,"service":"s","maxAttempts":3,"latencyFactor":1.6}],"services":[{"name":"s","healthPath":"/health","maxConns":64}],"limits":{"maxBodyBytes":262144}}`
 )
 
+// testJob is the body of a job of one task.
+const testJob = `{"bestEffort":true,"jobSpec":"p","steps":[{"count":1,"cpu":100,"memMb":10}]}`
+
 // clientFixture is an entry that serves the platform's clients. Its only agent
 // runs one task at a time and has no session: the test sees the updates to it.
 type clientFixture struct {
@@ -175,6 +179,13 @@
 	return f.started[n-1]
 }
 
+// name returns the name of a task that was sent.
+func (f *clientFixture) name(id task.ID) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.names[id]
+}
+
 func (f *clientFixture) eventually(ok func() bool, format string, args ...any) {
 	f.t.Helper()
 	require.Eventually(f.t, ok, testTimeout, time.Millisecond, append([]any{format}, args...)...)
@@ -186,21 +197,32 @@
 	conn, err := net.Dial("tcp", f.addr)
 	require.NoError(f.t, err)
 	f.t.Cleanup(func() { conn.Close() })
-	f.sendOn(conn, http.MethodPost, ref, `{"bestEffort":true,"jobSpec":"p","steps":[{"count":1,"cpu":100,"memMb":10}]}`)
+	f.sendOn(conn, http.MethodPost, ref, testJob)
 	return conn.(*net.TCPConn)
 }
 
-func (f *clientFixture) sendOn(conn net.Conn, method, ref, body string) {
+func (f *clientFixture) sendOn(conn net.Conn, method, ref, body string, headers ...string) {
 	f.t.Helper()
-	_, err := fmt.Fprintf(conn, "%s /x/%s HTTP/1.1\r\nHost: a.example\r\nContent-Length: %d\r\n\r\n%s", method, ref, len(body), body)
+	_, err := io.WriteString(conn, requestText(method, ref, body, headers...))
 	require.NoError(f.t, err)
 }
 
-// answer reads the answer on a connection.
+func requestText(method, ref, body string, headers ...string) string {
+	headers = append(headers, "Host: a.example", fmt.Sprintf("Content-Length: %d", len(body)))
+	return fmt.Sprintf("%s /x/%s HTTP/1.1\r\n%s\r\n\r\n%s", method, ref, strings.Join(headers, "\r\n"), body)
+}
+
+// answer reads the only answer on a connection.
 func (f *clientFixture) answer(conn net.Conn) (status int, body string) {
+	f.t.Helper()
+	return f.answerFrom(conn, bufio.NewReader(conn))
+}
+
+// answerFrom reads the next answer on a connection.
+func (f *clientFixture) answerFrom(conn net.Conn, in *bufio.Reader) (status int, body string) {
 	f.t.Helper()
 	require.NoError(f.t, conn.SetReadDeadline(time.Now().Add(testTimeout)))
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	resp, err := http.ReadResponse(in, nil)
 	require.NoError(f.t, err)
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
@@ -249,8 +271,7 @@
 			require.False(t, f.d.InFlight(testRef))
 			f.end(first, task.Outcome{State: task.Failed, Reason: task.ReasonCancelled})
 			last := f.send("00000000000000bb")
-			f.awaitStart(2)
-			require.Equal(t, "00000000000000bb.0.0.0", f.names[f.started[1]], "the job that waited doesn't start")
+			require.Equal(t, "00000000000000bb.0.0.0", f.name(f.awaitStart(2)), "the job that waited doesn't start")
 			require.NoError(t, last.Close())
 		})
 	}
@@ -262,8 +283,9 @@
 	for name, leave := range leaves {
 		t.Run(name, func(t *testing.T) {
 			f := newClientFixture(t)
-			require.NoError(t, leave(f.send(testRef)))
+			conn := f.send(testRef)
 			first := f.awaitStart(1)
+			require.NoError(t, leave(conn))
 			f.eventually(func() bool { return f.isStopped(first) }, "run stopped")
 			again := f.send(testRef)
 			f.eventually(func() bool { return f.d.InFlight(testRef) }, "job in flight again")
@@ -317,3 +339,56 @@
 	require.Contains(t, body, `"state":"cancelled"`)
 	f.eventually(func() bool { return f.isStopped(first) }, "run stopped")
 }
+
+// A paused or starved entry reads requests whose callers have left long ago, and have
+// sent their jobs to another entry. Such a job must not start, not even for the time
+// until the end of its caller is noticed.
+func TestRequestReadAfterItsCallerLeftIsDropped(t *testing.T) {
+	f := newClientFixture(t)
+	conn, err := net.Dial("tcp", f.addr)
+	require.NoError(t, err)
+	// The second request is handled after the first is answered.
+	_, err = io.WriteString(conn, requestText(http.MethodPost, testRef, testJob)+requestText(http.MethodPost, waitingRef, testJob))
+	require.NoError(t, err)
+	first := f.awaitStart(1)
+	require.NoError(t, conn.Close())
+	f.eventually(func() bool { return f.isStopped(first) }, "run stopped")
+	f.end(first, task.Outcome{State: task.Failed, Reason: task.ReasonCancelled})
+	f.eventually(func() bool {
+		return strings.Contains(f.logs.text(), "dropped a request whose caller had left job="+waitingRef)
+	}, "request dropped")
+	last := f.send("00000000000000bb")
+	require.Equal(t, "00000000000000bb.0.0.0", f.name(f.awaitStart(2)))
+	require.NoError(t, last.Close())
+}
+
+// The time that a request has waited to be read counts against its deadline: after it
+// the caller has given up, although a silent link may hide that, and sends its job
+// again. A request that is read late, but before its deadline, is served.
+func TestRequestReadAfterItsDeadlineIsRefused(t *testing.T) {
+	const deadline = 100 * time.Millisecond
+	f := newClientFixture(t)
+	conn := f.send(testRef)
+	first := f.awaitStart(1)
+	f.sendOn(conn, http.MethodPost, waitingRef, testJob, fmt.Sprintf("X-Fireflytray-Deadline-Ms: %d", deadline.Milliseconds()))
+	time.Sleep(2 * deadline)
+	f.end(first, task.Outcome{State: task.Complete})
+	in := bufio.NewReader(conn)
+	status, _ := f.answerFrom(conn, in)
+	require.Equal(t, http.StatusOK, status)
+	status, body := f.answerFrom(conn, in)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Contains(t, body, "deadline")
+	require.Equal(t, 1, f.startedCount())
+
+	f.sendOn(conn, http.MethodPost, "00000000000000bb", testJob)
+	second := f.awaitStart(2)
+	f.sendOn(conn, http.MethodPost, "00000000000000cc", testJob, "X-Fireflytray-Deadline-Ms: 60000")
+	time.Sleep(2 * deadline)
+	f.end(second, task.Outcome{State: task.Complete})
+	f.end(f.awaitStart(3), task.Outcome{State: task.Complete})
+	for range 2 {
+		status, _ = f.answerFrom(conn, in)
+		require.Equal(t, http.StatusOK, status)
+	}
+}
--- a/entryd/jobs.go
+++ b/entryd/jobs.go
@@ -53,6 +53,8 @@
 	done func(task.Answer)
 	// stopWatch ends the watch of the caller's connection.
 	stopWatch func()
+	// late is set if the caller's request was read after its deadline.
+	late bool
 	// record is nil until the caller has joined a job. left is set if it has left
 	// before.
 	record *jobRecord
@@ -69,7 +71,8 @@
 
 // open returns the record of a job and adds c to its callers; isNew is set if the
 // record was created, with id as its submission. If the job has already been
-// answered, c is answered at once. The result is nil if c has left.
+// answered, c is answered at once. The result is nil if c has left, or is late and
+// the job would be new.
 func (j *jobs) open(now time.Duration, sub *task.Submission, id task.SubmissionID, c *jobCaller) (r *jobRecord, isNew bool) {
 	j.mu.Lock()
 	j.expire(now)
@@ -85,6 +88,9 @@
 		return nil, false
 	}
 	if r == nil || r.abandoned {
+		if c.late {
+			return nil, false
+		}
 		isNew = true
 		r = newJobRecord(now, sub, id, r)
 		j.byRef[sub.Ref] = r
@@ -176,17 +182,33 @@
 // flight or its answer is still kept, done gets that answer and nothing is
 // submitted. If the client closes conn, done gets an answer with reason
 // task.ReasonCallerGone, and the job is cancelled once no other client waits for it.
+// The time that the request has waited to be read counts against its deadline.
 func (d *Daemon) SubmitJob(sub task.Submission, conn net.Conn, done func(task.Answer)) {
-	c := &jobCaller{done: done}
-	c.stopWatch = httpserve.Watch(conn, func() { d.callerLeft(c) })
-	r, isNew := d.jobs.open(d.loop.Now(), &sub, d.newSubmissionID(), c)
-	if r == nil {
-		c.answer(task.Answer{State: task.NotRun, Reason: task.ReasonCallerGone, Detail: detailCallerLeft})
+	unread := httpserve.UnreadTime(conn)
+	if httpserve.Disconnected(conn) {
+		d.logRequest("dropped a request whose caller had left", sub.Ref, "unread", unread)
+		done(callerGone)
 		return
 	}
-	if !isNew {
-		return
+	c := &jobCaller{done: done, late: sub.Deadline > 0 && unread >= sub.Deadline}
+	if sub.Deadline > 0 {
+		sub.Deadline -= unread
 	}
+	c.stopWatch = httpserve.Watch(conn, func() { d.callerLeft(c) })
+	r, isNew := d.jobs.open(d.loop.Now(), &sub, d.newSubmissionID(), c)
+	switch {
+	case isNew:
+		d.submitJob(r, sub)
+	case r == nil && c.late:
+		d.logRequest("refused a request after its deadline", sub.Ref, "unread", unread)
+		c.answer(task.Answer{State: task.NotRun, Reason: task.ReasonDeadline, Detail: "this entry read the request after its deadline"})
+	case r == nil:
+		c.answer(callerGone)
+	}
+}
+
+// submitJob submits a new job after the cancellation of its abandoned submission.
+func (d *Daemon) submitJob(r *jobRecord, sub task.Submission) {
 	if r.previous != nil {
 		<-r.previous
 	}
@@ -194,8 +216,8 @@
 	d.submit(r.id, sub, func(a task.Answer) { d.jobs.close(d.loop.Now(), r, a) })
 }
 
-// detailCallerLeft is the detail of an answer whose caller has left.
-const detailCallerLeft = "the caller has closed its connection"
+// callerGone is the answer for a caller that has left. Its job may run for others.
+var callerGone = task.Answer{State: task.Unknown, Reason: task.ReasonCallerGone, Detail: "the caller has closed its connection"}
 
 // callerLeft withdraws a caller whose connection has ended, and cancels its job if
 // no other caller waits for it.
@@ -204,20 +226,19 @@
 	if r == nil {
 		return
 	}
-	d.logCallerLeft(r, remaining)
+	d.logRequest("caller left", r.ref, "submission", r.id, "age", (d.loop.Now() - r.openedAt).Round(time.Microsecond), "callers_left", remaining)
 	if remaining == 0 {
 		<-r.submitted
 		d.Cancel([]task.SubmissionID{r.id}, task.ReasonCallerGone)
 		close(r.cancelled)
 	}
-	c.done(task.Answer{ID: r.id, State: task.Unknown, Reason: task.ReasonCallerGone, Detail: detailCallerLeft})
+	c.done(callerGone)
 }
 
-func (d *Daemon) logCallerLeft(r *jobRecord, remaining int) {
-	const message = "caller left"
-	now := d.loop.Now()
-	if d.budget.Allow(message, now) {
-		d.log.Info(message, "job", r.ref, "submission", r.id, "age", (now - r.openedAt).Round(time.Microsecond), "callers_left", remaining)
+// logRequest logs a line about a job if the budget of its kind allows it.
+func (d *Daemon) logRequest(message, ref string, kv ...any) {
+	if d.budget.Allow(message, d.loop.Now()) {
+		d.log.Info(message, append([]any{"job", ref}, kv...)...)
 	}
 }
 
--- a/entryd/jobs_test.go
+++ b/entryd/jobs_test.go
@@ -127,3 +127,28 @@
 	require.False(t, isNew)
 	require.Nil(t, j.inFlight(testRef))
 }
+
+// A request that is read after its deadline is refused as not run only if it would be
+// the job's first: an earlier one may have run.
+func TestLateRequestJoinsKnownJob(t *testing.T) {
+	j := newJobs()
+	sub := task.Submission{Ref: testRef}
+	late := func() (c *jobCaller, answers chan task.Answer) {
+		c, answers = newTestCaller()
+		c.late = true
+		return c, answers
+	}
+	c, _ := late()
+	r, _ := j.open(0, &sub, task.NewSubmissionID(1, 1), c)
+	require.Nil(t, r)
+	first, _ := newTestCaller()
+	inFlight, _ := j.open(0, &sub, task.NewSubmissionID(1, 2), first)
+	c, _ = late()
+	r, _ = j.open(0, &sub, task.NewSubmissionID(1, 3), c)
+	require.Same(t, inFlight, r)
+	j.close(0, r, task.Answer{State: task.Complete})
+	c, answers := late()
+	_, isNew := j.open(0, &sub, task.NewSubmissionID(1, 4), c)
+	require.False(t, isNew)
+	require.Equal(t, task.Complete, (<-answers).State)
+}
--- a/httpapi/server_test.go
+++ b/httpapi/server_test.go
@@ -287,6 +287,31 @@
 	b.release(echo)
 }
 
+// A request that is read after its caller has left must not reach the backend: it
+// would start for nobody. The caller here closes its half of the connection only, and
+// sees that the answer doesn't claim that the request was handled.
+func TestRequestReadAfterDisconnectIsNotSubmitted(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /v1/services/s/requests HTTP/1.1\r\nHost: x\r\n%s: t\r\nContent-Length: 0\r\n\r\n", HeaderTeam)
+	require.NoError(t, err)
+	require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+	b := &fakeBackend{answer: echo}
+	s := New(b, ln, Config{ShutdownDelay: time.Millisecond})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve() }()
+	text, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.Contains(t, string(text), "HTTP/1.1 409")
+	require.Contains(t, string(text), string(task.ReasonCallerGone))
+	require.Empty(t, b.submissions)
+	require.NoError(t, s.Shutdown(t.Context()))
+	require.NoError(t, <-served)
+}
+
 // A caller that closes its half of the connection while it waits must not be told
 // that its cancelled request was handled.
 func TestAnswerAfterDisconnectIsThatOfTheCancellation(t *testing.T) {
--- a/httpapi/submit.go
+++ b/httpapi/submit.go
@@ -82,8 +82,13 @@
 }
 
 // submitAndWait submits sub and waits for the answer. If the caller disconnects
-// first, the submission is cancelled if cancelOnDisconnect allows it.
+// first, the submission is cancelled if cancelOnDisconnect allows it. A request whose
+// caller has left before is not submitted.
 func (s *Server) submitAndWait(ctx *fasthttp.RequestCtx, sub task.Submission) task.Answer {
+	if httpserve.Disconnected(ctx.Conn()) {
+		ctx.SetConnectionClose()
+		return task.Answer{State: task.NotRun, Reason: task.ReasonCallerGone, Detail: "the caller had left when its request was read"}
+	}
 	answer, gone := make(chan task.Answer, 1), make(chan struct{})
 	stop := httpserve.Watch(ctx.Conn(), func() { close(gone) })
 	defer stop()
--- a/internal/httpserve/watch.go
+++ b/internal/httpserve/watch.go
@@ -20,43 +20,58 @@
 // Disconnected reports whether the peer has closed or reset a connection that a
 // Server accepted. It consumes no input. It returns false for any other connection.
 func Disconnected(c net.Conn) bool {
-	s := socket(c)
-	if s == nil {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return true
-	}
 	fds := []unix.PollFd{{Events: unix.POLLRDHUP}}
 	n := 0
-	err = raw.Control(func(fd uintptr) {
-		fds[0].Fd = int32(fd)
+	ok, err := control(c, func(fd int32) {
+		fds[0].Fd = fd
 		n, _ = unix.Poll(fds, 0)
 	})
-	return err != nil || n > 0 && fds[0].Revents&pollDisconnected != 0
+	return ok && (err != nil || n > 0 && fds[0].Revents&pollDisconnected != 0)
 }
 
-// Watch calls gone once if the peer closes or resets a connection that a Server
-// accepted. It does nothing for any other connection. A handler must call stop
-// before it returns. The call of gone may be in progress when stop returns.
-func Watch(c net.Conn, gone func()) (stop func()) {
+// UnreadTime returns how long ago the last bytes arrived from the peer of a
+// connection that a Server accepted. For a handler, this is at most the time that its
+// request has waited to be read, and zero if that is unknown.
+func UnreadTime(c net.Conn) time.Duration {
+	var info *unix.TCPInfo
+	var infoErr error
+	ok, err := control(c, func(fd int32) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if !ok || err != nil || infoErr != nil {
+		return 0
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
+
+// control calls f with the descriptor of a connection that a Server accepted. It
+// returns false for any other connection, and an error for a closed one.
+func control(c net.Conn, f func(fd int32)) (ok bool, err error) {
 	s := socket(c)
 	if s == nil {
-		return func() {}
+		return false, nil
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		go gone()
-		return func() {}
+		return true, err
 	}
+	return true, raw.Control(func(fd uintptr) { f(int32(fd)) })
+}
+
+// Watch calls gone once if the peer closes or resets a connection that a Server
+// accepted. It does nothing for any other connection. A handler must call stop
+// before it returns. The call of gone may be in progress when stop returns.
+func Watch(c net.Conn, gone func()) (stop func()) {
 	w := &watch{gone: gone}
-	err = raw.Control(func(fd uintptr) { s.watcher.add(w, int32(fd)) })
-	if err != nil {
+	ok, err := control(c, func(fd int32) { socket(c).watcher.add(w, fd) })
+	switch {
+	case !ok:
+		return func() {}
+	case err != nil:
 		go gone()
 		return func() {}
 	}
-	return func() { s.watcher.remove(w) }
+	return func() { socket(c).watcher.remove(w) }
 }
 
 // watcher checks all connections that are watched with one system call. It is safe
