--- a/entryd/caller_test.go
+++ b/entryd/caller_test.go
@@ -315,7 +315,7 @@
 	require.JSONEq(t, `{"state":"completed"}`, body)
 	require.False(t, f.isStopped(first))
 	require.Equal(t, 1, f.startedCount())
-	require.Regexp(t, `caller left job=`+testRef+` submission=\S+ age=\S+ callers_left=1`, f.logs.text())
+	require.Regexp(t, `caller left job=`+testRef+` at=\S+ submission=\S+ age=\S+ callers_left=1`, f.logs.text())
 }
 
 func (f *clientFixture) callers(ref string) int {
--- a/entryd/jobs.go
+++ b/entryd/jobs.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/fireflytray/fireflytray/entry"
 	"github.com/fireflytray/fireflytray/fleet"
 	"github.com/fireflytray/fireflytray/internal/httpserve"
 	"github.com/fireflytray/fireflytray/task"
@@ -195,14 +196,17 @@
 		sub.Deadline -= unread
 	}
 	c.stopWatch = httpserve.Watch(conn, func() { d.callerLeft(c) })
-	r, isNew := d.jobs.open(d.loop.Now(), &sub, d.newSubmissionID(), c)
+	now := d.loop.Now()
+	r, isNew := d.jobs.open(now, &sub, d.newSubmissionID(), c)
 	switch {
 	case isNew:
 		d.submitJob(r, sub)
-	case r == nil && c.late:
+	case r != nil:
+		d.recordResend(now, r)
+	case c.late:
 		d.logRequest("refused a request after its deadline", sub.Ref, "unread", unread)
 		c.answer(task.Answer{State: task.NotRun, Reason: task.ReasonDeadline, Detail: "this entry read the request after its deadline"})
-	case r == nil:
+	default:
 		c.answer(callerGone)
 	}
 }
@@ -235,13 +239,32 @@
 	c.done(callerGone)
 }
 
-// logRequest logs a line about a job if the budget of its kind allows it.
-func (d *Daemon) logRequest(message, ref string, kv ...any) {
-	if d.budget.Allow(message, d.loop.Now()) {
-		d.log.Info(message, append([]any{"job", ref}, kv...)...)
+// logRequest logs a decision about a request for a job.
+func (d *Daemon) logRequest(message, ref string, inputs ...any) {
+	if d.opts.Trace {
+		d.logDecision(entry.Decision{Ref: ref, Message: message, At: d.loop.Now(), Inputs: inputs, Incomplete: true})
 	}
 }
 
+// recordResend counts and logs a job that is sent again while this entry holds it or
+// keeps its answer.
+func (d *Daemon) recordResend(now time.Duration, r *jobRecord) {
+	d.jobs.mu.Lock()
+	answered := r.answer != nil && r.answeredAt <= now
+	d.jobs.mu.Unlock()
+	if answered {
+		d.meter.metrics.ResentAnswered.Inc(1)
+	} else {
+		d.meter.metrics.ResentInFlight.Inc(1)
+	}
+	if !d.opts.Trace {
+		return
+	}
+	d.logDecision(entry.Decision{Ref: r.ref, Message: "job sent again", At: now, Inputs: []any{
+		"submission", r.id, "answered", answered, "first-sent", now - r.openedAt,
+	}})
+}
+
 // CancelJob cancels a job and reports whether it was in flight.
 func (d *Daemon) CancelJob(ref string) bool {
 	r := d.jobs.inFlight(ref)
