--- a/agent/run.go
+++ b/agent/run.go
@@ -36,6 +36,11 @@
 	s.tasks[r.id] = r
 	e.held++
 	s.meanNeed.observe(r.need)
+	if s.cfg.OrphanAfter > 0 && lag >= s.cfg.OrphanAfter {
+		// The entry may have been given up, or have given up the task.
+		s.refuse(r, task.ReasonEntryGone)
+		return
+	}
 	if reason := s.refusalReason(r); reason != task.ReasonNone {
 		s.refuse(r, reason)
 		return
@@ -73,6 +78,8 @@
 	case s.now >= r.startBy:
 		s.stats.Stale++
 		return task.ReasonStartExpired
+	case s.isOrphan(r.entry):
+		return task.ReasonEntryGone
 	case s.drain.active || s.up.leaving:
 		return task.ReasonDraining
 	case s.up.leaseUntil == 0:
@@ -344,7 +351,8 @@
 	s.health.expireSuspension(s.now)
 	s.expireUpstream()
 	s.expireEntries()
-	s.expireOrphans()
+	s.refuseOrphans()
+	s.stopOrphans()
 	s.expireQueued()
 	for i := 0; i < len(s.running); i++ {
 		if r := s.running[i]; s.expireRun(r) {
--- a/agent/session.go
+++ b/agent/session.go
@@ -18,7 +18,8 @@
 	sessionNo      uint64 // Hello.Session of the last session
 	lastSeq        uint64 // sequence number of the last update of the session
 	disconnectedAt time.Duration
-	// lastMessageAt is when the entry last sent anything on a session.
+	// lastMessageAt is when the entry last sent anything on a session, not when
+	// that arrived.
 	lastMessageAt time.Duration
 
 	// historyLost is set if this incarnation may have had sessions whose state
@@ -50,6 +51,8 @@
 	// idleCreditAt is the earliest time of the next report that only grants
 	// credit to the entry while it is idle.
 	idleCreditAt time.Duration
+	// lockAnswers are sent in the next report.
+	lockAnswers []wire.LockAnswer
 	// forgotten is set once the entry is dropped; outcomes of its tasks are
 	// then discarded.
 	forgotten bool
@@ -74,10 +77,9 @@
 	}
 	s.forgetOlderIncarnations(h.From)
 	e.peer, e.session, e.sessionNo, e.lastSeq = h.From, id, h.Session, 0
-	e.lastMessageAt = s.now
 	e.demand, e.credit = wire.Demand{}, 0
 	s.sessions[id] = e
-	s.observeTransit(e, h.SentAt)
+	e.lastMessageAt = max(e.lastMessageAt, s.now-s.observeTransit(e, h.SentAt))
 	s.welcome(e, h)
 }
 
@@ -101,6 +103,7 @@
 func (s *State) welcome(e *entry, h *wire.Hello) {
 	e.sent = 0
 	e.reportedOffer = s.offer()
+	s.repeatRevocations(e)
 	rep := s.nextReport(e)
 	for _, id := range h.Pending {
 		if out, ok := s.pendingOutcome(e, h, id); ok {
@@ -114,7 +117,7 @@
 	w := s.worker()
 	s.emit(SendWelcome{
 		Session: e.session,
-		Welcome: &wire.Welcome{From: s.self, SentAt: s.now, Worker: &w, Report: rep},
+		Welcome: &wire.Welcome{From: s.self, SentAt: s.now, Worker: &w, Report: rep, RunsEndWithin: s.cfg.RunsEndWithin},
 	})
 }
 
@@ -150,20 +153,22 @@
 func (s *State) detach(e *entry) {
 	delete(s.sessions, e.session)
 	e.session, e.disconnectedAt = 0, s.now
+	e.lockAnswers = nil
 	e.demand, e.credit = wire.Demand{}, 0
 }
 
 // handleUpdate applies an entry's update: its acknowledgement, its demand, its
-// assignments and its cancellations. It ignores duplicates and closes a session
-// with inconsistent sequence numbers or too many unacknowledged outcomes.
+// assignments, its cancellations and its requests for job locks. It ignores
+// duplicates and closes a session with inconsistent sequence numbers or too many
+// unacknowledged outcomes.
 func (s *State) handleUpdate(id SessionID, u *wire.Update) {
 	e := s.sessions[id]
 	if e == nil || u.Seq <= e.lastSeq {
 		s.stats.Duplicates++
 		return
 	}
-	e.lastMessageAt = s.now
 	lag := s.observeTransit(e, u.SentAt)
+	e.lastMessageAt = max(e.lastMessageAt, s.now-lag)
 	switch {
 	case u.Seq != e.lastSeq+1:
 		s.endSession(e, CloseGap)
@@ -186,6 +191,7 @@
 	for _, id := range u.Cancel {
 		s.cancel(e, id)
 	}
+	s.handleLocks(e, u, lag)
 }
 
 // exceedsUnackedLimits reports whether accepting an update could exceed the
@@ -249,6 +255,7 @@
 // forget drops all state of an entry incarnation that will not reconnect.
 func (s *State) forget(e *entry) {
 	e.forgotten = true
+	s.forgetLocks(e)
 	for _, r := range slices.Clone(s.queue.recs) {
 		if r.entry == e {
 			s.refuse(r, task.ReasonEntryRestarted)
@@ -267,17 +274,18 @@
 	s.entryList = slices.DeleteFunc(s.entryList, func(o *entry) bool { return o == e })
 }
 
-// expireOrphans stops the runs and refuses the queued tasks of entries that have
-// sent no message for OrphanAfter.
-func (s *State) expireOrphans() {
-	if s.cfg.OrphanAfter == 0 {
-		return
-	}
+// refuseOrphans refuses the queued tasks of entries that have sent no message for
+// OrphanAfter.
+func (s *State) refuseOrphans() {
 	for _, r := range slices.Clone(s.queue.recs) {
 		if s.isOrphan(r.entry) {
 			s.refuse(r, task.ReasonEntryGone)
 		}
 	}
+}
+
+// stopOrphans stops the runs of such entries.
+func (s *State) stopOrphans() {
 	for _, r := range s.running {
 		if s.isOrphan(r.entry) {
 			s.stop(r, task.ReasonEntryGone)
@@ -285,7 +293,9 @@
 	}
 }
 
-func (s *State) isOrphan(e *entry) bool { return s.now >= e.lastMessageAt+s.cfg.OrphanAfter }
+func (s *State) isOrphan(e *entry) bool {
+	return s.cfg.OrphanAfter > 0 && s.now >= e.lastMessageAt+s.cfg.OrphanAfter
+}
 
 // expireEntries forgets entries that have had no session for EntryTTL.
 func (s *State) expireEntries() {
--- a/agentd/leased.go
+++ b/agentd/leased.go
@@ -92,12 +92,12 @@
 	a := r.executor.Stop(c)
 	took := r.loop.Now() - sent
 	r.loop.Post(a)
-	result := stopAccepted
-	switch {
-	case !a.OK:
+	result := stopRefused
+	switch a.Result {
+	case lease.StopAccepted:
+		result = stopAccepted
+	case lease.StopLost:
 		result = stopUnanswered
-	case a.Refused:
-		result = stopRefused
 	}
 	r.meter.stopCalls[result].Inc(1)
 	r.logStop(c, result, took)
--- a/lease/hold.go
+++ b/lease/hold.go
@@ -28,8 +28,7 @@
 		Call: h.call, Target: s.target, AckSeq: s.lastEndSeq, Fence: s.fence,
 		Wait: wait, AnswerTimeout: answerTimeout,
 	}
-	if s.failures < failuresToSuspect {
-		// The leases of an upstream that does not answer must expire.
+	if s.mayRenew() {
 		eff.Until = s.newLeaseEnd()
 	}
 	s.holds = append(s.holds, h)
@@ -128,15 +127,17 @@
 	s.matchRunning(h, v)
 	if !s.reconciled && len(s.unknownRuns) == 0 {
 		s.reconciled = true
+		// The lease that a predecessor sent last.
+		s.latestLeaseEnd = v.Clock + s.cfg.Lease
 		s.log("upstream is ready", "instance", s.upstream.Instance, "clock", v.Clock)
 		s.notify(agent.Announced{Upstream: s.upstream})
 	}
 }
 
-// observeClock records the upstream's clock. An answer that arrives out of order
-// carries an older clock and is ignored.
+// observeClock records the upstream's clock. A message that was delayed carries an
+// older clock and is ignored.
 func (s *State) observeClock(clock time.Duration) {
-	if clock > s.clock || s.clockAt == 0 && clock > 0 {
+	if clock > 0 && (s.clockAt == 0 || clock > s.clockNow()) {
 		s.clock, s.clockAt = clock, s.now
 	}
 }
@@ -149,6 +150,7 @@
 	s.lastEndSeq = e.Seq
 	key := runKey{e.Task, e.Run}
 	delete(s.unknownRuns, key)
+	s.removeStop(key)
 	r := s.runs[key]
 	if r == nil {
 		return
@@ -178,12 +180,13 @@
 		if s.runs[key] == nil && !s.unknownRuns[key] {
 			s.log("stopping unknown run", "task", key.task, "run", key.run)
 			s.unknownRuns[key] = true
-			s.sendStop(key)
+			s.requestStop(key)
 		}
 	}
 	for key := range s.unknownRuns {
 		if !listed[key] {
 			delete(s.unknownRuns, key)
+			s.removeStop(key)
 		}
 	}
 	for _, r := range s.sortedRuns() {
@@ -221,16 +224,9 @@
 	switch {
 	case r.phase == phaseUnconfirmed && listed:
 		r.phase, r.lastCall = phaseRunning, s.lastCallID
-		if r.stopRequested {
-			s.sendStop(r.key)
-		}
 	case r.phase == phaseUnconfirmed && h.fence >= r.fence:
 		s.log("start was not carried out", "task", r.key.task, "run", r.key.run)
-		if r.stopRequested || s.now >= r.StartBy {
-			s.end(r, agent.EndRejected)
-			return
-		}
-		s.sendStart(r)
+		s.resendStart(r)
 	case r.phase == phaseRunning && !listed && h.call > r.lastCall:
 		s.log("run is missing from the upstream's list", "task", r.key.task, "run", r.key.run)
 		s.end(r, agent.EndCutOff)
@@ -289,6 +285,11 @@
 	if s.ackAt > 0 {
 		add(s.ackAt)
 	}
+	for _, p := range s.stops {
+		if s.canSend(p) {
+			add(p.sendAt)
+		}
+	}
 	if len(s.runs) > 0 && s.failures >= failuresToSuspect && s.clockAt > 0 {
 		if at := s.leasesExpiredAt(); at > s.now {
 			add(at)
