--- a/httpapi/submit.go
+++ b/httpapi/submit.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/fireflytray/fireflytray/internal/httpserve"
 	"github.com/fireflytray/fireflytray/task"
 )
 
@@ -26,10 +27,7 @@
 	if s.rejectIfDraining(ctx) {
 		return
 	}
-	a, ok := s.submitAndWait(ctx, sub)
-	if !ok {
-		return
-	}
+	a := s.submitAndWait(ctx, sub)
 	if a.State != task.Complete {
 		answerProblem(a).write(ctx)
 		return
@@ -52,9 +50,8 @@
 		s.submitAsync(ctx, sub)
 		return
 	}
-	if a, ok := s.submitAndWait(ctx, sub); ok {
-		writeJobAnswer(ctx, &a)
-	}
+	a := s.submitAndWait(ctx, sub)
+	writeJobAnswer(ctx, &a)
 }
 
 func (s *Server) decodeJob(ctx *fasthttp.RequestCtx, service string) (task.Submission, bool, error) {
@@ -84,29 +81,28 @@
 	return true
 }
 
-// submitAndWait submits sub and waits for the answer. It returns false if the
-// caller disconnects first; the submission is then cancelled if
-// cancelOnDisconnect allows it.
-func (s *Server) submitAndWait(ctx *fasthttp.RequestCtx, sub task.Submission) (task.Answer, bool) {
-	answer := make(chan task.Answer, 1)
+// submitAndWait submits sub and waits for the answer. If the caller disconnects
+// first, the submission is cancelled if cancelOnDisconnect allows it. A request whose
+// caller has left before is not submitted.
+func (s *Server) submitAndWait(ctx *fasthttp.RequestCtx, sub task.Submission) task.Answer {
+	if httpserve.Disconnected(ctx.Conn()) {
+		ctx.SetConnectionClose()
+		return task.Answer{State: task.NotRun, Reason: task.ReasonCallerGone, Detail: "the caller had left when its request was read"}
+	}
+	answer, gone := make(chan task.Answer, 1), make(chan struct{})
+	stop := httpserve.Watch(ctx.Conn(), func() { close(gone) })
+	defer stop()
 	id := s.backend.Submit(sub, func(a task.Answer) { answer <- a })
-	poll := time.NewTicker(disconnectPollInterval)
-	defer poll.Stop()
-	for {
-		select {
-		case a := <-answer:
-			return a, true
-		case <-poll.C:
-		}
-		if callerDisconnected(ctx.Conn()) {
-			if cancelOnDisconnect(&sub) {
-				s.backend.Cancel([]task.SubmissionID{id})
-			}
-			ctx.SetConnectionClose()
-			<-answer
-			return task.Answer{}, false
-		}
+	select {
+	case a := <-answer:
+		return a
+	case <-gone:
+	}
+	if cancelOnDisconnect(&sub) {
+		s.backend.Cancel([]task.SubmissionID{id}, task.ReasonCallerGone)
 	}
+	ctx.SetConnectionClose()
+	return <-answer
 }
 
 // cancelOnDisconnect reports whether a submission may be cancelled when its
