--- a/agent/config.go
+++ b/agent/config.go
@@ -45,7 +45,8 @@
 	// normally.
 	OrphanAfter time.Duration
 	// RunsEndWithin bounds the time from when the agent stops holding a run, for
-	// example because its process ends, to the end of that run at the upstream.
+	// example because its process ends, or is to stop it, to the end of that run
+	// at the upstream, whether stops arrive or not.
 	// Entries rely on it in the use of job locks. With zero, the agent keeps no
 	// locks.
 	RunsEndWithin time.Duration
--- a/lease/stop_test.go
+++ b/lease/stop_test.go
@@ -92,6 +92,17 @@
 	require.Equal(t, b.now+DefaultConfig().Lease, b.latestUntil(), "the other runs go on")
 }
 
+// A run whose stops are all lost outlived the bound on which job locks rely.
+func TestRunThatCannotBeStoppedEndsWithinBound(t *testing.T) {
+	b := newHarness(t).announceUpstream()
+	b.startRun(firstRun, "a")
+	requestedAt := b.now
+	b.step(Stop{Run: firstRun})
+	b.keepListing(900*time.Millisecond, running("a"))
+	left := float64(b.latestUntil()-requestedAt) / (1 - maxClockDrift)
+	require.LessOrEqual(t, time.Duration(left), Config{}.RunsEndWithin())
+}
+
 // A fenced stop is sent again with a token that the upstream takes.
 func TestFencedStopIsSentAgain(t *testing.T) {
 	b := newHarness(t).announceUpstream()
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -107,9 +107,9 @@
 	// reports each pending task that never arrived as NotRun (never_received).
 	// Nil from other roles.
 	Report *Report `msg:"o"`
-	// RunsEndWithin bounds the time from when the agent stops holding a run to
-	// the end of that run at its upstream. Zero means that the agent keeps no job
-	// locks.
+	// RunsEndWithin bounds the time from when the agent stops holding a run, or is
+	// to stop it, to the end of that run at its upstream. Zero means that the agent
+	// keeps no job locks.
 	RunsEndWithin time.Duration `msg:"e,omitempty"`
 }
 
