agent: locks of a restarted entry outlast the runs of paused agents

What callers could see: two runs of one task after their entry was killed and restarted, if an agent was paused right before its orphan time-out. Cause: the lock of the killed entry was passed on after orphan-after and RunsEndWithin. A paused agent keeps its runs alive through their leases, and when it wakes, it waits freezeGrace for unread messages of the entry before it stops the run, up to 1,975 ms after the entry's last message; the bound was 1,860 ms. Before, TestLocksOfRestartedEntryOutlastPausedAgents saw the lock granted to the next submission when the paused agent had only just ordered the stop. The bound now includes freezeGrace. TestLocksOfRestartedEntryEndWithItsRuns asserted the former bound to the millisecond; it asserts the new one in the same way. Not covered: the same with every stop lost after waking (3,040 ms).

--- a/agent/lock.go
+++ b/agent/lock.go
@@ -200,11 +200,13 @@
 }
 
 // forgetLocks handles the locks of an entry incarnation that has ended. Other
-// agents may still hold its runs, but not for longer than orphaned runs last.
+// agents may still hold its runs, but not for longer than orphaned runs last. An
+// agent that was paused adds freezeGrace to the orphan time-out.
 func (s *State) forgetLocks(e *entry) {
+	until := s.now + s.cfg.OrphanAfter + freezeGrace + s.cfg.RunsEndWithin
 	for _, l := range s.locks.byRef {
 		if l.holder.entry == e.peer.Incarnation && s.cfg.OrphanAfter > 0 {
-			l.holder.until = min(l.holder.until, s.now+s.cfg.OrphanAfter+s.cfg.RunsEndWithin)
+			l.holder.until = min(l.holder.until, until)
 		}
 	}
 	for _, l := range slices.Clone(s.locks.contended) {
--- a/agent/lock_test.go
+++ b/agent/lock_test.go
@@ -153,12 +153,34 @@
 	f.acquire(2, 1, 0, time.Minute)
 	f.step(SessionClosed{Session: 1})
 	f.open(4, 4, "entry-1")
-	f.now += lockOrphanAfter + lockRunsEndWithin - time.Millisecond
+	f.now += lockOrphanAfter + freezeGrace + lockRunsEndWithin - time.Millisecond
 	require.Empty(t, lockAnswers(f.step(Tick{})))
 	f.now += time.Millisecond
 	require.Equal(t, []string{"2.1:granted"}, lockAnswers(f.step(Tick{})))
 }
 
+// The lock of an entry that restarted was passed on while an agent that had been
+// paused right before its orphan time-out still gave the entry's run its grace.
+func TestLocksOfRestartedEntryOutlastPausedAgents(t *testing.T) {
+	f := newLockAgent(t)
+	f.acquire(1, 1, 0, time.Minute)
+	f.acquire(2, 1, 0, time.Minute)
+	f.step(SessionClosed{Session: 1})
+	f.open(4, 4, "entry-1")
+	diedAt := f.now
+
+	paused := newOrphanTest()
+	paused.Step(testOrphanAfter-time.Millisecond, Tick{}, nil)
+	const wokenAt = testOrphanAfter - time.Millisecond + lockRunsEndWithin
+	paused.Step(wokenAt, Tick{}, nil)
+	stoppedAt, ok := paused.Next()
+	require.True(t, ok)
+	require.Contains(t, paused.Step(stoppedAt, Tick{}, nil), stopOf(1, 0))
+
+	f.now = diedAt + stoppedAt
+	require.Empty(t, lockAnswers(f.step(Tick{})))
+}
+
 // The table of locks is bounded. A full table makes room by removing expired locks,
 // at most once per lockSweepInterval.
 func TestLockTableIsBounded(t *testing.T) {
