lease: send a stop that failed at once again after a delay

The fencing token rose by one with each of them, faster than the clock that gives a successor its first token, so that a successor's calls could be fenced. Cause: a stop without an answer was sent again as soon as that was known, which is 150 ms later after a time-out, but at once if the connection fails. Before, TestStopThatFailsAtOnceIsRepeatedAfterDelay saw the second stop in the same step as the failure of the first. A stop is now sent no sooner than 50 ms after the one before, except a fenced one, which gets a higher token. After a time-out of 150 ms nothing changes. TestLostStopIsSentAgain and TestLostStopOfUnknownRunIsSentAgain took the call as failed in the step of its sending; they now let the answer time-out pass and still require the next stop in the same step.

--- a/lease/stop.go
+++ b/lease/stop.go
@@ -38,7 +38,7 @@
 		if s.now < p.sendAt || !s.canSend(p) {
 			continue
 		}
-		p.call, p.fence = s.nextCall(), s.fence
+		p.call, p.fence, p.sendAt = s.nextCall(), s.fence, s.now+retryDelay
 		s.emit(StopCall{Call: p.call, Target: s.target, Task: p.key.task, Run: p.key.run, Fence: s.fence})
 	}
 }
@@ -74,6 +74,7 @@
 		p.sendAt = s.now + stopEffectTimeout
 		p.withoutEffectSince = p.sendAt
 	case StopFenced:
+		p.sendAt = s.now
 		if p.fence == s.fence {
 			s.fence += fenceIncrement
 			s.log("fencing token was too low", "task", p.key.task, "token", s.fence)
--- a/lease/stop_test.go
+++ b/lease/stop_test.go
@@ -55,6 +55,7 @@
 	b.startRun(firstRun, "a")
 	b.step(Stop{Run: firstRun})
 	require.Len(t, b.stops, 1)
+	b.advance(DefaultConfig().AnswerTimeout)
 	b.step(StopAnswered{Call: b.stops[0].Call})
 	require.Len(t, b.stops, 2)
 	require.Greater(t, b.stops[1].Fence, b.stops[0].Fence)
@@ -71,6 +72,7 @@
 	b.step(announcement(1))
 	b.answer(running("old"))
 	require.Len(t, b.stops, 1)
+	b.advance(DefaultConfig().AnswerTimeout)
 	b.step(StopAnswered{Call: b.stops[0].Call})
 	require.Len(t, b.stops, 2)
 }
@@ -113,6 +115,21 @@
 	require.Greater(t, b.stops[1].Fence, b.stops[0].Fence)
 }
 
+// A stop whose calls failed at once, as at a closed port, was sent again without a
+// pause, thousands of times a second.
+func TestStopThatFailsAtOnceIsRepeatedAfterDelay(t *testing.T) {
+	b := newHarness(t).announceUpstream()
+	b.startRun(firstRun, "a")
+	b.step(Stop{Run: firstRun})
+	for sent := 1; sent <= 3; sent++ {
+		b.step(StopAnswered{Call: b.stops[sent-1].Call})
+		b.advance(retryDelay - time.Millisecond)
+		require.Len(t, b.stops, sent)
+		b.advance(time.Millisecond)
+		require.Len(t, b.stops, sent+1)
+	}
+}
+
 // An upstream that refuses a stop gets it again after a delay, and so does one
 // that accepts it while the run goes on.
 func TestStopWithoutEffectIsRepeated(t *testing.T) {
