entryd: a job without a known end runs again when it is sent again

Cause: every answer but not run was kept for late duplicates. Evidence: TestJobWithoutAKnownEndRunsAgain failed before (agent_restarted: expected a new job, got the kept answer). Change: only answers that say how the job ended are kept (complete, failed by its upstream, never fits, cancelled).

--- a/entryd/jobs.go
+++ b/entryd/jobs.go
@@ -134,17 +134,17 @@
 	return r, len(r.callers)
 }
 
-// close passes the answer to all waiting callers. If the job did not run, its
-// record is removed, so that the ref can be submitted again at once. Any other
-// answer is kept for answerRetention. Of an abandoned job, only a complete answer is
-// kept: any other one results from its cancellation.
+// close passes the answer to all waiting callers. An answer that says how the job
+// ended is kept for answerRetention. After any other one its clients send the job
+// again to have it run, so that the record is removed. Of an abandoned job, only a
+// complete answer is kept: any other one results from its cancellation.
 func (j *jobs) close(now time.Duration, r *jobRecord, a task.Answer) {
 	a.Outcomes = nil
 	j.mu.Lock()
 	callers := r.callers
 	r.callers = nil
 	if j.byRef[r.ref] == r {
-		if a.State == task.NotRun || r.abandoned && a.State != task.Complete {
+		if !saysHowJobEnded(a) || r.abandoned && a.State != task.Complete {
 			delete(j.byRef, r.ref)
 		} else {
 			r.answer, r.answeredAt = &a, now
@@ -157,6 +157,16 @@
 	}
 }
 
+// saysHowJobEnded reports whether an answer is final for a job, not only for the
+// submission that it answers.
+func saysHowJobEnded(a task.Answer) bool {
+	switch a.Reason {
+	case task.ReasonUpstreamError, task.ReasonNeverFits, task.ReasonCancelled:
+		return a.State != task.NotRun
+	}
+	return a.State == task.Complete
+}
+
 // expire removes answers that are older than answerRetention, and the oldest ones
 // above maxRetainedAnswers.
 func (j *jobs) expire(now time.Duration) {
--- a/entryd/jobs_test.go
+++ b/entryd/jobs_test.go
@@ -152,3 +152,30 @@
 	require.False(t, isNew)
 	require.Equal(t, task.Complete, (<-answers).State)
 }
+
+// A job that is answered 504 is sent again to have it run. An entry that kept such an
+// answer gave it again for ten seconds without running anything.
+func TestJobWithoutAKnownEndRunsAgain(t *testing.T) {
+	for _, c := range []struct {
+		answer task.Answer
+		again  bool
+	}{
+		{task.Answer{State: task.Failed, Reason: task.ReasonAgentRestarted}, true},
+		{task.Answer{State: task.Failed, Reason: task.ReasonDeadline}, true},
+		{task.Answer{State: task.Unknown, Reason: task.ReasonDraining}, true},
+		{task.Answer{State: task.NotRun, Reason: task.ReasonOverload}, true},
+		{task.Answer{State: task.Failed, Reason: task.ReasonUpstreamError}, false},
+		{task.Answer{State: task.Failed, Reason: task.ReasonCancelled}, false},
+		{task.Answer{State: task.Complete}, false},
+	} {
+		j := newJobs()
+		sub := &task.Submission{Ref: testRef}
+		first, answers := newTestCaller()
+		r, _ := j.open(0, sub, task.SubmissionID{1}, first)
+		j.close(0, r, c.answer)
+		require.Len(t, answers, 1)
+		again, _ := newTestCaller()
+		_, isNew := j.open(time.Second, sub, task.SubmissionID{2}, again)
+		require.Equal(t, c.again, isNew, "%v %v", c.answer.State, c.answer.Reason)
+	}
+}
