agent: drop tasks that an entry no longer lists as pending

An entry gives up the tasks of an agent that has had no session for gone-after, answers agent_gone and releases its lock a lease later. An agent that did not see that time pass (its steady clock stood still, or its orphan time-out is off or longer than gone-after) goes on with its runs and its queued tasks when the entry's next session opens. The Hello of that session does not list them, and the entry, which has forgotten them, never cancels them: they run beside those of the next entry, with an orphan time-out of 0 until they end.

Cause: the agent compared Hello.Pending with its tasks in one direction only, for tasks that it does not hold.

A task that it holds and the entry does not list is now refused or stopped as cancelled. An entry lists every task that it has sent and that has not ended, and sends none while it dials, so a task that is wanted is always listed.

Evidence: TestTasksThatAnEntryHasGivenUpAreStoppedOnItsNextSession failed before ("does not contain agent.StopRun"). The entries of TestAgentMatchesNaive now give up a task at some dials; with the naive model changed and the agent not, it failed ("queued: [..2.1.0], naive []"); with both it passes 3,000 checks. Found by review; no run of real processes shows it, because a soak can't make a steady clock stand still.

--- a/agent/naive_test.go
+++ b/agent/naive_test.go
@@ -227,6 +227,11 @@
 	e.session, e.sessionNo, e.lastSeq = ev.Session, h.Session, 0
 	n.observe(now, e, h.SentAt)
 	n.sessions[ev.Session] = e
+	for _, t := range n.tasks {
+		if t.entry == e && t.phase != phaseEnded && !slices.Contains(h.Pending, t.id) {
+			n.cancel(now, e, t.id)
+		}
+	}
 }
 
 func (n *naive) close(now time.Duration, id SessionID) {
--- a/agent/orphan_test.go
+++ b/agent/orphan_test.go
@@ -76,3 +76,25 @@
 	effs := s.Step(testOrphanAfter+clockTolerance, UpdateReceived{Session: 1, Update: &wire.Update{Seq: 1, Tasks: []wire.Assignment{assignmentOf(0, 800)}}}, nil)
 	require.Zero(t, startsIn(effs))
 }
+
+// An agent whose clock stood still knows too late that an entry has given up its
+// tasks: they ran on for the whole orphan time-out beside their successors.
+func TestTasksThatAnEntryHasGivenUpAreStoppedOnItsNextSession(t *testing.T) {
+	s := newOrphanTest()
+	s.Step(clockTolerance, SessionClosed{Session: 1}, nil)
+	effs := s.Step(2*clockTolerance, SessionOpened{Session: 2, Hello: hello(1, 2)}, nil)
+	require.Contains(t, effs, stopOf(1, 0))
+	require.Zero(t, startsIn(s.Step(3*clockTolerance, RunEnded{Run: 1, End: EndStopped}, nil)))
+	_, queued := s.Load()
+	require.Zero(t, queued)
+}
+
+// Tasks that the entry still waits for go on.
+func TestPendingTasksGoOnOnNextSession(t *testing.T) {
+	s := newOrphanTest()
+	s.Step(clockTolerance, SessionClosed{Session: 1}, nil)
+	effs := s.Step(2*clockTolerance, SessionOpened{Session: 2, Hello: hello(1, 2, assignmentOf(0, 0).ID, assignmentOf(1, 0).ID)}, nil)
+	require.NotContains(t, effs, stopOf(1, 0))
+	_, queued := s.Load()
+	require.Equal(t, 1, queued)
+}
--- a/agent/session.go
+++ b/agent/session.go
@@ -80,9 +80,32 @@
 	e.demand, e.credit = wire.Demand{}, 0
 	s.sessions[id] = e
 	e.lastMessageAt = max(e.lastMessageAt, s.now-s.observeTransit(e, h.SentAt))
+	s.dropUnwanted(e, h.Pending)
 	s.welcome(e, h)
 }
 
+// dropUnwanted refuses the queued tasks and stops the runs of an entry that it does
+// not list as pending: it has given them up.
+func (s *State) dropUnwanted(e *entry, pending []task.ID) {
+	if e.held == 0 {
+		return
+	}
+	wanted := make(map[task.ID]bool, len(pending))
+	for _, id := range pending {
+		wanted[id] = true
+	}
+	for _, r := range slices.Clone(s.queue.recs) {
+		if r.entry == e && !wanted[r.id] {
+			s.refuse(r, task.ReasonCancelled)
+		}
+	}
+	for _, r := range s.running {
+		if r.entry == e && !wanted[r.id] {
+			s.stop(r, task.ReasonCancelled)
+		}
+	}
+}
+
 // addEntry adds the state of an entry incarnation that is not known yet.
 func (s *State) addEntry(h *wire.Hello) *entry {
 	e := &entry{}
--- a/agent/world_test.go
+++ b/agent/world_test.go
@@ -251,9 +251,13 @@
 
 func (w *world) clockOf(e *fakeEntry) time.Duration { return w.now + e.skew }
 
-// dial opens a new connection and queues its Hello. The older connection may
-// still deliver the messages in its inbox.
+// dial opens a new connection and queues its Hello, which sometimes no longer lists
+// a task. The older connection may still deliver the messages in its inbox.
 func (w *world) dial(e *fakeEntry) {
+	if n := len(e.pending); n > 0 && w.drawInt(4) == 0 {
+		i := w.drawInt(n)
+		e.pending = slices.Delete(e.pending, i, i+1)
+	}
 	w.lastID++
 	c := &fakeConn{id: w.lastID, entry: e}
 	w.conns[c.id] = c
