entry: cancel tasks that were given up during a dial

A Hello lists the tasks that are pending when the dial begins.

The entry keeps the tasks that end during a dial and cancels them with the first update of its session; a failed dial drops them, since the next Hello does not list them.

Evidence: TestTasksGivenUpDuringDialAreCancelled failed before (no cancellation). Found by review; not seen on real processes.

--- a/entry/agent.go
+++ b/entry/agent.go
@@ -43,6 +43,9 @@
 	disconnectedAt time.Duration
 	redialDelay    time.Duration
 	sent           map[task.ID]sentTask
+	// givenUp lists the tasks that ended since the dial in progress, whose hello
+	// lists them as pending.
+	givenUp []task.ID
 	// dirty is set if an update is due at the end of the step. toAssign and
 	// toCancel are the assignments and cancellations that it will carry.
 	dirty    bool
@@ -213,6 +216,7 @@
 		AgentIncarnation: a.incarnation,
 	}
 	h.Pending = a.sentIDs()
+	a.givenUp = nil
 	e.emit(Dial{Peer: a.peer, Hello: h, Within: dialTimeout})
 }
 
@@ -244,7 +248,7 @@
 	if w.Report != nil {
 		e.handleReport(a, w.Report)
 	}
-	e.cancelAnswered(a)
+	e.cancelUnwanted(a)
 }
 
 // workerChanged applies an agent's description of its worker. If the agent does
@@ -277,6 +281,7 @@
 	a.peer = p
 	a.incarnation = p.Incarnation
 	a.lastReportSeq, a.ackedReportSeq = 0, 0
+	a.givenUp = nil
 	e.endAllAttempts(a, task.ReasonAgentRestarted)
 }
 
@@ -295,9 +300,11 @@
 	)
 }
 
-// cancelAnswered cancels the tasks at the agent whose submissions are already
-// answered.
-func (e *Entry) cancelAnswered(a *agent) {
+// cancelUnwanted cancels the tasks at the agent whose submissions are already
+// answered, and those that were given up during the dial.
+func (e *Entry) cancelUnwanted(a *agent) {
+	a.toCancel = append(a.toCancel, a.givenUp...)
+	a.givenUp = nil
 	for _, id := range a.sentIDs() {
 		if a.sent[id].sub.answered {
 			a.toCancel = append(a.toCancel, id)
@@ -367,6 +374,7 @@
 	if e.agents[a.peer.ID] != a || a.link == linkOpen || a.disconnectedAt+e.opts.AgentTimeout > at {
 		return
 	}
+	a.givenUp = append(a.givenUp, a.sentIDs()...)
 	e.endAllAttempts(a, task.ReasonAgentGone)
 	if !a.listed && a.link == linkIdle {
 		delete(e.agents, a.peer.ID)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -47,8 +47,11 @@
 	return f
 }
 
-func (f *fixture) welcome(d Dial) {
-	f.step(Connected{Agent: d.Peer.ID, Session: d.Hello.Session, Welcome: &wire.Welcome{
+func (f *fixture) welcome(d Dial) { f.connect(d) }
+
+// connect opens the session of a dial and returns the effects.
+func (f *fixture) connect(d Dial) []Effect {
+	return f.step(Connected{Agent: d.Peer.ID, Session: d.Hello.Session, Welcome: &wire.Welcome{
 		From:   d.Peer,
 		Worker: &wire.Worker{Service: "svc", Slots: benchSlots, Offered: task.Resources{MilliCPU: 8000, MemoryMB: 16000}},
 		Report: f.report(d.Peer.ID, benchSlots),
--- a/entry/lock_test.go
+++ b/entry/lock_test.go
@@ -415,3 +415,24 @@
 	}
 	require.Equal(t, before, limit.Limit(f.now))
 }
+
+// Tasks that were given up during a dial were listed in its hello as pending and were
+// not cancelled on the session that it opened.
+func TestTasksGivenUpDuringDialAreCancelled(t *testing.T) {
+	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
+	agent, id := f.startJob(1)
+	out := f.step(Disconnected{Agent: agent, Session: f.e.agents[agent].session})
+	dial, ok := out[0].(Dial)
+	require.True(t, ok)
+	require.Equal(t, []task.ID{id}, dial.Hello.Pending)
+	require.Equal(t, task.ReasonAgentGone, answers(f.wait(f.e.opts.AgentTimeout))[0].Reason)
+	require.Equal(t, []task.ID{id}, cancels(f.connect(dial)))
+}
+
+func cancels(effects []Effect) []task.ID {
+	var out []task.ID
+	for _, s := range sends(effects) {
+		out = append(out, s.Update.Cancel...)
+	}
+	return out
+}
