entry: check only the job locks that a change of an agent affects

What callers would see: an entry with many agents that stops answering while agents restart. Each session that an agent lost or opened, and each directory message, also one without a change, let every job in flight search all agents for its lock's members again.

An entry now notes which agents were added, removed, moved, connected or lost, and a lock searches again only if such an agent is one of its members or ranks above one of them.

--- a/entry/agent.go
+++ b/entry/agent.go
@@ -85,6 +85,9 @@
 	runsEndWithin time.Duration
 	// lockHash and domainHash are the hashes of the agent's id and domain.
 	lockHash, domainHash uint64
+	// keepsLocks is set while the agent is one of Entry.lockAgents, lockConnected if
+	// it had a session when that was last determined.
+	keepsLocks, lockConnected bool
 	// lockUnanswered is set from a lock request that was not answered in time to
 	// the next report.
 	lockUnanswered bool
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -135,6 +135,25 @@
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "tasks/s")
 }
 
+// BenchmarkReconnectWithLocks loses and regains the sessions of 1,500 agents in turn
+// while 500 jobs hold or await their locks.
+func BenchmarkReconnectWithLocks(b *testing.B) {
+	const jobs = 500
+	f := newBenchFleetWith(queue.LeftOverSlowdown, true)
+	for n := range uint64(jobs) {
+		sub := job(1)
+		sub.Service, sub.Team = "svc", teamName(int(n)%benchTeams)
+		sub.Ref, sub.Deadline = fmt.Sprintf("%016x", n), time.Hour
+		f.e.Step(f.now, Submit{ID: task.NewSubmissionID(1, n+1), Sub: sub}, nil)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for n := range b.N {
+		id := fmt.Sprintf("a%04d", n%benchAgents)
+		f.step(Disconnected{Agent: id, Session: f.e.agents[id].session})
+	}
+}
+
 // BenchmarkStateMemory reports the memory used by an entry with 1,500 agents and
 // 260 teams.
 func BenchmarkStateMemory(b *testing.B) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -107,11 +107,11 @@
 	// over; lingering those that are answered and may have runs.
 	byRef     map[string]*submission
 	lingering map[task.SubmissionID]*submission
-	// lockAgents lists the agents that may keep job locks; lockAgentsChanged is set
-	// if one was added, removed, connected or lost in this step. The result of
+	// lockAgents lists the agents that may keep job locks; changedLockAgents those
+	// that were added, removed, connected or lost in this step. The result of
 	// lockAgentsOf is kept in members.
 	lockAgents        []*agent
-	lockAgentsChanged bool
+	changedLockAgents []*agent
 	members           []*agent
 	// runsEndWithin is the longest of the agents' bounds; zero if none keeps locks.
 	runsEndWithin time.Duration
--- a/entry/lock.go
+++ b/entry/lock.go
@@ -47,6 +47,11 @@
 type jobLock struct {
 	stage    lockStage
 	requests []lockRequest
+	// members are the agents that may keep the lock, as last determined; the first
+	// memberCount are set.
+	members     [lockMembers]*agent
+	memberCount int
+	refHash     uint64
 	// majority is the number of members that must grant the lock.
 	majority int
 	// releaseNow is set if another submission waits for the lock.
@@ -135,23 +140,62 @@
 // include agents that are listed but not connected, and exclude those that entries
 // which start now do not know, so that all entries find the same members for a job.
 func (e *Entry) updateLockAgent(a *agent) {
-	a.domainHash = xxhash.Sum64String(a.peer.Domain)
+	domainHash := xxhash.Sum64String(a.peer.Domain)
 	older := a.incarnation != 0 && a.runsEndWithin == 0
 	on := e.agents[a.ID] == a && (a.listed || a.link == linkOpen) && a.announcesService && !older
-	i := slices.Index(e.lockAgents, a)
+	connected := a.link == linkOpen
+	if on == a.keepsLocks && connected == a.lockConnected && domainHash == a.domainHash {
+		return
+	}
 	switch {
-	case on && i < 0:
+	case on && !a.keepsLocks:
 		e.lockAgents = append(e.lockAgents, a)
-	case !on && i >= 0:
+	case !on && a.keepsLocks:
+		i := slices.Index(e.lockAgents, a)
 		e.lockAgents = slices.Delete(e.lockAgents, i, i+1)
 	}
-	e.lockAgentsChanged = true
+	a.keepsLocks, a.lockConnected, a.domainHash = on, connected, domainHash
+	e.changedLockAgents = append(e.changedLockAgents, a)
+}
+
+// setMembers records the members and marks the requests to them.
+func (l *jobLock) setMembers(refHash uint64, members []*agent) {
+	l.refHash, l.memberCount = refHash, copy(l.members[:], members)
+	for i := range l.requests {
+		r := &l.requests[i]
+		r.member = slices.Contains(members, r.agent)
+	}
+}
+
+// isAffectedBy reports whether a change of an agent may change the members of the
+// lock or which of them can be asked.
+func (l *jobLock) isAffectedBy(a *agent) bool {
+	members := l.members[:l.memberCount]
+	if slices.Contains(members, a) {
+		return true
+	}
+	if !a.keepsLocks {
+		return false
+	}
+	score := lockScore(a.lockHash, l.refHash)
+	distinct, isNew := len(members) == lockMembers, true
+	for i, m := range members {
+		if score > lockScore(m.lockHash, l.refHash) {
+			return true
+		}
+		isNew = isNew && m.domainHash != a.domainHash
+		for _, o := range members[:i] {
+			distinct = distinct && o.domainHash != m.domainHash
+		}
+	}
+	return len(members) < lockMembers || !distinct && isNew
 }
 
 // lockAgentsOf returns the members for the lock of a job: the agents with the
 // highest scores, in different failure domains as far as possible.
-func (e *Entry) lockAgentsOf(ref string) []*agent {
-	refHash := xxhash.Sum64String(ref)
+func (e *Entry) lockAgentsOf(ref string) []*agent { return e.lockAgentsOfHash(xxhash.Sum64String(ref)) }
+
+func (e *Entry) lockAgentsOfHash(refHash uint64) []*agent {
 	members := e.members[:0]
 	for range lockMembers {
 		var best *agent
@@ -206,9 +250,11 @@
 		e.passLock(s, "no agent keeps job locks")
 		return
 	}
-	members := e.lockAgentsOf(s.sub.Ref)
+	refHash := xxhash.Sum64String(s.sub.Ref)
+	members := e.lockAgentsOfHash(refHash)
+	s.lock.setMembers(refHash, members)
 	s.lock.majority = len(members)/2 + 1
-	asked := s.lock.countMembers(members)
+	asked := s.lock.countAsked()
 	for _, slow := range []bool{false, true} {
 		for _, a := range members {
 			if asked < s.lock.majority && a.link == linkOpen && a.lockUnanswered == slow && s.lock.request(a) == nil {
@@ -220,14 +266,11 @@
 	e.checkLock(s)
 }
 
-// countMembers marks the requests to members and returns how many of them have not
-// failed.
-func (l *jobLock) countMembers(members []*agent) int {
+// countAsked returns the number of requests to members that have not failed.
+func (l *jobLock) countAsked() int {
 	n := 0
 	for i := range l.requests {
-		r := &l.requests[i]
-		r.member = slices.Contains(members, r.agent)
-		if r.member && r.live() && !r.failed {
+		if r := &l.requests[i]; r.member && r.live() && !r.failed {
 			n++
 		}
 	}
@@ -361,27 +404,26 @@
 
 // advanceLocks requests locks again after agents were listed, connected or lost.
 func (e *Entry) advanceLocks() {
-	if !e.lockAgentsChanged {
-		return
-	}
-	e.lockAgentsChanged = false
-	if len(e.byRef) == 0 {
+	if len(e.changedLockAgents) == 0 {
 		return
 	}
-	for _, s := range e.lockedSubmissions() {
-		if !s.lock.over {
-			e.advanceLock(s)
+	if len(e.byRef) > 0 {
+		for _, s := range e.affectedSubmissions() {
+			if !s.lock.over {
+				e.advanceLock(s)
+			}
 		}
 	}
+	e.changedLockAgents = e.changedLockAgents[:0]
 }
 
-// lockedSubmissions returns the submissions that have requested their locks and may
-// have runs, in a deterministic order.
-func (e *Entry) lockedSubmissions() []*submission {
+// affectedSubmissions returns the submissions that have requested their locks, may
+// have runs and are affected by a changed agent, in a deterministic order.
+func (e *Entry) affectedSubmissions() []*submission {
 	var out []*submission
 	for _, subs := range []map[task.SubmissionID]*submission{e.subs, e.lingering} {
 		for _, s := range subs {
-			if s.lock.stage >= lockRequested {
+			if s.lock.stage >= lockRequested && slices.ContainsFunc(e.changedLockAgents, s.lock.isAffectedBy) {
 				out = append(out, s)
 			}
 		}
--- a/entry/lock_test.go
+++ b/entry/lock_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -436,3 +437,51 @@
 	}
 	return out
 }
+
+// The members of each lock are those that a search of all agents finds, also after
+// changes that were not checked against every lock.
+func TestLockMembersFollowChangesOfAgents(t *testing.T) {
+	const agents, domains, jobs, changes = 12, 4, 40, 600
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		f := newLockFixture(t, testRunsEndWithin, "a0", "a1")
+		for n := range uint64(jobs) {
+			sub := jobWithRef(1)
+			sub.Ref, sub.Deadline = fmt.Sprintf("%016x", n), time.Hour
+			f.submit(n+1, sub)
+		}
+		var dials []Dial
+		for range changes {
+			for _, eff := range f.randomAgentChange(rng, agents, domains, &dials) {
+				if d, ok := eff.(Dial); ok {
+					dials = append(dials, d)
+				}
+			}
+			for _, s := range f.e.subs {
+				l := &s.lock
+				require.Equal(t, f.e.lockAgentsOf(s.sub.Ref), l.members[:l.memberCount])
+			}
+		}
+	}
+}
+
+// randomAgentChange lists, moves or removes an agent, ends its session or opens one.
+func (f *fixture) randomAgentChange(rng *rand.Rand, agents, domains int, dials *[]Dial) []Effect {
+	id := fmt.Sprint("a", rng.IntN(agents))
+	peer := wire.Peer{Role: wire.RoleAgent, ID: id, Incarnation: 1, Addr: id, Domain: fmt.Sprint("zone-", rng.IntN(domains))}
+	switch a := f.e.agents[id]; rng.IntN(5) {
+	case 0:
+		return f.step(DirectoryChanged{Directory: wire.Directory{Removed: []wire.Peer{peer}}})
+	case 1:
+		if a != nil {
+			return f.step(Disconnected{Agent: id, Session: a.session})
+		}
+	case 2, 3:
+		if n := len(*dials); n > 0 {
+			d := (*dials)[n-1]
+			*dials = (*dials)[:n-1]
+			return f.connect(d)
+		}
+	}
+	return f.step(DirectoryChanged{Directory: wire.Directory{Upserts: []wire.Member{{Peer: peer, Worker: &wire.Worker{Service: "svc"}}}}})
+}
