agent, entry: a restarted agent grants no job lock at once

What callers would see: TWICE, when an agent that keeps a lock and runs one of its tasks is killed and restarted. Its successor knows nothing of the lock and granted it to a younger submission, while the run of the older one was alive until its lease expired.

A restarted agent now grants locks only after RunsEndWithin, until when its predecessor's runs have ended and the holders have asked the third member. Requests before that are queued. Entries ask such an agent last, so that jobs are not delayed while the other two members are there; after a restart of all agents they wait for up to the lease.

Ruled out: a longer wait before the third member is asked; the agent may be restarted at any time during it.

TestRestartedAgentGrantsNoLockAtOnce, TestRestartedLockAgentIsAskedLast.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -83,6 +83,7 @@
 // in dispatch.
 func (s *State) Step(now time.Duration, ev Event, out []Effect) []Effect {
 	s.now, s.out = max(s.now, now), out
+	s.startLocks()
 	s.extendAfterFreeze()
 	s.expire()
 	s.expireLocks()
--- a/agent/lock.go
+++ b/agent/lock.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -41,6 +42,18 @@
 	// contended lists the locks with a waiter.
 	contended []*jobLock
 	sweepAt   time.Duration
+	// grantFrom is when the first lock is granted: the locks that a predecessor
+	// granted may be in use until the entries have noticed its end and its runs have
+	// ended.
+	grantFrom time.Duration
+	started   bool
+}
+
+// startLocks sets grantFrom at the first event.
+func (s *State) startLocks() {
+	if !s.locks.started {
+		s.locks.started, s.locks.grantFrom = true, s.now+s.cfg.RunsEndWithin
+	}
 }
 
 // handleLocks applies the releases and requests of an update. Each request is
@@ -96,6 +109,11 @@
 		return
 	}
 	s.locks.byRef[ref] = l
+	if s.now < s.locks.grantFrom {
+		l.holder = lockClaim{arrivedAt: math.MinInt64, until: s.locks.grantFrom}
+		s.queueForLock(l, c)
+		return
+	}
 	s.answerLock(l, c, wire.LockGranted)
 }
 
--- a/agent/lock_test.go
+++ b/agent/lock_test.go
@@ -27,7 +27,9 @@
 }
 
 func newLockFixture(t *testing.T, cfg Config) *lockFixture {
-	f := &lockFixture{t: t, s: newTestState(cfg), now: time.Minute, seq: make(map[SessionID]uint64)}
+	f := &lockFixture{t: t, s: newTestState(cfg), seq: make(map[SessionID]uint64)}
+	f.step(Tick{})
+	f.now = time.Minute
 	for inc := uint64(1); inc <= 3; inc++ {
 		f.open(SessionID(inc), inc, fmt.Sprintf("entry-%d", inc))
 	}
@@ -176,6 +178,20 @@
 	require.Len(t, f.s.locks.byRef, 1)
 }
 
+// A restarted agent knows nothing of the locks that its predecessor granted. It must
+// not grant them again before their holders have noticed and the runs have ended.
+func TestRestartedAgentGrantsNoLockAtOnce(t *testing.T) {
+	f := newLockAgent(t)
+	f.s.locks.started = false
+	f.step(Tick{})
+	require.Equal(t, []string{"1.1:queued"}, f.acquire(1, 1, 0, 10*time.Second))
+	require.Equal(t, []string{"1.1:revoked", "2.1:queued"}, f.acquire(2, 1, 0, 10*time.Second))
+	f.now += lockRunsEndWithin - time.Millisecond
+	require.Empty(t, lockAnswers(f.step(Tick{})))
+	f.now += time.Millisecond
+	require.Equal(t, []string{"2.1:granted"}, lockAnswers(f.step(Tick{})))
+}
+
 // An agent that does not know when its runs end grants no lock.
 func TestAgentWithoutBoundKeepsNoLocks(t *testing.T) {
 	f := newLockFixture(t, Config{})
--- a/entry/agent.go
+++ b/entry/agent.go
@@ -85,6 +85,8 @@
 	// lockUnanswered is set from a lock request that was not answered in time to
 	// the next report.
 	lockUnanswered bool
+	// lockReadyAt is when a restarted agent grants locks again.
+	lockReadyAt time.Duration
 	// locks counts the requests of this entry on the current session whose
 	// submissions may have runs.
 	locks int
@@ -224,6 +226,9 @@
 		return
 	}
 	w := ev.Welcome
+	if w.From.Incarnation != a.incarnation && a.incarnation != 0 {
+		a.lockReadyAt = e.now + w.RunsEndWithin
+	}
 	if w.From.Incarnation != a.incarnation {
 		e.agentRestarted(a, w.From)
 	}
--- a/entry/lock.go
+++ b/entry/lock.go
@@ -211,7 +211,7 @@
 	asked := s.lock.countMembers(members)
 	for _, slow := range []bool{false, true} {
 		for _, a := range members {
-			if asked < s.lock.majority && a.link == linkOpen && a.lockUnanswered == slow && s.lock.request(a) == nil {
+			if asked < s.lock.majority && a.link == linkOpen && e.locksSlowly(a) == slow && s.lock.request(a) == nil {
 				e.requestLock(s, a)
 				asked++
 			}
@@ -220,6 +220,9 @@
 	e.checkLock(s)
 }
 
+// locksSlowly reports whether an agent is likely to answer late.
+func (e *Entry) locksSlowly(a *agent) bool { return a.lockUnanswered || e.now < a.lockReadyAt }
+
 // countMembers marks the requests to members and returns how many of them have not
 // failed.
 func (l *jobLock) countMembers(members []*agent) int {
--- a/entry/lock_test.go
+++ b/entry/lock_test.go
@@ -364,6 +364,18 @@
 	}
 }
 
+// A restarted agent does not grant locks at once and is asked last meanwhile.
+func TestRestartedLockAgentIsAskedLast(t *testing.T) {
+	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
+	members := f.members()
+	dial := f.restart(members[0])
+	f.seq[members[0]] = 0
+	f.welcome(dial)
+	require.Equal(t, locksAt(1, members[1:]...), acquires(f.submit(1, jobWithRef(1))))
+	f.wait(testRunsEndWithin)
+	require.Equal(t, locksAt(2, members[:2]...), acquires(f.submit(2, jobWithRef(1))))
+}
+
 // While too few of the agents that keep a lock are connected, its job waits.
 func TestJobWaitsForMajorityOfLockAgents(t *testing.T) {
 	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
