--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -183,7 +183,7 @@
 	require.Empty(t, b.events, "the upstream is not announced yet")
 	b.step(startEvent(firstRun, "a"))
 	require.Equal(t, agent.EndRejected, b.ends()[0].End)
-	b.step(StopAnswered{Call: b.stops[0].Call, OK: true})
+	b.step(StopAnswered{Call: b.stops[0].Call, Result: StopAccepted})
 	b.answer(View{Ended: []Ended{{Seq: 1, Task: "old", Run: 3, How: EndStopped}}})
 	require.Contains(t, b.events, agent.Event(agent.Announced{Upstream: announcement(1).Upstream}))
 }
@@ -263,3 +263,56 @@
 	b.answer(View{Ended: []Ended{{Seq: 1, Task: "a", Run: 1, How: EndDone}}})
 	require.Equal(t, agent.EndComplete, b.ends()[0].End)
 }
+
+// A departure carries no incarnation: one that arrives late ended the runs of the
+// process that had started again under the same id.
+func TestLateDepartureOfOlderIncarnationIsIgnored(t *testing.T) {
+	b := newHarness(t).announceUpstream()
+	b.startRun(firstRun, "a")
+	b.step(Left{ID: "i-1"})
+	require.Empty(t, b.ends(), "the process has not announced that it drains")
+	draining := announcement(2)
+	draining.Upstream.Draining = true
+	b.step(draining)
+	b.step(Left{ID: "i-1"})
+	require.Equal(t, agent.EndCutOff, b.ends()[0].End)
+}
+
+// The estimate of an upstream's clock that runs slow got ahead of it, so that a
+// call that was carried out late extended the lease beyond its length.
+func TestLeaseEndAllowsForSlowClock(t *testing.T) {
+	b := newHarness(t).announceUpstream()
+	const idle = 10 * time.Second
+	b.advance(idle)
+	b.step(startEvent(firstRun, "a"))
+	slowest := b.upstreamClock + time.Second + idle*(100-2)/100
+	require.LessOrEqual(t, b.starts[0].Until, slowest+DefaultConfig().Lease)
+}
+
+// Heartbeats keep the estimate of the clock close while there are no calls. An
+// older clock in a late one does not set it back.
+func TestHeartbeatUpdatesClock(t *testing.T) {
+	b := newHarness(t).announceUpstream()
+	b.advance(10 * time.Second)
+	for i, age := range []time.Duration{0, time.Second} {
+		beat := announcement(uint64(i + 2))
+		beat.Clock = b.upstreamClock + b.now - age
+		b.step(beat)
+	}
+	b.step(startEvent(firstRun, "a"))
+	require.Equal(t, b.upstreamClock+b.now+DefaultConfig().Lease, b.starts[0].Until)
+}
+
+// A run that started under a predecessor's lease counted as expired at once.
+func TestPredecessorLeaseCountsUntilItHasExpired(t *testing.T) {
+	b := newHarness(t)
+	b.step(announcement(1))
+	b.step(announcement(2))
+	b.step(announcement(3))
+	b.answer(View{})
+	readyAt := b.now
+	b.advance(DefaultConfig().AnswerTimeout)
+	b.startRun(firstRun, "a")
+	b.advance(readyAt + DefaultConfig().Lease - b.now)
+	require.Empty(t, b.ends())
+}
--- a/lease/state.go
+++ b/lease/state.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fireflytray/fireflytray/agent"
@@ -53,6 +54,12 @@
 	// failuresToSuspect is how many consecutive holds without an answer make
 	// the upstream count as unreachable.
 	failuresToSuspect = 2
+	// stopEffectTimeout is how long a run may go on after its stop was accepted
+	// before the stop is sent again.
+	stopEffectTimeout = 250 * time.Millisecond
+	// stopPatience is how long a stop may remain without an effect before the
+	// leases are no longer renewed, so that the run ends in any case.
+	stopPatience = 100 * time.Millisecond
 	// idleAckDelay is how long the acknowledgement of ended runs is delayed
 	// when no run is left.
 	idleAckDelay = 100 * time.Millisecond
@@ -83,14 +90,27 @@
 	lastCall CallID
 	// fence is the token of the last start. Once that start got no answer, it is
 	// the lowest token with which the upstream will reject the lost start.
-	fence         uint64
-	stopRequested bool
+	fence uint64
 	// percent is the highest progress listed so far, progressedAt when it last
 	// grew.
 	percent      int
 	progressedAt time.Duration
 }
 
+// pendingStop is a run that was requested to end and may still run. Its stop is
+// sent again until the end is known.
+type pendingStop struct {
+	key runKey
+	// call is the stop in flight; zero if none. fence is the token of the last
+	// stop.
+	call   CallID
+	fence  uint64
+	sendAt time.Duration
+	// withoutEffectSince is when the end was requested, or when an accepted stop
+	// should have ended the run.
+	withoutEffectSince time.Duration
+}
+
 // hold is a hold in flight. The field probe is the instance for which the agent
 // requested a probe, empty for none.
 type hold struct {
@@ -115,6 +135,8 @@
 	// unknownRuns holds listed runs that this agent did not start; they are
 	// being stopped.
 	unknownRuns map[runKey]bool
+	// stops holds the stops of known and unknown runs, in order of the requests.
+	stops []*pendingStop
 
 	fence      uint64
 	lastCallID CallID
@@ -189,6 +211,7 @@
 	case Tick:
 	}
 	s.expire()
+	s.sendStops()
 	s.maintainHold()
 	out, s.out = s.out, nil
 	return out
@@ -220,6 +243,7 @@
 		s.clock, s.clockAt, s.latestLeaseEnd = 0, 0, 0
 		s.lastEndSeq, s.ackedSeq = 0, 0
 	}
+	s.observeClock(ev.Clock)
 	s.upstream = up
 	s.target = Target{Addr: up.Addr, Instance: up.Instance}
 	if s.reconciled {
@@ -229,10 +253,16 @@
 	s.requestLists()
 }
 
+// left handles a departure. It does not say which incarnation has left, and may
+// arrive late, so it counts only if the current one has announced that it drains.
 func (s *State) left(id string) {
 	if !s.haveUpstream || s.lastAnnounced.ID != id {
 		return
 	}
+	if !s.upstream.Draining {
+		s.log("ignoring departure of an upstream that does not drain", "instance", s.upstream.Instance)
+		return
+	}
 	s.log("upstream has shut down", "instance", s.upstream.Instance)
 	s.notify(agent.Left{Instance: s.upstream.Instance})
 	s.endAllRuns()
@@ -247,6 +277,7 @@
 	}
 	s.holds = s.holds[:0]
 	clear(s.unknownRuns)
+	s.stops = s.stops[:0]
 	s.failures, s.retryAt, s.ackAt = 0, 0, 0
 }
 
@@ -273,17 +304,38 @@
 	r.lastCall = r.call
 	s.emit(StartCall{
 		Call: r.call, Target: s.target, Task: r.key.task, Run: r.key.run,
-		Payload: r.Payload, Until: s.newLeaseEnd(), Fence: s.fence,
+		Payload: r.Payload, Until: s.startLeaseEnd(), Fence: s.fence,
 	})
 }
 
+// mayRenew reports whether calls may extend the leases. They must not while the
+// upstream does not answer, may have runs of a predecessor or does not carry out
+// a stop.
+func (s *State) mayRenew() bool {
+	return s.reconciled && s.failures < failuresToSuspect && !slices.ContainsFunc(s.stops, s.isIneffective)
+}
+
+// startLeaseEnd returns the end of the lease in a start. If the leases may not be
+// renewed, it is one that has been sent before.
+func (s *State) startLeaseEnd() time.Duration {
+	if s.mayRenew() {
+		return s.newLeaseEnd()
+	}
+	return s.latestLeaseEnd
+}
+
+// clockNow returns a time that the upstream's clock has certainly reached.
+func (s *State) clockNow() time.Duration {
+	return s.clock + time.Duration(float64(s.now-s.clockAt)*(1-maxClockDrift))
+}
+
 // newLeaseEnd returns the end of a lease that begins now, on the upstream's
 // clock, and records the latest one.
 func (s *State) newLeaseEnd() time.Duration {
 	if s.clockAt == 0 {
 		return 0
 	}
-	until := s.clock + (s.now - s.clockAt) + s.cfg.Lease
+	until := s.clockNow() + s.cfg.Lease
 	s.latestLeaseEnd = max(s.latestLeaseEnd, until)
 	return until
 }
@@ -299,9 +351,6 @@
 	switch ev.Result {
 	case StartAccepted:
 		r.phase, r.lastCall = phaseRunning, s.lastCallID
-		if r.stopRequested {
-			s.sendStop(r.key)
-		}
 	case StartLost:
 		s.markUnconfirmed(r)
 	case StartFenced:
@@ -309,7 +358,7 @@
 			s.fence += fenceIncrement
 			s.log("fencing token was too low", "task", r.key.task, "token", s.fence)
 		}
-		s.sendStart(r)
+		s.resendStart(r)
 	case StartStale:
 		s.end(r, agent.EndRejected)
 	case StartExpired:
@@ -326,6 +375,16 @@
 	}
 }
 
+// resendStart sends a start again that was certainly not carried out, unless the
+// run is no longer wanted.
+func (s *State) resendStart(r *run) {
+	if s.stopOf(r.key) != nil || s.now >= r.StartBy {
+		s.end(r, agent.EndRejected)
+		return
+	}
+	s.sendStart(r)
+}
+
 // markUnconfirmed keeps a run whose start got no answer until the upstream has
 // seen a higher token.
 func (s *State) markUnconfirmed(r *run) {
@@ -345,35 +404,10 @@
 	return nil
 }
 
-// stop requests the end of a run. If the run is not known to have started, the
-// stop is sent once it is.
-func (s *State) stop(id agent.RunID) {
-	r := s.runsByID[id]
-	if r == nil || r.stopRequested {
-		return
-	}
-	r.stopRequested = true
-	if r.phase == phaseRunning {
-		s.sendStop(r.key)
-	}
-}
-
-func (s *State) sendStop(key runKey) {
-	s.emit(StopCall{Call: s.nextCall(), Target: s.target, Task: key.task, Run: key.run, Fence: s.fence})
-}
-
-// stopAnswered raises the token after a stop without an answer, so that the
-// stop, if carried out late, can't end a newer run of the task.
-func (s *State) stopAnswered(ev StopAnswered) {
-	if !ev.OK {
-		s.fence++
-	}
-	s.requestLists()
-}
-
 // end removes a run and reports its end to the agent.
 func (s *State) end(r *run, how agent.End) {
 	delete(s.runs, r.key)
 	delete(s.runsByID, r.Run)
+	s.removeStop(r.key)
 	s.notify(agent.RunEnded{Run: r.Run, End: how, Ran: s.now - r.startedAt})
 }
--- a/lease/types.go
+++ b/lease/types.go
@@ -23,6 +23,8 @@
 	// the announcements of one incarnation. A stale announcement is ignored.
 	Born uint64
 	Seq  uint64
+	// Clock is the upstream's clock; zero if unknown.
+	Clock time.Duration
 }
 
 // Left reports that the upstream has shut down gracefully.
@@ -51,12 +53,10 @@
 	Clock time.Duration
 }
 
-// StopAnswered is the outcome of a StopCall; OK is set if it was answered, Refused if
-// the answer says that the stop was not carried out.
+// StopAnswered is the outcome of a StopCall.
 type StopAnswered struct {
-	Call    CallID
-	OK      bool
-	Refused bool
+	Call   CallID
+	Result StopResult
 }
 
 // HoldAnswered is the outcome of a HoldCall.
@@ -162,6 +162,22 @@
 	StartWrongInstance
 )
 
+// StopResult is an upstream's answer to a stop.
+type StopResult uint8
+
+// The answers to a stop.
+const (
+	// StopLost means that there was no answer: the stop may have been carried
+	// out, or may be later.
+	StopLost StopResult = iota
+	// StopAccepted means that the run ends soon, and can't start if it has not.
+	StopAccepted
+	// StopFenced means that the token was lower than one seen before.
+	StopFenced
+	// StopRefused means that the upstream did nothing.
+	StopRefused
+)
+
 // HoldResult is an upstream's answer to a hold.
 type HoldResult uint8
 
