proof: all faults together, with job locks

TestAllFaultsTogetherWithLocks lets submissions of three jobs compete for their locks under the faults of TestAllFaultsTogether, whose draws and checks stay as they are: one answer each, in time and true, nothing started twice, and afterwards every entry can still use all slots.

--- a/proof/faults_test.go
+++ b/proof/faults_test.go
@@ -31,10 +31,15 @@
 	sim         *simulation
 	options     simulationOptions
 	submissions []submissionRecord
+	// locks is set if jobs have ids of their callers and agents keep their locks.
+	locks bool
 }
 
-func newChaos(t *rapid.T) *chaos {
+func newChaos(t *rapid.T, locks bool) *chaos {
 	o := defaultOptions(rapid.Uint64().Draw(t, "seed"))
+	if locks {
+		o.agentCfg.RunsEndWithin = time.Second
+	}
 	o.agents = rapid.IntRange(1, 4).Draw(t, "agents")
 	o.slots = uint32(rapid.IntRange(1, 3).Draw(t, "slots"))
 	o.demandFanout = rapid.IntRange(1, 3).Draw(t, "poke")
@@ -42,7 +47,7 @@
 	sim.jitter = time.Duration(rapid.IntRange(0, 20).Draw(t, "jitterMS")) * time.Millisecond
 	sim.duplicateRate = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "doubled")
 	sim.run(time.Second)
-	return &chaos{t: t, sim: sim, options: o}
+	return &chaos{t: t, sim: sim, options: o, locks: locks}
 }
 
 func (c *chaos) entry() *simEntry {
@@ -69,6 +74,9 @@
 func (c *chaos) submitJob() {
 	n := rapid.IntRange(1, 12).Draw(c.t, "tasks")
 	sub := task.Submission{Service: "svc", Team: "t0", Job: true, Deadline: 20 * time.Second}
+	if c.locks {
+		sub.Ref = rapid.SampledFrom([]string{"job-1", "job-2", "job-3"}).Draw(c.t, "ref")
+	}
 	for i := range n {
 		run := time.Duration(rapid.IntRange(1, 3000).Draw(c.t, "runMS"))*time.Millisecond + time.Duration(i)
 		need := task.Resources{MilliCPU: rapid.SampledFrom([]uint32{0, 0, 8000, 40000, 64000}).Draw(c.t, "need")}
@@ -249,6 +257,9 @@
 			continue
 		}
 		sub := task.Submission{Service: "svc", Team: "t0", Job: true, Deadline: 20 * time.Second}
+		if c.locks {
+			sub.Ref = "healed-" + e.id
+		}
 		for i := range c.options.agents * int(c.options.slots) {
 			sub.Tasks = append(sub.Tasks, task.Spec{Payload: payload(time.Second + time.Duration(i))})
 		}
@@ -266,9 +277,14 @@
 // No answer is partial, late, delivered twice or delivered to the wrong caller. A
 // submission answered as not run has started no task. Each key runs at most once.
 // No capacity is lost permanently.
-func TestAllFaultsTogether(t *testing.T) {
+func TestAllFaultsTogether(t *testing.T) { testAllFaults(t, false) }
+
+// The same with job locks, for which submissions of three jobs compete.
+func TestAllFaultsTogetherWithLocks(t *testing.T) { testAllFaults(t, true) }
+
+func testAllFaults(t *testing.T, locks bool) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := newChaos(t)
+		c := newChaos(t, locks)
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			c.randomAction()
 		}
