entry: jobs are placed when no agent keeps locks any more

What callers would see: after a fleet went back to an older build under a running entry, every job refused at its latest start: the entry knew that agents had kept locks, found none that does, and waited for a majority of nobody. TestJobIsPlacedAfterAgentsStopKeepingLocks failed before: "no task was sent". Found by reading.

--- a/entry/lock.go
+++ b/entry/lock.go
@@ -202,11 +202,11 @@
 	if s.lock.stage != lockPassed {
 		s.lock.stage = lockRequested
 	}
-	if e.runsEndWithin == 0 {
+	members := e.lockAgentsOf(s.sub.Ref)
+	if e.runsEndWithin == 0 || len(members) == 0 {
 		e.passLock(s, "no agent keeps job locks")
 		return
 	}
-	members := e.lockAgentsOf(s.sub.Ref)
 	s.lock.majority = len(members)/2 + 1
 	asked := s.lock.countMembers(members)
 	for _, slow := range []bool{false, true} {
--- a/entry/lock_test.go
+++ b/entry/lock_test.go
@@ -144,6 +144,15 @@
 	require.Empty(t, f.e.lockAgents)
 }
 
+// After all agents went back to an older build, jobs waited for locks for ever.
+func TestJobIsPlacedAfterAgentsStopKeepingLocks(t *testing.T) {
+	f := newLockFixture(t, testRunsEndWithin, "a1")
+	dial := f.restart("a1")
+	f.seq["a1"], f.runsEndWithin = 0, 0
+	f.welcome(dial)
+	assigned(t, f.submit(1, jobWithRef(1)))
+}
+
 // Every entry finds the same agents for a job, whatever the order in which its
 // agents connected.
 func TestLockAgentsDoNotDependOnOrder(t *testing.T) {
