entry: another member is asked at once for a lock that a restarted agent can't grant yet

What callers would see: jobs refused at their latest start during rolling restarts. Change: the answer says that the agent is starting; the entry asks the third member at once and that agent last. It may still grant the lock later, as after a time-out.

--- a/agent/lock.go
+++ b/agent/lock.go
@@ -17,6 +17,10 @@
 	lockSweepInterval = time.Second
 )
 
+// predecessorsHolder stands for the holders of the locks that the agent's predecessor
+// may have granted. No entry has this incarnation.
+const predecessorsHolder = 0
+
 // lockClaim is a submission that holds a job lock or waits for it.
 type lockClaim struct {
 	entry      uint64 // incarnation
@@ -89,7 +93,7 @@
 		}
 		s.answerLock(l, c, wire.LockGranted)
 	case l.waiter != nil && l.waiter.submission == c.submission:
-		s.answerLock(l, c, wire.LockQueued)
+		s.answerLock(l, c, l.waitState())
 	case l.holder.entry == c.entry || s.now >= l.holder.until:
 		// An entry requests the lock for its next submission of a job only once
 		// the previous one has no more runs.
@@ -110,7 +114,7 @@
 	}
 	s.locks.byRef[ref] = l
 	if s.now < s.locks.grantFrom {
-		l.holder = lockClaim{arrivedAt: math.MinInt64, until: s.locks.grantFrom}
+		l.holder = lockClaim{entry: predecessorsHolder, arrivedAt: math.MinInt64, until: s.locks.grantFrom}
 		s.queueForLock(l, c)
 		return
 	}
@@ -149,7 +153,15 @@
 	}
 	l.waiter = &c
 	s.answerLock(l, l.holder, wire.LockRevoked)
-	s.answerLock(l, c, wire.LockQueued)
+	s.answerLock(l, c, l.waitState())
+}
+
+// waitState returns the state of the waiter.
+func (l *jobLock) waitState() wire.LockState {
+	if l.holder.entry == predecessorsHolder {
+		return wire.LockStarting
+	}
+	return wire.LockQueued
 }
 
 // releaseLock ends the claim of a submission, if it has one.
--- a/entry/lock.go
+++ b/entry/lock.go
@@ -348,6 +348,11 @@
 	case wire.LockQueued:
 		e.emitLock(s, "lock queued", a)
 		e.arm(timer{at: q.sentAt + lockQueuedTimeout, kind: timerLock, sub: s})
+	case wire.LockStarting:
+		q.failed = true
+		a.lockReadyAt = max(a.lockReadyAt, e.now+a.runsEndWithin)
+		e.emitLock(s, "lock agent is starting", a)
+		e.advanceLock(s)
 	default:
 		q.failed = true
 		e.emitLock(s, "lock unavailable", a)
--- a/entry/lock_test.go
+++ b/entry/lock_test.go
@@ -335,6 +335,18 @@
 	assigned(t, f.grant(1, members[2]))
 }
 
+// A restarted agent grants no lock for a second. Jobs that wait for it meanwhile miss
+// their latest start although the other members could grant the lock.
+func TestStartingLockAgentIsReplacedAtOnce(t *testing.T) {
+	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
+	members := f.members()
+	f.submit(1, jobWithRef(1))
+	require.Equal(t, locksAt(1, members[2]), acquires(f.answerLock(members[0], 1, wire.LockStarting)))
+	f.grant(1, members[1])
+	assigned(t, f.grant(1, members[0]))
+	require.True(t, f.e.locksSlowly(f.e.agents[members[0]]), "it is asked last")
+}
+
 // A holder that never releases the lock at one agent, for example because it is cut
 // off from it, does not block the job for its whole time.
 func TestLockQueuedForLongIsRequestedElsewhere(t *testing.T) {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -205,6 +205,9 @@
 	LockRevoked
 	// LockUnavailable means that the agent can't keep more locks.
 	LockUnavailable
+	// LockStarting means that the submission waits until the locks that the agent's
+	// predecessor may have granted are no longer in use.
+	LockStarting
 )
 
 // LockAnswer is the state of a lock request. It answers the request and reports
