--- a/entry/lock_test.go
+++ b/entry/lock_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -144,6 +145,15 @@
 	require.Empty(t, f.e.lockAgents)
 }
 
+// After all agents went back to an older build, jobs waited for locks for ever.
+func TestJobIsPlacedAfterAgentsStopKeepingLocks(t *testing.T) {
+	f := newLockFixture(t, testRunsEndWithin, "a1")
+	dial := f.restart("a1")
+	f.seq["a1"], f.runsEndWithin = 0, 0
+	f.welcome(dial)
+	assigned(t, f.submit(1, jobWithRef(1)))
+}
+
 // Every entry finds the same agents for a job, whatever the order in which its
 // agents connected.
 func TestLockAgentsDoNotDependOnOrder(t *testing.T) {
@@ -325,6 +335,18 @@
 	assigned(t, f.grant(1, members[2]))
 }
 
+// A restarted agent grants no lock for a second. Jobs that wait for it meanwhile miss
+// their latest start although the other members could grant the lock.
+func TestStartingLockAgentIsReplacedAtOnce(t *testing.T) {
+	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
+	members := f.members()
+	f.submit(1, jobWithRef(1))
+	require.Equal(t, locksAt(1, members[2]), acquires(f.answerLock(members[0], 1, wire.LockStarting)))
+	f.grant(1, members[1])
+	assigned(t, f.grant(1, members[0]))
+	require.True(t, f.e.locksSlowly(f.e.agents[members[0]]), "it is asked last")
+}
+
 // A holder that never releases the lock at one agent, for example because it is cut
 // off from it, does not block the job for its whole time.
 func TestLockQueuedForLongIsRequestedElsewhere(t *testing.T) {
@@ -364,6 +386,18 @@
 	}
 }
 
+// A restarted agent does not grant locks at once and is asked last meanwhile.
+func TestRestartedLockAgentIsAskedLast(t *testing.T) {
+	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
+	members := f.members()
+	dial := f.restart(members[0])
+	f.seq[members[0]] = 0
+	f.welcome(dial)
+	require.Equal(t, locksAt(1, members[1:]...), acquires(f.submit(1, jobWithRef(1))))
+	f.wait(testRunsEndWithin)
+	require.Equal(t, locksAt(2, members[:2]...), acquires(f.submit(2, jobWithRef(1))))
+}
+
 // While too few of the agents that keep a lock are connected, its job waits.
 func TestJobWaitsForMajorityOfLockAgents(t *testing.T) {
 	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
@@ -415,3 +449,72 @@
 	}
 	require.Equal(t, before, limit.Limit(f.now))
 }
+
+// Tasks that were given up during a dial were listed in its hello as pending and were
+// not cancelled on the session that it opened.
+func TestTasksGivenUpDuringDialAreCancelled(t *testing.T) {
+	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
+	agent, id := f.startJob(1)
+	out := f.step(Disconnected{Agent: agent, Session: f.e.agents[agent].session})
+	dial, ok := out[0].(Dial)
+	require.True(t, ok)
+	require.Equal(t, []task.ID{id}, dial.Hello.Pending)
+	require.Equal(t, task.ReasonAgentGone, answers(f.wait(f.e.opts.AgentTimeout))[0].Reason)
+	require.Equal(t, []task.ID{id}, cancels(f.connect(dial)))
+}
+
+func cancels(effects []Effect) []task.ID {
+	var out []task.ID
+	for _, s := range sends(effects) {
+		out = append(out, s.Update.Cancel...)
+	}
+	return out
+}
+
+// The members of each lock are those that a search of all agents finds, also after
+// changes that were not checked against every lock.
+func TestLockMembersFollowChangesOfAgents(t *testing.T) {
+	const agents, domains, jobs, changes = 12, 4, 40, 600
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		f := newLockFixture(t, testRunsEndWithin, "a0", "a1")
+		for n := range uint64(jobs) {
+			sub := jobWithRef(1)
+			sub.Ref, sub.Deadline = fmt.Sprintf("%016x", n), time.Hour
+			f.submit(n+1, sub)
+		}
+		var dials []Dial
+		for range changes {
+			for _, eff := range f.randomAgentChange(rng, agents, domains, &dials) {
+				if d, ok := eff.(Dial); ok {
+					dials = append(dials, d)
+				}
+			}
+			for _, s := range f.e.subs {
+				l := &s.lock
+				require.Equal(t, f.e.lockAgentsOf(s.sub.Ref), l.members[:l.memberCount])
+			}
+		}
+	}
+}
+
+// randomAgentChange lists, moves or removes an agent, ends its session or opens one.
+func (f *fixture) randomAgentChange(rng *rand.Rand, agents, domains int, dials *[]Dial) []Effect {
+	id := fmt.Sprint("a", rng.IntN(agents))
+	peer := wire.Peer{Role: wire.RoleAgent, ID: id, Incarnation: 1, Addr: id, Domain: fmt.Sprint("zone-", rng.IntN(domains))}
+	switch a := f.e.agents[id]; rng.IntN(5) {
+	case 0:
+		return f.step(DirectoryChanged{Directory: wire.Directory{Removed: []wire.Peer{peer}}})
+	case 1:
+		if a != nil {
+			return f.step(Disconnected{Agent: id, Session: a.session})
+		}
+	case 2, 3:
+		if n := len(*dials); n > 0 {
+			d := (*dials)[n-1]
+			*dials = (*dials)[:n-1]
+			return f.connect(d)
+		}
+	}
+	return f.step(DirectoryChanged{Directory: wire.Directory{Upserts: []wire.Member{{Peer: peer, Worker: &wire.Worker{Service: "svc"}}}}})
+}
