entryd: keep no answer after which clients send a job again

What callers would see: a job that was answered 504 (its agent was lost or restarted, its lock went to a younger submission, its deadline passed) and sent again 1,300 ms later gets the same 504 at once if it reaches the same entry, for ten seconds, and does not run. All its further sends to that entry are lost.

Cause: answers are kept for late duplicates of a request, whatever they say. Only answers that end a job are kept now: complete, failed by its own fault, and cancelled. After any other answer the next request is a new submission; it awaits the runs of the earlier one at this entry, and the job's lock elsewhere.

Evidence: TestJobRunsAgainAfterAnswerThatIsNotFinal failed before on its cases deadline (the first that differs). Found by review; not seen on real processes.

--- a/entryd/jobs.go
+++ b/entryd/jobs.go
@@ -135,16 +135,17 @@
 }
 
 // close passes the answer to all waiting callers. If the job did not run, its
-// record is removed, so that the ref can be submitted again at once. Any other
-// answer is kept for answerRetention. Of an abandoned job, only a complete answer is
-// kept: any other one results from its cancellation.
+// record is removed, so that the ref can be submitted again at once, as it is if
+// clients send the job again after such an answer. Any other answer is kept for
+// answerRetention. Of an abandoned job, only a complete answer is kept: any other one
+// results from its cancellation.
 func (j *jobs) close(now time.Duration, r *jobRecord, a task.Answer) {
 	a.Outcomes = nil
 	j.mu.Lock()
 	callers := r.callers
 	r.callers = nil
 	if j.byRef[r.ref] == r {
-		if a.State == task.NotRun || r.abandoned && a.State != task.Complete {
+		if !isFinal(a) || r.abandoned && a.State != task.Complete {
 			delete(j.byRef, r.ref)
 		} else {
 			r.answer, r.answeredAt = &a, now
@@ -157,6 +158,17 @@
 	}
 }
 
+// isFinal reports whether an answer ends a job, so that clients don't send it again.
+func isFinal(a task.Answer) bool {
+	switch {
+	case a.State == task.Complete:
+		return true
+	case a.State == task.NotRun:
+		return false
+	}
+	return a.Reason == task.ReasonUpstreamError || a.Reason == task.ReasonCancelled
+}
+
 // expire removes answers that are older than answerRetention, and the oldest ones
 // above maxRetainedAnswers.
 func (j *jobs) expire(now time.Duration) {
--- a/entryd/jobs_test.go
+++ b/entryd/jobs_test.go
@@ -152,3 +152,30 @@
 	require.False(t, isNew)
 	require.Equal(t, task.Complete, (<-answers).State)
 }
+
+// For ten seconds a job that was sent again after an answer 504 got the same answer at
+// once and did not run.
+func TestJobRunsAgainAfterAnswerThatIsNotFinal(t *testing.T) {
+	for _, c := range []struct {
+		answer task.Answer
+		final  bool
+	}{
+		{task.Answer{State: task.Complete}, true},
+		{task.Answer{State: task.Failed, Reason: task.ReasonUpstreamError}, true},
+		{task.Answer{State: task.NotRun, Reason: task.ReasonNeverFits}, false},
+		{task.Answer{State: task.Failed, Reason: task.ReasonCancelled}, true},
+		{task.Answer{State: task.Failed, Reason: task.ReasonDeadline}, false},
+		{task.Answer{State: task.Failed, Reason: task.ReasonAgentGone}, false},
+		{task.Answer{State: task.Failed, Reason: task.ReasonAgentRestarted}, false},
+		{task.Answer{State: task.Failed, Reason: task.ReasonSuperseded}, false},
+	} {
+		j := newJobs()
+		sub := task.Submission{Ref: testRef}
+		first, _ := newTestCaller()
+		r, _ := j.open(0, &sub, task.NewSubmissionID(1, 1), first)
+		j.close(0, r, c.answer)
+		again, _ := newTestCaller()
+		_, isNew := j.open(0, &sub, task.NewSubmissionID(1, 2), again)
+		require.Equal(t, !c.final, isNew, c.answer.Reason)
+	}
+}
