agent: forget a killed entry whose successor has connected already

What callers would see: jobs that an entry held when it was killed, and that are sent again elsewhere, wait until their deadline and a lease have passed, or are refused, though nobody runs them.

Cause: a supervisor restarts the entry at once, so its new session opens before the silence of the old one is noticed. Older incarnations were forgotten only if they had no session when a newer one connected, and otherwise after the 10 minutes of EntryTTL. An entry is now also forgotten when its session ends and a later incarnation is known, as in the other order.

Evidence: TestLocksOfEntryRestartedAtOnceEndWithItsRuns failed before (no lock granted). Found by review; how much it costs on real processes is not measured.

--- a/agent/lock_test.go
+++ b/agent/lock_test.go
@@ -181,3 +181,15 @@
 	f := newLockFixture(t, Config{})
 	require.Equal(t, []string{"1.1:unavailable"}, f.acquire(1, 1, 0, time.Second))
 }
+
+// The session of an entry that was killed and restarted at once ends only after that
+// of its successor has opened. Its locks blocked its jobs until their deadlines.
+func TestLocksOfEntryRestartedAtOnceEndWithItsRuns(t *testing.T) {
+	f := newLockAgent(t)
+	f.acquire(1, 1, 0, time.Minute)
+	f.acquire(2, 1, 0, time.Minute)
+	f.open(4, 4, "entry-1")
+	f.step(SessionClosed{Session: 1})
+	f.now += lockOrphanAfter + lockRunsEndWithin
+	require.Equal(t, []string{"2.1:granted"}, lockAnswers(f.step(Tick{})))
+}
--- a/agent/session.go
+++ b/agent/session.go
@@ -161,11 +161,23 @@
 }
 
 func (s *State) sessionClosed(id SessionID) {
-	if e := s.sessions[id]; e != nil {
-		s.detach(e)
+	e := s.sessions[id]
+	if e == nil {
+		return
+	}
+	s.detach(e)
+	if s.hasRestarted(e) {
+		s.forget(e)
 	}
 }
 
+// hasRestarted reports whether a later incarnation of an entry process is known.
+func (s *State) hasRestarted(e *entry) bool {
+	return slices.ContainsFunc(s.entryList, func(o *entry) bool {
+		return o.peer.ID == e.peer.ID && o.peer.Incarnation > e.peer.Incarnation
+	})
+}
+
 func (s *State) endSession(e *entry, reason CloseReason) {
 	s.emit(CloseSession{Session: e.session, Reason: reason})
 	s.detach(e)
