--- a/entry/lock.go
+++ b/entry/lock.go
@@ -246,18 +246,18 @@
 	if s.lock.stage != lockPassed {
 		s.lock.stage = lockRequested
 	}
-	if e.runsEndWithin == 0 {
-		e.passLock(s, "no agent keeps job locks")
-		return
-	}
 	refHash := xxhash.Sum64String(s.sub.Ref)
 	members := e.lockAgentsOfHash(refHash)
 	s.lock.setMembers(refHash, members)
+	if e.runsEndWithin == 0 || len(members) == 0 {
+		e.passLock(s, "no agent keeps job locks")
+		return
+	}
 	s.lock.majority = len(members)/2 + 1
 	asked := s.lock.countAsked()
 	for _, slow := range []bool{false, true} {
 		for _, a := range members {
-			if asked < s.lock.majority && a.link == linkOpen && a.lockUnanswered == slow && s.lock.request(a) == nil {
+			if asked < s.lock.majority && a.link == linkOpen && e.locksSlowly(a) == slow && s.lock.request(a) == nil {
 				e.requestLock(s, a)
 				asked++
 			}
@@ -266,6 +266,9 @@
 	e.checkLock(s)
 }
 
+// locksSlowly reports whether an agent is likely to answer late.
+func (e *Entry) locksSlowly(a *agent) bool { return a.lockUnanswered || e.now < a.lockReadyAt }
+
 // countAsked returns the number of requests to members that have not failed.
 func (l *jobLock) countAsked() int {
 	n := 0
@@ -345,6 +348,11 @@
 	case wire.LockQueued:
 		e.emitLock(s, "lock queued", a)
 		e.arm(timer{at: q.sentAt + lockQueuedTimeout, kind: timerLock, sub: s})
+	case wire.LockStarting:
+		q.failed = true
+		a.lockReadyAt = max(a.lockReadyAt, e.now+a.runsEndWithin)
+		e.emitLock(s, "lock agent is starting", a)
+		e.advanceLock(s)
 	default:
 		q.failed = true
 		e.emitLock(s, "lock unavailable", a)
--- a/entry/lock_test.go
+++ b/entry/lock_test.go
@@ -145,6 +145,15 @@
 	require.Empty(t, f.e.lockAgents)
 }
 
+// After all agents went back to an older build, jobs waited for locks for ever.
+func TestJobIsPlacedAfterAgentsStopKeepingLocks(t *testing.T) {
+	f := newLockFixture(t, testRunsEndWithin, "a1")
+	dial := f.restart("a1")
+	f.seq["a1"], f.runsEndWithin = 0, 0
+	f.welcome(dial)
+	assigned(t, f.submit(1, jobWithRef(1)))
+}
+
 // Every entry finds the same agents for a job, whatever the order in which its
 // agents connected.
 func TestLockAgentsDoNotDependOnOrder(t *testing.T) {
@@ -326,6 +335,18 @@
 	assigned(t, f.grant(1, members[2]))
 }
 
+// A restarted agent grants no lock for a second. Jobs that wait for it meanwhile miss
+// their latest start although the other members could grant the lock.
+func TestStartingLockAgentIsReplacedAtOnce(t *testing.T) {
+	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
+	members := f.members()
+	f.submit(1, jobWithRef(1))
+	require.Equal(t, locksAt(1, members[2]), acquires(f.answerLock(members[0], 1, wire.LockStarting)))
+	f.grant(1, members[1])
+	assigned(t, f.grant(1, members[0]))
+	require.True(t, f.e.locksSlowly(f.e.agents[members[0]]), "it is asked last")
+}
+
 // A holder that never releases the lock at one agent, for example because it is cut
 // off from it, does not block the job for its whole time.
 func TestLockQueuedForLongIsRequestedElsewhere(t *testing.T) {
@@ -365,6 +386,18 @@
 	}
 }
 
+// A restarted agent does not grant locks at once and is asked last meanwhile.
+func TestRestartedLockAgentIsAskedLast(t *testing.T) {
+	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
+	members := f.members()
+	dial := f.restart(members[0])
+	f.seq[members[0]] = 0
+	f.welcome(dial)
+	require.Equal(t, locksAt(1, members[1:]...), acquires(f.submit(1, jobWithRef(1))))
+	f.wait(testRunsEndWithin)
+	require.Equal(t, locksAt(2, members[:2]...), acquires(f.submit(2, jobWithRef(1))))
+}
+
 // While too few of the agents that keep a lock are connected, its job waits.
 func TestJobWaitsForMajorityOfLockAgents(t *testing.T) {
 	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
