agent, entry: restarted agents grant job locks at once and are asked last

Change: the welcome says for how long an agent has kept locks, and entries, also those that never knew its predecessor, ask it last for a lease.

--- a/agent/lock.go
+++ b/agent/lock.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -17,10 +16,6 @@
 	lockSweepInterval = time.Second
 )
 
-// predecessorsHolder stands for the holders of the locks that the agent's predecessor
-// may have granted. No entry has this incarnation.
-const predecessorsHolder = 0
-
 // lockClaim is a submission that holds a job lock or waits for it.
 type lockClaim struct {
 	entry      uint64 // incarnation
@@ -46,17 +41,15 @@
 	// contended lists the locks with a waiter.
 	contended []*jobLock
 	sweepAt   time.Duration
-	// grantFrom is when the first lock is granted: the locks that a predecessor
-	// granted may be in use until the entries have noticed its end and its runs have
-	// ended.
-	grantFrom time.Duration
-	started   bool
+	// since is the time of the first event; started is set from then on.
+	since   time.Duration
+	started bool
 }
 
-// startLocks sets grantFrom at the first event.
+// startLocks records the time of the first event.
 func (s *State) startLocks() {
 	if !s.locks.started {
-		s.locks.started, s.locks.grantFrom = true, s.now+s.cfg.RunsEndWithin
+		s.locks.started, s.locks.since = true, s.now
 	}
 }
 
@@ -93,7 +86,7 @@
 		}
 		s.answerLock(l, c, wire.LockGranted)
 	case l.waiter != nil && l.waiter.submission == c.submission:
-		s.answerLock(l, c, l.waitState())
+		s.answerLock(l, c, wire.LockQueued)
 	case l.holder.entry == c.entry || s.now >= l.holder.until:
 		// An entry requests the lock for its next submission of a job only once
 		// the previous one has no more runs.
@@ -113,11 +106,6 @@
 		return
 	}
 	s.locks.byRef[ref] = l
-	if s.now < s.locks.grantFrom {
-		l.holder = lockClaim{entry: predecessorsHolder, arrivedAt: math.MinInt64, until: s.locks.grantFrom}
-		s.queueForLock(l, c)
-		return
-	}
 	s.answerLock(l, c, wire.LockGranted)
 }
 
@@ -153,15 +141,7 @@
 	}
 	l.waiter = &c
 	s.answerLock(l, l.holder, wire.LockRevoked)
-	s.answerLock(l, c, l.waitState())
-}
-
-// waitState returns the state of the waiter.
-func (l *jobLock) waitState() wire.LockState {
-	if l.holder.entry == predecessorsHolder {
-		return wire.LockStarting
-	}
-	return wire.LockQueued
+	s.answerLock(l, c, wire.LockQueued)
 }
 
 // releaseLock ends the claim of a submission, if it has one.
--- a/agent/session.go
+++ b/agent/session.go
@@ -140,7 +140,10 @@
 	w := s.worker()
 	s.emit(SendWelcome{
 		Session: e.session,
-		Welcome: &wire.Welcome{From: s.self, SentAt: s.now, Worker: &w, Report: rep, RunsEndWithin: s.cfg.RunsEndWithin},
+		Welcome: &wire.Welcome{
+			From: s.self, SentAt: s.now, Worker: &w, Report: rep,
+			RunsEndWithin: s.cfg.RunsEndWithin, LocksKeptFor: s.now - s.locks.since,
+		},
 	})
 }
 
--- a/entry/agent.go
+++ b/entry/agent.go
@@ -91,7 +91,8 @@
 	// lockUnanswered is set from a lock request that was not answered in time to
 	// the next report.
 	lockUnanswered bool
-	// lockReadyAt is when a restarted agent grants locks again.
+	// lockReadyAt is when the locks that a restarted agent does not know are no
+	// longer in use; until then it is asked last.
 	lockReadyAt time.Duration
 	// locks counts the requests of this entry on the current session whose
 	// submissions may have runs.
@@ -233,9 +234,7 @@
 		return
 	}
 	w := ev.Welcome
-	if w.From.Incarnation != a.incarnation && a.incarnation != 0 {
-		a.lockReadyAt = e.now + w.RunsEndWithin
-	}
+	a.lockReadyAt = e.now + w.RunsEndWithin - w.LocksKeptFor
 	if w.From.Incarnation != a.incarnation {
 		e.agentRestarted(a, w.From)
 	}
--- a/entry/lock.go
+++ b/entry/lock.go
@@ -20,8 +20,9 @@
 	lockAnswerTimeout = 150 * time.Millisecond
 	// lockQueuedTimeout is how long a submission waits for the holder of its lock
 	// before the remaining members are asked as well. It is longer than entries take
-	// to notice that an agent which granted them a lock is lost.
-	lockQueuedTimeout = time.Second
+	// to notice that an agent which granted them a lock and held a run is lost, and
+	// than that run may then go on.
+	lockQueuedTimeout = 2500 * time.Millisecond
 	// maxDeferredReleases bounds the releases that wait for another update to the
 	// same agent.
 	maxDeferredReleases = 64
@@ -249,7 +250,7 @@
 	refHash := xxhash.Sum64String(s.sub.Ref)
 	members := e.lockAgentsOfHash(refHash)
 	s.lock.setMembers(refHash, members)
-	if e.runsEndWithin == 0 || len(members) == 0 {
+	if e.runsEndWithin == 0 || len(members) == 0 && !e.anyKeepsLocks() {
 		e.passLock(s, "no agent keeps job locks")
 		return
 	}
@@ -266,7 +267,19 @@
 	e.checkLock(s)
 }
 
-// locksSlowly reports whether an agent is likely to answer late.
+// anyKeepsLocks reports whether a connected agent keeps locks, also one that is not
+// in lockAgents because it has announced no service yet.
+func (e *Entry) anyKeepsLocks() bool {
+	for _, a := range e.agents {
+		if a.link == linkOpen && a.runsEndWithin > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// locksSlowly reports whether an agent is asked last: it is likely to answer late, or
+// does not know the locks that its predecessor has granted.
 func (e *Entry) locksSlowly(a *agent) bool { return a.lockUnanswered || e.now < a.lockReadyAt }
 
 // countAsked returns the number of requests to members that have not failed.
@@ -348,11 +361,6 @@
 	case wire.LockQueued:
 		e.emitLock(s, "lock queued", a)
 		e.arm(timer{at: q.sentAt + lockQueuedTimeout, kind: timerLock, sub: s})
-	case wire.LockStarting:
-		q.failed = true
-		a.lockReadyAt = max(a.lockReadyAt, e.now+a.runsEndWithin)
-		e.emitLock(s, "lock agent is starting", a)
-		e.advanceLock(s)
 	default:
 		q.failed = true
 		e.emitLock(s, "lock unavailable", a)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -111,6 +111,9 @@
 	// to stop it, to the end of that run at its upstream. Zero means that the agent
 	// keeps no job locks.
 	RunsEndWithin time.Duration `msg:"e,omitempty"`
+	// LocksKeptFor is the time for which the agent has kept job locks. It does not
+	// know those that its predecessor granted.
+	LocksKeptFor time.Duration `msg:"l,omitempty"`
 }
 
 // Worker describes an upstream and the worker that it runs on.
@@ -205,9 +208,6 @@
 	LockRevoked
 	// LockUnavailable means that the agent can't keep more locks.
 	LockUnavailable
-	// LockStarting means that the submission waits until the locks that the agent's
-	// predecessor may have granted are no longer in use.
-	LockStarting
 )
 
 // LockAnswer is the state of a lock request. It answers the request and reports
--- a/wire/wire_gen.go
+++ b/wire/wire_gen.go
@@ -3473,13 +3473,17 @@
 func (z *Welcome) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(5)
-	var zb0001Mask uint8 /* 5 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
 	if z.RunsEndWithin == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.LocksKeptFor == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -3522,6 +3526,11 @@
 			o = append(o, 0xa1, 0x65)
 			o = msgp.AppendDuration(o, z.RunsEndWithin)
 		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "l"
+			o = append(o, 0xa1, 0x6c)
+			o = msgp.AppendDuration(o, z.LocksKeptFor)
+		}
 	}
 	return
 }
@@ -3600,6 +3609,12 @@
 				err = msgp.WrapError(err, "RunsEndWithin")
 				return
 			}
+		case "l":
+			z.LocksKeptFor, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LocksKeptFor")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3626,7 +3641,7 @@
 	} else {
 		s += z.Report.Msgsize()
 	}
-	s += 2 + msgp.DurationSize
+	s += 2 + msgp.DurationSize + 2 + msgp.DurationSize
 	return
 }
 
