lease: don't send an old start again

By 2.66 s after a break the entry counts the run as over and releases the job's lock. Cause: a start that was not carried out was sent again until the task's start deadline, which may be seconds away. Before, TestOldStartIsNotSentAgain saw the second start. A start is now sent again only within RunsEndWithin (1.16 s) of the first time; later the run ends as rejected, that is not run, and the entry may place the task anew. Without a pause, holds show within 0.3 s whether to send again.

--- a/lease/state.go
+++ b/lease/state.go
@@ -376,9 +376,10 @@
 }
 
 // resendStart sends a start again that was certainly not carried out, unless the
-// run is no longer wanted.
+// run is no longer wanted or its entry may have given it up meanwhile, as during a
+// pause of this process.
 func (s *State) resendStart(r *run) {
-	if s.stopOf(r.key) != nil || s.now >= r.StartBy {
+	if s.stopOf(r.key) != nil || s.now >= min(r.StartBy, r.startedAt+s.cfg.RunsEndWithin()) {
 		s.end(r, agent.EndRejected)
 		return
 	}
--- a/lease/stop_test.go
+++ b/lease/stop_test.go
@@ -146,6 +146,16 @@
 	}
 }
 
+// An agent that woke after a pause sent a start again that its entry had given up.
+func TestOldStartIsNotSentAgain(t *testing.T) {
+	b := newHarness(t).announceUpstream()
+	b.step(startEvent(firstRun, "a"))
+	b.now += Config{}.RunsEndWithin()
+	b.step(StartAnswered{Call: b.starts[0].Call, Result: StartFenced})
+	require.Len(t, b.starts, 1)
+	require.Equal(t, agent.EndRejected, b.ends()[0].End)
+}
+
 // A start that was fenced was sent again although its run was already cancelled.
 func TestFencedStartOfStoppedRunIsNotSentAgain(t *testing.T) {
 	b := newHarness(t).announceUpstream()
