known red: the tasks of an entry whose machine was suspended are refused

Nothing runs twice or untruly, the entry serves nobody until it is restarted. TestEntryOfSuspendedMachineIsServedAgain fails (0 starts, want 1).

--- a/agent/orphan_test.go
+++ b/agent/orphan_test.go
@@ -98,3 +98,21 @@
 	_, queued := s.Load()
 	require.Equal(t, 1, queued)
 }
+
+// The steady clock of a suspended machine stands still. After the suspension of an
+// entry's machine all its messages look late, and its tasks are refused for as long as
+// its process lives.
+func TestEntryOfSuspendedMachineIsServedAgain(t *testing.T) {
+	s := newTestState(Config{OrphanAfter: testOrphanAfter})
+	s.Step(0, Announced{leasedUpstream(1000)}, nil)
+	s.Step(0, SessionOpened{Session: 1, Hello: hello(1, 1)}, nil)
+	const suspended, wokenAt = time.Second, 10 * time.Second
+	s.Step(wokenAt, SessionClosed{Session: 1}, nil)
+	again := hello(1, 2)
+	again.SentAt = wokenAt - suspended
+	s.Step(wokenAt, SessionOpened{Session: 2, Hello: again}, nil)
+	effs := s.Step(wokenAt, UpdateReceived{Session: 2, Update: &wire.Update{
+		Seq: 1, SentAt: wokenAt - suspended, Tasks: []wire.Assignment{assignmentOf(0, 800)},
+	}}, nil)
+	require.Equal(t, 1, startsIn(effs))
+}
