daemon: log the stacks of an overdue drain

Test: TestOverdueDrainLogsStacks, failed before (no such line). No change of behaviour besides the log.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -232,6 +232,7 @@
 		case err := <-ended:
 			if drainDeadline != nil && errors.Is(err, context.DeadlineExceeded) {
 				log.Error("drain timed out, work in flight is cut off", "timeout", p.DrainTimeout, "err", err)
+				logStacks(log)
 				return ExitForced
 			}
 			if err != nil {
@@ -242,6 +243,7 @@
 			return ExitOK
 		case <-drainDeadline:
 			log.Error("drain timed out, work in flight is cut off", "timeout", p.DrainTimeout)
+			logStacks(log)
 			return ExitForced
 		case <-d.signals.hangup:
 			d.reload()
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -263,6 +263,28 @@
 	require.Contains(t, out.buf.String(), "3 requests in flight")
 }
 
+// An overdue drain left no trace of what it was waiting for.
+func TestOverdueDrainLogsStacks(t *testing.T) {
+	out := newOutput()
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	p := program(func(ctx context.Context, _ Runtime, _ *settings.Agent) error {
+		go waitForSilentPeer(release)
+		<-ctx.Done()
+		return fmt.Errorf("drain: %w", context.DeadlineExceeded)
+	})
+	path := writeAgentFiles(t, "agent-1")
+	code := make(chan int, 1)
+	go func() { code <- Main(p, []string{"--config", path}, out, out) }()
+	out.await(t, "started")
+	signalSelf(t, syscall.SIGTERM)
+	line := out.awaitAny(t, "waitForSilentPeer", "more stacks not logged")
+	require.Contains(t, line, "still running")
+	require.Equal(t, ExitForced, <-code)
+}
+
+func waitForSilentPeer(release <-chan struct{}) { <-release }
+
 // An error of a program that is not draining is a failure.
 func TestFailureOutsideDrainHasFailedExitCode(t *testing.T) {
 	out := newOutput()
