agent, loop, replica: count the time for which a machine was suspended

Agents judge how long an entry's message was under way by the entry's clock, so after a suspension of its machine all its messages looked late by the suspension and its tasks were refused until it was restarted. A process that woke up also believed in leases, credit and a raft leader lease that had run out meanwhile. Ruled out: trusting the entry's clock anew at each Hello (a Hello may be read late, by an agent that was paused; its pending tasks would look wanted). Change: (1) reducers and the replicated log run on internal/steadyclock, which adds CLOCK_BOOTTIME less CLOCK_MONOTONIC; the read order makes a delayed thread see too little, never too much. (2) An entry sends no update before it has read the session's welcome, so an update is at most as old as that; a larger transit delay shows that the sender's clock stood still, and its offset is raised.

--- a/agent/clock.go
+++ b/agent/clock.go
@@ -1,6 +1,12 @@
 package agent
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+// unknownAge is the age limit of a message about which nothing is known.
+const unknownAge = time.Duration(math.MaxInt64 / 4)
 
 // driftPerSecond bounds the drift between two monotonic clocks.
 const driftPerSecond = 200 * time.Microsecond
@@ -18,7 +24,11 @@
 // observe returns by how much the message's transit exceeded that of the fastest
 // one. A message faster than all before lowers the offset; correction is the
 // amount by which the lag of earlier messages was underestimated.
-func (c *peerClock) observe(now, sentAt time.Duration) (lag, correction time.Duration) {
+//
+// maxAge is how long ago the message can have been sent at most. A larger transit
+// delay means that the sender's clock stood still, as that of a suspended machine
+// does, and raises the offset.
+func (c *peerClock) observe(now, sentAt, maxAge time.Duration) (lag, correction time.Duration) {
 	sample := now - sentAt
 	if !c.known {
 		c.offset, c.at, c.known = sample, now, true
@@ -26,7 +36,7 @@
 	}
 	drift := time.Duration((now - c.at).Seconds() * float64(driftPerSecond))
 	before := c.offset
-	c.offset = min(c.offset+drift, sample)
+	c.offset = max(min(c.offset+drift, sample), sample-maxAge)
 	c.at = now
 	return sample - c.offset, max(0, before-c.offset)
 }
--- a/agent/naive_test.go
+++ b/agent/naive_test.go
@@ -34,6 +34,7 @@
 	session            SessionID
 	sessionNo, lastSeq uint64
 	disconnectedAt     time.Duration
+	welcomedAt         time.Duration
 }
 
 type naiveTask struct {
@@ -225,7 +226,8 @@
 	}
 	delete(n.sessions, e.session)
 	e.session, e.sessionNo, e.lastSeq = ev.Session, h.Session, 0
-	n.observe(now, e, h.SentAt)
+	n.observe(now, e, h.SentAt, unknownAge)
+	e.welcomedAt = now
 	n.sessions[ev.Session] = e
 	for _, t := range n.tasks {
 		if t.entry == e && t.phase != phaseEnded && !slices.Contains(h.Pending, t.id) {
@@ -246,7 +248,7 @@
 	if e == nil || u.Seq <= e.lastSeq {
 		return
 	}
-	lag := n.observe(now, e, u.SentAt)
+	lag := n.observe(now, e, u.SentAt, now-e.welcomedAt)
 	if u.Seq != e.lastSeq+1 {
 		n.close(now, ev.Session)
 		return
@@ -265,8 +267,8 @@
 	}
 }
 
-func (n *naive) observe(now time.Duration, e *naiveEntry, sentAt time.Duration) time.Duration {
-	lag, correction := e.clock.observe(now, sentAt)
+func (n *naive) observe(now time.Duration, e *naiveEntry, sentAt, maxAge time.Duration) time.Duration {
+	lag, correction := e.clock.observe(now, sentAt, maxAge)
 	for _, t := range n.inPhase(phaseQueued) {
 		if t.entry == e {
 			t.startBy -= correction
--- a/agent/session.go
+++ b/agent/session.go
@@ -14,9 +14,12 @@
 	clock peerClock
 
 	// session is zero while no connection is open.
-	session        SessionID
-	sessionNo      uint64 // Hello.Session of the last session
-	lastSeq        uint64 // sequence number of the last update of the session
+	session   SessionID
+	sessionNo uint64 // Hello.Session of the last session
+	lastSeq   uint64 // sequence number of the last update of the session
+	// welcomedAt is when the welcome of the session was sent. The entry sends no
+	// update before it has read it.
+	welcomedAt     time.Duration
 	disconnectedAt time.Duration
 	// lastMessageAt is when the entry last sent anything on a session, not when
 	// that arrived.
@@ -79,7 +82,7 @@
 	e.peer, e.session, e.sessionNo, e.lastSeq = h.From, id, h.Session, 0
 	e.demand, e.credit = wire.Demand{}, 0
 	s.sessions[id] = e
-	e.lastMessageAt = max(e.lastMessageAt, s.now-s.observeTransit(e, h.SentAt))
+	e.lastMessageAt = max(e.lastMessageAt, s.now-s.observeTransit(e, h.SentAt, unknownAge))
 	s.dropUnwanted(e, h.Pending)
 	s.welcome(e, h)
 }
@@ -133,7 +136,7 @@
 			rep.Outcomes = append(rep.Outcomes, wire.Result{ID: id, Outcome: out})
 		}
 	}
-	e.welcomeSeq = rep.Seq
+	e.welcomeSeq, e.welcomedAt = rep.Seq, s.now
 	if s.drain.active {
 		e.withdrawSeq = rep.Seq
 	}
@@ -205,7 +208,7 @@
 		s.stats.Duplicates++
 		return
 	}
-	lag := s.observeTransit(e, u.SentAt)
+	lag := s.observeTransit(e, u.SentAt, s.now-e.welcomedAt)
 	e.lastMessageAt = max(e.lastMessageAt, s.now-lag)
 	switch {
 	case u.Seq != e.lastSeq+1:
@@ -239,11 +242,11 @@
 		len(u.Tasks) > 0 && e.unackedBytes > s.cfg.MaxUnackedBytes
 }
 
-// observeTransit returns the transit delay of a message. If the message shows
-// that the delay of earlier ones was underestimated, the deadlines of the entry's
-// queued tasks are moved earlier by the difference.
-func (s *State) observeTransit(e *entry, sentAt time.Duration) time.Duration {
-	lag, correction := e.clock.observe(s.now, sentAt)
+// observeTransit returns the transit delay of a message that was sent at most maxAge
+// ago. If the message shows that the delay of earlier ones was underestimated, the
+// deadlines of the entry's queued tasks are moved earlier by the difference.
+func (s *State) observeTransit(e *entry, sentAt, maxAge time.Duration) time.Duration {
+	lag, correction := e.clock.observe(s.now, sentAt, maxAge)
 	if correction == 0 {
 		return lag
 	}
--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/fireflytray/fireflytray/directory"
 	"github.com/fireflytray/fireflytray/fleet"
+	"github.com/fireflytray/fireflytray/internal/steadyclock"
 	"github.com/fireflytray/fireflytray/transport"
 	"github.com/fireflytray/fireflytray/wire"
 )
@@ -62,7 +63,7 @@
 type Client struct {
 	opts    Options
 	log     *log.Logger
-	start   time.Time
+	clock   steadyclock.Clock
 	seq     atomic.Uint64
 	config  *configState
 	calls   *pendingCalls
@@ -96,7 +97,7 @@
 	if o.Log == nil {
 		o.Log = log.Default()
 	}
-	c := &Client{opts: o, log: o.Log.WithPrefix("controlclient"), start: time.Now(), calls: newPendingCalls(), table: directory.NewTable()}
+	c := &Client{opts: o, log: o.Log.WithPrefix("controlclient"), clock: steadyclock.New(), calls: newPendingCalls(), table: directory.NewTable()}
 	c.lifetime, c.endLifetime = context.WithCancel(context.Background())
 	c.releaseSlots = make(chan struct{}, maxReleases)
 	c.config = newConfigState(o.Site, c.configAdopted)
@@ -214,8 +215,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.table.Merge(time.Since(c.start), directory.Source(addr), msg)
-	c.table.PurgeTombstones(time.Since(c.start))
+	c.table.Merge(c.clock.Now(), directory.Source(addr), msg)
+	c.table.PurgeTombstones(c.clock.Now())
 	diff := c.table.TakeDifference()
 	if out := diff.Message(false); len(out.Upserts)+len(out.Removed) > 0 {
 		c.opts.OnDirectory(*out)
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -7,6 +7,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/fireflytray/fireflytray/internal/steadyclock"
 )
 
 // eventBacklog is how many events may be queued before Post blocks.
@@ -27,7 +29,7 @@
 	tick    Ev
 	exec    func(Eff)
 	events  chan Ev
-	start   time.Time
+	clock   steadyclock.Clock
 
 	// mu is held for reading while an event is queued, and for writing to set
 	// closed.
@@ -44,12 +46,12 @@
 		tick:    tick,
 		exec:    exec,
 		events:  make(chan Ev, eventBacklog),
-		start:   time.Now(),
+		clock:   steadyclock.New(),
 	}
 }
 
-// Now returns the time since the loop was created, by the monotonic clock.
-func (l *Loop[Ev, Eff]) Now() time.Duration { return time.Since(l.start) }
+// Now returns the time since the loop was created, suspended time included.
+func (l *Loop[Ev, Eff]) Now() time.Duration { return l.clock.Now() }
 
 // Post queues an event for the reducer. It returns false once the loop is ending;
 // the event is then not handled. It must not be called from exec.
@@ -78,6 +80,9 @@
 		select {
 		case ev, open = <-l.events:
 		case <-timer.C:
+			if !l.tickDue() {
+				continue
+			}
 			ev = l.tick
 		}
 		if !open {
@@ -99,13 +104,19 @@
 	close(l.events)
 }
 
-// arm sets the timer to the time of the next tick. If none is due, the
-// timer fires after an hour and the reducer gets a tick nevertheless.
+// arm sets the timer to the time of the next tick, or to when to look at the clock
+// again. Without a next tick it does not matter how much time has passed.
 func (l *Loop[Ev, Eff]) arm(timer *time.Timer) {
 	at, ok := l.reducer.Next()
 	if !ok {
 		timer.Reset(time.Hour)
 		return
 	}
-	timer.Reset(max(0, at-l.Now()))
+	timer.Reset(min(max(0, at-l.Now()), steadyclock.MaxSleep))
+}
+
+// tickDue reports whether the time of the next tick has come.
+func (l *Loop[Ev, Eff]) tickDue() bool {
+	at, ok := l.reducer.Next()
+	return ok && l.Now() >= at
 }
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/fireflytray/fireflytray/internal/steadyclock"
 	"github.com/fireflytray/fireflytray/raft"
 	"github.com/fireflytray/fireflytray/wal"
 )
@@ -57,7 +58,7 @@
 type loop struct {
 	r     *Replica
 	opt   *Options
-	start time.Time
+	clock steadyclock.Clock
 
 	wal       *wal.WAL
 	saver     *saver
@@ -84,7 +85,7 @@
 
 func newLoop(r *Replica, w *wal.WAL, st wal.State) (*loop, error) {
 	l := &loop{
-		r: r, opt: &r.opt, start: time.Now(),
+		r: r, opt: &r.opt, clock: steadyclock.New(),
 		wal: w, ident: st.Identity,
 		addrs:        map[uint64]string{},
 		waiters:      map[uint64]waiter{},
@@ -99,7 +100,7 @@
 	return l, l.startBootstrap()
 }
 
-func (l *loop) now() time.Duration { return time.Since(l.start) }
+func (l *loop) now() time.Duration { return l.clock.Now() }
 
 // startBootstrap creates the bootstrapper that forms or joins a cluster.
 func (l *loop) startBootstrap() error {
@@ -138,7 +139,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for !l.stopping && l.failure == nil {
-		timer.Reset(max(0, l.nextWakeup()-l.now()))
+		timer.Reset(min(max(0, l.nextWakeup()-l.now()), steadyclock.MaxSleep))
 		l.waitForEvent(timer)
 		l.drain()
 		if l.node != nil && l.failure == nil {
