--- a/control/machine.go
+++ b/control/machine.go
@@ -25,6 +25,7 @@
 	staged   stagedBackup
 	// published is the published document with the highest version.
 	published      Published
+	pushes         pushCache
 	onConfigChange func(index uint64)
 }
 
@@ -166,11 +167,16 @@
 func (m *Machine) Push(have uint64) *wire.ConfigPush {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	push := m.pushes.get(m.configs.doc, have, m.computePush)
+	return &push
+}
+
+func (m *Machine) computePush(have uint64) wire.ConfigPush {
 	var from *fleet.Document
 	if have != 0 {
 		from = m.configs.at(have)
 	}
-	return m.configs.doc.Push(m.configs.current().Index, from, have)
+	return *m.configs.doc.Push(m.configs.current().Index, from, have)
 }
 
 // History returns up to limit versions, newest first; limit 0 means all.
