agent: don't tell peers of each change in the estimate of slots

Cause: an agent with a leased upstream estimates its slots from the mean need of its tasks. Starts are checked against the resources themselves, as before.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -190,7 +190,11 @@
 // announceWorker sends the description of the worker to the control hosts if it
 // has changed.
 func (s *State) announceWorker() {
-	if w := s.worker(); w != s.announced {
+	w := s.worker()
+	if !slotsChanged(s.announced.Slots, w.Slots) {
+		w.Slots = s.announced.Slots
+	}
+	if w != s.announced {
 		s.announced = w
 		s.emit(AnnounceWorker{Worker: w, Leaving: s.drain.active})
 	}
--- a/agent/report.go
+++ b/agent/report.go
@@ -6,7 +6,7 @@
 )
 
 // flush sends a report to each connected entry for which there are new outcomes or
-// answers about locks, whose last report has an outdated number of slots or offer,
+// answers about locks, whose last report has an outdated offer or number of slots,
 // or which has to learn of a drain. It then sends credit for the remaining free slots.
 func (s *State) flush() {
 	s.expireReservations()
@@ -18,7 +18,7 @@
 		for len(e.unacked) > e.sent {
 			s.sendReport(e)
 		}
-		if e.reportedSlots != slots || e.reportedOffer != current || e.reportSeq < e.withdrawSeq || len(e.lockAnswers) > 0 {
+		if slotsChanged(e.reportedSlots, slots) || e.reportedOffer != current || e.reportSeq < e.withdrawSeq || len(e.lockAnswers) > 0 {
 			s.sendReport(e)
 		}
 	}
