steadyclock: look at the clock four times a second

Each look of a loop is a wake-up, and every process runs two to three loops. Whatever a woken process receives makes it look as well.

--- a/internal/steadyclock/clock.go
+++ b/internal/steadyclock/clock.go
@@ -12,7 +12,7 @@
 
 // MaxSleep is how long a timer may run before its owner looks at the clock again.
 // Timers don't count suspended time either.
-const MaxSleep = 100 * time.Millisecond
+const MaxSleep = 250 * time.Millisecond
 
 // Clock measures the time since it was created.
 type Clock struct {
