--- a/internal/steadyclock/clock.go
+++ b/internal/steadyclock/clock.go
@@ -16,25 +16,31 @@
 
 // Clock measures the time since it was created.
 type Clock struct {
+	machine   *Machine
 	start     time.Time
 	suspended time.Duration // suspended time until start
 }
 
-// New returns a clock that starts at zero.
-func New() Clock { return Clock{suspended: machine.suspendedTime(), start: time.Now()} }
+// New returns a clock of this machine that starts at zero.
+func New() Clock { return thisMachine.NewClock() }
+
+// NewClock returns a clock that starts at zero.
+func (m *Machine) NewClock() Clock {
+	return Clock{machine: m, suspended: m.suspendedTime(), start: time.Now()}
+}
 
 // Now returns the time since the clock was created.
 func (c Clock) Now() time.Duration {
-	return machine.suspendedTime() - c.suspended + time.Since(c.start)
+	return c.machine.suspendedTime() - c.suspended + time.Since(c.start)
 }
 
-// machine knows for how long this machine was suspended.
-var machine = suspension{read: readClock}
+var thisMachine = &Machine{Read: readClock}
 
-// suspension measures for how long a machine was suspended: its clock of boot time
+// Machine measures for how long a machine was suspended: its clock of boot time
 // counts that, its monotonic clock doesn't.
-type suspension struct {
-	read func(clock int32) (time.Duration, error)
+type Machine struct {
+	// Read returns the time of a clock, unix.CLOCK_BOOTTIME or CLOCK_MONOTONIC.
+	Read func(clock int32) (time.Duration, error)
 	// longest is the largest difference of the two clocks so far, in nanoseconds.
 	longest atomic.Int64
 }
@@ -42,22 +48,22 @@
 // suspendedTime returns the time in suspension since the machine started, or zero
 // where that can't be read. It never decreases. A delay between the two reads makes
 // the difference smaller, never larger, so that a delayed thread sees no suspension.
-func (s *suspension) suspendedTime() time.Duration {
-	boot, err := s.read(unix.CLOCK_BOOTTIME)
+func (m *Machine) suspendedTime() time.Duration {
+	boot, err := m.Read(unix.CLOCK_BOOTTIME)
 	if err != nil {
 		return 0
 	}
-	monotonic, err := s.read(unix.CLOCK_MONOTONIC)
+	monotonic, err := m.Read(unix.CLOCK_MONOTONIC)
 	if err != nil {
 		return 0
 	}
 	for {
-		longest := s.longest.Load()
+		longest := m.longest.Load()
 		current := int64(boot - monotonic)
 		if current <= longest {
 			return time.Duration(longest)
 		}
-		if s.longest.CompareAndSwap(longest, current) {
+		if m.longest.CompareAndSwap(longest, current) {
 			return time.Duration(current)
 		}
 	}
--- a/internal/steadyclock/clock_test.go
+++ b/internal/steadyclock/clock_test.go
@@ -28,7 +28,7 @@
 
 func TestSuspendedTimeIsCounted(t *testing.T) {
 	c := &clocks{boot: 60 * time.Second, monotonic: 50 * time.Second}
-	s := suspension{read: c.read}
+	s := Machine{Read: c.read}
 	require.Equal(t, 10*time.Second, s.suspendedTime())
 	c.boot += 7 * time.Second
 	require.Equal(t, 17*time.Second, s.suspendedTime())
@@ -38,7 +38,7 @@
 // leases of its process would expire.
 func TestDelayBetweenReadsIsNoSuspension(t *testing.T) {
 	c := &clocks{boot: time.Minute, monotonic: time.Minute}
-	s := suspension{read: c.read}
+	s := Machine{Read: c.read}
 	require.Zero(t, s.suspendedTime())
 	c.delay = time.Second
 	require.Zero(t, s.suspendedTime())
@@ -54,7 +54,7 @@
 }
 
 func TestMachineWithoutBootTime(t *testing.T) {
-	s := suspension{read: (&clocks{boot: time.Minute, err: errors.New("not supported")}).read}
+	s := Machine{Read: (&clocks{boot: time.Minute, err: errors.New("not supported")}).read}
 	require.Zero(t, s.suspendedTime())
 }
 
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -85,7 +85,7 @@
 
 func newLoop(r *Replica, w *wal.WAL, st wal.State) (*loop, error) {
 	l := &loop{
-		r: r, opt: &r.opt, clock: steadyclock.New(),
+		r: r, opt: &r.opt, clock: r.opt.newClock(),
 		wal: w, ident: st.Identity,
 		addrs:        map[uint64]string{},
 		waiters:      map[uint64]waiter{},
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"time"
 
+	"github.com/fireflytray/fireflytray/internal/steadyclock"
 	"github.com/fireflytray/fireflytray/raft"
 	"github.com/fireflytray/fireflytray/wal"
 )
@@ -70,6 +71,8 @@
 	Seed uint64
 
 	newID func() uint64 // generates replica ids
+	// newClock returns the clock of the replica.
+	newClock func() steadyclock.Clock
 }
 
 // Default values of Options.
@@ -181,6 +184,9 @@
 	if o.newID == nil {
 		o.newID = newID
 	}
+	if o.newClock == nil {
+		o.newClock = steadyclock.New
+	}
 	if o.Seed == 0 {
 		o.Seed = newID()
 	}
