transport: ping an awaited session at half of the deadline, not at a quarter

Ruled out: fewer probed sessions (the bounds of job locks and of 504 answers count with every one of them); a longer deadline (the same bounds).

--- a/transport/probe.go
+++ b/transport/probe.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -10,12 +11,15 @@
 )
 
 const (
-	// checksPerPeerTimeout is the number of checks within
+	// checksPerPeerTimeout is the number of check intervals within
 	// Options.PeerTimeout.
 	checksPerPeerTimeout = 4
+	// quietChecks is the number of check intervals without a frame after which a
+	// ping is sent, if one is expected.
+	quietChecks = 2
 	// silentChecks is the number of check intervals without any packet after a
 	// ping that make a connection silent.
-	silentChecks = 2
+	silentChecks = checksPerPeerTimeout - quietChecks
 	// stallFactor times Options.PeerTimeout bounds the time to an answer while
 	// packets still arrive.
 	stallFactor = 5
@@ -34,13 +38,11 @@
 	// firstFrame is closed when the first frame has arrived.
 	firstFrame chan struct{}
 
-	mu    sync.Mutex
-	timer *time.Timer
-	// shortInterval is set while the timer runs at interval instead of the
-	// keepalive period.
-	shortInterval bool
-	stopped       bool
-	// awaitingReply is set while the caller awaits a message from the peer.
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+	// awaitingReply is set while the caller awaits a message from the peer, since
+	// awaitingSince.
 	awaitingReply bool
 	// frameReceived is set once a frame has arrived.
 	frameReceived bool
@@ -50,8 +52,9 @@
 
 	// Times since startedAt; zero means unset.
 
-	// nextCheck is when the timer should fire.
-	nextCheck time.Duration
+	// nextCheck is when the timer should fire, notDue if it is stopped.
+	nextCheck     time.Duration
+	awaitingSince time.Duration
 	// unansweredSince is the time of the first send since the last frame
 	// arrived.
 	unansweredSince time.Duration
@@ -77,7 +80,7 @@
 	defer p.mu.Unlock()
 	p.lastFrameAt = p.now()
 	p.timer = time.AfterFunc(c.opts.KeepAlive, p.check)
-	p.armLocked(false)
+	p.armLocked()
 	return p
 }
 
@@ -89,7 +92,7 @@
 	defer p.mu.Unlock()
 	if p.unansweredSince == 0 {
 		p.unansweredSince = p.now()
-		p.armShortIntervalLocked()
+		p.armEarlierLocked()
 	}
 }
 
@@ -97,9 +100,12 @@
 func (p *prober) setAwaitingReply(on bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if on && !p.awaitingReply {
+		p.awaitingSince = p.now()
+	}
 	p.awaitingReply = on
 	if on {
-		p.armShortIntervalLocked()
+		p.armEarlierLocked()
 	}
 }
 
@@ -122,6 +128,7 @@
 	defer p.mu.Unlock()
 	p.receiverBlocked = on
 	p.resetDeadlineLocked()
+	p.armEarlierLocked()
 }
 
 func (p *prober) resetDeadlineLocked() {
@@ -136,29 +143,50 @@
 	p.timer.Stop()
 }
 
-func (p *prober) armShortIntervalLocked() {
-	if !p.shortInterval && !p.stopped {
-		p.armLocked(true)
+// armEarlierLocked sets the timer if it would fire after a ping is due.
+func (p *prober) armEarlierLocked() {
+	if !p.stopped && p.pingDueLocked() < p.nextCheck {
+		p.armLocked()
 	}
 }
 
-// armLocked sets the timer: one check interval ahead if short, otherwise to the
-// time of the next keepalive. Only the dialling side sends keepalives.
-func (p *prober) armLocked(short bool) {
-	p.shortInterval = short
+// armLocked sets the timer to when the next ping is due, or to the next check of a
+// connection that was pinged.
+func (p *prober) armLocked() {
 	now := p.now()
-	switch {
-	case short:
+	p.nextCheck = p.pingDueLocked()
+	if p.pingedSince != 0 {
 		p.nextCheck = now + p.interval
-	case p.c.dialed:
-		p.nextCheck = p.lastFrameAt + p.c.opts.KeepAlive
-	default:
+	}
+	if p.nextCheck == notDue {
 		p.timer.Stop()
 		return
 	}
 	p.timer.Reset(max(0, p.nextCheck-now))
 }
 
+// notDue is the time of a check that is not due.
+const notDue = time.Duration(math.MaxInt64)
+
+// pingDueLocked returns when the next ping is due unless a frame arrives before.
+// Only the dialling side sends keepalives.
+func (p *prober) pingDueLocked() time.Duration {
+	due := notDue
+	if p.receiverBlocked {
+		return due
+	}
+	if p.unansweredSince != 0 {
+		due = min(due, p.unansweredSince+quietChecks*p.interval)
+	}
+	if p.awaitingReply {
+		due = min(due, max(p.awaitingSince, p.lastFrameAt)+quietChecks*p.interval)
+	}
+	if p.c.dialed {
+		due = min(due, p.lastFrameAt+p.c.opts.KeepAlive)
+	}
+	return due
+}
+
 // check runs when the timer fires.
 func (p *prober) check() {
 	packets := p.c.qc.ConnectionStats().PacketsReceived
@@ -224,24 +252,16 @@
 }
 
 func (p *prober) shouldPingLocked(now time.Duration) bool {
-	quiet := now - p.lastFrameAt
-	switch {
-	case p.receiverBlocked:
+	if p.receiverBlocked {
 		return false
-	case p.pingedSince != 0:
-		return true
-	case p.unansweredSince != 0:
-		return now-p.unansweredSince >= p.interval
-	case p.awaitingReply:
-		return quiet >= p.interval
 	}
-	return p.c.dialed && quiet >= p.c.opts.KeepAlive
+	return p.pingedSince != 0 || now >= p.pingDueLocked()
 }
 
 func (p *prober) rearm() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.stopped {
-		p.armLocked(p.pingedSince != 0 || p.unansweredSince != 0 || p.awaitingReply)
+		p.armLocked()
 	}
 }
