httpserve, transport: a panic ends its request or connection, not the process

Cause: by reading; operators of similar systems report it. fasthttp doesn't recover panics of handlers, and a panic in a decoder or in the hook that reads stamps is one of a plain goroutine: either ended the process with everything in flight. Change: the request is answered 500, which doesn't say that it has not run, and its connection is closed; a connection whose reading panics ends with an error. Both are logged with the stack in one line (internal/stacks, shared with overdue drains). Not covered: panics inside a reducer. Its state may be inconsistent then, and a restart is the safer end.

--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -21,6 +21,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fireflytray/fireflytray/internal/netlisten"
+	"github.com/fireflytray/fireflytray/internal/stacks"
 )
 
 const (
@@ -92,7 +93,7 @@
 	handler := s.Handler
 	s.Handler = func(ctx *fasthttp.RequestCtx) {
 		out.setHandling(ctx.Conn(), true)
-		handler(ctx)
+		out.handle(ctx, handler)
 		out.setHandling(ctx.Conn(), false)
 		if out.stopping.Load() {
 			ctx.SetConnectionClose()
@@ -106,6 +107,21 @@
 	return out
 }
 
+// handle runs the handler. A panic ends its request, not the process: the answer is
+// 500, which does not say that the request has not run.
+func (s *Server) handle(ctx *fasthttp.RequestCtx, handler fasthttp.RequestHandler) {
+	defer func() {
+		if v := recover(); v != nil {
+			err := stacks.Recovered("handle request", v)
+			s.log.Error("request failed", "server", s.name, "peer", ctx.RemoteAddr(), "err", err)
+			ctx.Response.Reset()
+			ctx.Error("internal error, the request may have run", fasthttp.StatusInternalServerError)
+			ctx.SetConnectionClose()
+		}
+	}()
+	handler(ctx)
+}
+
 func (s *Server) setState(c net.Conn, state fasthttp.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/quic-go/quic-go"
 
+	"github.com/fireflytray/fireflytray/internal/stacks"
 	"github.com/fireflytray/fireflytray/wire"
 )
 
@@ -219,6 +220,11 @@
 
 func (c *Conn) readLoop() {
 	defer close(c.received)
+	defer func() {
+		if v := recover(); v != nil {
+			c.fail(stacks.Recovered("decode message from "+c.peer.String(), v))
+		}
+	}()
 	d := &decoder{r: bufio.NewReaderSize(c.stream, readBufferSize), maxFrame: c.opts.MaxFrame}
 	var last wire.Stamp
 	first := true
