controld: bound what waits on each accepted session at 512 KiB

An accepted session has no probe of its own, so those of peers that are cut off or killed stay until QUIC's idle time-out of 30 s, and 16 MiB could wait on each of some 205. That this very process died of it is read from the code and not shown by a run: its logs were not kept. Change: 512 KiB on accepted sessions; a peer further behind is closed and dials anew. Links to other control hosts, which carry the replicated log, are dialled and keep theirs.

--- a/controld/controld.go
+++ b/controld/controld.go
@@ -132,6 +132,7 @@
 	h.opts.Transport.Stamp = h.machine.Stamp
 	t := h.opts.Transport
 	t.Accept = []wire.Role{wire.RoleEntry, wire.RoleAgent, wire.RoleControl}
+	t.SendQueue = sessionSendQueue
 	listener, err := transport.Listen(h.opts.Listen, t)
 	if err != nil {
 		return fmt.Errorf("controld: %w", err)
--- a/controld/session.go
+++ b/controld/session.go
@@ -14,6 +14,13 @@
 // before the push is sent again.
 const pushRetryInterval = time.Second
 
+// sessionSendQueue bounds the bytes that wait on each accepted session. A host has a
+// session with every process, and those of a failure domain that is cut off are kept
+// until QUIC's idle time-out while configurations and directory differences go to
+// them. It holds two full lists of the largest planned fleet; a peer that is further
+// behind is closed and starts anew.
+const sessionSendQueue = 512 << 10
+
 // session is one accepted connection and the state of configuration pushes on it.
 type session struct {
 	id   directory.ConnID
