--- /dev/null
+++ b/entry/lockmembers.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// lockScore ranks the agents for the lock of a job; the highest score wins. It
+// mixes the hashes of both ids with the finalizer of MurmurHash3.
+func lockScore(agentHash, refHash uint64) uint64 {
+	x := agentHash ^ refHash
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// updateLockAgent adds an agent to those that may keep locks, or removes it. They
+// include agents that are listed but not connected, and exclude those that entries
+// which start now do not know, so that all entries find the same members for a job.
+func (e *Entry) updateLockAgent(a *agent) {
+	domainHash := xxhash.Sum64String(a.peer.Domain)
+	older := a.incarnation != 0 && a.runsEndWithin == 0
+	on := e.agents[a.ID] == a && (a.listed || a.link == linkOpen) && a.announcesService && !older
+	connected := a.link == linkOpen
+	if on == a.keepsLocks && connected == a.lockConnected && domainHash == a.domainHash {
+		return
+	}
+	switch {
+	case on && !a.keepsLocks:
+		e.lockAgents = append(e.lockAgents, a)
+	case !on && a.keepsLocks:
+		i := slices.Index(e.lockAgents, a)
+		e.lockAgents = slices.Delete(e.lockAgents, i, i+1)
+	}
+	a.keepsLocks, a.lockConnected, a.domainHash = on, connected, domainHash
+	e.changedLockAgents = append(e.changedLockAgents, a)
+}
+
+// setMembers records the members and marks the requests to them.
+func (l *jobLock) setMembers(refHash uint64, members []*agent) {
+	l.refHash, l.memberCount = refHash, copy(l.members[:], members)
+	for i := range l.requests {
+		r := &l.requests[i]
+		r.member = slices.Contains(members, r.agent)
+	}
+}
+
+// isAffectedBy reports whether a change of an agent may change the members of the
+// lock or which of them can be asked.
+func (l *jobLock) isAffectedBy(a *agent) bool {
+	members := l.members[:l.memberCount]
+	if slices.Contains(members, a) {
+		return true
+	}
+	if !a.keepsLocks {
+		return false
+	}
+	score := lockScore(a.lockHash, l.refHash)
+	distinct, isNew := len(members) == lockMembers, true
+	for i, m := range members {
+		if score > lockScore(m.lockHash, l.refHash) {
+			return true
+		}
+		isNew = isNew && m.domainHash != a.domainHash
+		for _, o := range members[:i] {
+			distinct = distinct && o.domainHash != m.domainHash
+		}
+	}
+	return len(members) < lockMembers || !distinct && isNew
+}
+
+// lockAgentsOf returns the members for the lock of a job: the agents with the
+// highest scores, in different failure domains as far as possible.
+func (e *Entry) lockAgentsOf(ref string) []*agent { return e.lockAgentsOfHash(xxhash.Sum64String(ref)) }
+
+func (e *Entry) lockAgentsOfHash(refHash uint64) []*agent {
+	members := e.members[:0]
+	for range lockMembers {
+		var best *agent
+		var bestScore uint64
+		bestIsNew := false
+		for _, a := range e.lockAgents {
+			isNew, chosen := true, false
+			for _, m := range members {
+				chosen = chosen || m == a
+				isNew = isNew && m.domainHash != a.domainHash
+			}
+			if chosen || bestIsNew && !isNew {
+				continue
+			}
+			if score := lockScore(a.lockHash, refHash); best == nil || isNew && !bestIsNew || score > bestScore {
+				best, bestScore, bestIsNew = a, score, isNew
+			}
+		}
+		if best == nil {
+			break
+		}
+		members = append(members, best)
+	}
+	e.members = members
+	return members
+}
--- a/loop/suspended_test.go
+++ b/loop/suspended_test.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sys/unix"
 
 	"github.com/fireflytray/fireflytray/internal/steadyclock"
+	"github.com/fireflytray/fireflytray/internal/steadyclock/clocktest"
 )
 
 // alarm is a reducer that wants one tick at a time and records when it gets it.
@@ -33,13 +32,7 @@
 // were handled late by the time that had been left.
 func TestDeadlineThatPassedDuringSuspensionIsHandledSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var suspended atomic.Int64
-		machine := &steadyclock.Machine{Read: func(clock int32) (time.Duration, error) {
-			if clock == unix.CLOCK_BOOTTIME {
-				return time.Duration(suspended.Load()), nil
-			}
-			return 0, nil
-		}}
+		machine := clocktest.New()
 		var ticks []time.Duration
 		l := New[int, int](&alarm{at: 10 * time.Second, ticks: &ticks}, 0, func(int) {})
 		l.clock = machine.NewClock()
@@ -47,7 +40,7 @@
 		ended := make(chan struct{})
 		go func() { defer close(ended); l.Run(ctx) }()
 		time.Sleep(time.Second)
-		suspended.Store(int64(30 * time.Second))
+		machine.Suspend(30 * time.Second)
 		time.Sleep(steadyclock.MaxSleep)
 		synctest.Wait()
 		stop()
