--- a/proof/simulation_test.go
+++ b/proof/simulation_test.go
@@ -57,6 +57,8 @@
 	// lease is how long the runs of an agent go on after it is killed or frozen;
 	// zero means until they end.
 	lease time.Duration
+	// leased is that of the options.
+	leased bool
 	// silence is how long a session takes to detect a silent peer.
 	silence time.Duration
 }
@@ -156,6 +158,9 @@
 	agentTimeout time.Duration
 	lease        time.Duration
 	silence      time.Duration
+	// leased is set if runs at the upstreams are under a lease; slots are then
+	// estimated from the needs of the tasks.
+	leased bool
 }
 
 func newSimulation(o simulationOptions) *simulation {
@@ -180,6 +185,7 @@
 		running:    make(map[string]int),
 		concurrent: make(map[string]bool),
 		lease:      o.lease,
+		leased:     o.leased,
 		silence:    cmp.Or(o.silence, silenceTimeout),
 	}
 	if sim.config == nil {
@@ -293,7 +299,7 @@
 	sim.stepAgent(a, agent.Announced{Upstream: agent.Upstream{
 		Instance: a.instance(), Service: "svc", Slots: a.worker.slots, Connections: 64,
 		Offered: task.Resources{MilliCPU: 64000, MemoryMB: 128000, Accelerators: 1},
-		Lease:   3 * time.Second, CanStop: true,
+		Lease:   3 * time.Second, CanStop: true, Leased: sim.leased,
 	}})
 }
 
