transport: a reply that is awaited does not put off the check of a pinged connection

Entries call it when the first task or lock at an agent begins, so a few times a second at most. Change: the timer of a pinged connection stays where it is. Test: TestAwaitedReplyDoesNotPutCheckOff, failed before.

--- a/transport/probe.go
+++ b/transport/probe.go
@@ -143,11 +143,14 @@
 	p.timer.Stop()
 }
 
-// armEarlierLocked sets the timer if it would fire after a ping is due.
+// armEarlierLocked sets the timer if it would fire after a ping is due. The next check
+// of a connection that was pinged stays where it is: a caller that awaits reply after
+// reply must not put it off.
 func (p *prober) armEarlierLocked() {
-	if !p.stopped && p.pingDueLocked() < p.nextCheck {
-		p.armLocked()
+	if p.stopped || p.pingedSince != 0 || p.pingDueLocked() >= p.nextCheck {
+		return
 	}
+	p.armLocked()
 }
 
 // armLocked sets the timer to when the next ping is due, or to the next check of a
--- a/transport/probe_test.go
+++ b/transport/probe_test.go
@@ -48,3 +48,26 @@
 	p.receiverBlocked = true
 	require.Equal(t, notDue, p.pingDueLocked())
 }
+
+// A connection that was pinged is checked again a quarter of the deadline later. Each
+// time that the caller awaited another reply meanwhile, the check moved on, and a silent
+// connection was found late.
+func TestAwaitedReplyDoesNotPutCheckOff(t *testing.T) {
+	o := silentOptions()
+	o.PeerTimeout = never
+	p := newPair(t, o)
+	entry, _ := p.connect(t, o)
+	entry.probe.mu.Lock()
+	entry.probe.unansweredSince = entry.probe.now() - quietChecks*entry.probe.interval
+	entry.probe.pingedSince = entry.probe.now()
+	entry.probe.armLocked()
+	next := entry.probe.nextCheck
+	entry.probe.mu.Unlock()
+	for range 3 {
+		entry.SetAwaitingReply(false)
+		entry.SetAwaitingReply(true)
+	}
+	entry.probe.mu.Lock()
+	defer entry.probe.mu.Unlock()
+	require.Equal(t, next, entry.probe.nextCheck)
+}
