fleet: a section of a failure domain, with its evacuation

Cause: operators evacuate a failure domain, and no part of the configuration holds that. A section travels by what exists: versions, history, differences, digest and audit. Only the type and its parser; nothing sets or obeys it yet.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -21,6 +21,21 @@
 	// Routes maps callers' requests to services; see Route.
 	Routes *Routes
 	Retry  Retry
+	// Domains holds the failure domains for which operators have given an order.
+	Domains map[string]Domain
+}
+
+// Domain is the state that operators have ordered for a failure domain.
+type Domain struct {
+	Name string
+	// Evacuated domains get no new work.
+	Evacuated bool
+}
+
+// Evacuated reports whether a failure domain gets no new work. A process without
+// a configuration knows of no evacuation.
+func (c *Config) Evacuated(domain string) bool {
+	return c != nil && c.Domains[domain].Evacuated
 }
 
 // Service is a kind of work that callers may request, with its limits.
--- a/fleet/document.go
+++ b/fleet/document.go
@@ -122,7 +122,7 @@
 // Effective returns the configuration of a site: the defaults, overridden by the
 // base, overridden by the site's overlay. The caller sets Index.
 func (d *Document) Effective(site string) *Config {
-	conf := &Config{Digest: d.digest, Services: map[string]Service{}, Teams: map[string]Team{}}
+	conf := &Config{Digest: d.digest, Services: map[string]Service{}, Teams: map[string]Team{}, Domains: map[string]Domain{}}
 	setDefaults(&conf.Retry, retryFields)
 	routes := map[string]Route{}
 	for _, s := range d.sections {
@@ -155,6 +155,8 @@
 		routes[name] = overlay(routes, name, Route{Name: name}, routeFields, s.Keys)
 	case kindRetry:
 		setPairs(&c.Retry, retryFields, s.Keys)
+	case kindDomain:
+		c.Domains[name] = overlay(c.Domains, name, Domain{Name: name}, domainFields, s.Keys)
 	}
 }
 
--- a/fleet/parse.go
+++ b/fleet/parse.go
@@ -278,7 +278,7 @@
 	if !found || !validName(name) {
 		return "", "", false
 	}
-	return kind, name, kind == kindService || kind == kindTeam || kind == kindRoute
+	return kind, name, kind == kindService || kind == kindTeam || kind == kindRoute || kind == kindDomain
 }
 
 func keyNames(keys []Key) string {
--- a/fleet/schema.go
+++ b/fleet/schema.go
@@ -108,18 +108,24 @@
 		func(r *Retry, v string) error { return setUint(&r.MaxAttempts, v, 1, maxAttemptsLimit) }},
 }
 
+var domainFields = []field[Domain]{
+	{Key{"evacuated", "false", "true or false", "Whether the failure domain gets no new work."},
+		func(d *Domain, v string) error { return setBool(&d.Evacuated, v) }},
+}
+
 // The kinds of sections.
 const (
 	kindService = "service"
 	kindTeam    = "team"
 	kindRoute   = "route"
 	kindRetry   = "retry"
+	kindDomain  = "domain"
 )
 
 // validSections describes the accepted section headers.
 const validSections = "[service NAME], [team NAME], [route NAME] and [retry]"
 
-// Keys returns the keys of a kind of section: service, team, route or retry. It
+// Keys returns the keys of a kind of section: service, team, route, retry or domain. It
 // returns nil for any other kind.
 func Keys(kind string) []Key {
 	switch kind {
@@ -131,6 +137,8 @@
 		return keysOf(routeFields)
 	case kindRetry:
 		return keysOf(retryFields)
+	case kindDomain:
+		return keysOf(domainFields)
 	}
 	return nil
 }
@@ -155,6 +163,8 @@
 		return setField(new(Route), routeFields, key, value)
 	case kindRetry:
 		return setField(new(Retry), retryFields, key, value)
+	case kindDomain:
+		return setField(new(Domain), domainFields, key, value)
 	}
 	return fmt.Errorf("unknown section")
 }
