control: orders to evacuate a failure domain and to take it back

Cause: no command of the replicated log sets the section of a failure domain. Weighed: an operation id for each order (the platform sends none); whatever is last in the log, without a guard (a proposal held up by a cut would undo a later, acknowledged order after its caller has gone). So an order names the log position of the domain's last order, and one that is not the next is refused as superseded.

Apply, Publish and Rollback keep the sections in force, and refuse sections of their own: a text applied again must neither order nor withdraw an evacuation. Files that hold such a section are refused with the command to use, and the text of a version leaves it out. A restore is only taken by a cluster without any version, so it can't withdraw an order; it brings back those of the backup.

Names of failure domains follow the pattern of certificates, which is wider than that of services.

--- a/control/command.go
+++ b/control/command.go
@@ -12,7 +12,7 @@
 )
 
 //go:generate go tool msgp -file=. -o=control_gen.go -tests=false -io=false
-//msgp:ignore Machine AuditFilter
+//msgp:ignore Machine AuditFilter newVersion domainOrders
 //msgp:limit arrays:262144 maps:16
 
 // Operator identifies who requests a change, and from which address.
@@ -36,9 +36,11 @@
 	Resolve  *wire.Resolve `msg:"r"`
 	Restore  *Restore      `msg:"s"`
 	Publish  *Publish      `msg:"p"`
+	Evacuate *Evacuate     `msg:"e"`
 }
 
-// Apply replaces the whole configuration if the version in force is Base.
+// Apply replaces the whole configuration if the version in force is Base. Orders for
+// failure domains stay in force.
 type Apply struct {
 	// Op is the operation id. A resend with the same id gets the first reply
 	// again.
@@ -64,7 +66,7 @@
 }
 
 // Rollback creates a new version with the content of version To if the version in
-// force is Base.
+// force is Base. Orders for failure domains stay in force.
 type Rollback struct {
 	Op   string   `msg:"o"`
 	Base uint64   `msg:"b"`
@@ -94,15 +96,18 @@
 	RefusalOpReused      Refusal = "operation_id_reused"
 	RefusalNoSuchVersion Refusal = "no_such_version"
 	RefusalOpMissing     Refusal = "operation_id_missing"
+	RefusalUnknownDomain Refusal = "unknown_domain"
+	RefusalSuperseded    Refusal = "superseded"
 )
 
 // Reply is the machine's reply to a command.
 type Reply struct {
-	Change  *ChangeReply     `msg:"c"`
-	Claim   *wire.ClaimReply `msg:"k"`
-	Restore *RestoreReply    `msg:"s"`
-	Publish *PublishReply    `msg:"p"`
-	Refusal string           `msg:"e"`
+	Change   *ChangeReply     `msg:"c"`
+	Claim    *wire.ClaimReply `msg:"k"`
+	Restore  *RestoreReply    `msg:"s"`
+	Publish  *PublishReply    `msg:"p"`
+	Evacuate *EvacuateReply   `msg:"v"`
+	Refusal  string           `msg:"e"`
 }
 
 // ChangeReply is the reply to Apply and Rollback.
@@ -170,7 +175,7 @@
 		return nil, fmt.Errorf("control: decode command: %w", err)
 	}
 	set := 0
-	for _, present := range []bool{c.Apply != nil, c.Rollback != nil, c.Note != nil, c.Claim != nil, c.Resolve != nil, c.Restore != nil, c.Publish != nil} {
+	for _, present := range []bool{c.Apply != nil, c.Rollback != nil, c.Note != nil, c.Claim != nil, c.Resolve != nil, c.Restore != nil, c.Publish != nil, c.Evacuate != nil} {
 		if present {
 			set++
 		}
--- a/control/config.go
+++ b/control/config.go
@@ -119,6 +119,9 @@
 		op: a.Op, base: a.Base, by: a.By, action: "apply", contentHash: contentHash(a),
 		document: func() (*fleet.Document, Refusal, string) {
 			doc, err := fleet.FromSections(a.Sections)
+			if err == nil {
+				doc, err = c.withDomains(doc)
+			}
 			if err != nil {
 				return nil, RefusalInvalid, err.Error()
 			}
@@ -132,10 +135,14 @@
 		op: r.Op, base: r.Base, by: r.By, action: fmt.Sprintf("rollback to %d", r.To),
 		contentHash: xxhash.Sum64String(fmt.Sprintf("rollback %d %d", r.Base, r.To)),
 		document: func() (*fleet.Document, Refusal, string) {
-			doc := c.at(r.To)
-			if doc == nil {
+			old := c.at(r.To)
+			if old == nil {
 				return nil, RefusalNoSuchVersion, fmt.Sprintf("there is no version %d among the last %d", r.To, maxHistory)
 			}
+			doc, err := old.WithDomainsOf(c.doc)
+			if err != nil {
+				return nil, RefusalInvalid, err.Error()
+			}
 			return doc, RefusalNone, ""
 		},
 	}
--- a/control/control_gen.go
+++ b/control/control_gen.go
@@ -640,9 +640,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Command) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 9
 	// string "t"
-	o = append(o, 0x88, 0xa1, 0x74)
+	o = append(o, 0x89, 0xa1, 0x74)
 	o = msgp.AppendInt64(o, z.At)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
@@ -721,6 +721,17 @@
 			return
 		}
 	}
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	if z.Evacuate == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Evacuate.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Evacuate")
+			return
+		}
+	}
 	return
 }
 
@@ -871,6 +882,23 @@
 					return
 				}
 			}
+		case "e":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Evacuate = nil
+			} else {
+				if z.Evacuate == nil {
+					z.Evacuate = new(Evacuate)
+				}
+				bts, err = z.Evacuate.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Evacuate")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -927,6 +955,379 @@
 	} else {
 		s += z.Publish.Msgsize()
 	}
+	s += 2
+	if z.Evacuate == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Evacuate.Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *DomainOrder) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "d"
+	o = append(o, 0x86, 0xa1, 0x64)
+	o = msgp.AppendString(o, z.Domain)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendBool(o, z.Evacuated)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.By.Name)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.By.Addr)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.At)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.Version)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendUint64(o, z.Last)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *DomainOrder) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "d":
+			z.Domain, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Domain")
+				return
+			}
+		case "e":
+			z.Evacuated, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Evacuated")
+				return
+			}
+		case "w":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "By")
+				return
+			}
+			if zb0002 > zfe1bd8eflimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "By")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "n":
+					z.By.Name, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "By", "Name")
+						return
+					}
+				case "a":
+					z.By.Addr, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "By", "Addr")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "By")
+						return
+					}
+				}
+			}
+		case "t":
+			z.At, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "At")
+				return
+			}
+		case "v":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "l":
+			z.Last, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Last")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *DomainOrder) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Domain) + 2 + msgp.BoolSize + 2 + 1 + 2 + msgp.StringPrefixSize + len(z.By.Name) + 2 + msgp.StringPrefixSize + len(z.By.Addr) + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Evacuate) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "d"
+	o = append(o, 0x85, 0xa1, 0x64)
+	o = msgp.AppendString(o, z.Domain)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendBool(o, z.Evacuated)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.By.Name)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.By.Addr)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendUint64(o, z.After)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendBool(o, z.Unlisted)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Evacuate) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "d":
+			z.Domain, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Domain")
+				return
+			}
+		case "e":
+			z.Evacuated, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Evacuated")
+				return
+			}
+		case "w":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "By")
+				return
+			}
+			if zb0002 > zfe1bd8eflimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "By")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "n":
+					z.By.Name, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "By", "Name")
+						return
+					}
+				case "a":
+					z.By.Addr, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "By", "Addr")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "By")
+						return
+					}
+				}
+			}
+		case "a":
+			z.After, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "After")
+				return
+			}
+		case "u":
+			z.Unlisted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unlisted")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Evacuate) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Domain) + 2 + msgp.BoolSize + 2 + 1 + 2 + msgp.StringPrefixSize + len(z.By.Name) + 2 + msgp.StringPrefixSize + len(z.By.Addr) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *EvacuateReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "k"
+	o = append(o, 0x85, 0xa1, 0x6b)
+	o = msgp.AppendBool(o, z.Accepted)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendString(o, string(z.Refusal))
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendString(o, z.Detail)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.Index)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendUint64(o, z.Last)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EvacuateReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "k":
+			z.Accepted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accepted")
+				return
+			}
+		case "r":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Refusal")
+					return
+				}
+				z.Refusal = Refusal(zb0002)
+			}
+		case "d":
+			z.Detail, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Detail")
+				return
+			}
+		case "i":
+			z.Index, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Index")
+				return
+			}
+		case "l":
+			z.Last, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Last")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *EvacuateReply) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(string(z.Refusal)) + 2 + msgp.StringPrefixSize + len(z.Detail) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
 	return
 }
 
@@ -1598,9 +1999,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Reply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "c"
-	o = append(o, 0x85, 0xa1, 0x63)
+	o = append(o, 0x86, 0xa1, 0x63)
 	if z.Change == nil {
 		o = msgp.AppendNil(o)
 	} else {
@@ -1645,6 +2046,17 @@
 			return
 		}
 	}
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	if z.Evacuate == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Evacuate.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Evacuate")
+			return
+		}
+	}
 	// string "e"
 	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendString(o, z.Refusal)
@@ -1774,6 +2186,23 @@
 					return
 				}
 			}
+		case "v":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Evacuate = nil
+			} else {
+				if z.Evacuate == nil {
+					z.Evacuate = new(EvacuateReply)
+				}
+				bts, err = z.Evacuate.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Evacuate")
+					return
+				}
+			}
 		case "e":
 			z.Refusal, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1818,6 +2247,12 @@
 	} else {
 		s += z.Publish.Msgsize()
 	}
+	s += 2
+	if z.Evacuate == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Evacuate.Msgsize()
+	}
 	s += 2 + msgp.StringPrefixSize + len(z.Refusal)
 	return
 }
@@ -2159,9 +2594,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
+	// map header, size 14
 	// string "f"
-	o = append(o, 0x8d, 0xa1, 0x66)
+	o = append(o, 0x8e, 0xa1, 0x66)
 	o = msgp.AppendUint32(o, z.Format)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
@@ -2259,6 +2694,16 @@
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendBytes(o, z.Published.Source)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.DomainOrders)))
+	for za0008 := range z.DomainOrders {
+		o, err = z.DomainOrders[za0008].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "DomainOrders", za0008)
+			return
+		}
+	}
 	return
 }
 
@@ -2584,6 +3029,29 @@
 					}
 				}
 			}
+		case "d":
+			var zb0012 uint32
+			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DomainOrders")
+				return
+			}
+			if zb0012 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.DomainOrders) >= int(zb0012) {
+				z.DomainOrders = (z.DomainOrders)[:zb0012]
+			} else {
+				z.DomainOrders = make([]DomainOrder, zb0012)
+			}
+			for za0008 := range z.DomainOrders {
+				bts, err = z.DomainOrders[za0008].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "DomainOrders", za0008)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2618,7 +3086,10 @@
 	for za0005 := range z.Audit {
 		s += z.Audit[za0005].Msgsize()
 	}
-	s += 2 + msgp.ArrayHeaderSize + (sha256.Size * (msgp.ByteSize)) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Staged) + 2 + msgp.ArrayHeaderSize + (sha256.Size * (msgp.ByteSize)) + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Published.Source)
+	s += 2 + msgp.ArrayHeaderSize + (sha256.Size * (msgp.ByteSize)) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Staged) + 2 + msgp.ArrayHeaderSize + (sha256.Size * (msgp.ByteSize)) + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Published.Source) + 2 + msgp.ArrayHeaderSize
+	for za0008 := range z.DomainOrders {
+		s += z.DomainOrders[za0008].Msgsize()
+	}
 	return
 }
 
--- a/control/machine.go
+++ b/control/machine.go
@@ -25,6 +25,7 @@
 	staged   stagedBackup
 	// published is the published document with the highest version.
 	published      Published
+	domainOrders   domainOrders
 	pushes         pushCache
 	onConfigChange func(index uint64)
 }
@@ -46,7 +47,7 @@
 	defer m.mu.Unlock()
 	m.now, m.index = 0, 0
 	m.configs, m.claims, m.auditLog = newConfigs(), newClaims(), &auditLog{}
-	m.staged, m.published = stagedBackup{}, Published{}
+	m.staged, m.published, m.domainOrders = stagedBackup{}, Published{}, nil
 }
 
 // Apply executes one command of the log and returns the encoded Reply. A command
@@ -87,6 +88,8 @@
 		return &Reply{}
 	case cmd.Publish != nil:
 		return &Reply{Publish: m.publish(index, cmd.Publish)}
+	case cmd.Evacuate != nil:
+		return &Reply{Evacuate: m.evacuate(index, cmd.Evacuate)}
 	case cmd.Restore != nil:
 		reply := m.restore(index, cmd.Restore)
 		return &Reply{Restore: &reply}
--- a/control/machine_test.go
+++ b/control/machine_test.go
@@ -44,6 +44,36 @@
 	expires int64
 }
 
+// withDomains returns the document with the orders of the version in force.
+func (n *model) withDomains(doc *fleet.Document) *fleet.Document {
+	if doc == nil {
+		return nil
+	}
+	out, err := doc.WithDomainsOf(n.last().doc)
+	if err != nil {
+		panic(err)
+	}
+	return out
+}
+
+// evacuate applies an order whose proposer knows the last one if current is set.
+func (n *model) evacuate(index uint64, domain, by string, on, current bool) Refusal {
+	doc, err := n.last().doc.WithEvacuation(domain, on)
+	if err != nil {
+		panic(err)
+	}
+	op := map[bool]string{true: "evacuate-", false: "take-back-"}[on] + domain
+	if doc != n.last().doc {
+		if !current {
+			n.audit = append(n.audit, modelAudit{by, op, false})
+			return RefusalSuperseded
+		}
+		n.versions = append(n.versions, modelVersion{index, doc, op, by})
+	}
+	n.audit = append(n.audit, modelAudit{by, op, true})
+	return RefusalNone
+}
+
 type modelAudit struct {
 	by       string
 	op       string
@@ -218,7 +248,7 @@
 	require.NoError(t, err)
 	op, by, base := w.op(), w.operator(), w.base()
 	reply := w.apply(&Command{Apply: &Apply{Op: op, Base: base, By: Operator{Name: by}, Sections: sections}})
-	want := w.model.change(w.index, op, by, fmt.Sprint("apply ", base, doc.Digest()), base, doc)
+	want := w.model.change(w.index, op, by, fmt.Sprint("apply ", base, doc.Digest()), base, w.model.withDomains(doc))
 	w.checkChange(want, reply.Change)
 }
 
@@ -229,10 +259,24 @@
 	}
 	op, by, base := w.op(), w.operator(), w.base()
 	reply := w.apply(&Command{Rollback: &Rollback{Op: op, Base: base, By: Operator{Name: by}, To: to}})
-	want := w.model.change(w.index, op, by, fmt.Sprint("rollback ", base, to), base, w.model.at(to))
+	want := w.model.change(w.index, op, by, fmt.Sprint("rollback ", base, to), base, w.model.withDomains(w.model.at(to)))
 	w.checkChange(want, reply.Change)
 }
 
+func (w *harness) evacuate(t *rapid.T) {
+	domain, by := rapid.SampledFrom([]string{"sv-a", "sv-b"}).Draw(t, "domain"), w.operator()
+	on, current := rapid.Bool().Draw(t, "evacuated"), rapid.IntRange(0, 3).Draw(t, "late") > 0
+	after := w.machine.DomainOrder(domain).Last
+	if !current {
+		after++
+	}
+	got := w.apply(&Command{Evacuate: &Evacuate{Domain: domain, Evacuated: on, By: Operator{Name: by}, After: after}}).Evacuate
+	want := w.model.evacuate(w.index, domain, by, on, current)
+	require.Equal(t, want, got.Refusal)
+	require.Equal(t, want == RefusalNone, got.Accepted)
+	require.Equal(t, w.model.last().index, got.Index)
+}
+
 func (w *harness) key(t *rapid.T) claimKey {
 	return claimKey{
 		rapid.SampledFrom([]string{"day", "night", "nobody"}).Draw(t, "team"), "alert-core",
@@ -321,6 +365,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"apply":    w.applyConfig,
 			"rollback": w.rollback,
+			"evacuate": w.evacuate,
 			"claim":    w.claim,
 			"resolve":  w.resolve,
 			"restart":  w.restart,
--- a/control/publish.go
+++ b/control/publish.go
@@ -27,7 +27,7 @@
 // invalid document is refused regardless of its version.
 func (m *Machine) publish(index uint64, p *Publish) *PublishReply {
 	reply := &PublishReply{Newest: m.published.Version, Index: m.configs.current().Index}
-	doc, err := fleet.FromSections(m.mergePublished(p.Sections))
+	doc, err := m.mergePublished(p.Sections)
 	if err != nil {
 		reply.Detail = err.Error()
 		m.auditPublish(index, p, reply)
@@ -39,29 +39,38 @@
 		return reply
 	}
 	m.published = Published{Version: p.Version, Source: p.Source}
-	info := m.configs.replace(index, m.now, doc, p)
+	info := m.configs.replace(index, m.now, doc, newVersion{by: p.By, op: publishOp(p), action: fmt.Sprintf("publish %d", p.Version)})
 	reply.Newest, reply.Index = p.Version, info.Index
 	m.auditPublish(index, p, reply)
 	return reply
 }
 
-// mergePublished returns the sections in force with the services and routes of
-// the base replaced by the given ones.
-func (m *Machine) mergePublished(sections []wire.ConfigSection) []wire.ConfigSection {
+// mergePublished returns the document in force with the services and routes of the
+// base replaced by the given sections.
+func (m *Machine) mergePublished(sections []wire.ConfigSection) (*fleet.Document, error) {
+	if slices.ContainsFunc(sections, fleet.IsDomain) {
+		return nil, errDomainInConfig
+	}
 	kept := slices.DeleteFunc(slices.Clone(m.configs.doc.Sections()), func(s wire.ConfigSection) bool {
 		kind, _, _ := strings.Cut(s.Name, " ")
 		return s.Site == "" && (kind == "service" || kind == "route")
 	})
-	return append(kept, sections...)
+	return fleet.FromSections(append(kept, sections...))
+}
+
+// newVersion describes a change that does not name the version that it replaces.
+type newVersion struct {
+	by         Operator
+	op, action string
 }
 
 // replace puts a document in force without checking which version it replaces.
-func (c *configs) replace(index uint64, now int64, doc *fleet.Document, p *Publish) VersionInfo {
+func (c *configs) replace(index uint64, now int64, doc *fleet.Document, v newVersion) VersionInfo {
 	diff, undo := fleet.Diff(c.doc, doc), fleet.Diff(doc, c.doc)
 	cur := c.current()
 	info := VersionInfo{
-		Index: max(index, cur.Index+1), Digest: doc.Digest(), Base: cur.Index, Op: publishOp(p), By: p.By,
-		At: now, Action: fmt.Sprintf("publish %d", p.Version), Changed: changedRefs(diff),
+		Index: max(index, cur.Index+1), Digest: doc.Digest(), Base: cur.Index, Op: v.op, By: v.by,
+		At: now, Action: v.action, Changed: changedRefs(diff),
 	}
 	c.addVersion(Version{info, Undo{undo.Sections, undo.Removed}})
 	c.doc = doc
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -25,6 +25,8 @@
 	StagedSum Hash   `msg:"u"`
 	// Published is the published document with the highest version.
 	Published Published `msg:"p"`
+	// DomainOrders holds the last order for each failure domain, sorted by domain.
+	DomainOrders []DomainOrder `msg:"d"`
 }
 
 // Snapshot returns the encoded state. Machines that applied the same commands
@@ -38,7 +40,7 @@
 		Claims: m.claims.records(),
 		Audit:  m.auditLog.entries, Anchor: m.auditLog.anchor, AuditSeq: m.auditLog.seq,
 		Staged: m.staged.data, StagedSum: m.staged.sum,
-		Published: m.published,
+		Published: m.published, DomainOrders: m.domainOrders,
 	}
 	b, err := s.MarshalMsg(nil)
 	if err != nil {
@@ -106,10 +108,11 @@
 	}
 }
 
-// loadState replaces configuration, claims and audit trail with those of a state.
+// loadState replaces configuration, claims, orders and audit trail with those of a
+// state.
 // The machine's time does not go backwards.
 func (m *Machine) loadState(s *State, c *configs) {
-	m.now, m.configs, m.published = max(m.now, s.Now), c, s.Published
+	m.now, m.configs, m.published, m.domainOrders = max(m.now, s.Now), c, s.Published, s.DomainOrders
 	m.auditLog = &auditLog{entries: s.Audit, anchor: s.Anchor, seq: s.AuditSeq}
 	m.claims = newClaims()
 	for i := range s.Claims {
--- a/fleet/document.go
+++ b/fleet/document.go
@@ -182,11 +182,12 @@
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
-// Format returns a site's sections ("" for the base) in INI format.
+// Format returns a site's sections ("" for the base) in INI format, as in the
+// operators' files: without the orders for failure domains.
 func (d *Document) Format(site string) []byte {
 	var b strings.Builder
 	for _, s := range d.sections {
-		if s.Site != site {
+		if s.Site != site || IsDomain(s) {
 			continue
 		}
 		fmt.Fprintf(&b, "[%s]\n", s.Name)
--- a/fleet/parse.go
+++ b/fleet/parse.go
@@ -66,8 +66,9 @@
 	return strings.Join(lines, "\n")
 }
 
-// Parse parses the base and the overlays and validates them together. The error
-// is a *CheckError with every problem found.
+// Parse parses the base and the overlays and validates them together. Operators'
+// orders for failure domains do not belong into files and are problems. The error is
+// a *CheckError with every problem found.
 func Parse(sources []Source) (*Document, error) {
 	var c checker
 	c.checkSources(sources)
@@ -158,6 +159,10 @@
 	for _, sec := range file.Sections {
 		out := wire.ConfigSection{Site: src.Site, Name: sec.Name}
 		c.positions[configPath{src.Site, sec.Name, ""}] = filePosition{src.File, sec.Line}
+		if IsDomain(out) {
+			c.addProblem(configPath{src.Site, sec.Name, ""}, "orders for failure domains are not part of the files",
+				"the commands fireflytray evacuate and fireflytray take-back")
+		}
 		for _, key := range sec.Keys {
 			c.positions[configPath{src.Site, sec.Name, key.Name}] = filePosition{src.File, key.Line}
 			out.Keys = append(out.Keys, wire.ConfigPair{Key: key.Name, Value: key.Value})
@@ -197,6 +202,9 @@
 		c.addProblem(at, fmt.Sprintf("the base has no %s %s, and an overlay only changes what exists", kind, name),
 			"sections of the base: "+strings.Join(doc.sectionNames(""), ", "))
 	}
+	if s.Site != "" && kind == kindDomain {
+		c.addProblem(at, "an overlay can't hold orders for failure domains", "sections of the base")
+	}
 	for i, pair := range s.Keys {
 		at.key = pair.Key
 		if i > 0 && s.Keys[i-1].Key == pair.Key {
@@ -275,10 +283,13 @@
 		return kindRetry, "", true
 	}
 	kind, name, found := strings.Cut(header, " ")
+	if found && kind == kindDomain && ValidDomain(name) {
+		return kind, name, true
+	}
 	if !found || !validName(name) {
 		return "", "", false
 	}
-	return kind, name, kind == kindService || kind == kindTeam || kind == kindRoute || kind == kindDomain
+	return kind, name, kind == kindService || kind == kindTeam || kind == kindRoute
 }
 
 func keyNames(keys []Key) string {
--- a/fleet/schema.go
+++ b/fleet/schema.go
@@ -109,10 +109,13 @@
 }
 
 var domainFields = []field[Domain]{
-	{Key{"evacuated", "false", "true or false", "Whether the failure domain gets no new work."},
+	{Key{keyEvacuated, "false", "true or false", "Whether the failure domain gets no new work."},
 		func(d *Domain, v string) error { return setBool(&d.Evacuated, v) }},
 }
 
+// keyEvacuated is the key of a failure domain's evacuation.
+const keyEvacuated = "evacuated"
+
 // The kinds of sections.
 const (
 	kindService = "service"
