controld, platform, command: operators evacuate failure domains

Cause: no interface takes the orders.

An order is answered when it is in the log. Which domains exist is known from the processes that a control host has seen since its start, also those that are gone: the domain that fails as a whole is the one that operators evacuate. Weighed: live members only (a failed domain would be refused after a lease); the names in the log (an entry for each new name, for a case that only a restart within that time meets). A host that can't know yet says so instead of refusing.

--- a/adminapi/types.go
+++ b/adminapi/types.go
@@ -23,6 +23,8 @@
 	PathBackup   = "/v1/control/backup"
 	PathRestore  = "/v1/control/restore"
 	PathFleet    = "/v1/fleet"
+
+	PathEvacuations = "/v1/evacuations"
 )
 
 // HeaderFresh is "false" in an answer of a control host without a fresh quorum.
@@ -116,6 +118,9 @@
 	Index   uint64   `json:"index"`
 	Digest  string   `json:"digest"`
 	Sources []Source `json:"sources"`
+	// Evacuated lists the failure domains that this version evacuates. They are part
+	// of its digest but not of its sources.
+	Evacuated []string `json:"evacuated,omitempty"`
 }
 
 // HistoryReply lists versions, newest first.
@@ -158,6 +163,8 @@
 	Addr        string `json:"addr"`
 	Incarnation uint64 `json:"incarnation"`
 	Index       uint64 `json:"index"`
+	// Evacuated is set if the process is in an evacuated failure domain.
+	Evacuated bool `json:"evacuated,omitempty"`
 	// The following fields are set only for agents with an upstream.
 	Service     string `json:"service,omitempty"`
 	Slots       uint32 `json:"slots,omitempty"`
@@ -173,6 +180,43 @@
 	Processes []Process `json:"processes"`
 }
 
+// EvacuationRequest evacuates a failure domain, or takes it back if Evacuated is
+// false. A repeated request changes nothing.
+type EvacuationRequest struct {
+	Domain    string `json:"domain"`
+	Evacuated bool   `json:"evacuated"`
+}
+
+// EvacuationReply is the response to an accepted EvacuationRequest.
+type EvacuationReply struct {
+	Domain    string `json:"domain"`
+	Evacuated bool   `json:"evacuated"`
+	// Index is the version in force that holds the order.
+	Index  uint64 `json:"index"`
+	Detail string `json:"detail"`
+}
+
+// EvacuationsReply lists the evacuated failure domains, sorted by name.
+type EvacuationsReply struct {
+	Fresh       bool         `json:"fresh"`
+	Index       uint64       `json:"index"`
+	Evacuations []Evacuation `json:"evacuations"`
+}
+
+// Evacuation is an evacuated failure domain.
+type Evacuation struct {
+	Domain string    `json:"domain"`
+	By     string    `json:"by"`
+	From   string    `json:"from"`
+	At     time.Time `json:"at"`
+	// Version is the version that evacuated the domain.
+	Version uint64 `json:"version"`
+	// Processes is the number of live processes in the domain.
+	Processes int `json:"processes"`
+	// Behind is the number of live processes anywhere that have an older version.
+	Behind int `json:"behind"`
+}
+
 // AuditReply lists audit entries, oldest first.
 type AuditReply struct {
 	Fresh bool `json:"fresh"`
--- a/cmd/fireflytray-control/main.go
+++ b/cmd/fireflytray-control/main.go
@@ -6,6 +6,7 @@
 	"os"
 	"slices"
 
+	"github.com/fireflytray/fireflytray/control"
 	"github.com/fireflytray/fireflytray/controld"
 	"github.com/fireflytray/fireflytray/daemon"
 	"github.com/fireflytray/fireflytray/logging"
@@ -65,7 +66,7 @@
 	}
 }
 
-// operators publishes documents of the platform on a control host.
+// operators carries out the orders of the platform's operators on a control host.
 type operators struct{ *controld.Host }
 
 // Publish implements platform.OperatorBackend.
@@ -73,6 +74,15 @@
 	return o.Host.Publish(ctx, by, doc.Version, doc.Sections, doc.Source)
 }
 
+// Evacuate implements platform.OperatorBackend.
+func (o operators) Evacuate(ctx context.Context, by, zone string, evacuated bool) (string, error) {
+	reply, err := o.Host.Evacuate(ctx, control.Operator{Name: controld.PlatformOperator, Addr: by}, zone, evacuated)
+	if err != nil || reply.Accepted {
+		return "", err
+	}
+	return reply.Detail, nil
+}
+
 func common(rt daemon.Runtime, s *settings.Control) node.Common {
 	return node.Common{
 		ID:           s.ID,
--- a/command/config_show.go
+++ b/command/config_show.go
@@ -26,6 +26,9 @@
 		return c.env.printJSON(reply)
 	}
 	fmt.Fprintf(c.env.Stdout, "# version %d, digest %s\n", reply.Index, reply.Digest)
+	for _, domain := range reply.Evacuated {
+		fmt.Fprintf(c.env.Stdout, "# failure domain %s is evacuated\n", domain)
+	}
 	for _, s := range reply.Sources {
 		if s.Site != "" {
 			fmt.Fprintf(c.env.Stdout, "# overlay of site %s\n", s.Site)
--- a/command/status.go
+++ b/command/status.go
@@ -37,9 +37,9 @@
 }
 
 func processTable(r *adminapi.FleetReply) Table {
-	t := Table{Header: []string{"role", "id", "domain", "address", "version", "service", "slots", "connections", "rack", "draining"}}
+	t := Table{Header: []string{"role", "id", "domain", "address", "version", "service", "slots", "connections", "rack", "draining", "evacuated"}}
 	for _, p := range r.Processes {
-		row := []string{p.Role, p.ID, p.Domain, p.Addr, itoa(p.Index), orDash(p.Service), "-", "-", orDash(p.Rack), "-"}
+		row := []string{p.Role, p.ID, p.Domain, p.Addr, itoa(p.Index), orDash(p.Service), "-", "-", orDash(p.Rack), "-", yesNo(p.Evacuated)}
 		if p.Service != "" {
 			row[6], row[7], row[9] = itoa(p.Slots), itoa(p.Connections), yesNo(p.Draining)
 		}
--- a/controld/admin.go
+++ b/controld/admin.go
@@ -91,6 +91,9 @@
 		"GET " + adminapi.PathBackup:    h.adminBackup,
 		"POST " + adminapi.PathRestore:  h.adminRestore,
 		"GET " + adminapi.PathFleet:     h.adminFleet,
+
+		"POST " + adminapi.PathEvacuations: h.adminEvacuate,
+		"GET " + adminapi.PathEvacuations:  h.adminEvacuations,
 	}
 }
 
--- a/controld/admin_config.go
+++ b/controld/admin_config.go
@@ -42,6 +42,10 @@
 	}
 	h.waitCurrent(c.ctx)
 	version, inForce := h.machine.Current()
+	// A change leaves the orders for failure domains in force.
+	if doc, err = doc.WithDomainsOf(inForce); err != nil {
+		return nil, err
+	}
 	return difference(version.Index, inForce, doc), nil
 }
 
@@ -179,7 +183,7 @@
 		return nil, &adminapi.Problem{Type: adminapi.TypeNotFound, Title: "Not found", Status: fasthttp.StatusNotFound,
 			Detail: fmt.Sprintf("the history has no version %d", index)}
 	}
-	out := &adminapi.ConfigReply{Index: index, Digest: adminapi.FormatDigest(doc.Digest())}
+	out := &adminapi.ConfigReply{Index: index, Digest: adminapi.FormatDigest(doc.Digest()), Evacuated: doc.EvacuatedDomains()}
 	for _, site := range append([]string{""}, doc.Sites()...) {
 		out.Sources = append(out.Sources, adminapi.Source{Site: site, Text: string(doc.Format(site))})
 	}
--- a/controld/admin_fleet.go
+++ b/controld/admin_fleet.go
@@ -52,8 +52,12 @@
 		return nil, err
 	}
 	out := &adminapi.FleetReply{Fresh: h.fresh.Load(), Index: h.machine.Stamp().Index}
+	_, doc := h.machine.Current()
+	evacuated := doc.EvacuatedDomains()
 	for _, m := range processes {
-		out.Processes = append(out.Processes, processOf(m))
+		p := processOf(m)
+		p.Evacuated = slices.Contains(evacuated, p.Domain)
+		out.Processes = append(out.Processes, p)
 	}
 	return out, nil
 }
--- a/controld/controld_test.go
+++ b/controld/controld_test.go
@@ -106,14 +106,22 @@
 }
 
 func startProcess(t *testing.T, a *keys.Authority, role wire.Role, id string, controls ...string) *testProcess {
+	t.Helper()
+	return startProcessIn(t, a, "sv-a", role, id, controls...)
+}
+
+// startProcessIn starts a process in a failure domain.
+func startProcessIn(t *testing.T, a *keys.Authority, domain string, role wire.Role, id string, controls ...string) *testProcess {
 	t.Helper()
 	p := &testProcess{members: map[string]wire.Member{}}
 	self := wire.Announce{
-		From:  wire.Peer{Role: role, ID: id, Incarnation: uint64(time.Now().UnixNano()), Domain: "sv-a", Addr: "127.0.0.1:1"},
+		From:  wire.Peer{Role: role, ID: id, Incarnation: uint64(time.Now().UnixNano()), Domain: domain, Addr: "127.0.0.1:1"},
 		Watch: role == wire.RoleEntry,
 	}
+	own, err := a.Identity(role, id, domain)
+	require.NoError(t, err)
 	p.Client = controlclient.New(controlclient.Options{
-		Controls: controls, Transport: transport.Options{Identity: identity(t, a, role, id)},
+		Controls: controls, Transport: transport.Options{Identity: own},
 		Self: func() wire.Announce { return self }, Site: "sv-a",
 		OnConfig: p.config, OnDirectory: p.directory, Log: discardLogger,
 	})
--- a/controld/metrics.go
+++ b/controld/metrics.go
@@ -11,6 +11,8 @@
 type hostMetrics struct {
 	configIndex, fresh, applied, sessions tally.Gauge
 	accepted, refused                     tally.Counter
+	evacuatedDomains                      tally.Gauge
+	ordersAccepted, ordersRefused         tally.Counter
 	claims                                map[wire.ClaimState]tally.Counter
 }
 
@@ -33,6 +35,10 @@
 		accepted:    scope.Counter("changes_accepted"),
 		refused:     scope.Counter("changes_refused"),
 		claims:      map[wire.ClaimState]tally.Counter{},
+
+		evacuatedDomains: scope.Gauge("evacuated_domains"),
+		ordersAccepted:   scope.Counter("evacuation_orders_accepted"),
+		ordersRefused:    scope.Counter("evacuation_orders_refused"),
 	}
 	for state, name := range claimStateTags {
 		m.claims[state] = scope.Tagged(map[string]string{"state": name}).Counter("claims")
@@ -45,6 +51,7 @@
 	m.configIndex.Update(float64(machine.Stamp().Index))
 	m.applied.Update(float64(machine.Index()))
 	m.sessions.Update(float64(sessions))
+	m.evacuatedDomains.Update(float64(len(machine.Evacuations())))
 	value := 0.0
 	if fresh {
 		value = 1
@@ -67,3 +74,12 @@
 	}
 	m.refused.Inc(1)
 }
+
+// countEvacuation counts an order for a failure domain as accepted or refused.
+func (m *hostMetrics) countEvacuation(accepted bool) {
+	if accepted {
+		m.ordersAccepted.Inc(1)
+		return
+	}
+	m.ordersRefused.Inc(1)
+}
--- a/controld/propose.go
+++ b/controld/propose.go
@@ -50,7 +50,7 @@
 // propose appends a command to the log, on this host or through the leader, and
 // returns the reply of the state machine. It retries commands that were not
 // accepted. Except for notes it also retries commands whose outcome is unknown,
-// because their operation ids and owners make them idempotent.
+// because their operation ids, owners, versions and positions make them idempotent.
 func (h *Host) propose(ctx context.Context, c *control.Command) (*control.Reply, error) {
 	c.At = h.clock().UnixMilli()
 	body, err := c.Encode()
--- a/controld/publish.go
+++ b/controld/publish.go
@@ -8,11 +8,15 @@
 	"github.com/fireflytray/fireflytray/wire"
 )
 
+// PlatformOperator is the name under which the orders of the platform's operators are
+// audited; the platform doesn't name them.
+const PlatformOperator = "platform"
+
 // Publish proposes a document that carries its own version number. refused is the
 // reason if the document is refused; an error means that the outcome is unknown.
 func (h *Host) Publish(ctx context.Context, addr string, version uint64, sections []wire.ConfigSection, source []byte) (refused string, err error) {
 	cmd := &control.Command{Publish: &control.Publish{
-		Version: version, By: control.Operator{Name: "platform", Addr: addr}, Sections: sections, Source: source,
+		Version: version, By: control.Operator{Name: PlatformOperator, Addr: addr}, Sections: sections, Source: source,
 	}}
 	reply, err := h.propose(ctx, cmd)
 	if err != nil {
--- a/directory/reducer.go
+++ b/directory/reducer.go
@@ -39,6 +39,7 @@
 	SourceLost *SourceLost
 	Quorum     *Quorum
 	Query      *MembersQuery
+	Domains    *DomainsQuery
 }
 
 // ReceivedAnnouncement is an announcement received on a connection of this host.
@@ -100,10 +101,12 @@
 	// removeSourceAt is the time at which the members of each disconnected source
 	// are removed.
 	removeSourceAt map[Source]time.Duration
-	quorumFresh    bool
-	complete       bool
-	startedAt      time.Duration
-	flushAt        time.Duration
+	// domains holds the failure domains seen since the start.
+	domains     domainSet
+	quorumFresh bool
+	complete    bool
+	startedAt   time.Duration
+	flushAt     time.Duration
 	// wakeAt is not later than the first expiry of a lease or a lost source.
 	wakeAt time.Duration
 }
@@ -112,7 +115,7 @@
 func NewReducer(now time.Duration) *Reducer {
 	return &Reducer{
 		table: NewTable(), leases: map[processKey]*lease{}, local: NewTable(),
-		removeSourceAt: map[Source]time.Duration{}, startedAt: now, flushAt: never, wakeAt: never,
+		removeSourceAt: map[Source]time.Duration{}, domains: domainSet{}, startedAt: now, flushAt: never, wakeAt: never,
 	}
 }
 
@@ -134,6 +137,7 @@
 		r.watchers = slices.DeleteFunc(r.watchers, func(w watcher) bool { return w.conn == ev.ConnClosed.Conn })
 	case ev.Received != nil:
 		delete(r.removeSourceAt, ev.Received.Source)
+		r.domains.addMembers(ev.Received.Msg.Upserts)
 		r.table.Merge(now, ev.Received.Source, ev.Received.Msg)
 	case ev.SourceLost != nil:
 		r.removeSourceAt[ev.SourceLost.Source] = now + lostSourceGrace
@@ -145,6 +149,9 @@
 	}
 	r.expire(now)
 	out = r.markComplete(now, out)
+	if ev.Domains != nil {
+		ev.Domains.Reply(r.domains.sorted(), r.complete)
+	}
 	return r.flush(now, out)
 }
 
@@ -159,6 +166,7 @@
 		r.local.Leave(now, a.Msg.From)
 		return append(out, Effect{a.Conn, &wire.Announced{Seq: a.Msg.Seq, Fresh: r.quorumFresh}})
 	}
+	r.domains.add(a.Msg.From.Domain)
 	l := &lease{peer: a.Msg.From, seq: a.Msg.Seq, expires: now + min(max(a.Msg.Lease, MinLease), MaxLease)}
 	r.wakeAt = min(r.wakeAt, l.expires)
 	r.leases[key] = l
--- a/fleet/domain.go
+++ b/fleet/domain.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"regexp"
 	"slices"
+	"strings"
 
 	"github.com/fireflytray/fireflytray/wire"
 )
@@ -20,10 +21,7 @@
 
 // IsDomain reports whether a section holds operators' orders for a failure domain.
 // Such sections are not part of the operators' files.
-func IsDomain(s wire.ConfigSection) bool {
-	kind, _, _ := splitSection(s.Name)
-	return kind == kindDomain
-}
+func IsDomain(s wire.ConfigSection) bool { return strings.HasPrefix(s.Name, kindDomain+" ") }
 
 // EvacuatedDomains returns the names of the evacuated failure domains, sorted.
 func (d *Document) EvacuatedDomains() []string {
