--- a/control/evacuate_test.go
+++ b/control/evacuate_test.go
@@ -176,6 +176,7 @@
 	}
 	other.m.Reset()
 	require.Empty(t, other.m.Evacuations())
+	require.Zero(t, other.m.DomainOrder("sv-b").Last)
 }
 
 // A backup restores the evacuations of its time. A cluster with an order takes no
