agent: evacuation of its failure domain, and ramps for cold upstreams

Cause: agents knew no order of operators, and dropped how long an upstream says that it remains cold. Change: a new event with the order of a configuration, by its index; while it is active the agent tells no slots and no credit, refuses what is queued or on the way as not run (reason "evacuated"), and lets runs end. The lease reducer repeats no start that was not carried out. Ruled out: holding all starts until the first configuration. Entries that know the order send nothing, and the return after a loss of all power would take longer.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -29,6 +29,10 @@
 	runTimeRatio runTimeRatio
 	health       health
 	drain        drain
+	evacuation   evacuation
+	// warmUp limits the slots of a cold upstream, comeback those of a failure domain
+	// whose evacuation has ended.
+	warmUp, comeback ramp
 
 	announced wire.Worker
 	claimants []Claimant
@@ -49,8 +53,10 @@
 	Duplicates uint64
 	// Stale counts tasks refused because their start deadline had passed, Busy
 	// those refused because the queue was full.
-	Stale       uint64
-	Busy        uint64
+	Stale uint64
+	Busy  uint64
+	// Evacuated counts tasks refused because the failure domain is evacuated.
+	Evacuated   uint64
 	Suspensions uint64
 	// CreditReports counts the Reports that were sent only to grant credit.
 	Reports       uint64
@@ -114,6 +120,8 @@
 		s.up.applyUsage(ev.InUse, s.now-ev.Age, s.running)
 	case Drain:
 		s.startDrain()
+	case ConfigChanged:
+		s.configChanged(ev)
 	case Tick:
 	}
 	s.dispatch()
@@ -144,15 +152,12 @@
 // slots returns how many tasks may currently run concurrently.
 func (s *State) slots() int {
 	switch {
-	case s.drain.active || !s.up.acceptsTasks() || s.health.suspended:
+	case s.drain.active || s.evacuation.active || !s.up.acceptsTasks() || s.health.suspended:
 		return 0
 	case s.health.probation:
 		return 1
 	}
-	if s.up.Leased {
-		return s.up.estimateSlots(s.meanNeed)
-	}
-	return int(min(s.up.Slots, s.up.Connections))
+	return s.rampedSlots(s.up.slots(s.meanNeed))
 }
 
 // freeSlots returns the number of slots minus running and queued tasks. It is
--- a/agent/deadlines.go
+++ b/agent/deadlines.go
@@ -48,6 +48,7 @@
 	s.addTaskDeadlines(&t)
 	s.addEntryDeadlines(&t)
 	s.addLockDeadlines(&t)
+	s.addRampDeadlines(&t)
 	if d := &s.drain; d.active && !d.done {
 		t.add(d.deadline)
 		if s.now < d.withdrawBy {
--- a/agent/effect.go
+++ b/agent/effect.go
@@ -78,6 +78,17 @@
 	Leaving bool
 }
 
+// Evacuation reports that the evacuation of the agent's failure domain has begun or
+// ended. While it is active, nothing may start at the upstream, repeated starts
+// included.
+type Evacuation struct {
+	Active bool
+	// Index is that of the configuration with the order.
+	Index uint64
+	// Refused counts the queued tasks that were refused, Running those that go on.
+	Refused, Running int
+}
+
 // Drained signals that the process may exit.
 type Drained struct {
 	// Unacked is the number of outcomes that no entry has acknowledged.
@@ -143,6 +154,7 @@
 func (ProbeUpstream) effect()  {}
 func (UseUpstream) effect()    {}
 func (AnnounceWorker) effect() {}
+func (Evacuation) effect()     {}
 func (Drained) effect()        {}
 
 // CloseReason is the reason why the agent closes a session.
--- a/agent/event.go
+++ b/agent/event.go
@@ -71,6 +71,14 @@
 	Age time.Duration
 }
 
+// ConfigChanged carries what a configuration of the fleet orders for this agent.
+type ConfigChanged struct {
+	// Index is that of the configuration.
+	Index uint64
+	// Evacuated is set if the agent's failure domain gets no new work.
+	Evacuated bool
+}
+
 // Tick reports that the time returned by State.Next has been reached.
 type Tick struct{}
 
@@ -89,6 +97,7 @@
 func (Silent) event()         {}
 func (Stalled) event()        {}
 func (Usage) event()          {}
+func (ConfigChanged) event()  {}
 func (Tick) event()           {}
 func (Drain) event()          {}
 
@@ -112,13 +121,16 @@
 	// its end is always reported. Concurrency is then limited by resources
 	// instead of slots.
 	Leased bool
+	// ColdFor is how much longer the upstream remains slow after its start; zero if
+	// it is warm or does not say.
+	ColdFor time.Duration
 }
 
 // End is how an attempt to run a task ended.
 type End uint8
 
-// Values of End. Only EndRefused, EndBusy, EndRejected and EndExpired guarantee
-// that the upstream did not start the task.
+// Values of End. Only EndRefused, EndBusy, EndRejected, EndExpired and EndEvacuated
+// guarantee that the upstream did not start the task.
 const (
 	// EndComplete means that the upstream answered with success.
 	EndComplete End = iota + 1
@@ -144,6 +156,9 @@
 	// EndExpired means that the start deadline passed before the request was
 	// written.
 	EndExpired
+	// EndEvacuated means that the start was not carried out, and is not repeated
+	// because the failure domain is evacuated.
+	EndEvacuated
 )
 
 // Verdict is the result of a query about a run that has not responded.
--- a/agent/run.go
+++ b/agent/run.go
@@ -82,6 +82,9 @@
 		return task.ReasonEntryGone
 	case s.drain.active || s.up.leaving:
 		return task.ReasonDraining
+	case s.evacuation.active:
+		s.stats.Evacuated++
+		return task.ReasonEvacuated
 	case s.up.leaseUntil == 0:
 		return task.ReasonNoUpstream
 	case s.up.unreachable:
@@ -250,6 +253,8 @@
 		return task.Outcome{State: task.Failed, Reason: task.ReasonCutOff, Ran: ev.Ran}
 	case EndExpired:
 		return task.Outcome{State: task.NotRun, Reason: task.ReasonStartExpired}
+	case EndEvacuated:
+		return task.Outcome{State: task.NotRun, Reason: task.ReasonEvacuated}
 	}
 	return task.Outcome{State: task.Unknown, Reason: task.ReasonUpstreamGone, Ran: ev.Ran}
 }
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -75,6 +75,7 @@
 		*u = upstream{Upstream: a}
 		s.health.failedSubmissions = s.health.failedSubmissions[:0]
 		s.runTimeRatio = runTimeRatio{}
+		s.warmUp = ramp{}
 		s.emit(UseUpstream{Upstream: a})
 	}
 	if a.Addr != u.Addr || a.Connections != u.Connections {
@@ -82,6 +83,7 @@
 	}
 	u.Upstream = a
 	u.leaseUntil = s.now + max(a.Lease, time.Millisecond)
+	s.warmUp.setRemaining(s.now, a.ColdFor)
 	if a.Draining {
 		s.upstreamLeaving(a.Instance)
 	}
@@ -181,6 +183,14 @@
 	n.accelerators += meanNeedWeight * (float64(r.Accelerators) - n.accelerators)
 }
 
+// slots returns how many tasks the upstream runs concurrently when it is warm.
+func (u *upstream) slots(n meanNeed) int {
+	if u.Leased {
+		return u.estimateSlots(n)
+	}
+	return int(min(u.Slots, u.Connections))
+}
+
 // estimateSlots returns about how many tasks with the average need fit. The
 // estimate suffices because each start is checked against the actual resources.
 func (u *upstream) estimateSlots(n meanNeed) int {
--- a/agentd/agentd.go
+++ b/agentd/agentd.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fireflytray/fireflytray/agent"
+	"github.com/fireflytray/fireflytray/fleet"
 	"github.com/fireflytray/fireflytray/internal/httpserve"
 	"github.com/fireflytray/fireflytray/lease"
 	"github.com/fireflytray/fireflytray/logging"
@@ -55,6 +56,8 @@
 	// abandon stops a run whose end the agent no longer waits for.
 	abandon(agent.AbandonRun)
 	check(agent.CheckRun)
+	// setEvacuated sets whether runs that have not reached the upstream are given up.
+	setEvacuated(active bool)
 	probe(agent.ProbeUpstream)
 	connections() (open, idle int)
 	close()
@@ -146,6 +149,9 @@
 	defer stop()
 	var g errgroup.Group
 	g.Go(func() error { d.loop.Run(runCtx); return nil })
+	if d.opts.Configure != nil {
+		d.opts.Configure(d.applyConfig)
+	}
 	if d.leased != nil {
 		g.Go(func() error { d.leased.run(runCtx); return nil })
 	}
@@ -164,6 +170,11 @@
 	return errors.Join(servers.Wait(), g.Wait())
 }
 
+// applyConfig passes a configuration to the agent's reducer.
+func (d *daemon) applyConfig(c *fleet.Config) {
+	d.loop.Post(agent.ConfigChanged{Index: c.Index, Evacuated: c.Evacuated(d.opts.Self.Domain)})
+}
+
 // drain drains the agent and waits for the end of the drain.
 func (d *daemon) drain(cause error) {
 	d.opts.Log.Info("agent is draining", "cause", cause)
@@ -226,7 +237,7 @@
 	case agent.ProbeUpstream:
 		d.runner.probe(eff)
 	case agent.UseUpstream:
-		d.opts.Log.Info("upstream announced", "service", eff.Upstream.Service, "addr", eff.Upstream.Addr, "slots", eff.Upstream.Slots)
+		d.opts.Log.Info("upstream announced", "service", eff.Upstream.Service, "addr", eff.Upstream.Addr, "slots", eff.Upstream.Slots, "cold-for", eff.Upstream.ColdFor)
 		d.runner.setUpstream(eff.Upstream)
 	case agent.AnnounceWorker:
 		d.meter.recordWorker(eff.Worker)
@@ -242,12 +253,24 @@
 		d.logDecision(eff)
 	case agent.Paused:
 		d.opts.Log.Warn("agent was paused, time-outs restarted", "for", eff.For)
+	case agent.Evacuation:
+		d.runner.setEvacuated(eff.Active)
+		d.meter.recordEvacuation(eff)
+		d.logEvacuation(eff)
 	case agent.Drained:
 		d.opts.Log.Info("agent has drained", "unacknowledged", eff.Unacked)
 		close(d.drained)
 	}
 }
 
+func (d *daemon) logEvacuation(eff agent.Evacuation) {
+	text := "failure domain is taken back, slots grow"
+	if eff.Active {
+		text = "failure domain is evacuated, starting nothing"
+	}
+	d.opts.Log.Info(text, "domain", d.opts.Self.Domain, "config", eff.Index, "refused", eff.Refused, "running", eff.Running)
+}
+
 // logRunStarted, logStopOrdered and logDecision log one line about a task, each from
 // a log budget of its own.
 func (d *daemon) logRunStarted(eff agent.RunStarted) {
--- a/agentd/leased.go
+++ b/agentd/leased.go
@@ -110,6 +110,8 @@
 func (r *LeasedRunner) stop(eff agent.StopRun)       { r.loop.Post(lease.Stop{Run: eff.Run}) }
 func (r *LeasedRunner) abandon(eff agent.AbandonRun) { r.loop.Post(lease.Stop{Run: eff.Run}) }
 
+func (r *LeasedRunner) setEvacuated(active bool) { r.loop.Post(lease.Evacuate{Active: active}) }
+
 // check does nothing: the answer to each hold call lists every run.
 func (r *LeasedRunner) check(agent.CheckRun) {}
 
--- a/agentd/meter.go
+++ b/agentd/meter.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/uber-go/tally/v4"
 
+	"github.com/fireflytray/fireflytray/agent"
 	"github.com/fireflytray/fireflytray/metrics"
 	"github.com/fireflytray/fireflytray/task"
 	"github.com/fireflytray/fireflytray/wire"
@@ -28,6 +29,8 @@
 	// stopCalls counts the calls that stop a run at a leased upstream, by result.
 	stopCalls map[string]tally.Counter
 	stops     map[task.Reason]tally.Counter
+	// evacuated is 1 while the agent's failure domain is evacuated.
+	evacuated tally.Gauge
 }
 
 type outcomeKind struct {
@@ -52,6 +55,7 @@
 
 		stopCalls: stopCallCounters(scope),
 		stops:     make(map[task.Reason]tally.Counter),
+		evacuated: scope.Gauge("evacuated"),
 	}
 }
 
@@ -65,6 +69,14 @@
 
 func (m *meter) recordWorker(w wire.Worker) { m.slots.Update(float64(w.Slots)) }
 
+func (m *meter) recordEvacuation(e agent.Evacuation) {
+	active := 0.0
+	if e.Active {
+		active = 1
+	}
+	m.evacuated.Update(active)
+}
+
 func (m *meter) recordConnections(open, idle int) {
 	m.open.Update(float64(open))
 	m.idle.Update(float64(idle))
--- a/agentd/options.go
+++ b/agentd/options.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/fireflytray/fireflytray/agent"
+	"github.com/fireflytray/fireflytray/fleet"
 	"github.com/fireflytray/fireflytray/keys"
 	"github.com/fireflytray/fireflytray/logging"
 	"github.com/fireflytray/fireflytray/task"
@@ -49,6 +50,9 @@
 	// each change. Both may be nil.
 	Stamp   func() wire.Stamp
 	OnStamp func(s wire.Stamp)
+	// Configure is called once, before the agent listens, with the function that puts
+	// a configuration into force. It may be nil.
+	Configure func(apply func(*fleet.Config))
 	// Ready is called once the agent listens on both addresses.
 	Ready func(peers, upstream string)
 	Log   *log.Logger
--- a/agentd/runner.go
+++ b/agentd/runner.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fireflytray/fireflytray/agent"
@@ -25,6 +26,8 @@
 type runner struct {
 	post func(agent.Event) bool
 	now  func() time.Duration
+	// evacuated is set while nothing may start at the upstream.
+	evacuated atomic.Bool
 
 	mu       sync.Mutex
 	upstream agent.Upstream
@@ -101,6 +104,8 @@
 	r.post(end)
 }
 
+func (r *runner) setEvacuated(active bool) { r.evacuated.Store(active) }
+
 // attempt sends the request and waits for the response. If a reused connection
 // fails before any byte was written, the task has not started, so attempt retries
 // on another connection.
@@ -119,6 +124,10 @@
 			run.returnConn(response{})
 			return agent.RunEnded{End: agent.EndExpired}
 		}
+		if r.evacuated.Load() {
+			run.returnConn(response{})
+			return agent.RunEnded{End: agent.EndEvacuated}
+		}
 		reused := !c.idleSince.IsZero()
 		resp, err := c.runTask(run, run.RunBy-r.now())
 		if err == nil {
@@ -134,11 +143,11 @@
 
 // connect gets a connection for a run. Status, stop and health requests count
 // towards the same limit as runs but are short, so a run waits for a free
-// connection until its start deadline.
+// connection until its start deadline or the evacuation of the failure domain.
 func (r *runner) connect(run *activeRun) (*upstreamConn, error) {
 	for {
 		c, err := run.pool.get()
-		if !errors.Is(err, errPoolFull) || run.finished() || r.now() >= run.StartBy {
+		if !errors.Is(err, errPoolFull) || run.finished() || r.now() >= run.StartBy || r.evacuated.Load() {
 			return c, err
 		}
 		time.Sleep(fullPoolPollInterval)
--- a/lease/state.go
+++ b/lease/state.go
@@ -129,6 +129,7 @@
 	// lastAnnounced is the newest announcement.
 	lastAnnounced Announced
 	haveUpstream  bool
+	evacuated     bool
 	target        Target
 	// reconciled is set once the lists show no run of a predecessor.
 	reconciled bool
@@ -200,6 +201,8 @@
 		s.start(ev.Run)
 	case Stop:
 		s.stop(ev.Run)
+	case Evacuate:
+		s.evacuated = ev.Active
 	case Probe:
 		s.probe(ev.Instance)
 	case StartAnswered:
@@ -291,6 +294,9 @@
 	case s.now >= eff.StartBy:
 		s.notify(agent.RunEnded{Run: eff.Run, End: agent.EndExpired})
 		return
+	case s.evacuated:
+		s.notify(agent.RunEnded{Run: eff.Run, End: agent.EndEvacuated})
+		return
 	case s.runs[r.key] != nil || s.unknownRuns[r.key]:
 		s.notify(agent.RunEnded{Run: eff.Run, End: agent.EndRejected})
 		return
@@ -376,9 +382,14 @@
 }
 
 // resendStart sends a start again that was certainly not carried out, unless the
-// run is no longer wanted or its entry may have given it up meanwhile, as during a
-// pause of this process.
+// run is no longer wanted, its entry may have given it up meanwhile, as during a
+// pause of this process, or the failure domain is evacuated.
 func (s *State) resendStart(r *run) {
+	if s.evacuated {
+		s.log("start is not repeated, the failure domain is evacuated", "task", r.key.task, "run", r.key.run)
+		s.end(r, agent.EndEvacuated)
+		return
+	}
 	if s.stopOf(r.key) != nil || s.now >= min(r.StartBy, r.startedAt+s.cfg.RunsEndWithin()) {
 		s.end(r, agent.EndRejected)
 		return
--- a/lease/types.go
+++ b/lease/types.go
@@ -36,6 +36,10 @@
 // Stop requests the end of a run.
 type Stop struct{ Run agent.RunID }
 
+// Evacuate sets whether the upstream's failure domain is evacuated: no run starts, and
+// no start is repeated, while it is.
+type Evacuate struct{ Active bool }
+
 // Probe requests a check whether the upstream answers.
 type Probe struct{ Instance string }
 
@@ -70,6 +74,7 @@
 func (Left) event()          {}
 func (Start) event()         {}
 func (Stop) event()          {}
+func (Evacuate) event()      {}
 func (Probe) event()         {}
 func (Tick) event()          {}
 func (StartAnswered) event() {}
--- a/node/agent.go
+++ b/node/agent.go
@@ -34,11 +34,13 @@
 	o.Agent.DrainTimeout = o.DrainTimeout
 	announced := &announcement{announce: wire.Announce{From: self}}
 	logger := o.Logs.For(logging.PartAgent)
+	configs := &configRelay{}
 	client := controlclient.New(controlclient.Options{
 		Controls:  o.Controls,
 		Transport: o.transport(),
 		Self:      announced.current,
 		Site:      o.Site,
+		OnConfig:  configs.put,
 		Log:       logger,
 	})
 	announced.onChange = client.Announce
@@ -56,9 +58,12 @@
 			Stamp:    client.Stamp,
 			OnStamp:  client.ObserveStamp,
 			Ready:    o.Ready,
-			Log:      logger,
-			Lines:    o.Logs.Lines(logging.PartAgent),
-			Scope:    o.Scope,
+
+			Configure: configs.subscribe,
+
+			Log:   logger,
+			Lines: o.Logs.Lines(logging.PartAgent),
+			Scope: o.Scope,
 		})
 	})
 }
--- a/task/task.go
+++ b/task/task.go
@@ -153,6 +153,7 @@
 	ReasonBusy              Reason = "busy"
 	ReasonDraining          Reason = "draining"    // the agent or its upstream is shutting down
 	ReasonSuspended         Reason = "suspended"   // the agent sends no tasks to its upstream after failures
+	ReasonEvacuated         Reason = "evacuated"   // operators have evacuated the failure domain
 	ReasonNeverFits         Reason = "never_fits"  // the task needs more resources than the worker offers
 	ReasonNoUpstream        Reason = "no_upstream" // no upstream is announced
 	ReasonUnknownService    Reason = "unknown_service"
