entry: agents in evacuated failure domains get no task

Cause: an entry placed tasks in a failure domain whatever operators had ordered. Change: agents in evacuated failure domains stay connected and keep job locks but leave the pool, so that their slots count nowhere. Forecast and limit shrink by the lost share at once, also where the agents reported the loss first, and what waits is checked against them. With all failure domains evacuated, what has not started is refused at once. Tasks that come back are placed elsewhere and leave their trace in the log; counts and a gauge in the metrics, the state on the status page. Ruled out: raising forecast and limit when a domain is taken back; its agents offer few slots at first, and the rate then shows.

--- a/entry/agent.go
+++ b/entry/agent.go
@@ -38,6 +38,10 @@
 	listed, announcesService bool
 	// pooled reports whether the agent is in its service's pool.
 	pooled bool
+	// withheldFrom is the service from whose pool the agent is kept because its
+	// failure domain is evacuated; nil otherwise.
+	withheldFrom *service
+	lostSlots    lostSlots
 	// disconnectedAt is when the last session ended; not valid while one is
 	// open.
 	disconnectedAt time.Duration
@@ -273,11 +277,16 @@
 	a.Offered = w.Offered
 }
 
-// addToPool adds the agent to the pool of its service.
+// addToPool adds the agent to the pool of its service, unless its failure domain is
+// evacuated.
 func (e *Entry) addToPool(a *agent) {
 	if a.pooled || a.svc == nil {
 		return
 	}
+	if e.cfg.Evacuated(a.peer.Domain) {
+		e.withhold(a)
+		return
+	}
 	a.svc.pool.Add(&a.Agent)
 	a.pooled = true
 }
@@ -355,6 +364,7 @@
 	if a.pooled {
 		e.withdraw(a)
 	}
+	a.endWithholding()
 	a.Credit = 0
 	a.toAssign = nil
 	a.toCancel = nil
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -9,6 +9,7 @@
 // dispatchActive places waiting tasks of the services marked active in this
 // step.
 func (e *Entry) dispatchActive() {
+	e.refuseEvacuated()
 	for _, s := range e.active {
 		s.active = false
 		e.dispatch(s)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -149,6 +149,7 @@
 	// inSystem counts the tasks that are admitted and whose submissions are not
 	// answered.
 	inSystem int
+	withheld withheldAgents
 }
 
 // New returns an entry with the given options.
@@ -229,6 +230,7 @@
 	if e.cfg == nil || cfg.Index > e.cfg.Index {
 		e.cfgSince = e.now
 	}
+	previous := e.cfg
 	e.cfg = cfg
 	for name, sc := range cfg.Services {
 		s := e.service(name)
@@ -239,6 +241,7 @@
 		}
 	}
 	e.configureTeams()
+	e.applyEvacuations(previous)
 }
 
 // service returns the state of a service and creates it if there is none.
--- a/entry/report.go
+++ b/entry/report.go
@@ -36,7 +36,9 @@
 	if r.Worker != nil {
 		e.workerChanged(a, *r.Worker)
 		e.addToPool(a)
-		a.svc.pool.Changed(&a.Agent)
+		if a.pooled {
+			a.svc.pool.Changed(&a.Agent)
+		}
 	}
 	hadNoCredit := a.Credit <= 0
 	e.applyCapacity(a, r)
@@ -75,6 +77,7 @@
 		}
 	}
 	a.unacked = stillUnacked
+	a.observeSlots(e.now, r)
 	a.Credit = int(r.Credit) - tasksUnacked
 	a.Slots = int(r.Slots)
 	a.reportedLogRatio = float64(r.LogRunTimeRatio)
@@ -109,6 +112,10 @@
 		e.stats.Wasted.Refusals++ // counts the assignment; handleReport counts the report
 		rec.sub.wasted += 2
 	}
+	if r.Outcome.Reason == task.ReasonEvacuated {
+		e.stats.Evacuated++
+		rec.sub.displaced = true
+	}
 	o := r.Outcome
 	if o.Where == "" {
 		o.Where = a.ID
--- a/entry/stats.go
+++ b/entry/stats.go
@@ -17,6 +17,9 @@
 	// run.
 	Placed  uint64
 	Refused uint64
+	// Evacuated counts the refused assignments whose agents' failure domain is
+	// evacuated.
+	Evacuated uint64
 	// Retries counts further attempts at tasks that may have run.
 	Retries uint64
 	// Sent and Received count messages to and from agents. Wasted counts those
@@ -71,6 +74,7 @@
 	Domain      string
 	Service     string
 	Connected   bool
+	Evacuated   bool
 	Slow        bool
 	Slots       int
 	Credit      int
@@ -119,6 +123,7 @@
 		Domain:      a.peer.Domain,
 		Service:     a.worker.Service,
 		Connected:   a.link == linkOpen,
+		Evacuated:   a.withheldFrom != nil,
 		Slow:        a.Slow,
 		Slots:       a.Slots,
 		Credit:      a.Credit,
@@ -137,6 +142,7 @@
 	task.ReasonSuperseded:        "the job was submitted again",
 	task.ReasonCancelled:         "cancelled by the caller",
 	task.ReasonCallerGone:        "the caller has closed its connection",
+	task.ReasonEvacuated:         "all failure domains of the service are evacuated",
 	task.ReasonNeverFits:         "no worker offers what the task needs",
 	task.ReasonClaimedElsewhere:  "the idempotency key is held by a submission without an outcome yet",
 	task.ReasonClaimMismatch:     "the idempotency key was used for a different request",
@@ -163,6 +169,8 @@
 	case task.ReasonUpstreamGone, task.ReasonAgentGone, task.ReasonAgentRestarted,
 		task.ReasonDraining, task.ReasonSuspended, task.ReasonNeverReceived:
 		return lostTaskRetryAfter
+	case task.ReasonEvacuated:
+		return evacuatedRetryAfter
 	}
 	return 0
 }
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -42,8 +42,10 @@
 	mayHaveRun bool // an attempt ended with an outcome other than not run
 	inFlight   int  // number of tasks sent and not ended
 	// runsUntil is when the runs with an unknown outcome have ended.
-	runsUntil    time.Duration
-	lock         jobLock
+	runsUntil time.Duration
+	lock      jobLock
+	// displaced is set once a task came back because its failure domain is evacuated.
+	displaced    bool
 	answered     bool
 	claimStage   claimStage
 	claimRequest uint64
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -77,6 +77,9 @@
 	if r := checkSize(sub, sc.MaxTasks, sc.MaxBody); r != nil {
 		return svc, r
 	}
+	if r := e.checkEvacuation(svc, sub); r != nil {
+		return svc, r
+	}
 	if r := checkFit(svc, sub); r != nil {
 		return svc, r
 	}
--- a/entry/trace.go
+++ b/entry/trace.go
@@ -42,13 +42,14 @@
 }
 
 // emitTrace emits the decisions about a submission that has ended: all of them
-// if it did not complete, otherwise those of one submission in 256.
+// if it did not complete or an evacuation moved its tasks, otherwise those of one
+// submission in 256.
 func (e *Entry) emitTrace(s *submission, a *task.Answer) {
 	if !e.opts.Trace {
 		return
 	}
 	incomplete := a.State != task.Complete
-	if incomplete || s.id[len(s.id)-1] == 0 {
+	if incomplete || s.displaced || s.id[len(s.id)-1] == 0 {
 		for _, d := range s.trace {
 			d.Incomplete = incomplete
 			e.emit(d)
--- a/entryd/meter.go
+++ b/entryd/meter.go
@@ -62,8 +62,9 @@
 	m.metrics.Messages.Inc(int64(now.Sent + now.Received - m.reported.Sent - m.reported.Received))
 	m.metrics.WastedMessages.Inc(int64(now.Wasted.Total() - m.reported.Wasted.Total()))
 	m.metrics.Retries.Inc(int64(now.Retries - m.reported.Retries))
+	m.metrics.EvacuatedTasks.Inc(int64(now.Evacuated - m.reported.Evacuated))
 	m.reported = now
-	waiting, credit, connected := 0, 0, 0
+	waiting, credit, connected, evacuated := 0, 0, 0, 0
 	for _, n := range v.Waiting {
 		waiting += n
 	}
@@ -72,10 +73,14 @@
 		if a.Connected {
 			connected++
 		}
+		if a.Evacuated {
+			evacuated++
+		}
 	}
 	m.metrics.Queue.Update(float64(waiting))
 	m.metrics.Slots.Update(float64(credit))
 	m.metrics.Connected.Update(float64(connected))
+	m.metrics.Evacuated.Update(float64(evacuated))
 	m.metrics.ConfigIndex.Update(float64(v.ConfigIndex))
 	m.metrics.ConfigAge.Update(v.ConfigAge.Seconds())
 }
--- a/entryd/status.go
+++ b/entryd/status.go
@@ -38,6 +38,7 @@
 		Domain:      a.Domain,
 		Service:     a.Service,
 		Connected:   a.Connected,
+		Evacuated:   a.Evacuated,
 		Slots:       a.Slots,
 		Credit:      a.Credit,
 		Outstanding: a.Outstanding,
--- a/httpapi/status.go
+++ b/httpapi/status.go
@@ -40,8 +40,11 @@
 	Domain    string `json:"domain"`
 	Service   string `json:"service"`
 	Connected bool   `json:"connected"`
-	Slots     int    `json:"slots"`
-	Credit    int    `json:"credit"`
+	// Evacuated is set if the agent gets no task because its failure domain is
+	// evacuated.
+	Evacuated bool `json:"evacuated,omitempty"`
+	Slots     int  `json:"slots"`
+	Credit    int  `json:"credit"`
 	// Outstanding counts this entry's tasks at the agent. Others counts the
 	// tasks of other entries there.
 	Outstanding int `json:"outstanding"`
--- a/metrics/roles.go
+++ b/metrics/roles.go
@@ -53,6 +53,10 @@
 	RunSeconds   tally.Histogram
 	// Connected is the number of agents with an open connection.
 	Connected tally.Gauge
+	// Evacuated is the number of connected agents in evacuated failure domains.
+	// EvacuatedTasks counts tasks that such agents sent back.
+	Evacuated      tally.Gauge
+	EvacuatedTasks tally.Counter
 	// ConfigIndex is the index of the active configuration. ConfigAge is the time
 	// since it became active, in seconds.
 	ConfigIndex tally.Gauge
@@ -83,6 +87,8 @@
 		QueueSeconds:   DurationHistogram(s, "queue_seconds"),
 		RunSeconds:     DurationHistogram(s, "run_seconds"),
 		Connected:      s.Gauge("agents_connected"),
+		Evacuated:      s.Gauge("agents_evacuated"),
+		EvacuatedTasks: s.Counter("evacuated_tasks"),
 		ConfigIndex:    s.Gauge("config_index"),
 		ConfigAge:      s.Gauge("config_age_seconds"),
 		answers: map[task.State]tally.Histogram{
