soak: operators evacuate failure domains and take them back

Each order is repeated until a host acknowledges it, and must then be in the list of any host that has a quorum. 404 or 400 for a domain of a control host is a violation.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -200,6 +200,8 @@
 	defer stop()
 	var loads sync.WaitGroup
 	loads.Go(func() { op.run(loadCtx, newRand(seed, 2)) })
+	evacuations := newEvacuator(t, ledger)
+	loads.Go(func() { evacuations.run(loadCtx, newRand(seed, 8)) })
 	m.load(loadCtx, &loads, f, jobs, seed)
 	awaitWork(t, jobs)
 	m.inject(ctx, f, bin, seed, m.duration)
@@ -208,8 +210,9 @@
 	stop()
 	waitAll(t.Fatalf, &loads, callersTimeout, "the callers")
 	jobs.check()
-	t.Logf("%s seed %d: concurrent runs %d; complete %d, refused %d, timed out %d, no answer through relays %d; versions acknowledged up to %d; direct callers: answers %d, cut %d (%d after a second SIGTERM), allowed %s; stops %s",
+	t.Logf("%s seed %d: concurrent runs %d; complete %d, refused %d, timed out %d, no answer through relays %d; versions acknowledged up to %d; evacuation orders %d, verified %d; direct callers: answers %d, cut %d (%d after a second SIGTERM), allowed %s; stops %s",
 		m.name, seed, ledger.Concurrent(), jobs.complete.Load(), jobs.refusals.Load(), jobs.timedOut.Load(), jobs.unanswered.Load(), op.acked.Load(),
+		evacuations.orders.Load(), evacuations.verified.Load(),
 		jobs.direct.Load(), jobs.cuts.Load(), jobs.forced.Load(), jobs.exemptions(), f.countedStops())
 	if v := ledger.Violations(); len(v) > 0 {
 		t.Errorf("%s seed %d: violations:\n%s", m.name, seed, strings.Join(v, "\n"))
