--- a/agent/effect.go
+++ b/agent/effect.go
@@ -89,6 +89,12 @@
 	Refused, Running int
 }
 
+// ColdUpstream reports, for the log, that the upstream says that it is cold.
+type ColdUpstream struct {
+	Instance string
+	For      time.Duration
+}
+
 // Drained signals that the process may exit.
 type Drained struct {
 	// Unacked is the number of outcomes that no entry has acknowledged.
@@ -155,6 +161,7 @@
 func (UseUpstream) effect()    {}
 func (AnnounceWorker) effect() {}
 func (Evacuation) effect()     {}
+func (ColdUpstream) effect()   {}
 func (Drained) effect()        {}
 
 // CloseReason is the reason why the agent closes a session.
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -83,6 +83,9 @@
 	}
 	u.Upstream = a
 	u.leaseUntil = s.now + max(a.Lease, time.Millisecond)
+	if _, cold := s.warmUp.nextStep(s.now); !cold && a.ColdFor > 0 {
+		s.emit(ColdUpstream{Instance: a.Instance, For: a.ColdFor})
+	}
 	s.warmUp.setRemaining(s.now, a.ColdFor)
 	if a.Draining {
 		s.upstreamLeaving(a.Instance)
--- a/agentd/agentd.go
+++ b/agentd/agentd.go
@@ -237,7 +237,7 @@
 	case agent.ProbeUpstream:
 		d.runner.probe(eff)
 	case agent.UseUpstream:
-		d.opts.Log.Info("upstream announced", "service", eff.Upstream.Service, "addr", eff.Upstream.Addr, "slots", eff.Upstream.Slots, "cold-for", eff.Upstream.ColdFor)
+		d.opts.Log.Info("upstream announced", "service", eff.Upstream.Service, "addr", eff.Upstream.Addr, "slots", eff.Upstream.Slots)
 		d.runner.setUpstream(eff.Upstream)
 	case agent.AnnounceWorker:
 		d.meter.recordWorker(eff.Worker)
@@ -257,6 +257,8 @@
 		d.runner.setEvacuated(eff.Active)
 		d.meter.recordEvacuation(eff)
 		d.logEvacuation(eff)
+	case agent.ColdUpstream:
+		d.opts.Log.Info("upstream is cold, slots grow", "instance", eff.Instance, "for", eff.For)
 	case agent.Drained:
 		d.opts.Log.Info("agent has drained", "unacknowledged", eff.Unacked)
 		close(d.drained)
