--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -42,6 +42,7 @@
 		HTTP:    httpapi.Config{MaxBody: s.MaxBody},
 		Policy:  policy,
 		Order:   order,
+		Speeds:  s.Speeds,
 		Serve:   platformInterfaces(rt, s),
 
 		Trace:             s.LogJobs,
--- a/entry/agent.go
+++ b/entry/agent.go
@@ -75,6 +75,9 @@
 	// reportedLogRatio is the last Report.LogRunTimeRatio of the agent, which
 	// covers the tasks of all entries; zero if unknown.
 	reportedLogRatio float64
+	// runTimes covers the tasks that this entry sent to the current upstream; it is
+	// kept with Options.Speeds.
+	runTimes placement.RunTimes
 	// probeAt is when a slow agent may get its next task as a probe. probeWait
 	// is the time from one probe to the next.
 	probeAt   time.Duration
@@ -269,6 +272,9 @@
 	if a.pooled && a.svc.name != w.Service {
 		e.withdraw(a)
 	}
+	if a.svc == nil || a.svc.name != w.Service || a.Offered != w.Offered {
+		e.forgetPace(a)
+	}
 	a.svc = e.service(w.Service)
 	a.Offered = w.Offered
 }
@@ -289,6 +295,7 @@
 	a.incarnation = p.Incarnation
 	a.lastReportSeq, a.ackedReportSeq = 0, 0
 	a.givenUp = nil
+	e.forgetPace(a)
 	e.endAllAttempts(a, task.ReasonAgentRestarted)
 }
 
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -22,8 +22,8 @@
 // dispatch so that it does not block other jobs.
 func (e *Entry) dispatch(s *service) {
 	s.requeueDeferred()
-	s.forecast.observe(e.now, s.q.Len() > 0)
-	defer func() { s.forecast.observe(e.now, s.q.Len() > 0) }()
+	s.forecast.observe(e.now, s.q.Len() > s.heldTasks)
+	s.inTime.Begin()
 	for {
 		j, rank := s.q.Head(e.now)
 		if j == nil {
@@ -34,8 +34,11 @@
 		}
 		sub := j.Owner.(*submission)
 		i := sub.ready[len(sub.ready)-1]
-		need := sub.sub.Tasks[i].Need
-		pick := e.opts.Policy.Pick(s.pool, need)
+		pick, end := e.pick(s, sub, i)
+		if end.verdict == placement.Wait {
+			e.hold(s, sub, i, end)
+			continue
+		}
 		if pick == nil {
 			if s.pool.Len() == 0 {
 				break
@@ -43,17 +46,22 @@
 			s.deferJob(j)
 			continue
 		}
-		e.placeTask(sub, i, rank, pick)
+		e.placeTask(sub, i, rank, pick, end)
 	}
+	waiting := s.q.Len() > 0
+	s.requeueHeld()
 	e.notifyDemand(s)
+	s.forecast.observe(e.now, waiting)
 }
 
 // placeTask assigns task i of a submission to an agent and uses one credit. The
 // task is sent with the next flush.
-func (e *Entry) placeTask(s *submission, i uint32, rank float64, pick *placement.Agent) {
+func (e *Entry) placeTask(s *submission, i uint32, rank float64, pick *placement.Agent, end forecastEnd) {
 	a := e.agents[pick.ID]
 	e.trace(s, "placed", "task", i, "attempt", s.tasks[i].attempt, "agent", pick.ID, "rank", rank,
-		"credit", pick.Credit, "outstanding", pick.Outstanding, "others", pick.Others, "slow", pick.Slow)
+		"credit", pick.Credit, "outstanding", pick.Outstanding, "others", pick.Others, "slow", pick.Slow,
+		"speed", pick.Speed, "ends-in", end.in, "left", end.left, "verdict", end.verdict)
+	e.countPlacement(s, end)
 	s.ready = s.ready[:len(s.ready)-1]
 	s.svc.q.Dequeue(&s.job)
 	rec := &s.tasks[i]
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,6 +38,10 @@
 	// when no agent has credit, in addition to agents that get an update
 	// anyway; zero means DefaultDemandFanout. Its settings key is poke.
 	DemandFanout int
+	// Speeds makes placement heed the speeds of upstreams where they decide
+	// whether jobs meet their objectives. It needs the policy Credits. Its settings
+	// key is speeds.
+	Speeds bool
 	// Trace emits decisions about submissions as effects.
 	Trace bool
 	// KeepaliveInterval is the time after which an agent that holds tasks is sent
@@ -134,7 +138,15 @@
 	pool *placement.Pool
 	// deferredJobs holds jobs whose next task fits no available agent. They are
 	// out of the queue until the next dispatch.
-	deferredJobs   []*queue.Job
+	deferredJobs []*queue.Job
+	// inTime and spread are used with Options.Speeds.
+	inTime placement.InTime
+	spread placement.Spread
+	// held lists, during a dispatch, the jobs that wait for a faster upstream, and
+	// heldTasks counts their tasks in the queue after the last one.
+	held           []*queue.Job
+	heldTasks      int
+	holdArmed      bool // a timer for the next dispatch with held jobs is set
 	active         bool // marked for dispatch at the end of the step
 	demandNotified bool // waiting tasks have been announced to agents
 	// notifiedRank is the rank of the first waiting task at the last
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -28,8 +28,11 @@
 	Others int
 	// Slow marks an agent whose tasks take far longer than at other agents. The
 	// policy Credits sends it a task only while Probe is set, one at a time.
-	Slow    bool
-	Probe   bool
+	Slow  bool
+	Probe bool
+	// Speed is that of its upstream relative to the service's mean one, zero if
+	// unknown; see Pool.SetSpeed.
+	Speed   float64
 	Offered task.Resources
 	// Used is the sum of the resources declared by this entry's tasks at the
 	// agent.
@@ -39,6 +42,9 @@
 	availablePos int
 	// contribution is the part of the pool's totals that comes from this agent.
 	contribution totals
+	tier         int
+	tierPos      int
+	tierCredit   int
 }
 
 // totals are sums over the agents of a pool.
@@ -67,6 +73,7 @@
 	rng       *rand.Rand
 	nextIndex int
 	total     totals
+	tiers     [tiers]tier
 }
 
 // NewPool returns an empty pool whose random choices are determined by the
@@ -92,6 +99,7 @@
 func (p *Pool) Add(a *Agent) {
 	a.pos = len(p.agents)
 	a.availablePos = -1
+	p.joinTier(a, tierOf(a.Speed))
 	p.agents = append(p.agents, a)
 	p.Changed(a)
 }
@@ -104,6 +112,7 @@
 	p.agents = p.agents[:last]
 	p.updateTotals(a, totals{})
 	p.setAvailable(a, false)
+	p.tiers[a.tier].members--
 }
 
 // Changed updates the pool's totals and available agents. It must be called
@@ -122,13 +131,18 @@
 
 func (p *Pool) setAvailable(a *Agent, available bool) {
 	if available == (a.availablePos >= 0) {
+		if available {
+			p.creditChanged(a)
+		}
 		return
 	}
 	if available {
 		a.availablePos = len(p.available)
 		p.available = append(p.available, a)
+		p.addToTier(a)
 		return
 	}
+	p.removeFromTier(a)
 	last := len(p.available) - 1
 	p.available[a.availablePos] = p.available[last]
 	p.available[a.availablePos].availablePos = a.availablePos
@@ -136,6 +150,9 @@
 	a.availablePos = -1
 }
 
+// Agents returns the agents; the slice is the pool's own.
+func (p *Pool) Agents() []*Agent { return p.agents }
+
 // Shuffled returns the agents in random order.
 func (p *Pool) Shuffled() []*Agent {
 	s := slices.Clone(p.agents)
--- a/entry/report.go
+++ b/entry/report.go
@@ -77,7 +77,7 @@
 	a.unacked = stillUnacked
 	a.Credit = int(r.Credit) - tasksUnacked
 	a.Slots = int(r.Slots)
-	a.reportedLogRatio = float64(r.LogRunTimeRatio)
+	e.noteReportedRatio(a, float64(r.LogRunTimeRatio))
 	a.Others = max(0, int(r.Running+r.Queued)-len(a.sent))
 	if a.pooled {
 		a.svc.pool.Changed(&a.Agent)
@@ -98,6 +98,7 @@
 	}
 	if r.Outcome.State == task.Complete {
 		a.runTimeRatio.observe(rec.declared, r.Outcome.Ran)
+		e.observePace(a, rec.declared, r.Outcome.Ran)
 		if a.Slow {
 			a.probeEnded(e.now, rec.declared, r.Outcome.Ran)
 		}
--- a/entry/speed.go
+++ b/entry/speed.go
@@ -78,6 +78,7 @@
 			a := e.agents[p.ID]
 			e.reviewAgent(a, known && a.reportedLogRatio != 0 && a.reportedLogRatio-median > math.Log(slowReportedRatio))
 		}
+		e.estimateSpeeds(s)
 		if s.q.Len() > 0 {
 			e.markActive(s)
 		}
--- a/entry/stats.go
+++ b/entry/stats.go
@@ -19,6 +19,11 @@
 	Refused uint64
 	// Retries counts further attempts at tasks that may have run.
 	Retries uint64
+	// PlacedTooSlow counts tasks placed on an upstream that was predicted to miss
+	// the job's objective while others would have met it. WaitedForFaster counts
+	// tasks placed in time of jobs that had waited for a faster upstream.
+	PlacedTooSlow   uint64
+	WaitedForFaster uint64
 	// Sent and Received count messages to and from agents. Wasted counts those
 	// of them that made no progress on any task.
 	Sent     uint64
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -52,7 +52,9 @@
 	longestRun   time.Duration
 	placed       uint32        // number of tasks placed at least once
 	queueTime    time.Duration // time from arrival until every task had been placed
-	trace        []Decision
+	// held is set once a task of the job has waited for a faster upstream.
+	held  bool
+	trace []Decision
 }
 
 // taskID returns the ID of the current attempt at task i.
--- a/entry/timers.go
+++ b/entry/timers.go
@@ -21,6 +21,7 @@
 	timerKeepalive
 	timerLock
 	timerOver
+	timerHold
 )
 
 // timer fires once. Its handler checks whether it is still relevant.
@@ -95,6 +96,8 @@
 			e.lockTimedOut(t.sub)
 		case timerOver:
 			e.checkOver(t.sub)
+		case timerHold:
+			e.holdDue(t.svc)
 		case timerDemand:
 			e.demandDue(t.svc)
 		}
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -65,6 +65,8 @@
 	Seed     uint64
 	// DemandFanout is that of entry.Options.
 	DemandFanout int
+	// Speeds is that of entry.Options.
+	Speeds bool
 	// Trace enables logging of the decisions about submissions.
 	Trace bool
 	// KeepaliveInterval and AgentTimeout are those of entry.Options.
@@ -144,6 +146,7 @@
 		Self:         o.Self,
 		Policy:       o.Policy,
 		Order:        o.Order,
+		Speeds:       o.Speeds,
 		Seed:         o.Seed,
 		Config:       o.Config,
 		DemandFanout: o.DemandFanout,
--- a/entryd/meter.go
+++ b/entryd/meter.go
@@ -62,6 +62,8 @@
 	m.metrics.Messages.Inc(int64(now.Sent + now.Received - m.reported.Sent - m.reported.Received))
 	m.metrics.WastedMessages.Inc(int64(now.Wasted.Total() - m.reported.Wasted.Total()))
 	m.metrics.Retries.Inc(int64(now.Retries - m.reported.Retries))
+	m.metrics.PlacedTooSlow.Inc(int64(now.PlacedTooSlow - m.reported.PlacedTooSlow))
+	m.metrics.WaitedForFaster.Inc(int64(now.WaitedForFaster - m.reported.WaitedForFaster))
 	m.reported = now
 	waiting, credit, connected := 0, 0, 0
 	for _, n := range v.Waiting {
--- a/metrics/roles.go
+++ b/metrics/roles.go
@@ -38,6 +38,10 @@
 	WastedMessages tally.Counter
 	// Retries counts further attempts at tasks that may have run.
 	Retries tally.Counter
+	// PlacedTooSlow counts tasks placed on an upstream that was predicted to miss the
+	// job's objective, WaitedForFaster tasks of jobs that waited for a faster one.
+	PlacedTooSlow   tally.Counter
+	WaitedForFaster tally.Counter
 	// ResentInFlight and ResentAnswered count jobs that were sent again while this
 	// entry held them or kept their answer.
 	ResentInFlight tally.Counter
@@ -72,19 +76,21 @@
 func NewEntry(scope tally.Scope) *Entry {
 	s := scope.SubScope("entry")
 	return &Entry{
-		OverIdeal:      s.Histogram("response_over_ideal", overIdealBuckets),
-		Messages:       s.Counter("messages"),
-		WastedMessages: s.Counter("wasted_messages"),
-		Retries:        s.Counter("retries"),
-		ResentInFlight: s.Tagged(map[string]string{"state": "in_flight"}).Counter("jobs_resent"),
-		ResentAnswered: s.Tagged(map[string]string{"state": "answered"}).Counter("jobs_resent"),
-		Queue:          s.Gauge("queue"),
-		Slots:          s.Gauge("slots"),
-		QueueSeconds:   DurationHistogram(s, "queue_seconds"),
-		RunSeconds:     DurationHistogram(s, "run_seconds"),
-		Connected:      s.Gauge("agents_connected"),
-		ConfigIndex:    s.Gauge("config_index"),
-		ConfigAge:      s.Gauge("config_age_seconds"),
+		OverIdeal:       s.Histogram("response_over_ideal", overIdealBuckets),
+		Messages:        s.Counter("messages"),
+		WastedMessages:  s.Counter("wasted_messages"),
+		Retries:         s.Counter("retries"),
+		PlacedTooSlow:   s.Counter("placed_too_slow"),
+		WaitedForFaster: s.Counter("waited_for_faster"),
+		ResentInFlight:  s.Tagged(map[string]string{"state": "in_flight"}).Counter("jobs_resent"),
+		ResentAnswered:  s.Tagged(map[string]string{"state": "answered"}).Counter("jobs_resent"),
+		Queue:           s.Gauge("queue"),
+		Slots:           s.Gauge("slots"),
+		QueueSeconds:    DurationHistogram(s, "queue_seconds"),
+		RunSeconds:      DurationHistogram(s, "run_seconds"),
+		Connected:       s.Gauge("agents_connected"),
+		ConfigIndex:     s.Gauge("config_index"),
+		ConfigAge:       s.Gauge("config_age_seconds"),
 		answers: map[task.State]tally.Histogram{
 			task.Complete: answerSeconds(s, "complete"),
 			task.NotRun:   answerSeconds(s, "refused"),
--- a/node/entry.go
+++ b/node/entry.go
@@ -25,6 +25,8 @@
 	HTTP     httpapi.Config
 	Policy   placement.Policy
 	Order    queue.Order
+	// Speeds is that of entry.Options.
+	Speeds bool
 	// DemandFanout is that of entry.Options.
 	DemandFanout int
 	// Trace enables logging of the decisions about submissions.
@@ -62,6 +64,7 @@
 		HTTP:              o.HTTP,
 		Policy:            o.Policy,
 		Order:             o.Order,
+		Speeds:            o.Speeds,
 		Seed:              self.Incarnation,
 		DemandFanout:      o.DemandFanout,
 		Trace:             o.Trace,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -79,6 +79,8 @@
 	Placement string
 	// Order is one of the Order constants.
 	Order string
+	// Speeds makes placement heed the speeds of upstreams.
+	Speeds bool
 	// PeerPort replaces the ports in Control unless it is zero.
 	PeerPort uint32
 	// Clients and Readiness are the HTTP host:ports for the platform's clients
@@ -287,6 +289,7 @@
 			PlacementCredits, PlacementLeastOutstanding, PlacementTwoChoices, PlacementRandom).withDefault(PlacementCredits),
 		oneOf(&e.Order, "placement", "order", "Order of waiting jobs.",
 			OrderLeftOverSlowdown, OrderLeftOverAge, OrderFewestLeft, OrderFIFO, OrderUrgent).withDefault(OrderLeftOverSlowdown),
+		boolean(&e.Speeds, "placement", "speeds", "Whether tasks that only the faster upstreams end within the job's latency objective are placed on these; needs policy credits.").withDefault("false"),
 		peerPort(&e.PeerPort),
 		boolean(&e.LogJobs, "process", "log-jobs", "Whether to log each answer and each decision about jobs that did not complete.").withDefault("true"),
 		count(&e.DemandFanout, "agents", "poke", "How many agents are notified at once of waiting tasks when no agent has credit.", 1, maxDemandFanout).withDefault("3"),
