--- a/entry/forecast.go
+++ b/entry/forecast.go
@@ -21,6 +21,9 @@
 	known      bool
 	windowEnd  time.Duration
 	placedWork float64
+	// setAside is the part of the waiting work, in seconds, that waits for some
+	// upstreams although others are free. It shows no shortage.
+	setAside float64
 	// idle is set if there was no waiting work at some time in the window.
 	idle bool
 }
@@ -58,5 +61,5 @@
 	if !f.known {
 		return 0, false
 	}
-	return time.Duration(work / max(f.rate, minForecastRate) * float64(time.Second)), true
+	return time.Duration(max(0, work-f.setAside) / max(f.rate, minForecastRate) * float64(time.Second)), true
 }
--- a/entry/placement/intime.go
+++ b/entry/placement/intime.go
@@ -11,11 +11,15 @@
 	// deliveryMargin is subtracted from the time that is left for a task; it is
 	// the time for its assignment, its start and the report of its end.
 	deliveryMargin = 10 * time.Millisecond
+	// safety is the factor by which run times are assumed to exceed the predicted ones
+	// as long as an upstream that is fast enough for that has credit. Speeds are known
+	// to about a fifth.
+	safety = 1.25
 	// strictFor is how long upstreams are told apart after a job that only some of
 	// them serve in time.
 	strictFor = 5 * time.Second
-	// widthWeight is the weight of a job in the mean number of tasks of such jobs.
-	widthWeight = 0.1
+	// jobWeight is the weight of a job in the means over such jobs.
+	jobWeight = 0.1
 	// jobsReserved is the number of such jobs of mean width for which credit of
 	// fast upstreams is kept.
 	jobsReserved = 2
@@ -72,10 +76,10 @@
 // would end in time on its slowest upstream if they started at once.
 type InTime struct {
 	// strictUntil is when the service was last seen to have a job that only some
-	// upstreams serve in time, plus strictFor. strictFrom is the slowest tier that
-	// serves the last of these.
+	// upstreams serve in time, plus strictFor. strictFrom is the mean of the slowest
+	// tiers that serve these safely.
 	strictUntil time.Duration
-	strictFrom  int
+	strictFrom  float64
 	// width is the mean number of tasks of these jobs.
 	width   float64
 	returns rate
@@ -98,15 +102,17 @@
 	if r.endsIn(fastest) > left {
 		left = r.UntilDeadline
 	}
-	from := slowestInTime(r, left, slowest, fastest)
+	from, safe := r.slowestInTime(left, slowest, fastest)
 	switch {
 	case from > fastest:
 		return Credits{}.Pick(p, r.Need), Indifferent
-	case from <= slowest:
-		return t.pickSparing(p, r.Need, fastest)
+	case safe <= slowest:
+		return t.pickSparing(p, r.Need)
 	}
-	if a := p.pickFrom(from, fastest+1, r.Need); a != nil {
-		return a, EndsInTime
+	for _, least := range []int{safe, from} {
+		if a := p.pickFrom(least, tiers, r.Need); a != nil {
+			return a, EndsInTime
+		}
 	}
 	if t.worthWaiting(now, left-r.endsIn(fastest)) {
 		t.waiting++
@@ -117,13 +123,14 @@
 
 // pickSparing places a task that every upstream serves in time. It keeps credit of
 // fast upstreams for the next jobs that need it, unless slower ones have none.
-func (t *InTime) pickSparing(p *Pool, need task.Resources, fastest int) (*Agent, Verdict) {
-	if float64(p.credit(t.strictFrom, fastest+1)) > jobsReserved*t.width {
-		if a := p.pickFrom(t.strictFrom, fastest+1, need); a != nil {
+func (t *InTime) pickSparing(p *Pool, need task.Resources) (*Agent, Verdict) {
+	fast := t.fastFrom()
+	if float64(p.creditFrom(fast)) > jobsReserved*t.width {
+		if a := p.pickFrom(fast, tiers, need); a != nil {
 			return a, EndsInTime
 		}
 	}
-	if a := p.pickFrom(0, t.strictFrom, need); a != nil {
+	if a := p.pickFrom(0, fast, need); a != nil {
 		return a, Spared
 	}
 	return Credits{}.Pick(p, need), EndsInTime
@@ -136,23 +143,37 @@
 		return
 	}
 	t.strictUntil = now + strictFor
-	t.strictFrom = slowestInTime(r, r.Objective, slowest, fastest)
 	if !r.First {
 		return
 	}
+	_, safe := r.slowestInTime(r.Objective, slowest, fastest)
 	if t.width == 0 {
-		t.width = float64(r.Tasks)
+		t.width, t.strictFrom = float64(r.Tasks), float64(safe)
 	}
-	t.width += widthWeight * (float64(r.Tasks) - t.width)
+	t.width += jobWeight * (float64(r.Tasks) - t.width)
+	t.strictFrom += jobWeight * (float64(safe) - t.strictFrom)
 }
 
+// fastFrom returns the slowest tier that counts as fast.
+func (t *InTime) fastFrom() int { return int(math.Round(t.strictFrom)) }
+
 // Placed records that a task was sent to an agent.
 func (t *InTime) Placed(now time.Duration, a *Agent) {
-	if a.tier >= t.strictFrom {
+	if a.tier >= t.fastFrom() {
 		t.returns.add(now)
 	}
 }
 
+// ShortestRun returns the predicted run time of a task on the fastest upstreams, or
+// the declared one if the speeds of upstreams do not matter.
+func (t *InTime) ShortestRun(now time.Duration, p *Pool, declared time.Duration) time.Duration {
+	if now >= t.strictUntil {
+		return declared
+	}
+	_, fastest := p.extremes()
+	return min(declared, time.Duration(float64(declared)/tierSpeed(fastest)))
+}
+
 // worthWaiting reports whether credit of a fast upstream for one more waiting task
 // is expected within slack.
 func (t *InTime) worthWaiting(now, slack time.Duration) bool {
@@ -167,14 +188,18 @@
 }
 
 // slowestInTime returns the slowest tier on which the task ends within left, or
-// fastest+1 if there is none.
-func slowestInTime(r Request, left time.Duration, slowest, fastest int) int {
-	for i := slowest; i <= fastest; i++ {
-		if r.endsIn(i) <= left {
-			return i
-		}
+// fastest+1 if there is none, and the slowest on which it does so safely, or the
+// fastest.
+func (r Request) slowestInTime(left time.Duration, slowest, fastest int) (from, safe int) {
+	from = slowest
+	for from <= fastest && r.endsIn(from) > left {
+		from++
+	}
+	safe = from
+	for safe < fastest && time.Duration(safety*float64(r.endsIn(safe))) > left {
+		safe++
 	}
-	return fastest + 1
+	return from, safe
 }
 
 // EndsIn returns the predicted time until the end of a task is known that is sent
--- a/entry/placement/speed.go
+++ b/entry/placement/speed.go
@@ -121,11 +121,11 @@
 		u, k := &all[i], kinds[all[i].Kind]
 		estimates[i] = (u.Runs.Mean*u.Runs.Runs + k.mean*k.priorWeight) / (u.Runs.Runs + k.priorWeight)
 		if !u.Exceptional {
-			reference += estimates[i]
+			reference += math.Exp(estimates[i])
 			n++
 		}
 	}
-	reference /= max(1, n)
+	reference = math.Log(reference / max(1, n))
 	for i := range estimates {
 		estimates[i] = math.Exp(reference - estimates[i])
 	}
--- a/entry/placement/tiers.go
+++ b/entry/placement/tiers.go
@@ -12,6 +12,9 @@
 	// tierWidth is the difference of the logarithms of speeds between adjacent
 	// tiers. Declared run times are less exact.
 	tierWidth = 0.1
+	// exceptionShare is the reciprocal of the share of upstreams at either end that
+	// extremes leaves out.
+	exceptionShare = 16
 )
 
 // tier groups the agents of a pool whose upstreams are about equally fast.
@@ -81,25 +84,25 @@
 	a.tierCredit = a.Credit
 }
 
-// extremes returns the tiers of the slowest and the fastest upstream.
+// extremes returns the tiers of the slowest and the fastest upstreams, without one
+// in exceptionShare at each end: a few that are slow by a fault of theirs are the
+// concern of Agent.Slow.
 func (p *Pool) extremes() (slowest, fastest int) {
-	slowest, fastest = -1, -1
-	for i := range p.tiers {
-		if p.tiers[i].members == 0 {
-			continue
-		}
-		if slowest < 0 {
-			slowest = i
-		}
-		fastest = i
+	except := len(p.agents) / exceptionShare
+	for n := p.tiers[0].members; n <= except && slowest < tiers-1; n += p.tiers[slowest].members {
+		slowest++
+	}
+	fastest = tiers - 1
+	for n := p.tiers[fastest].members; n <= except && fastest > slowest; n += p.tiers[fastest].members {
+		fastest--
 	}
 	return slowest, fastest
 }
 
-// credit returns the credit of the available agents in tiers [from, to).
-func (p *Pool) credit(from, to int) int {
+// creditFrom returns the credit of the available agents from a tier on.
+func (p *Pool) creditFrom(from int) int {
 	n := 0
-	for i := from; i < to; i++ {
+	for i := from; i < tiers; i++ {
 		n += p.tiers[i].credit
 	}
 	return n
--- a/entry/stats.go
+++ b/entry/stats.go
@@ -81,6 +81,9 @@
 	Credit      int
 	Outstanding int
 	Others      int
+	// Speed is that of its upstream relative to the service's mean one, zero if
+	// unknown.
+	Speed float64
 }
 
 // View is a snapshot of the state that status pages show.
@@ -129,6 +132,7 @@
 		Credit:      a.Credit,
 		Outstanding: a.Outstanding,
 		Others:      a.Others,
+		Speed:       a.Speed,
 	}
 }
 
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -93,7 +93,7 @@
 		Owner:    s,
 	}
 	if s.sub.Objective > 0 {
-		s.job.StartBy = e.now + s.sub.Objective - s.job.LongestDeclared
+		s.job.StartBy = e.now + s.sub.Objective - svc.inTime.ShortestRun(e.now, svc.pool, s.job.LongestDeclared)
 	}
 	return s
 }
--- a/proof/simulation_test.go
+++ b/proof/simulation_test.go
@@ -125,6 +125,7 @@
 type workerSpec struct {
 	slots    uint32
 	slowdown float64 // factor on run times
+	cpu      uint32  // thousandths of a processor offered; zero means 64000
 	fails    bool    // every task fails immediately
 	restarts int     // upstream restarts so far; part of its instance ID
 	departed bool    // set while it sends no announcements
@@ -161,6 +162,10 @@
 	// leased is set if runs at the upstreams are under a lease; slots are then
 	// estimated from the needs of the tasks.
 	leased bool
+	// upstreams gives the kinds of the agents' upstreams in turn, if set.
+	upstreams []workerSpec
+	// speeds is that of the entries.
+	speeds bool
 }
 
 func newSimulation(o simulationOptions) *simulation {
@@ -192,7 +197,11 @@
 		sim.config = testConfig()
 	}
 	for i := range o.agents {
-		sim.startAgent(fmt.Sprintf("a%02d", i), o.agentCfg, workerSpec{slots: o.slots, slowdown: 1})
+		spec := workerSpec{slots: o.slots, slowdown: 1}
+		if len(o.upstreams) > 0 {
+			spec = o.upstreams[i%len(o.upstreams)]
+		}
+		sim.startAgent(fmt.Sprintf("a%02d", i), o.agentCfg, spec)
 	}
 	for i := range o.entries {
 		sim.startEntry(fmt.Sprintf("e%d", i), o)
@@ -247,6 +256,7 @@
 		Seed:         o.seed + e.incarnation,
 		Config:       sim.config,
 		DemandFanout: o.demandFanout,
+		Speeds:       o.speeds,
 
 		KeepaliveInterval: o.keepalive,
 		AgentTimeout:      o.agentTimeout,
@@ -298,7 +308,7 @@
 	}
 	sim.stepAgent(a, agent.Announced{Upstream: agent.Upstream{
 		Instance: a.instance(), Service: "svc", Slots: a.worker.slots, Connections: 64,
-		Offered: task.Resources{MilliCPU: 64000, MemoryMB: 128000, Accelerators: 1},
+		Offered: task.Resources{MilliCPU: cmp.Or(a.worker.cpu, 64000), MemoryMB: 128000, Accelerators: 1},
 		Lease:   3 * time.Second, CanStop: true, Leased: sim.leased,
 	}})
 }
