--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -74,6 +74,9 @@
 	nextIndex int
 	total     totals
 	tiers     [tiers]tier
+	// slowest and fastest are the result of extremes while extremesKnown is set.
+	extremesKnown    bool
+	slowest, fastest int
 }
 
 // NewPool returns an empty pool whose random choices are determined by the
@@ -112,7 +115,7 @@
 	p.agents = p.agents[:last]
 	p.updateTotals(a, totals{})
 	p.setAvailable(a, false)
-	p.tiers[a.tier].members--
+	p.leaveTier(a)
 }
 
 // Changed updates the pool's totals and available agents. It must be called
--- a/entry/placement/tiers.go
+++ b/entry/placement/tiers.go
@@ -35,7 +35,14 @@
 }
 
 // tierSpeed returns the speed that the agents of a tier are taken to have.
-func tierSpeed(i int) float64 { return math.Exp(float64(i-tiers/2) * tierWidth) }
+func tierSpeed(i int) float64 { return tierSpeeds[i] }
+
+var tierSpeeds = func() (speeds [tiers]float64) {
+	for i := range speeds {
+		speeds[i] = math.Exp(float64(i-tiers/2) * tierWidth)
+	}
+	return speeds
+}()
 
 // SetSpeed sets the speed of an agent's upstream relative to the mean one.
 func (p *Pool) SetSpeed(a *Agent, speed float64) {
@@ -49,6 +56,7 @@
 func (p *Pool) joinTier(a *Agent, i int) {
 	a.tier = i
 	p.tiers[i].members++
+	p.extremesKnown = false
 	if a.availablePos >= 0 {
 		p.addToTier(a)
 	}
@@ -56,6 +64,7 @@
 
 func (p *Pool) leaveTier(a *Agent) {
 	p.tiers[a.tier].members--
+	p.extremesKnown = false
 	if a.availablePos >= 0 {
 		p.removeFromTier(a)
 	}
@@ -88,6 +97,9 @@
 // in exceptionShare at each end: a few that are slow by a fault of theirs are the
 // concern of Agent.Slow.
 func (p *Pool) extremes() (slowest, fastest int) {
+	if p.extremesKnown {
+		return p.slowest, p.fastest
+	}
 	except := len(p.agents) / exceptionShare
 	for n := p.tiers[0].members; n <= except && slowest < tiers-1; n += p.tiers[slowest].members {
 		slowest++
@@ -96,6 +108,7 @@
 	for n := p.tiers[fastest].members; n <= except && fastest > slowest; n += p.tiers[fastest].members {
 		fastest--
 	}
+	p.extremesKnown, p.slowest, p.fastest = true, slowest, fastest
 	return slowest, fastest
 }
 
