--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -45,6 +45,7 @@
 	tier         int
 	tierPos      int
 	tierCredit   int
+	tierMember   bool
 }
 
 // totals are sums over the agents of a pool.
@@ -123,6 +124,7 @@
 // changed.
 func (p *Pool) Changed(a *Agent) {
 	p.updateTotals(a, totals{a.Slots, a.Outstanding})
+	p.setMember(a, !a.Slow)
 	p.setAvailable(a, a.available())
 }
 
--- a/entry/placement/speed_test.go
+++ b/entry/placement/speed_test.go
@@ -110,14 +110,16 @@
 			p.SetSpeed(agents[rng.IntN(len(agents))], rng.Float64()*3)
 		default:
 			a := agents[rng.IntN(len(agents))]
-			a.Credit = rng.IntN(5) - 2
+			a.Credit, a.Slow, a.Probe = rng.IntN(5)-2, rng.IntN(4) == 0, rng.IntN(2) == 0
 			p.Changed(a)
 		}
 		var want [tiers]tier
 		for _, a := range agents {
 			w := &want[tierOf(a.Speed)]
-			w.members++
-			if a.Credit > 0 {
+			if !a.Slow {
+				w.members++
+			}
+			if a.available() {
 				w.credit += a.Credit
 				w.available = append(w.available, a)
 			}
--- a/entry/placement/tiers.go
+++ b/entry/placement/tiers.go
@@ -19,6 +19,7 @@
 
 // tier groups the agents of a pool whose upstreams are about equally fast.
 type tier struct {
+	// members counts its agents, without those marked Slow.
 	members int
 	// available are its agents of Pool.available, and credit is the sum of theirs.
 	available []*Agent
@@ -55,21 +56,32 @@
 
 func (p *Pool) joinTier(a *Agent, i int) {
 	a.tier = i
-	p.tiers[i].members++
-	p.extremesKnown = false
+	p.setMember(a, !a.Slow)
 	if a.availablePos >= 0 {
 		p.addToTier(a)
 	}
 }
 
 func (p *Pool) leaveTier(a *Agent) {
-	p.tiers[a.tier].members--
-	p.extremesKnown = false
+	p.setMember(a, false)
 	if a.availablePos >= 0 {
 		p.removeFromTier(a)
 	}
 }
 
+// setMember sets whether the agent counts among the members of its tier.
+func (p *Pool) setMember(a *Agent, member bool) {
+	switch {
+	case member == a.tierMember:
+		return
+	case member:
+		p.tiers[a.tier].members++
+	default:
+		p.tiers[a.tier].members--
+	}
+	a.tierMember, p.extremesKnown = member, false
+}
+
 func (p *Pool) addToTier(a *Agent) {
 	t := &p.tiers[a.tier]
 	a.tierPos = len(t.available)
