--- a/entry/pace_test.go
+++ b/entry/pace_test.go
@@ -110,6 +110,16 @@
 	require.EqualValues(t, 1, f.e.stats.PlacedTooSlow)
 }
 
+// shortJob is a job that all upstreams end in time.
+func shortJob(tasks int) task.Submission {
+	sub := job(tasks)
+	for i := range sub.Tasks {
+		sub.Tasks[i].DeclaredRunTime = 50 * time.Millisecond
+	}
+	sub.Objective = 140 * time.Millisecond
+	return sub
+}
+
 // Held work is no shortage: it must not refuse jobs that a free upstream would take.
 func TestShortJobPassesJobsThatWaitForFasterUpstreams(t *testing.T) {
 	f := paceFixture(t)
@@ -117,14 +127,31 @@
 		f.submit(n+1, longJob(4))
 	}
 	require.Empty(t, placedOn(f.submit(9, longJob(1))))
-	short := job(2)
-	short.Tasks[0].DeclaredRunTime, short.Tasks[1].DeclaredRunTime = 50*time.Millisecond, 50*time.Millisecond
-	short.Objective = 140 * time.Millisecond
-	effects := f.submit(10, short)
+	for range 30 {
+		f.now += 9 * time.Millisecond
+		require.Empty(t, placedOn(f.step(Tick{})))
+	}
+	w := &f.e.service("svc").forecast
+	require.False(t, w.known, "no other work has waited")
+	w.known, w.rate = true, 1
+	effects := f.submit(10, shortJob(2))
 	require.Empty(t, answers(effects))
 	require.Equal(t, map[string]int{"s": 2}, placedOn(effects))
 }
 
+// Short tasks use fast upstreams while these have credit for two more long jobs.
+func TestShortTasksLeaveFastUpstreamsToLongOnes(t *testing.T) {
+	f := paceFixture(t)
+	f.submit(1, longJob(4))
+	for n := range uint64(4*benchSlots - 4 - 2*4) {
+		require.Equal(t, map[string]int{"f": 1}, placedOn(f.submit(n+2, shortJob(1))))
+	}
+	for n := range uint64(2 * benchSlots) {
+		require.Equal(t, map[string]int{"s": 1}, placedOn(f.submit(n+100, shortJob(1))))
+	}
+	require.Equal(t, map[string]int{"f": 1}, placedOn(f.submit(200, shortJob(1))), "no slow upstream is left")
+}
+
 // An agent whose upstream was replaced reports no ratio at first. A report from before that
 // arrives late must not bring the old one back.
 func TestSpeedIsForgottenWithTheUpstream(t *testing.T) {
