--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -22,7 +22,7 @@
 // dispatch so that it does not block other jobs.
 func (e *Entry) dispatch(s *service) {
 	s.requeueDeferred()
-	s.forecast.observe(e.now, s.q.Len() > s.heldTasks)
+	s.forecast.observe(e.now, s.q.Len() > 0)
 	s.inTime.Begin()
 	for {
 		j, rank := s.q.Head(e.now)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -142,10 +142,8 @@
 	// inTime and spread are used with Options.Speeds.
 	inTime placement.InTime
 	spread placement.Spread
-	// held lists, during a dispatch, the jobs that wait for a faster upstream, and
-	// heldTasks counts their tasks in the queue after the last one.
+	// held lists, during a dispatch, the jobs that wait for a faster upstream.
 	held           []*queue.Job
-	heldTasks      int
 	holdArmed      bool // a timer for the next dispatch with held jobs is set
 	active         bool // marked for dispatch at the end of the step
 	demandNotified bool // waiting tasks have been announced to agents
--- a/entry/pace.go
+++ b/entry/pace.go
@@ -106,10 +106,9 @@
 
 // requeueHeld returns the held jobs to the queue.
 func (s *service) requeueHeld() {
-	s.heldTasks, s.forecast.setAside = 0, 0
+	s.forecast.setAside = 0
 	for _, j := range s.held {
 		n := deferredTasks(j)
-		s.heldTasks += int(n)
 		s.forecast.setAside += float64(n) * j.TaskRunTime().Seconds()
 		s.q.Add(j, n)
 	}
