--- a/settings/load.go
+++ b/settings/load.go
@@ -147,6 +147,14 @@
 	return slices.Compact(names)
 }
 
+// check requires the policy that Speeds extends.
+func (e *Entry) check() []violation {
+	if e.Speeds && e.Placement != PlacementCredits {
+		return []violation{{"placement", "speeds", fmt.Sprintf("is true with policy %s, want policy %s", e.Placement, PlacementCredits)}}
+	}
+	return nil
+}
+
 // check requires a data folder unless the process only redirects the platform's
 // operators, and requires an initial control host to list its own address.
 func (c *Control) check() []violation {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -94,6 +94,7 @@
 		"size":               {loadEntry, entry + "[limits]\nmax-body = 1GiB\n", `:10: [limits] max-body: "1GiB" is not valid, want a size from 1 to 7340032 bytes`},
 		"size above limit":   {loadEntry, entry + "[limits]\nmax-body = 8MiB\n", `:10: [limits] max-body: "8MiB" is not valid`},
 		"policy":             {loadEntry, entry + "[placement]\npolicy = best\n", `:10: [placement] policy: "best" is not valid, want one of credits, least-outstanding, two-choices, random`},
+		"speeds":             {loadEntry, entry + "[placement]\npolicy = random\nspeeds = true\n", `:11: [placement] speeds: is true with policy random, want policy credits`},
 		"missing section":    {loadEntry, process, `[listen] callers: missing`},
 		"duration":           {loadEntry, strings.Replace(entry, "site", "drain-timeout = 5\nsite", 1), `:4: [process] drain-timeout: "5" is not valid, want a duration from 0s to 10m0s`},
 		"control not listed": {loadControl, control, `:9: [cluster] initial: lacks this host's own address 127.0.0.1:7001`},
