--- a/entry/entry.go
+++ b/entry/entry.go
@@ -142,8 +142,6 @@
 	// inTime and spread are used with Options.Speeds.
 	inTime placement.InTime
 	spread placement.Spread
-	// delay is the mean time that tasks took beyond their run times.
-	delay time.Duration
 	// held lists, during a dispatch, the jobs that wait for a faster upstream.
 	held           []*queue.Job
 	holdArmed      bool // a timer for the next dispatch with held jobs is set
--- a/entry/pace.go
+++ b/entry/pace.go
@@ -8,11 +8,10 @@
 )
 
 // observePace adds a complete run to the run times at an agent's upstream.
-func (e *Entry) observePace(a *agent, declared, ran, took time.Duration) {
+func (e *Entry) observePace(a *agent, declared, ran time.Duration) {
 	if !e.opts.Speeds || declared <= 0 || ran <= 0 {
 		return
 	}
-	a.svc.delay += time.Duration(delayWeight * float64(took-ran-a.svc.delay))
 	a.svc.spread.Observe(a.runTimes.Observe(math.Log(ran.Seconds() / declared.Seconds())))
 }
 
@@ -69,7 +68,6 @@
 		UntilDeadline: sub.deadline - e.now,
 		First:         len(sub.ready) == len(sub.tasks) && !sub.held,
 		Tasks:         len(sub.tasks),
-		Delay:         s.delay,
 	}
 	a, verdict := s.inTime.Pick(e.now, s.pool, r)
 	end := forecastEnd{verdict: verdict, left: r.Left}
@@ -103,9 +101,6 @@
 	}
 }
 
-// delayWeight is the weight of a task in the mean of service.delay.
-const delayWeight = 0.05
-
 // holdInterval is how often a service with held jobs is dispatched at least.
 const holdInterval = 10 * time.Millisecond
 
--- a/entry/placement/intime.go
+++ b/entry/placement/intime.go
@@ -42,8 +42,6 @@
 	// First marks the first task of a new job, which has Tasks of them.
 	First bool
 	Tasks int
-	// Delay is the time that tasks lately took beyond their run times.
-	Delay time.Duration
 }
 
 // Verdict is why a task goes where it goes.
@@ -141,7 +139,6 @@
 // observe notes a job that would end in time on the fastest upstream and not on
 // the slowest if it started at once.
 func (t *InTime) observe(now time.Duration, r Request, slowest, fastest int) {
-	r.Delay = 0
 	if r.Objective <= 0 || slowest == fastest || r.endsIn(slowest) <= r.Objective || r.endsIn(fastest) > r.Objective {
 		return
 	}
@@ -187,7 +184,7 @@
 // endsIn returns the predicted time from a start on the given tier until the end
 // of the task is known.
 func (r Request) endsIn(tier int) time.Duration {
-	return time.Duration(float64(r.RunTime)/tierSpeed(tier)) + max(r.Delay, deliveryMargin)
+	return time.Duration(float64(r.RunTime)/tierSpeed(tier)) + deliveryMargin
 }
 
 // slowestInTime returns the slowest tier on which the task ends within left, or
--- a/entry/report.go
+++ b/entry/report.go
@@ -98,7 +98,7 @@
 	}
 	if r.Outcome.State == task.Complete {
 		a.runTimeRatio.observe(rec.declared, r.Outcome.Ran)
-		e.observePace(a, rec.declared, r.Outcome.Ran, e.now-rec.at)
+		e.observePace(a, rec.declared, r.Outcome.Ran)
 		if a.Slow {
 			a.probeEnded(e.now, rec.declared, r.Outcome.Ran)
 		}
