--- a/entry/stats.go
+++ b/entry/stats.go
@@ -22,6 +22,11 @@
 	Evacuated uint64
 	// Retries counts further attempts at tasks that may have run.
 	Retries uint64
+	// PlacedTooSlow counts tasks placed on an upstream that was predicted to miss
+	// the job's objective while others would have met it. WaitedForFaster counts
+	// tasks placed in time of jobs that had waited for a faster upstream.
+	PlacedTooSlow   uint64
+	WaitedForFaster uint64
 	// Sent and Received count messages to and from agents. Wasted counts those
 	// of them that made no progress on any task.
 	Sent     uint64
@@ -80,6 +85,9 @@
 	Credit      int
 	Outstanding int
 	Others      int
+	// Speed is that of its upstream relative to the service's mean one, zero if
+	// unknown.
+	Speed float64
 }
 
 // View is a snapshot of the state that status pages show.
@@ -129,6 +137,7 @@
 		Credit:      a.Credit,
 		Outstanding: a.Outstanding,
 		Others:      a.Others,
+		Speed:       a.Speed,
 	}
 }
 
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -54,7 +54,9 @@
 	longestRun   time.Duration
 	placed       uint32        // number of tasks placed at least once
 	queueTime    time.Duration // time from arrival until every task had been placed
-	trace        []Decision
+	// held is set once a task of the job has waited for a faster upstream.
+	held  bool
+	trace []Decision
 }
 
 // taskID returns the ID of the current attempt at task i.
@@ -93,7 +95,7 @@
 		Owner:    s,
 	}
 	if s.sub.Objective > 0 {
-		s.job.StartBy = e.now + s.sub.Objective - s.job.LongestDeclared
+		s.job.StartBy = e.now + s.sub.Objective - svc.inTime.ShortestRun(e.now, svc.pool, s.job.LongestDeclared)
 	}
 	return s
 }
--- a/proof/simulation_test.go
+++ b/proof/simulation_test.go
@@ -127,6 +127,7 @@
 type workerSpec struct {
 	slots    uint32
 	slowdown float64 // factor on run times
+	cpu      uint32  // thousandths of a processor offered; zero means 64000
 	fails    bool    // every task fails immediately
 	restarts int     // upstream restarts so far; part of its instance ID
 	domain   string
@@ -168,6 +169,10 @@
 	leased bool
 	// domains are the failure domains of the agents, in turn.
 	domains []string
+	// upstreams gives the kinds of the agents' upstreams in turn, if set.
+	upstreams []workerSpec
+	// speeds is that of the entries.
+	speeds bool
 }
 
 func newSimulation(o simulationOptions) *simulation {
@@ -200,6 +205,9 @@
 	}
 	for i := range o.agents {
 		spec := workerSpec{slots: o.slots, slowdown: 1}
+		if len(o.upstreams) > 0 {
+			spec = o.upstreams[i%len(o.upstreams)]
+		}
 		if len(o.domains) > 0 {
 			spec.domain = o.domains[i%len(o.domains)]
 		}
@@ -258,6 +266,7 @@
 		Seed:         o.seed + e.incarnation,
 		Config:       sim.config,
 		DemandFanout: o.demandFanout,
+		Speeds:       o.speeds,
 
 		KeepaliveInterval: o.keepalive,
 		AgentTimeout:      o.agentTimeout,
@@ -309,7 +318,7 @@
 	}
 	sim.stepAgent(a, agent.Announced{Upstream: agent.Upstream{
 		Instance: a.instance(), Service: "svc", Slots: a.worker.slots, Connections: 64,
-		Offered: task.Resources{MilliCPU: 64000, MemoryMB: 128000, Accelerators: 1},
+		Offered: task.Resources{MilliCPU: cmp.Or(a.worker.cpu, 64000), MemoryMB: 128000, Accelerators: 1},
 		Lease:   3 * time.Second, CanStop: true, Leased: sim.leased,
 		ColdFor: max(0, a.worker.coldUntil-sim.now),
 	}})
