--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -83,7 +83,10 @@
 }
 
 // prepareCluster writes keys and settings without starting a process.
-func prepareCluster(t *testing.T) *cluster {
+func prepareCluster(t *testing.T) *cluster { return prepareClusterIn(t, domain, domain, domain) }
+
+// prepareClusterIn is like prepareCluster, with each agent in its own failure domain.
+func prepareClusterIn(t *testing.T, agentDomains ...string) *cluster {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("starts processes")
@@ -104,7 +107,7 @@
 		c.addControl(i)
 	}
 	for i := range agents {
-		c.addAgent(i)
+		c.addAgent(i, agentDomains[i])
 		c.addUpstream(i)
 	}
 	for i := range entries {
@@ -131,6 +134,10 @@
 
 // issueKeys issues keys and returns their folder.
 func (c *cluster) issueKeys(role wire.Role, id string) string {
+	return c.issueKeysIn(domain, role, id)
+}
+
+func (c *cluster) issueKeysIn(domain string, role wire.Role, id string) string {
 	dir := c.path("keys", id)
 	name := keys.Name{Role: role, ID: id, Domain: domain}
 	require.NoError(c.t, keys.Issue(c.path("authority"), name, keys.DefaultValidity, dir))
@@ -144,7 +151,9 @@
 }
 
 // daemonSettings returns the settings that all daemons have in common.
-func daemonSettings(id string) string {
+func daemonSettings(id string) string { return daemonSettingsIn(domain, id) }
+
+func daemonSettingsIn(domain, id string) string {
 	return fmt.Sprintf("[process]\nid = %s\ndomain = %s\nsite = %s\ndrain-timeout = 20s\n[keys]\nfolder = keys/%s\n", id, domain, site, id)
 }
 
@@ -176,10 +185,10 @@
 	c.entries = append(c.entries, c.addProcess(id, text, "fireflytray-entry"))
 }
 
-func (c *cluster) addAgent(i int) {
+func (c *cluster) addAgent(i int, domain string) {
 	id, announce := agentID(i), freeAddr(c.t)
-	c.issueKeys(wire.RoleAgent, id)
-	text := daemonSettings(id) + fmt.Sprintf("[listen]\npeers = %s\nupstream = %s\n[control]\naddresses = %s\n[worker]\nrack = rack-%d\nprocessors = 8\nmemory-mb = 16000\n",
+	c.issueKeysIn(domain, wire.RoleAgent, id)
+	text := daemonSettingsIn(domain, id) + fmt.Sprintf("[listen]\npeers = %s\nupstream = %s\n[control]\naddresses = %s\n[worker]\nrack = rack-%d\nprocessors = 8\nmemory-mb = 16000\n",
 		freeAddr(c.t), announce, strings.Join(c.controlAddrs, ", "), i+1)
 	c.announceAddrs = append(c.announceAddrs, announce)
 	c.agents = append(c.agents, c.addProcess(id, text, "fireflytray-agent"))
