raft: a leader that lost power is elected again at once

Cause: after a loss of all power each voter grants no vote for an election timeout, since it may have promised a leader not to, and its own timer runs up to another one. Nobody holds a lease then, as the leader lost power too.

Ruled out: waiving the wait by "I voted for the candidate in term T" (unsound: another replica may have won T), also with a majority of such votes (unsound if the winner has shrunk the membership since).

A replica that finds its own in its saved term has led that term, so that no lease up to it is relied on: it asks for votes at once and says so in the Hint of its requests, and a voter then waives the wait that its own restart causes, and only that one.

The oracle of the register test now knows writes by the kind of their entry, not by data; it compares kinds as well.

--- a/raft/election.go
+++ b/raft/election.go
@@ -9,7 +9,7 @@
 	for _, v := range n.members.current() {
 		if v.Voter && v.ID != n.id {
 			n.send(Message{
-				Kind: MsgPreVote, To: v.ID, Term: n.term + 1,
+				Kind: MsgPreVote, To: v.ID, Term: n.term + 1, Hint: n.restart.ledTerm,
 				Index: n.log.lastIndex(), LogTerm: n.log.lastTerm(),
 			})
 		}
@@ -30,7 +30,7 @@
 			n.sendAfterSave(Message{Kind: MsgVoteResp, To: n.id})
 		case v.Voter:
 			n.sendAfterSave(Message{
-				Kind: MsgVote, To: v.ID, Force: force,
+				Kind: MsgVote, To: v.ID, Force: force, Hint: n.restart.ledTerm,
 				Index: n.log.lastIndex(), LogTerm: n.log.lastTerm(),
 			})
 		}
@@ -38,7 +38,7 @@
 }
 
 func (n *Node) handlePreVote(m Message) {
-	grant := m.Term > n.term && !n.withinLeaderLease() && n.log.upToDate(m.Index, m.LogTerm)
+	grant := m.Term > n.term && !n.withinLeaderLease(m.Hint) && n.log.upToDate(m.Index, m.LogTerm)
 	if grant {
 		n.sendAfterSave(Message{Kind: MsgPreVoteResp, To: m.From, Term: m.Term})
 		return
@@ -58,7 +58,7 @@
 }
 
 func (n *Node) handleVote(m Message) {
-	if !m.Force && n.withinLeaderLease() {
+	if !m.Force && n.withinLeaderLease(m.Hint) {
 		return
 	}
 	canVote := n.vote == m.From || (n.vote == None && n.leader == None)
--- a/raft/host_test.go
+++ b/raft/host_test.go
@@ -30,6 +30,7 @@
 	frozen       bool
 	inbox        []raft.Message
 	clockRate    time.Duration // in percent of the simulation's clock
+	startedAt    time.Duration // on the host's clock
 	diskLost     bool          // the data folder is lost for good
 	durableIndex uint64        // the last index that is durable on it
 }
@@ -52,6 +53,7 @@
 		MaxBatchBytes: maxBatchBytes, MaxInflight: maxInflight, ChunkBytes: chunkBytes,
 	})
 	require.NoError(t, err)
+	h.startedAt = h.now()
 	h.reg = register{}
 	h.applied = st.Snapshot.Index
 	h.ops = map[uint64]*op{}
@@ -144,7 +146,7 @@
 	for _, e := range rd.Committed {
 		require.Equal(h.s.t, h.applied+1, e.Index)
 		h.applied = e.Index
-		h.s.oracle.recordCommitted(h.s.t, e.Index, e.Term, e.Data)
+		h.s.oracle.recordCommitted(h.s.t, e)
 		result := ""
 		if e.Kind == raft.EntryCommand {
 			result = h.reg.apply(e.Data)
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -12,7 +12,7 @@
 	n.heartbeatAt = n.now
 	n.peers = map[uint64]*progress{}
 	n.syncPeers()
-	n.appendAsLeader(Entry{Kind: EntryNoop})
+	n.appendMark()
 }
 
 // syncPeers creates the progress of each new member and deletes that of former
--- a/raft/node.go
+++ b/raft/node.go
@@ -131,7 +131,8 @@
 	members membership
 
 	electionAt  time.Duration // when a replica other than the leader starts a pre-vote
-	noVoteUntil time.Duration // no vote is granted before this time, except to a forced request
+	noVoteUntil time.Duration // no vote is granted before this time, except to a forced request; set by a leader's messages
+	restart     restart
 	freshUntil  time.Duration // a follower's state counts as fresh before this time
 
 	votes map[uint64]bool // whether granted, by voter id
@@ -143,6 +144,7 @@
 	electedAt        time.Duration
 	uncommitted      int
 	round            uint64
+	markIndex        uint64 // the last entry that proves this leadership after a restart
 	pendingReads     []read
 	startedReads     []read
 	transferee       uint64
@@ -187,13 +189,8 @@
 		n.pendingSnapshot = &s
 	}
 	n.log.applied = n.log.snap.Index
-	// The replica may have received a message from a leader just before it
-	// stopped, so that the leader may still rely on its lease.
-	n.noVoteUntil = n.now + n.cfg.ElectionTimeout
-	n.resetElectionTimer()
-	if n.isSoleVoter() {
-		n.electionAt = n.now
-	}
+	n.loadRestart()
+	n.startElectionTimer()
 	return n, nil
 }
 
@@ -220,6 +217,10 @@
 }
 
 func (n *Node) resetElectionTimer() {
+	if n.retriesSoon() {
+		n.electionAt = n.now + n.cfg.ElectionTimeout/restartAttempts
+		return
+	}
 	span := int64(n.cfg.ElectionTimeout)
 	n.electionAt = n.now + n.cfg.ElectionTimeout + time.Duration(n.rng.Int64N(span))
 }
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -153,4 +153,5 @@
 	}
 	n.log.compact(s, n.cfg.KeepEntries, n.cfg.KeepBytes)
 	n.members.compact(n.log.baseIndex)
+	n.keepMark(s.Index)
 }
--- a/raft/register_test.go
+++ b/raft/register_test.go
@@ -5,6 +5,8 @@
 	"strings"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/raft"
 )
 
 // register is the replicated state machine of the tests; one unreplicated copy
@@ -57,7 +59,7 @@
 // oracle records the entries committed by any replica and the results reported
 // to clients.
 type oracle struct {
-	entries         map[uint64]string // term and command, by index
+	entries         map[uint64]string // term, kind and data, by index
 	reference       register
 	results         map[uint64]string
 	lastIndex       uint64
@@ -76,8 +78,9 @@
 // recordCommitted records that a replica applied an entry. The first replica that
 // applies an index also applies it to the reference register; all others must
 // apply the same entry.
-func (tr *oracle) recordCommitted(t require.TestingT, index, term uint64, cmd []byte) {
-	entry := fmt.Sprintf("%d %s", term, cmd)
+func (tr *oracle) recordCommitted(t require.TestingT, e raft.Entry) {
+	index, cmd := e.Index, e.Data
+	entry := fmt.Sprintf("%d %d %s", e.Term, e.Kind, cmd)
 	if old, ok := tr.entries[index]; ok {
 		require.Equal(t, old, entry, "two replicas applied different entries at %d", index)
 		return
@@ -85,7 +88,7 @@
 	require.Equal(t, tr.lastIndex+1, index, "a replica skipped an entry")
 	tr.entries[index] = entry
 	tr.lastIndex = index
-	if len(cmd) == 0 {
+	if e.Kind != raft.EntryCommand {
 		return
 	}
 	id, _, _ := strings.Cut(string(cmd), " ")
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -35,6 +35,7 @@
 	duplicatePercent int
 	maxDelay         time.Duration
 	leaders          map[uint64]uint64 // host id, by term
+	earlyLeaders     int               // elected within an election timeout of their start
 
 	writeCount    int
 	lastReadID    uint64
@@ -171,6 +172,9 @@
 		return
 	}
 	s.leaders[term] = h.id
+	if h.now() < h.startedAt+raft.DefaultElectionTimeout {
+		s.earlyLeaders++
+	}
 	for _, o := range s.hosts {
 		if o != h && o.node != nil {
 			st := o.node.Status(o.now())
--- a/raft/step.go
+++ b/raft/step.go
@@ -63,7 +63,7 @@
 			return true
 		}
 	case MsgVote:
-		if !m.Force && n.withinLeaderLease() {
+		if !m.Force && n.withinLeaderLease(m.Hint) {
 			return false
 		}
 	}
@@ -76,9 +76,10 @@
 }
 
 // withinLeaderLease reports whether a leader may still rely on its lease, so
-// that this replica must not vote for another candidate.
-func (n *Node) withinLeaderLease() bool {
-	return n.role == Leader || n.now < n.noVoteUntil
+// that this replica must not vote for another candidate. The candidate has
+// proved that no leader up to term void does.
+func (n *Node) withinLeaderLease(void uint64) bool {
+	return n.role == Leader || n.now < n.noVoteUntil || n.restart.waits(n.now, void)
 }
 
 // recordLeaderContact records that the leader of the current term has sent a
--- a/raft/types.go
+++ b/raft/types.go
@@ -24,7 +24,8 @@
 
 // The kinds of entries.
 const (
-	// EntryNoop is the empty entry that a new leader appends.
+	// EntryNoop is the entry that a new leader appends. Its data names the
+	// leader; it holds no command.
 	EntryNoop EntryKind = iota
 	// EntryCommand holds a command for the replicated state machine.
 	EntryCommand
@@ -106,7 +107,9 @@
 	Commit  uint64
 	Entries []Entry
 	Reject  bool
-	// Hint is the index at which the leader should probe after a rejection.
+	// Hint is the index at which the leader should probe after a rejection. In
+	// a vote or pre-vote request it is a term: no leader of that term or an
+	// earlier one relies on a lease. Zero says nothing.
 	Hint uint64
 	// Round is the leader's read round number. A response echoes it.
 	Round uint64
