entryd: hold requests that come before the first configuration

Cause: after a loss of all power an entry serves callers 0.4 to 0.7 s before it has a configuration, and up to 0.5 s more before it has a session with an agent. It refused all requests of that time, which few callers survive.

Ruled out: a shorter Retry-After (whole seconds), listening later (hosts look dead), a configuration kept on the entry's disk (may be replaced by then).

Released in order of arrival; the time counts against the deadline; a caller that leaves or a drain ends the hold.

--- a/entry/agent.go
+++ b/entry/agent.go
@@ -223,7 +223,7 @@
 	}
 	h.Pending = a.sentIDs()
 	a.givenUp = nil
-	e.emit(Dial{Peer: a.peer, Hello: h, Within: dialTimeout})
+	e.emit(Dial{Peer: a.peer, Hello: h, Service: a.worker.Service, Within: dialTimeout})
 }
 
 // connected handles the welcome that opens a session.
--- a/entry/event.go
+++ b/entry/event.go
@@ -82,6 +82,8 @@
 type Dial struct {
 	Peer  wire.Peer
 	Hello *wire.Hello
+	// Service is the last known service of the agent's worker.
+	Service string
 	// Within bounds the time from the dial to the welcome.
 	Within time.Duration
 }
--- a/entryd/caller_test.go
+++ b/entryd/caller_test.go
@@ -41,12 +41,15 @@
 	d    *Daemon
 	addr string
 	logs *lockedBuffer
+	// dials has the dials of the entry.
+	dials chan entry.Dial
 
 	mu      sync.Mutex
 	session uint64
 	// started and stopped are the tasks that were sent and cancelled, in order.
 	started, stopped []task.ID
 	names            map[task.ID]string
+	within           map[task.ID]time.Duration // the time that each task had left when it was sent
 	reportSeq        uint64
 	updateSeq        uint64
 }
@@ -70,35 +73,52 @@
 
 func newClientFixture(t *testing.T) *clientFixture {
 	t.Helper()
-	f := &clientFixture{t: t, names: map[task.ID]string{}, logs: &lockedBuffer{}}
-	f.d = New(Options{Log: log.New(f.logs), Self: wire.Peer{Role: wire.RoleEntry, ID: "e", Incarnation: 1}, Trace: true})
-	dials := make(chan entry.Dial, 1)
+	f := newUnconfiguredFixture(t, 0)
+	f.configure()
+	f.serve()
+	f.connect()
+	return f
+}
+
+// newUnconfiguredFixture returns an entry that has neither a configuration nor an
+// agent and isn't serving yet.
+func newUnconfiguredFixture(t *testing.T, wait time.Duration) *clientFixture {
+	f := &clientFixture{t: t, names: map[task.ID]string{}, within: map[task.ID]time.Duration{}, logs: &lockedBuffer{}, dials: make(chan entry.Dial, 1)}
+	f.d = New(Options{
+		Log: log.New(f.logs), Self: wire.Peer{Role: wire.RoleEntry, ID: "e", Incarnation: 1}, Trace: true,
+		HoldUnconfigured: wait,
+	})
 	f.d.loop = loop.New[entry.Event, entry.Effect](&viewServer{f.d.state}, entry.Tick{}, func(eff entry.Effect) {
 		switch eff := eff.(type) {
 		case entry.Dial:
-			dials <- eff
+			f.dials <- eff
 		case entry.Send:
 			f.record(eff.Update)
 		default:
 			f.d.exec(eff)
 		}
 	})
+	return f
+}
+
+func (f *clientFixture) configure() {
+	f.t.Helper()
 	doc, err := platform.DecodeDocument([]byte(testDocument))
-	require.NoError(t, err)
+	require.NoError(f.t, err)
 	checked, err := fleet.FromSections(doc.Sections)
-	require.NoError(t, err)
+	require.NoError(f.t, err)
 	f.d.OnConfig(checked.Effective(""))
-	f.serve()
+}
+
+// connect opens the session with the agent.
+func (f *clientFixture) connect() {
 	worker := &wire.Worker{Service: "s", Slots: 1, Offered: task.Resources{MilliCPU: 8000, MemoryMB: 8000}}
 	f.d.OnDirectory(wire.Directory{Full: true, Complete: true, Upserts: []wire.Member{{
 		Peer: wire.Peer{Role: wire.RoleAgent, ID: testAgent, Incarnation: 1, Addr: testAgent}, Worker: worker,
 	}}})
-	dial := <-dials
+	dial := <-f.dials
 	f.session = dial.Hello.Session
-	f.d.loop.Post(entry.Connected{Agent: testAgent, Session: f.session, Welcome: &wire.Welcome{
-		From: dial.Peer, Worker: worker, Report: f.report(),
-	}})
-	return f
+	f.d.connected(dial, &wire.Welcome{From: dial.Peer, Worker: worker, Report: f.report()})
 }
 
 // serve runs the loop and the clients' server until the test ends.
@@ -137,6 +157,7 @@
 	for i := range u.Tasks {
 		f.started = append(f.started, u.Tasks[i].ID)
 		f.names[u.Tasks[i].ID] = u.Tasks[i].Spec.Name
+		f.within[u.Tasks[i].ID] = u.Tasks[i].RunWithin
 	}
 	f.stopped = append(f.stopped, u.Cancel...)
 	f.updateSeq = u.Seq
@@ -193,12 +214,12 @@
 }
 
 // send submits a job of one task on a new connection.
-func (f *clientFixture) send(ref string) *net.TCPConn {
+func (f *clientFixture) send(ref string, headers ...string) *net.TCPConn {
 	f.t.Helper()
 	conn, err := net.Dial("tcp", f.addr)
 	require.NoError(f.t, err)
 	f.t.Cleanup(func() { conn.Close() })
-	f.sendOn(conn, http.MethodPost, ref, testJob)
+	f.sendOn(conn, http.MethodPost, ref, testJob, headers...)
 	return conn.(*net.TCPConn)
 }
 
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -70,7 +70,10 @@
 	// KeepaliveInterval and AgentTimeout are those of entry.Options.
 	KeepaliveInterval time.Duration
 	AgentTimeout      time.Duration
-	Config            *fleet.Config
+	// HoldUnconfigured is how long a request for a job may wait for the first
+	// configuration and the first agent of its service; zero holds none.
+	HoldUnconfigured time.Duration
+	Config           *fleet.Config
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout time.Duration
 	// Serve lists functions that serve further interfaces for callers, such as
@@ -98,6 +101,7 @@
 	configured atomic.Bool
 	config     atomic.Pointer[fleet.Config]
 	jobs       *jobs
+	holding    *holding
 	draining   atomic.Bool
 	// isolated is set while most known agents are not connected.
 	isolated atomic.Bool
@@ -137,6 +141,7 @@
 		drained:   make(chan struct{}),
 		meter:     newMeter(o.Scope),
 		jobs:      newJobs(),
+		holding:   newHolding(o.HoldUnconfigured),
 		budget:    logging.NewBudget(logging.LinesPerSecond),
 	}
 	d.resolver = newResolver(o.Control, d.log)
@@ -225,6 +230,7 @@
 func (d *Daemon) drain(stopServers func() <-chan error) error {
 	d.log.Info("draining")
 	d.draining.Store(true)
+	d.endHolds()
 	ctx, cancel := context.WithTimeout(context.Background(), d.opts.DrainTimeout)
 	defer cancel()
 	err := d.api.Drain(ctx)
@@ -285,6 +291,7 @@
 	d.config.Store(cfg)
 	d.configured.Store(true)
 	d.log.Info("configuration in force", "index", cfg.Index)
+	d.holdConfigured(cfg)
 }
 
 // Submit implements httpapi.Backend. The reducer of package entry admits or
--- a/entryd/link.go
+++ b/entryd/link.go
@@ -31,13 +31,24 @@
 		return
 	}
 	d.addSession(agent, &agentSession{session, conn})
-	d.loop.Post(entry.Connected{Agent: agent, Session: session, Welcome: welcome})
+	d.connected(eff, welcome)
 	err = d.receive(agent, session, conn)
 	conn.Close("session ended")
 	d.log.Info("session ended", "agent", agent, "err", err)
 	d.loop.Post(entry.Disconnected{Agent: agent, Session: session})
 }
 
+// connected posts that a session is open. What it makes servable is released after
+// that.
+func (d *Daemon) connected(eff entry.Dial, w *wire.Welcome) {
+	d.loop.Post(entry.Connected{Agent: eff.Peer.ID, Session: eff.Hello.Session, Welcome: w})
+	service := eff.Service
+	if w.Worker != nil && w.Worker.Service != "" {
+		service = w.Worker.Service
+	}
+	d.holdReached(service)
+}
+
 // openSession dials an agent and exchanges hello and welcome.
 func (d *Daemon) openSession(eff entry.Dial) (*transport.Conn, *wire.Welcome, error) {
 	ctx, cancel := context.WithTimeout(d.runCtx, eff.Within)
--- a/entryd/meter.go
+++ b/entryd/meter.go
@@ -100,6 +100,7 @@
 		if n := d.unroutedRequests.Swap(0); n > 0 {
 			d.log.Warn("requests refused", "reason", "no configuration yet", "count", n)
 		}
+		d.meter.metrics.HeldNow.Update(float64(d.holding.count()))
 		for kind, n := range d.budget.Suppressed() {
 			d.log.Warn("lines left out", "kind", kind, "count", n)
 		}
--- a/metrics/roles.go
+++ b/metrics/roles.go
@@ -42,6 +42,12 @@
 	// entry held them or kept their answer.
 	ResentInFlight tally.Counter
 	ResentAnswered tally.Counter
+	// Held counts requests that were held because this entry had just started,
+	// HeldInVain those of them that could not be served in time. HeldNow is the
+	// number held now.
+	Held       tally.Counter
+	HeldInVain tally.Counter
+	HeldNow    tally.Gauge
 	// Queue is the number of tasks queued at this entry.
 	Queue tally.Gauge
 	// Slots is the number of slots for which this entry holds credit.
@@ -78,6 +84,9 @@
 		Retries:        s.Counter("retries"),
 		ResentInFlight: s.Tagged(map[string]string{"state": "in_flight"}).Counter("jobs_resent"),
 		ResentAnswered: s.Tagged(map[string]string{"state": "answered"}).Counter("jobs_resent"),
+		Held:           s.Counter("requests_held"),
+		HeldInVain:     s.Counter("requests_held_in_vain"),
+		HeldNow:        s.Gauge("requests_held_now"),
 		Queue:          s.Gauge("queue"),
 		Slots:          s.Gauge("slots"),
 		QueueSeconds:   DurationHistogram(s, "queue_seconds"),
--- a/node/entry.go
+++ b/node/entry.go
@@ -32,6 +32,8 @@
 	// KeepaliveInterval and AgentTimeout are those of entry.Options.
 	KeepaliveInterval time.Duration
 	AgentTimeout      time.Duration
+	// HoldUnconfigured is that of entryd.Options.
+	HoldUnconfigured time.Duration
 	// Serve lists functions that serve further interfaces for callers.
 	Serve []func(context.Context, *entryd.Daemon) error
 }
@@ -67,6 +69,7 @@
 		Trace:             o.Trace,
 		KeepaliveInterval: o.KeepaliveInterval,
 		AgentTimeout:      o.AgentTimeout,
+		HoldUnconfigured:  o.HoldUnconfigured,
 		DrainTimeout:      o.DrainTimeout,
 		Serve:             o.Serve,
 		Control:           client,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -85,6 +85,9 @@
 	// and its load balancer; an empty one is disabled.
 	Clients   string
 	Readiness string
+	// HoldUnconfigured is how long a request of the platform's clients may wait
+	// for the entry's first configuration and agent; zero holds none.
+	HoldUnconfigured time.Duration
 	// LogJobs enables a log line for each answer and for each decision about a
 	// job that did not complete.
 	LogJobs bool
@@ -211,6 +214,7 @@
 	maxPeerTimeout       = time.Minute
 	maxKeepaliveInterval = time.Minute
 	maxDemandFanout      = 1 << 12
+	maxHold              = 10 * time.Second
 	maxTolerance         = 4
 	minElectionTimeout   = 100 * time.Millisecond
 	maxElectionTimeout   = time.Minute
@@ -294,6 +298,7 @@
 		duration(&e.AgentTimeout, "agents", "gone-after", "How long an agent may be unreachable before its tasks are abandoned.", minPeerTimeout, maxPeerTimeout).withDefault("4s"),
 		optionalHostPort(&e.Clients, "platform", "clients", "HTTP address for the platform's clients.").withDefault(""),
 		optionalHostPort(&e.Readiness, "platform", "readiness", "HTTP address for the platform's load balancer.").withDefault(""),
+		duration(&e.HoldUnconfigured, "platform", "hold-unconfigured", "How long a client's request may wait, after the start of the entry, for its first configuration and the first agent of its service; 0s refuses it at once.", 0, maxHold).withDefault("0s"),
 	)
 }
 
