entry: bound the dials in flight and order them by need

Cause: an entry that starts dials all agents at once. On a small host a handshake takes some 17 ms of its share of a core, and the handshakes share it, so that the first session opens when nearly all do.

Mutants that failed: lock members not first; failure domains ignored; slots not freed by time; no timer for them; outcomes not first; failed ones not last.

--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -48,6 +48,7 @@
 		DemandFanout:      int(s.DemandFanout),
 		KeepaliveInterval: s.KeepaliveInterval,
 		AgentTimeout:      s.AgentTimeout,
+		Dials:             int(s.Dials),
 		HoldUnconfigured:  s.HoldUnconfigured,
 	})
 }
--- a/entry/agent.go
+++ b/entry/agent.go
@@ -204,7 +204,11 @@
 		a.Offered = m.Worker.Offered
 	}
 	e.updateLockAgent(a)
-	if a.link == linkIdle || moved && a.link == linkDialing {
+	switch {
+	case a.link == linkIdle:
+		a.redialDelay = minRedialDelay
+		e.requestDial(a)
+	case moved && a.link == linkDialing:
 		a.redialDelay = minRedialDelay
 		e.dial(a)
 	}
@@ -337,7 +341,7 @@
 	if wasOpen {
 		a.disconnectedAt = e.now
 		e.arm(timer{at: e.now + e.opts.AgentTimeout, kind: timerAgentTimeout, agent: a})
-		e.dial(a)
+		e.requestDial(a)
 		return
 	}
 	if !a.listed && len(a.sent) == 0 {
@@ -372,7 +376,7 @@
 	if a.link != linkIdle || e.agents[a.peer.ID] != a {
 		return
 	}
-	e.dial(a)
+	e.requestDial(a)
 }
 
 // agentTimedOut ends the tasks of an agent that has had no session for
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -48,6 +48,9 @@
 	// tasks end with an unknown outcome; zero means DefaultAgentTimeout. Its
 	// settings key is gone-after.
 	AgentTimeout time.Duration
+	// Dials bounds the dials of agents in flight, so that the first sessions open
+	// soon on a small host; zero means no bound. Its settings key is dials.
+	Dials int
 }
 
 // DefaultAgentTimeout is the default of Options.AgentTimeout.
@@ -118,6 +121,7 @@
 	quotas        map[string]*quota.Bucket // by team
 	lastRequest   uint64
 	lastSession   uint64 // number of dials so far, over all agents
+	dials         dialQueue
 	timers        timers
 	dirty         []*agent // agents to flush at the end of the step
 	active        []*service
@@ -175,6 +179,7 @@
 	if e.opts.AgentTimeout == 0 {
 		e.opts.AgentTimeout = DefaultAgentTimeout
 	}
+	e.dials = newDialQueue(&e.opts)
 	e.configure(o.Config)
 	e.arm(timer{at: reviewInterval, kind: timerReview})
 	if o.KeepaliveInterval > 0 {
@@ -213,6 +218,7 @@
 	e.advanceLocks()
 	e.fireTimers()
 	e.dispatchActive()
+	e.startDials()
 	e.flush()
 	e.checkDrained()
 	out, e.out = e.out, nil
--- a/entry/timers.go
+++ b/entry/timers.go
@@ -15,6 +15,7 @@
 	timerLatestStart
 	timerAck
 	timerDial
+	timerDialSlot // a dial in flight leaves room for another
 	timerAgentTimeout
 	timerReview
 	timerDemand
@@ -85,6 +86,8 @@
 			e.ackDue(t.agent)
 		case timerDial:
 			e.dialDue(t.agent)
+		case timerDialSlot:
+			// Step starts the dials that are due.
 		case timerAgentTimeout:
 			e.agentTimedOut(t.agent, t.at)
 		case timerReview:
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -70,6 +70,8 @@
 	// KeepaliveInterval and AgentTimeout are those of entry.Options.
 	KeepaliveInterval time.Duration
 	AgentTimeout      time.Duration
+	// Dials is that of entry.Options.
+	Dials int
 	// HoldUnconfigured is how long a request for a job may wait for the first
 	// configuration and the first agent of its service; zero holds none.
 	HoldUnconfigured time.Duration
@@ -156,6 +158,7 @@
 
 		KeepaliveInterval: o.KeepaliveInterval,
 		AgentTimeout:      o.AgentTimeout,
+		Dials:             o.Dials,
 	})
 	d.loop = loop.New[entry.Event, entry.Effect](&viewServer{d.state}, entry.Tick{}, d.exec)
 	return d
--- a/node/entry.go
+++ b/node/entry.go
@@ -32,6 +32,8 @@
 	// KeepaliveInterval and AgentTimeout are those of entry.Options.
 	KeepaliveInterval time.Duration
 	AgentTimeout      time.Duration
+	// Dials is that of entry.Options.
+	Dials int
 	// HoldUnconfigured is that of entryd.Options.
 	HoldUnconfigured time.Duration
 	// Serve lists functions that serve further interfaces for callers.
@@ -69,6 +71,7 @@
 		Trace:             o.Trace,
 		KeepaliveInterval: o.KeepaliveInterval,
 		AgentTimeout:      o.AgentTimeout,
+		Dials:             o.Dials,
 		HoldUnconfigured:  o.HoldUnconfigured,
 		DrainTimeout:      o.DrainTimeout,
 		Serve:             o.Serve,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -99,6 +99,8 @@
 	// AgentTimeout is how long an agent may be unreachable before its tasks are
 	// abandoned.
 	AgentTimeout time.Duration
+	// Dials bounds the dials of agents in flight; zero means no bound.
+	Dials uint32
 }
 
 // Agent holds the settings of an agent.
@@ -214,6 +216,7 @@
 	maxPeerTimeout       = time.Minute
 	maxKeepaliveInterval = time.Minute
 	maxDemandFanout      = 1 << 12
+	maxDials             = 1 << 12
 	maxHold              = 10 * time.Second
 	maxTolerance         = 4
 	minElectionTimeout   = 100 * time.Millisecond
@@ -296,6 +299,7 @@
 		count(&e.DemandFanout, "agents", "poke", "How many agents are notified at once of waiting tasks when no agent has credit.", 1, maxDemandFanout).withDefault("3"),
 		duration(&e.KeepaliveInterval, "agents", "pulse", "Longest time between messages from this entry to an agent that holds tasks; 0s disables keepalives.", 0, maxKeepaliveInterval).withDefault("0s"),
 		duration(&e.AgentTimeout, "agents", "gone-after", "How long an agent may be unreachable before its tasks are abandoned.", minPeerTimeout, maxPeerTimeout).withDefault("4s"),
+		count(&e.Dials, "agents", "dials", "Largest number of agents that are dialled at the same time, those first that waiting jobs need; 0 dials all at once.", 0, maxDials).withDefault("0"),
 		optionalHostPort(&e.Clients, "platform", "clients", "HTTP address for the platform's clients.").withDefault(""),
 		optionalHostPort(&e.Readiness, "platform", "readiness", "HTTP address for the platform's load balancer.").withDefault(""),
 		duration(&e.HoldUnconfigured, "platform", "hold-unconfigured", "How long a client's request may wait, after the start of the entry, for its first configuration and the first agent of its service; 0s refuses it at once.", 0, maxHold).withDefault("0s"),
