controld: dial a control host again when it dials this one

Cause: control hosts that return from a loss of power start 0.1 s apart. A dial that began before the other host listened waits for the retransmission of its first packet, 0.3 s, and the answer to a pre-vote needs that link.

Change: the first announcement of a control host ends the dial or the wait for the next one if there is no connection to it. It can't loop: each accepted connection ends at most one wait.

--- a/controld/links.go
+++ b/controld/links.go
@@ -45,6 +45,8 @@
 	conn *transport.Conn
 	// connEnded is closed once conn has ended and all of its messages are handled.
 	connEnded chan struct{}
+	// cancelWait ends the dial in progress or the wait for the next one.
+	cancelWait context.CancelFunc
 }
 
 func newLinks(h *Host) *links {
@@ -80,23 +82,56 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		started := time.Now()
-		err := t.serve(ctx, l)
+		dialCtx, cancel := l.waitContext(ctx)
+		err := t.serve(ctx, dialCtx, l)
 		t.host.loop.Post(directory.Event{SourceLost: &directory.SourceLost{Source: directory.Source(l.addr)}})
 		if time.Since(started) > maxBackoff {
 			backoff = minBackoff
 		}
 		t.host.log.Debug("no connection to control host", "control", l.addr, "err", err)
 		select {
-		case <-ctx.Done():
+		case <-dialCtx.Done():
 		case <-time.After(backoff/2 + rand.N(backoff)):
 		}
 		backoff = min(2*backoff, maxBackoff)
+		if dialCtx.Err() != nil {
+			backoff = minBackoff
+		}
+		cancel()
+	}
+}
+
+// waitContext returns a context that ends when the control host appears while there
+// is no connection to it.
+func (l *link) waitContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	waitCtx, cancel := context.WithCancel(ctx)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cancelWait = cancel
+	return waitCtx, cancel
+}
+
+// appeared dials a control host again at once if there is no connection to it,
+// because it has just dialled this host. A dial that began before the other host
+// listened would wait for the retransmission of its first packet.
+func (t *links) appeared(addr string) {
+	t.mu.Lock()
+	l := t.byAddr[addr]
+	t.mu.Unlock()
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == nil && l.cancelWait != nil {
+		l.cancelWait()
 	}
 }
 
-// serve dials a control host and handles one connection until it ends.
-func (t *links) serve(ctx context.Context, l *link) error {
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+// serve dials a control host, until waitCtx ends, and handles one connection until it
+// ends.
+func (t *links) serve(ctx, waitCtx context.Context, l *link) error {
+	dialCtx, cancel := context.WithTimeout(waitCtx, dialTimeout)
 	conn, err := transport.Dial(dialCtx, l.addr, wire.RoleControl, t.host.opts.Transport)
 	cancel()
 	if err != nil {
--- a/controld/links_test.go
+++ b/controld/links_test.go
@@ -54,3 +54,28 @@
 	require.ErrorIs(t, err, ErrUnknownOutcome)
 	require.NotErrorIs(t, err, context.DeadlineExceeded)
 }
+
+// After a loss of all power control hosts start one after the other. A dial that began
+// before the other host listened must end when that host dials this one, also during
+// the wait between dials; a connection that is open must not.
+func TestLinkIsDialledAgainWhenPeerAppears(t *testing.T) {
+	const addr = "10.0.0.2:7720"
+	l := &link{addr: addr}
+	links := &links{byAddr: map[string]*link{addr: l}}
+	links.appeared(addr)
+	links.appeared("10.0.0.3:7720")
+	wait, cancel := l.waitContext(context.Background())
+	defer cancel()
+	l.setConn(&transport.Conn{}, make(chan struct{}))
+	links.appeared(addr)
+	require.NoError(t, wait.Err())
+	l.setConn(nil, nil)
+	links.appeared(addr)
+	require.Error(t, wait.Err())
+	next, cancelNext := l.waitContext(context.Background())
+	defer cancelNext()
+	require.NoError(t, next.Err())
+	s := &session{}
+	require.True(t, s.firstAnnouncement())
+	require.False(t, s.firstAnnouncement(), "renewals must not end dials")
+}
--- a/controld/session.go
+++ b/controld/session.go
@@ -32,6 +32,8 @@
 	// pushedIndex is the index of the last push, which was sent at pushedAt.
 	pushedIndex uint64
 	pushedAt    time.Time
+	// announced is set after the first announcement of the peer.
+	announced bool
 }
 
 // send queues a message. If that fails, for example because the peer does not
@@ -62,6 +64,15 @@
 	s.pushedIndex = 0
 }
 
+// firstAnnouncement reports whether it is called for the first time.
+func (s *session) firstAnnouncement() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := !s.announced
+	s.announced = true
+	return first
+}
+
 // observeStamp records the index of a stamp. A lower index than before is ignored.
 func (s *session) observeStamp(index uint64) {
 	s.mu.Lock()
@@ -163,6 +174,9 @@
 		if role != wire.RoleControl {
 			h.push(s)
 		} else {
+			if s.firstAnnouncement() {
+				h.links.appeared(m.From.Addr)
+			}
 			h.memberManager.recordAnnouncement(m)
 		}
 	case *wire.ConfigFetch:
