entryd: admit held requests a few at a time

Cause: 20 to 40 requests released at once are more than a small host (0.144 of a core) handles in the callers' time; lock requests and pings went unanswered.

Change: at most 8 released requests are in progress; the next one is admitted when one is answered. One whose hold ends before its turn is handled as without a hold.

--- a/entryd/hold/hold.go
+++ b/entryd/hold/hold.go
@@ -45,6 +45,21 @@
 	held bool
 }
 
+// Turn is that of a request in the order in which held requests are admitted. Both
+// functions are called once or more.
+type Turn struct {
+	// Submitted lets the next request be admitted.
+	Submitted func()
+	// Answered makes room for another request.
+	Answered func()
+}
+
+// End ends the turn.
+func (t Turn) End() {
+	t.Submitted()
+	t.Answered()
+}
+
 // Verdict is what to do with a request that arrives.
 type Verdict uint8
 
--- a/entryd/holding.go
+++ b/entryd/holding.go
@@ -15,6 +15,9 @@
 	// maxHeldRequests and maxHeldBytes bound the requests that are held at a time.
 	maxHeldRequests = 2048
 	maxHeldBytes    = 16 << 20
+	// maxTurns bounds the released requests that are in progress. A small host that
+	// admits all of them at once is late for all, and for its peers.
+	maxTurns = 8
 )
 
 // holding keeps the requests that a hold.Gate holds. It is safe for concurrent
@@ -24,6 +27,8 @@
 	gate *hold.Gate
 	// turns has an entry for each request held.
 	turns map[*hold.Request]*turn
+	// inProgress has an element for each released request that is not answered.
+	inProgress chan struct{}
 	// endsAt is when the last request is released; none is held after it.
 	endsAt time.Duration
 }
@@ -31,13 +36,20 @@
 // turn is that of one held request: released requests are admitted one after the
 // other, so that they keep their order.
 type turn struct {
-	until        time.Duration // when the hold ends at the latest
-	begins, ends chan struct{}
+	until                       time.Duration // when the hold ends at the latest
+	begins, submitted, answered chan struct{}
+}
+
+func newTurn(until time.Duration) *turn {
+	return &turn{until: until, begins: make(chan struct{}), submitted: make(chan struct{}), answered: make(chan struct{})}
 }
 
 func newHolding(wait time.Duration) *holding {
 	g := hold.New(0, hold.Limits{Wait: wait, Count: maxHeldRequests, Bytes: maxHeldBytes})
-	return &holding{gate: g, turns: make(map[*hold.Request]*turn), endsAt: g.Until(&hold.Request{ArrivedAt: 1 << 62})}
+	return &holding{
+		gate: g, turns: make(map[*hold.Request]*turn), inProgress: make(chan struct{}, maxTurns),
+		endsAt: g.Until(&hold.Request{ArrivedAt: 1 << 62}),
+	}
 }
 
 // arrive returns the turn for which a request has to wait, nil if it is not held.
@@ -47,7 +59,7 @@
 	if h.gate.Arrive(now, r) == hold.Pass {
 		return nil
 	}
-	t := &turn{until: h.gate.Until(r), begins: make(chan struct{}), ends: make(chan struct{})}
+	t := newTurn(h.gate.Until(r))
 	h.turns[r] = t
 	return t
 }
@@ -72,15 +84,24 @@
 		delete(h.turns, r)
 	}
 	if len(turns) > 0 {
-		go runTurns(turns)
+		go h.runTurns(turns)
 	}
 	return len(turns)
 }
 
-func runTurns(turns []*turn) {
+func (h *holding) runTurns(turns []*turn) {
 	for _, t := range turns {
+		select {
+		case <-t.answered: // its time was over before its turn
+			continue
+		case h.inProgress <- struct{}{}:
+		}
 		close(t.begins)
-		<-t.ends
+		<-t.submitted
+		go func() {
+			<-t.answered
+			<-h.inProgress
+		}()
 	}
 }
 
@@ -91,17 +112,17 @@
 }
 
 // Hold blocks while this entry is too new to serve a request for a job, within the
-// bounds of package hold. The caller must call endTurn once the request is submitted
-// or refused: the requests that arrived later wait for it.
-func (d *Daemon) Hold(r *hold.Request, conn net.Conn) (endTurn func()) {
+// bounds of package hold. The requests that arrived later wait for the turn.
+func (d *Daemon) Hold(r *hold.Request, conn net.Conn) hold.Turn {
+	pass := hold.Turn{Submitted: func() {}, Answered: func() {}}
 	now := d.loop.Now()
 	if now >= d.holding.endsAt {
-		return func() {}
+		return pass
 	}
 	r.ArrivedAt = now - httpserve.UnreadTime(conn)
 	t := d.holding.arrive(now, r)
 	if t == nil {
-		return func() {}
+		return pass
 	}
 	d.meter.metrics.Held.Inc(1)
 	left := make(chan struct{})
@@ -120,7 +141,10 @@
 	}
 	d.holding.leave(r)
 	d.logHold(r, outcome, now)
-	return sync.OnceFunc(func() { close(t.ends) })
+	return hold.Turn{
+		Submitted: sync.OnceFunc(func() { close(t.submitted) }),
+		Answered:  sync.OnceFunc(func() { close(t.answered) }),
+	}
 }
 
 func (d *Daemon) logHold(r *hold.Request, outcome string, since time.Duration) {
--- a/entryd/holding_test.go
+++ b/entryd/holding_test.go
@@ -45,6 +45,30 @@
 	f.awaitStart(jobs + 1)
 }
 
+// Released all at once, the held jobs are late for all callers on a small host, and for
+// the pings of its peers. A few are in progress at a time.
+func TestReleasedRequestsArePaced(t *testing.T) {
+	const jobs = maxTurns + 3
+	f := newUnconfiguredFixture(t, longHold)
+	f.serve()
+	ref := func(i int) string { return fmt.Sprintf("%016x", i) }
+	for i := range jobs {
+		f.send(ref(i))
+		f.awaitHeld(i + 1)
+	}
+	f.configure()
+	f.connect()
+	for done := range jobs {
+		id := f.awaitStart(done + 1)
+		last := min(jobs, done+maxTurns)
+		f.eventually(func() bool { return f.d.InFlight(ref(last - 1)) }, "job %d in flight", last-1)
+		if last < jobs {
+			require.False(t, f.d.InFlight(ref(last)))
+		}
+		f.end(id, task.Outcome{State: task.Complete})
+	}
+}
+
 // A request held at the start of a drain is refused as not run, and its job can't
 // start any more. Without the setting it is refused at once.
 func TestHeldRequestIsRefusedByDrain(t *testing.T) {
