--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -120,7 +120,7 @@
 	clients, ready, callers := freeAddr(f.t), freeAddr(f.t), freeAddr(f.t)
 	f.clientAddrs, f.readyAddrs, f.callerAddrs = append(f.clientAddrs, clients), append(f.readyAddrs, ready), append(f.callerAddrs, callers)
 	f.entries = append(f.entries, f.add("fireflytray-entry", fmt.Sprintf("entry-%d", i+1), fmt.Sprintf(
-		"[listen]\ncallers = %s\n[control]\naddresses = %s\n[placement]\norder = urgent\n[agents]\npoke = 16\npulse = 250ms\ngone-after = 1s\ndials = 4\n[platform]\nclients = %s\nreadiness = %s\nhold-unconfigured = 1s\n",
+		"[listen]\ncallers = %s\n[control]\naddresses = %s\n[placement]\norder = urgent\n[agents]\npoke = 16\npulse = 250ms\ngone-after = 1s\ndials = 16\n[platform]\nclients = %s\nreadiness = %s\nhold-unconfigured = 1s\n",
 		callers, strings.Join(f.controlAddrs, ", "), clients, ready)))
 }
 
--- a/transport/bench_test.go
+++ b/transport/bench_test.go
@@ -76,6 +76,20 @@
 	}
 }
 
+// BenchmarkHandshake opens and closes connections one after the other, with both ends
+// in this process, and reports the processor time of both ends together.
+func BenchmarkHandshake(b *testing.B) {
+	p := newPair(b, Options{})
+	b.ReportAllocs()
+	start := processorTime(b)
+	for b.Loop() {
+		entry, agent := p.connect(b, Options{})
+		entry.Close("measured")
+		agent.Close("measured")
+	}
+	b.ReportMetric((processorTime(b) - start).Seconds()*1e6/float64(b.N), "cpu-µs/op")
+}
+
 // idleBenchPeriods is the duration of a BenchmarkIdle iteration, in keepalive
 // periods.
 const idleBenchPeriods = 3
