--- a/transport/bench_test.go
+++ b/transport/bench_test.go
@@ -87,7 +87,7 @@
 		entry.Close("measured")
 		agent.Close("measured")
 	}
-	b.ReportMetric((processorTime(b) - start).Seconds()*1e6/float64(b.N), "cpu-µs/op")
+	b.ReportMetric((processorTime(b)-start).Seconds()*1e6/float64(b.N), "cpu-µs/op")
 }
 
 // idleBenchPeriods is the duration of a BenchmarkIdle iteration, in keepalive
