--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -72,7 +72,12 @@
 	// KeepaliveInterval and AgentTimeout are those of entry.Options.
 	KeepaliveInterval time.Duration
 	AgentTimeout      time.Duration
-	Config            *fleet.Config
+	// Dials is that of entry.Options.
+	Dials int
+	// HoldUnconfigured is how long a request for a job may wait for the first
+	// configuration and the first agent of its service; zero holds none.
+	HoldUnconfigured time.Duration
+	Config           *fleet.Config
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout time.Duration
 	// Serve lists functions that serve further interfaces for callers, such as
@@ -100,6 +105,7 @@
 	configured atomic.Bool
 	config     atomic.Pointer[fleet.Config]
 	jobs       *jobs
+	holding    *holding
 	draining   atomic.Bool
 	// isolated is set while most known agents are not connected.
 	isolated atomic.Bool
@@ -139,6 +145,7 @@
 		drained:   make(chan struct{}),
 		meter:     newMeter(o.Scope),
 		jobs:      newJobs(),
+		holding:   newHolding(o.HoldUnconfigured),
 		budget:    logging.NewBudget(logging.LinesPerSecond),
 	}
 	d.resolver = newResolver(o.Control, d.log)
@@ -154,6 +161,7 @@
 
 		KeepaliveInterval: o.KeepaliveInterval,
 		AgentTimeout:      o.AgentTimeout,
+		Dials:             o.Dials,
 	})
 	d.loop = loop.New[entry.Event, entry.Effect](&viewServer{d.state}, entry.Tick{}, d.exec)
 	return d
@@ -228,6 +236,7 @@
 func (d *Daemon) drain(stopServers func() <-chan error) error {
 	d.log.Info("draining")
 	d.draining.Store(true)
+	d.endHolds()
 	ctx, cancel := context.WithTimeout(context.Background(), d.opts.DrainTimeout)
 	defer cancel()
 	err := d.api.Drain(ctx)
@@ -288,6 +297,7 @@
 	d.config.Store(cfg)
 	d.configured.Store(true)
 	d.log.Info("configuration in force", "index", cfg.Index)
+	d.holdConfigured(cfg)
 }
 
 // Submit implements httpapi.Backend. The reducer of package entry admits or
--- a/node/entry.go
+++ b/node/entry.go
@@ -34,6 +34,10 @@
 	// KeepaliveInterval and AgentTimeout are those of entry.Options.
 	KeepaliveInterval time.Duration
 	AgentTimeout      time.Duration
+	// Dials is that of entry.Options.
+	Dials int
+	// HoldUnconfigured is that of entryd.Options.
+	HoldUnconfigured time.Duration
 	// Serve lists functions that serve further interfaces for callers.
 	Serve []func(context.Context, *entryd.Daemon) error
 }
@@ -70,6 +74,8 @@
 		Trace:             o.Trace,
 		KeepaliveInterval: o.KeepaliveInterval,
 		AgentTimeout:      o.AgentTimeout,
+		Dials:             o.Dials,
+		HoldUnconfigured:  o.HoldUnconfigured,
 		DrainTimeout:      o.DrainTimeout,
 		Serve:             o.Serve,
 		Control:           client,
