--- a/entryd/hold/hold.go
+++ b/entryd/hold/hold.go
@@ -48,27 +48,12 @@
 // Turn is that of a request in the order in which held requests are admitted. Both
 // functions are called once or more.
 type Turn struct {
-	// Held is how long the request was held.
-	Held time.Duration
 	// Submitted lets the next request be admitted.
 	Submitted func()
 	// Answered makes room for another request.
 	Answered func()
 }
 
-// Objective returns what the hold has left of a latency objective of a job whose
-// longest run takes runTime, or zero if the objective can't be met any more: such a
-// job is served late and not refused for an objective that is lost in any case.
-func (t Turn) Objective(objective, runTime time.Duration) time.Duration {
-	if t.Held <= 0 || objective <= 0 {
-		return objective
-	}
-	if left := objective - t.Held; left > runTime {
-		return left
-	}
-	return 0
-}
-
 // End ends the turn.
 func (t Turn) End() {
 	t.Submitted()
--- a/entryd/hold/hold_test.go
+++ b/entryd/hold/hold_test.go
@@ -95,13 +95,3 @@
 	require.False(t, g.Leave(kept))
 	require.Equal(t, Pass, g.Arrive(start, &Request{Path: "a/4", ArrivedAt: start}))
 }
-
-// A hold counts against the objective. One that can't be met any more must not have
-// the job refused.
-func TestObjectiveAfterHold(t *testing.T) {
-	require.Equal(t, 300*ms, Turn{}.Objective(300*ms, 100*ms))
-	require.Equal(t, 200*ms, Turn{Held: 100 * ms}.Objective(300*ms, 100*ms))
-	require.Zero(t, Turn{Held: 200 * ms}.Objective(300*ms, 100*ms))
-	require.Zero(t, Turn{Held: 900 * ms}.Objective(300*ms, 100*ms))
-	require.Zero(t, Turn{Held: 100 * ms}.Objective(0, 100*ms), "no objective")
-}
--- a/entryd/holding.go
+++ b/entryd/holding.go
@@ -142,7 +142,6 @@
 	d.holding.leave(r)
 	d.logHold(r, outcome, now)
 	return hold.Turn{
-		Held:      d.loop.Now() - r.ArrivedAt,
 		Submitted: sync.OnceFunc(func() { close(t.submitted) }),
 		Answered:  sync.OnceFunc(func() { close(t.answered) }),
 	}
