entryd: held requests are released by a growing window; a missed turn is refused

Change: each answer admits two more, so that a larger host soon has no bound; a request whose turn did not come while its service could be served is refused as not run. A restart wait is not waived by a void of zero, also at term 0 (review).

--- a/entryd/hold/hold.go
+++ b/entryd/hold/hold.go
@@ -48,6 +48,9 @@
 // Turn is that of a request in the order in which held requests are admitted. Both
 // functions are called once or more.
 type Turn struct {
+	// Missed is set if the request can be served now, but has waited so long for its
+	// turn that others are to be served instead.
+	Missed bool
 	// Submitted lets the next request be admitted.
 	Submitted func()
 	// Answered makes room for another request.
--- a/entryd/holding.go
+++ b/entryd/holding.go
@@ -15,9 +15,10 @@
 	// maxHeldRequests and maxHeldBytes bound the requests that are held at a time.
 	maxHeldRequests = 2048
 	maxHeldBytes    = 16 << 20
-	// maxTurns bounds the released requests that are in progress. A small host that
-	// admits all of them at once is late for all, and for its peers.
-	maxTurns = 8
+	// firstTurns is the number of released requests that are in progress at first. Each
+	// answer admits one more than before: a small host that admits all of them at once
+	// is late for all and for its peers, while a larger one soon has no bound.
+	firstTurns = 8
 )
 
 // holding keeps the requests that a hold.Gate holds. It is safe for concurrent
@@ -27,8 +28,8 @@
 	gate *hold.Gate
 	// turns has an entry for each request held.
 	turns map[*hold.Request]*turn
-	// inProgress has an element for each released request that is not answered.
-	inProgress chan struct{}
+	// room has an element for each released request that may be admitted now.
+	room chan struct{}
 	// endsAt is when the last request is released; none is held after it.
 	endsAt time.Duration
 }
@@ -44,14 +45,41 @@
 	return &turn{until: until, begins: make(chan struct{}), submitted: make(chan struct{}), answered: make(chan struct{})}
 }
 
+// over reports whether the request was answered before its turn.
+func (t *turn) over() bool {
+	select {
+	case <-t.answered:
+		return true
+	default:
+		return false
+	}
+}
+
 func newHolding(wait time.Duration) *holding {
 	g := hold.New(0, hold.Limits{Wait: wait, Count: maxHeldRequests, Bytes: maxHeldBytes})
 	return &holding{
-		gate: g, turns: make(map[*hold.Request]*turn), inProgress: make(chan struct{}, maxTurns),
+		gate: g, turns: make(map[*hold.Request]*turn), room: newRoom(),
 		endsAt: g.Until(&hold.Request{ArrivedAt: 1 << 62}),
 	}
 }
 
+// newRoom returns a channel with room for the first turns.
+func newRoom() chan struct{} {
+	room := make(chan struct{}, maxHeldRequests)
+	for range firstTurns {
+		room <- struct{}{}
+	}
+	return room
+}
+
+// addRoom admits another released request.
+func (h *holding) addRoom() {
+	select {
+	case h.room <- struct{}{}:
+	default: // no bound any more
+	}
+}
+
 // arrive returns the turn for which a request has to wait, nil if it is not held.
 func (h *holding) arrive(now time.Duration, r *hold.Request) *turn {
 	h.mu.Lock()
@@ -92,15 +120,20 @@
 func (h *holding) runTurns(turns []*turn) {
 	for _, t := range turns {
 		select {
-		case <-t.answered: // its time was over before its turn
+		case <-t.answered:
+			continue
+		case <-h.room:
+		}
+		if t.over() {
+			h.addRoom()
 			continue
-		case h.inProgress <- struct{}{}:
 		}
 		close(t.begins)
 		<-t.submitted
 		go func() {
 			<-t.answered
-			<-h.inProgress
+			h.addRoom()
+			h.addRoom()
 		}()
 	}
 }
@@ -142,6 +175,7 @@
 	d.holding.leave(r)
 	d.logHold(r, outcome, now)
 	return hold.Turn{
+		Missed:    outcome == "expired" && d.configured.Load(),
 		Submitted: sync.OnceFunc(func() { close(t.submitted) }),
 		Answered:  sync.OnceFunc(func() { close(t.answered) }),
 	}
--- a/entryd/holding_test.go
+++ b/entryd/holding_test.go
@@ -46,9 +46,9 @@
 }
 
 // Released all at once, the held jobs are late for all callers on a small host, and for
-// the pings of its peers. A few are in progress at a time.
+// the pings of its peers. A few are in progress at first, and each answer admits two.
 func TestReleasedRequestsArePaced(t *testing.T) {
-	const jobs = maxTurns + 3
+	const jobs = firstTurns + 5
 	f := newUnconfiguredFixture(t, longHold)
 	f.serve()
 	ref := func(i int) string { return fmt.Sprintf("%016x", i) }
@@ -60,7 +60,7 @@
 	f.connect()
 	for done := range jobs {
 		id := f.awaitStart(done + 1)
-		last := min(jobs, done+maxTurns)
+		last := min(jobs, 2*done+firstTurns)
 		f.eventually(func() bool { return f.d.InFlight(ref(last - 1)) }, "job %d in flight", last-1)
 		if last < jobs {
 			require.False(t, f.d.InFlight(ref(last)))
@@ -102,6 +102,27 @@
 	require.Equal(t, 1, f.d.holding.count(), "the other one has time")
 }
 
+// A job whose turn comes after its caller's time was started nevertheless, with too little
+// time left to end, in place of others. It is refused as not run.
+func TestMissedTurnIsRefused(t *testing.T) {
+	const jobs = firstTurns + 1
+	f := newUnconfiguredFixture(t, longHold)
+	f.serve()
+	for i := range firstTurns {
+		f.send(fmt.Sprintf("%016x", i))
+		f.awaitHeld(i + 1)
+	}
+	impatient := f.send("00000000000000cc", "X-Fireflytray-Deadline-Ms: 400")
+	f.awaitHeld(jobs)
+	f.configure()
+	f.connect()
+	f.eventually(func() bool { return f.d.InFlight(fmt.Sprintf("%016x", firstTurns-1)) }, "the first turns have begun")
+	status, body := f.answer(impatient)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Contains(t, body, "turn")
+	require.False(t, f.d.InFlight("00000000000000cc"))
+}
+
 // The time of a hold counts against the job's deadline.
 func TestHoldCountsAgainstTheDeadline(t *testing.T) {
 	f := newUnconfiguredFixture(t, longHold)
--- a/raft/restart.go
+++ b/raft/restart.go
@@ -77,7 +77,7 @@
 }
 
 // waits reports whether a leader from before the restart may still rely on its
-// lease, given that no leader up to term void does.
+// lease, given that no leader up to term void does. A void of zero says nothing.
 func (r *restart) waits(now time.Duration, void uint64) bool {
-	return now < r.waitUntil && void < r.term
+	return now < r.waitUntil && (void == 0 || void < r.term)
 }
