controld: an order for a failure domain is not proposed again for an operator who has gone

Cause (review, by reading): an order that was refused as superseded was proposed again after the position of the order in its way, as long as its context lasted, which is bound to the handler and not to the operator. A host that resumed with an old request, or the second copy of an order of unknown outcome, could undo a later order that was acknowledged.

Change: superseded is answered as unknown; the position is read after a barrier; an operator's closed connection ends its order, and one read after its time is refused.

--- a/controld/admin_evacuation.go
+++ b/controld/admin_evacuation.go
@@ -9,6 +9,7 @@
 
 	"github.com/fireflytray/fireflytray/adminapi"
 	"github.com/fireflytray/fireflytray/control"
+	"github.com/fireflytray/fireflytray/internal/httpserve"
 )
 
 // adminEvacuate evacuates a failure domain or takes it back.
@@ -19,6 +20,8 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, changeTimeout)
 	defer cancel()
+	ctx, stop := httpserve.CallerContext(ctx, c.Conn())
+	defer stop()
 	reply, err := h.Evacuate(ctx, c.operator, req.Domain, req.Evacuated)
 	switch {
 	case errors.Is(err, errDomainNotKnownYet):
--- a/controld/evacuate.go
+++ b/controld/evacuate.go
@@ -38,27 +38,32 @@
 	if err != nil {
 		return nil, err
 	}
+	// A host that lags behind would name the position of an earlier order.
+	if !h.waitCurrent(ctx) {
+		return nil, errNotFresh
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("the operator no longer waits: %w", err)
+	}
 	order := &control.Evacuate{
 		Domain: domain, Evacuated: evacuated, By: by,
 		After: h.machine.DomainOrder(domain).Last, Unlisted: !slices.Contains(domains, domain),
 	}
-	for {
-		reply, err := h.propose(ctx, &control.Command{Evacuate: order})
-		switch {
-		case err != nil:
-			return nil, err
-		case reply.Evacuate == nil:
-			return nil, errors.New("the log gave no answer")
-		case reply.Evacuate.Refusal == control.RefusalUnknownDomain && !complete:
-			return nil, errDomainNotKnownYet
-		case reply.Evacuate.Refusal != control.RefusalSuperseded:
-			return reply.Evacuate, nil
-		case ctx.Err() != nil:
-			return nil, fmt.Errorf("%w: %s", ErrUnknownOutcome, reply.Evacuate.Detail)
-		}
-		// The operator still waits, so this order is later than the one in its way.
-		order.After = reply.Evacuate.Last
+	reply, err := h.propose(ctx, &control.Command{Evacuate: order})
+	switch {
+	case err != nil:
+		return nil, err
+	case reply.Evacuate == nil:
+		return nil, errors.New("the log gave no answer")
+	case reply.Evacuate.Refusal == control.RefusalUnknownDomain && !complete:
+		return nil, errDomainNotKnownYet
+	case reply.Evacuate.Refusal == control.RefusalSuperseded:
+		// Either an earlier proposal of this very order was applied and another order
+		// has followed it, or another order was accepted meanwhile. Proposing it again
+		// could undo that one for an operator who no longer waits.
+		return nil, fmt.Errorf("%w: %s", ErrUnknownOutcome, reply.Evacuate.Detail)
 	}
+	return reply.Evacuate, nil
 }
 
 // knownDomains returns the failure domains that this host has seen since its start.
--- a/controld/evacuate_test.go
+++ b/controld/evacuate_test.go
@@ -79,6 +79,30 @@
 	require.False(t, c.hosts[leader].isEvacuated("sv-a"), "the order that was not acknowledged undoes the later ones")
 }
 
+// A host that is cut off keeps an order while its operator goes elsewhere, evacuates the
+// domain there and takes it back. The order must not be proposed when the link is back.
+func TestAbandonedOrderIsNotProposed(t *testing.T) {
+	c := startCluster(t, 3)
+	leader := c.leader()
+	c.partitioned[leader].Store(true)
+	ctx, leave := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.hosts[leader].Evacuate(ctx, control.Operator{Name: "astrid"}, "sv-a", true)
+		ended <- err
+	}()
+	other := c.hosts[(leader+1)%3]
+	require.True(t, order(t, other.Host, "sv-a", true).Accepted)
+	require.True(t, order(t, other.Host, "sv-a", false).Accepted)
+	leave()
+	c.partitioned[leader].Store(false)
+	require.Error(t, <-ended)
+	eventually(t, "the old leader has the last order", func() bool {
+		return c.hosts[leader].machine.DomainOrder("sv-a").Last == other.machine.DomainOrder("sv-a").Last
+	})
+	require.False(t, c.hosts[leader].isEvacuated("sv-a"))
+}
+
 // Operators evacuate and take back the same domain at once through different hosts.
 func TestRacingOrdersEndInTheLastOne(t *testing.T) {
 	c := startCluster(t, 3)
--- a/internal/httpserve/watch.go
+++ b/internal/httpserve/watch.go
@@ -1,6 +1,7 @@
 package httpserve
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -74,6 +75,20 @@
 	return func() { socket(c).watcher.remove(w) }
 }
 
+// CallerContext returns a context that also ends when the peer closes or resets a
+// connection that a Server accepted. A handler must call cancel before it returns.
+func CallerContext(parent context.Context, c net.Conn) (ctx context.Context, cancel context.CancelFunc) {
+	ctx, end := context.WithCancel(parent)
+	if Disconnected(c) {
+		end()
+	}
+	stop := Watch(c, end)
+	return ctx, func() {
+		stop()
+		end()
+	}
+}
+
 // watcher checks all connections that are watched with one system call. It is safe
 // for concurrent use.
 type watcher struct {
