entry: late service, forecasts that forget, entries short of processor or link

Change: - A job that can't meet its objective waits behind those that can until late-limit times its objective, as long as the forecast allows it ([placement] late-limit, off by default). - A rate of placement is known after three windows and for 2 s. - An entry whose median lock round trip is above shed-above closes one connection in four after its answer and refuses on arrival what can't start in time, but for one probe in 50 ms ([limits] shed-above, off by default).

Ruled out: the shortest round trip as the sign of shortage (low even on a full link); the measured rate of late work alone (gains nothing from short bursts); the whole rate alone (holds jobs under lasting overload); the limit on tasks and the quota (refuse nobody).

Mutants: minForecastWindows 1, TTL without end (TestForecast*); shortest instead of median, probe refused (TestTurnaround*, TestBusyEntry*); one threshold (TestBusyEntryClosesSomeConnections); lateSmoothing 1, lateMargin 0, no demotion when queued, no late service (TestLateService*): all found.

--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -42,7 +42,10 @@
 		HTTP:    httpapi.Config{MaxBody: s.MaxBody},
 		Policy:  policy,
 		Order:   order,
-		Serve:   platformInterfaces(rt, s),
+
+		ShedAbove: s.ShedAbove,
+		LateLimit: s.LateLimit,
+		Serve:     platformInterfaces(rt, s),
 
 		Trace:             s.LogJobs,
 		DemandFanout:      int(s.DemandFanout),
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -22,8 +22,8 @@
 // dispatch so that it does not block other jobs.
 func (e *Entry) dispatch(s *service) {
 	s.requeueDeferred()
-	s.forecast.observe(e.now, s.q.Len() > 0)
-	defer func() { s.forecast.observe(e.now, s.q.Len() > 0) }()
+	s.observeForecasts(e.now)
+	defer func() { s.observeForecasts(e.now) }()
 	for {
 		j, rank := s.q.Head(e.now)
 		if j == nil {
@@ -76,7 +76,7 @@
 	}
 	a.Used = a.Used.Add(spec.Need)
 	a.svc.pool.Changed(&a.Agent)
-	s.svc.forecast.addPlacedWork(s.job.TaskRunTime().Seconds())
+	s.svc.addPlacedWork(&s.job)
 	e.stats.Placed++
 	e.markDirty(a)
 }
--- a/entry/forecast.go
+++ b/entry/forecast.go
@@ -1,6 +1,9 @@
 package entry
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// forecastWindow is the time over which one sample of the placement rate is
@@ -8,17 +11,35 @@
 	forecastWindow = 100 * time.Millisecond
 	// forecastSmoothing is the weight of a new window in the smoothed rate.
 	forecastSmoothing = 0.2
+	// minForecastWindows is the number of windows after which the rate is known. A
+	// single one may hold no placement although there is room.
+	minForecastWindows = 3
 	// minForecastRate is the lower bound of the rate in forecasts, in seconds
 	// of work per second. It avoids division by zero.
 	minForecastRate = 0.1
+	// forecastTTL is how long a rate is used after the last window that showed it.
+	// A rate from a fault that has passed would otherwise refuse the first jobs
+	// that wait again.
+	forecastTTL = 2 * time.Second
 )
 
 // forecast estimates how long waiting work takes to be placed. It uses the rate
 // of placement in windows in which work was waiting all the time; other windows
 // do not show the rate that would have been possible.
+//
+// The load pattern that it answers is that of an entry whose queue fills for a few
+// seconds after a long time without one, be it by a burst or because other entries
+// were lost: the rates of the two are unrelated.
 type forecast struct {
-	rate       float64
-	known      bool
+	// smoothing is the weight of a new window; zero means forecastSmoothing.
+	smoothing float64
+	// rate is the mean of the first windows and then the smoothed one, in seconds
+	// of work per second.
+	rate float64
+	// windows counts the windows in rate, at most those until it is smoothed.
+	windows int
+	// measuredAt is the end of the last window in rate.
+	measuredAt time.Duration
 	windowEnd  time.Duration
 	placedWork float64
 	// idle is set if there was no waiting work at some time in the window.
@@ -41,12 +62,27 @@
 	if f.windowEnd == 0 || f.idle {
 		return
 	}
-	rate := f.placedWork / length
-	if !f.known {
-		f.known, f.rate = true, rate
-		return
+	if f.stale(now) {
+		f.rate, f.windows = 0, 0
 	}
-	f.rate += forecastSmoothing * (rate - f.rate)
+	f.measuredAt = now
+	f.windows++
+	weight := max(cmp.Or(f.smoothing, forecastSmoothing), 1/float64(f.windows))
+	f.rate += weight * (f.placedWork/length - f.rate)
+}
+
+// assume sets the rate to a guess, which counts as much as all windows before.
+func (f *forecast) assume(now time.Duration, rate float64) {
+	f.rate, f.measuredAt = rate, now
+	f.windows = int(1 / cmp.Or(f.smoothing, forecastSmoothing))
+}
+
+// stale reports whether the last window in the rate ended more than forecastTTL ago.
+func (f *forecast) stale(now time.Duration) bool { return now > f.measuredAt+forecastTTL }
+
+// known reports whether the rate rests on enough windows that are not stale.
+func (f *forecast) known(now time.Duration) bool {
+	return f.windows >= minForecastWindows && !f.stale(now)
 }
 
 // addPlacedWork adds work, in seconds, that was sent to an agent.
@@ -54,8 +90,8 @@
 
 // wait returns the time until the given work, in seconds, is placed; ok is
 // false while the rate is unknown.
-func (f *forecast) wait(work float64) (wait time.Duration, ok bool) {
-	if !f.known {
+func (f *forecast) wait(now time.Duration, work float64) (wait time.Duration, ok bool) {
+	if !f.known(now) {
 		return 0, false
 	}
 	return time.Duration(work / max(f.rate, minForecastRate) * float64(time.Second)), true
--- a/entry/lock.go
+++ b/entry/lock.go
@@ -255,6 +255,9 @@
 	if q == nil {
 		return
 	}
+	if q.state == 0 {
+		e.turnaround.observe(e.now, e.now-q.sentAt)
+	}
 	q.state = r.State
 	switch r.State {
 	case wire.LockGranted:
@@ -270,6 +273,19 @@
 	}
 }
 
+// observeUnanswered records how long the requests of a submission that is given up
+// without its lock have waited for an answer.
+func (e *Entry) observeUnanswered(s *submission) {
+	if s.lock.stage != lockRequested {
+		return
+	}
+	for i := range s.lock.requests {
+		if r := &s.lock.requests[i]; r.state == 0 && r.live() {
+			e.turnaround.observe(e.now, e.now-r.sentAt)
+		}
+	}
+}
+
 // lockRevoked gives up a submission because its job was submitted again elsewhere.
 func (e *Entry) lockRevoked(s *submission, a *agent) {
 	e.emitLock(s, "lock revoked", a)
@@ -312,6 +328,7 @@
 		r.failed, failed = true, true
 		if r.state == 0 {
 			r.agent.lockUnanswered = true
+			e.turnaround.observe(e.now, e.now-r.sentAt)
 			e.emitLock(s, "lock not answered", r.agent)
 		}
 	}
--- a/entry/stats.go
+++ b/entry/stats.go
@@ -17,6 +17,10 @@
 	// run.
 	Placed  uint64
 	Refused uint64
+	// Demoted counts submissions that went on as late ones.
+	Demoted uint64
+	// Shed counts submissions refused because agents answer this entry too slowly.
+	Shed uint64
 	// Retries counts further attempts at tasks that may have run.
 	Retries uint64
 	// Sent and Received count messages to and from agents. Wasted counts those
@@ -88,6 +92,8 @@
 	Waiting   map[string]int
 	Agents    []AgentView
 	Draining  bool
+	// Turnaround is the median time of agents to an answer, zero if unknown.
+	Turnaround time.Duration
 }
 
 // View returns a snapshot for status pages.
@@ -97,6 +103,8 @@
 		InFlight: len(e.subs),
 		Waiting:  make(map[string]int),
 		Draining: e.draining,
+
+		Turnaround: e.turnaround.median(e.now),
 	}
 	v.Stats.Answered = maps.Clone(e.stats.Answered)
 	v.Stats.Reasons = maps.Clone(e.stats.Reasons)
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -30,17 +30,20 @@
 
 // submission is the state of a submission from admission to answer.
 type submission struct {
-	id         task.SubmissionID
-	sub        task.Submission // as received from the caller; without its tasks once answered
-	svc        *service
-	job        queue.Job
-	tasks      []taskRecord
-	ready      []uint32 // indices of waiting tasks; the last one is next
-	remaining  int      // number of tasks that are not done
-	arrived    time.Duration
-	deadline   time.Duration
-	mayHaveRun bool // an attempt ended with an outcome other than not run
-	inFlight   int  // number of tasks sent and not ended
+	id        task.SubmissionID
+	sub       task.Submission // as received from the caller; without its tasks once answered
+	svc       *service
+	job       queue.Job
+	tasks     []taskRecord
+	ready     []uint32 // indices of waiting tasks; the last one is next
+	remaining int      // number of tasks that are not done
+	arrived   time.Duration
+	deadline  time.Duration
+	// latestUseful is the latest start after which the answer comes too late to be
+	// of use, zero if the caller has no use for a late answer.
+	latestUseful time.Duration
+	mayHaveRun   bool // an attempt ended with an outcome other than not run
+	inFlight     int  // number of tasks sent and not ended
 	// runsUntil is when the runs with an unknown outcome have ended.
 	runsUntil    time.Duration
 	lock         jobLock
@@ -92,6 +95,7 @@
 	}
 	if s.sub.Objective > 0 {
 		s.job.StartBy = e.now + s.sub.Objective - s.job.LongestDeclared
+		s.latestUseful = e.latestUsefulStart(&s.sub, s.job.LongestDeclared, s.deadline-e.now)
 	}
 	return s
 }
@@ -109,6 +113,7 @@
 	if s.sub.Objective > 0 {
 		e.arm(timer{at: s.arrived + s.sub.Objective/forecastCheckDivisor, kind: timerForecastCheck, sub: s})
 		e.arm(timer{at: s.job.StartBy, kind: timerLatestStart, sub: s})
+		e.armLateChecks(s)
 	}
 	if s.sub.Ref != "" {
 		e.awaitLock(s)
@@ -119,6 +124,7 @@
 
 // enqueue queues the submission's tasks for placement.
 func (e *Entry) enqueue(s *submission) {
+	e.demoteIfLate(s)
 	s.svc.q.Add(&s.job, uint32(len(s.ready)))
 	e.markActive(s.svc)
 }
@@ -200,6 +206,7 @@
 	if s.inFlight > 0 {
 		e.cancelSent(s)
 	}
+	e.observeUnanswered(s)
 	e.resolveClaim(s, a)
 	e.emitTrace(s, &a)
 	e.stats.answered(a)
@@ -295,24 +302,29 @@
 const forecastCheckDivisor = 5
 
 // dropByForecast gives up a submission of which no task was sent if the forecast
-// shows that it can't start in time, so that the caller learns this early.
+// shows that it can't start in time, so that the caller learns this early. If the
+// caller has use for a late answer, it goes on as a late one.
 func (e *Entry) dropByForecast(s *submission) {
 	if s.answered || s.mayHaveStarted() || len(s.ready) < len(s.tasks) {
 		return
 	}
-	wait, ok := s.svc.forecast.wait(s.svc.q.WorkBefore(&s.job))
+	if s.job.Late() {
+		e.dropIfUseless(s)
+		return
+	}
+	wait, ok := s.svc.forecast.wait(e.now, s.svc.q.WorkBefore(&s.job))
 	if ok && e.now+wait > s.job.StartBy {
-		e.answerAbandoned(s, task.ReasonOverload)
+		e.continueLate(s)
 	}
 }
 
 // dropAtLatestStart gives up a submission of which no task was sent and that
-// can no longer meet its objective.
+// can no longer meet its objective, unless its caller has use for a late answer.
 func (e *Entry) dropAtLatestStart(s *submission) {
 	if s.answered || s.mayHaveStarted() || len(s.ready) < len(s.tasks) {
 		return
 	}
-	e.answerAbandoned(s, task.ReasonOverload)
+	e.continueLate(s)
 }
 
 // shouldResend reports whether another attempt follows an attempt with the given
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -83,6 +83,9 @@
 	if r := e.checkLoad(svc, sub); r != nil {
 		return svc, r
 	}
+	if r := e.checkTurnaround(svc, sub); r != nil {
+		return svc, r
+	}
 	if r := e.checkObjective(svc, sub); r != nil {
 		return svc, r
 	}
@@ -136,15 +139,38 @@
 	}
 }
 
+// checkTurnaround rejects a submission that can't start in time because this entry
+// is short of processor or link.
+func (e *Entry) checkTurnaround(svc *service, sub *task.Submission) *refusal {
+	if e.opts.ShedAbove == 0 || e.turnaround.median(e.now) <= e.opts.ShedAbove || sub.Objective <= 0 || sub.Ref == "" || e.runsEndWithin == 0 {
+		return nil
+	}
+	slack := sub.Objective - longestDeclared(sub)
+	if latest := e.latestUsefulStart(sub, longestDeclared(sub), e.deadlineFor(svc, sub.Deadline)); latest > 0 {
+		slack = latest - e.now
+	}
+	ok, needs := e.turnaround.admit(e.now, slack)
+	if ok {
+		return nil
+	}
+	e.stats.Shed++
+	return &refusal{
+		reason:     task.ReasonOverload,
+		detail:     fmt.Sprintf("agents answer this entry so late that a start takes %s, %s are left", needs.Round(time.Millisecond), slack.Round(time.Millisecond)),
+		retryAfter: minOverloadRetryAfter,
+	}
+}
+
 // checkObjective rejects a submission that would wait beyond the latest start
-// that meets its objective.
+// that meets its objective, unless its caller has use for a late answer that the
+// forecast allows.
 func (e *Entry) checkObjective(svc *service, sub *task.Submission) *refusal {
 	if sub.Objective <= 0 || svc.q.Len() == 0 {
 		return nil
 	}
-	wait, ok := svc.forecast.wait(svc.q.WorkAhead(sub.Priority))
+	wait, ok := svc.forecast.wait(e.now, svc.q.WorkAhead(sub.Priority))
 	slack := sub.Objective - longestDeclared(sub)
-	if !ok || wait <= slack {
+	if !ok || wait <= slack || e.usefulLate(svc, sub) {
 		return nil
 	}
 	return &refusal{
--- a/entry/timers.go
+++ b/entry/timers.go
@@ -13,6 +13,8 @@
 	timerInfeasible
 	timerForecastCheck
 	timerLatestStart
+	timerLateCheck
+	timerLatestUseful
 	timerAck
 	timerDial
 	timerAgentTimeout
@@ -81,6 +83,10 @@
 			e.dropByForecast(t.sub)
 		case timerLatestStart:
 			e.dropAtLatestStart(t.sub)
+		case timerLateCheck:
+			e.checkLate(t.sub)
+		case timerLatestUseful:
+			e.dropUseless(t.sub)
 		case timerAck:
 			e.ackDue(t.agent)
 		case timerDial:
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -62,7 +62,11 @@
 	HTTP     httpapi.Config
 	Policy   placement.Policy
 	Order    queue.Order
-	Seed     uint64
+	// LateLimit is that of entry.Options.
+	LateLimit float64
+	// ShedAbove is that of entry.Options.
+	ShedAbove time.Duration
+	Seed      uint64
 	// DemandFanout is that of entry.Options.
 	DemandFanout int
 	// Trace enables logging of the decisions about submissions.
@@ -101,6 +105,7 @@
 	draining   atomic.Bool
 	// isolated is set while most known agents are not connected.
 	isolated atomic.Bool
+	shedding shedding
 	// unroutedRequests counts requests that arrived before the first
 	// configuration.
 	unroutedRequests atomic.Uint64
@@ -139,11 +144,15 @@
 		jobs:      newJobs(),
 		budget:    logging.NewBudget(logging.LinesPerSecond),
 	}
+	d.shedding.above = o.ShedAbove
 	d.resolver = newResolver(o.Control, d.log)
 	d.state = entry.New(entry.Options{
-		Self:         o.Self,
-		Policy:       o.Policy,
-		Order:        o.Order,
+		Self:      o.Self,
+		Policy:    o.Policy,
+		Order:     o.Order,
+		LateLimit: o.LateLimit,
+
+		ShedAbove:    o.ShedAbove,
 		Seed:         o.Seed,
 		Config:       o.Config,
 		DemandFanout: o.DemandFanout,
--- a/entryd/isolation.go
+++ b/entryd/isolation.go
@@ -10,9 +10,20 @@
 // connected. A lost connection is detected in about the same time.
 const isolationCheckInterval = 250 * time.Millisecond
 
-// ShedsConnections reports whether callers should use another entry, because this
-// one is draining or not connected to most agents.
-func (d *Daemon) ShedsConnections() bool { return d.draining.Load() || d.isolated.Load() }
+// ShedsConnections reports whether the caller that is answered next should use
+// another entry, because this one is draining, not connected to most agents, or short
+// of processor or link.
+func (d *Daemon) ShedsConnections() bool { return d.withdrawn() || d.shedding.next() }
+
+// withdrawn reports whether all callers should use another entry.
+func (d *Daemon) withdrawn() bool { return d.draining.Load() || d.isolated.Load() }
+
+// updateShedding takes the measured turnaround from the state.
+func (d *Daemon) updateShedding(v entry.View) {
+	if d.shedding.update(v.Turnaround) {
+		d.log.Info("short of processor or link", "short", d.shedding.short.Load(), "turnaround", v.Turnaround, "above", d.shedding.above, "in_flight", v.InFlight)
+	}
+}
 
 // updateIsolation sets the isolation flag if fewer than half of the known agents
 // are connected. If the agents themselves are down, every entry counts as
--- a/entryd/jobs.go
+++ b/entryd/jobs.go
@@ -321,5 +321,5 @@
 // entry: it has a configuration, is not draining and is not isolated.
 func (d *Daemon) Accepting() bool {
 	ready, _ := d.Ready()
-	return ready && !d.ShedsConnections()
+	return ready && !d.withdrawn()
 }
--- a/entryd/meter.go
+++ b/entryd/meter.go
@@ -62,6 +62,9 @@
 	m.metrics.Messages.Inc(int64(now.Sent + now.Received - m.reported.Sent - m.reported.Received))
 	m.metrics.WastedMessages.Inc(int64(now.Wasted.Total() - m.reported.Wasted.Total()))
 	m.metrics.Retries.Inc(int64(now.Retries - m.reported.Retries))
+	m.metrics.WaitingLate.Inc(int64(now.Demoted - m.reported.Demoted))
+	m.metrics.Shed.Inc(int64(now.Shed - m.reported.Shed))
+	m.metrics.Turnaround.Update(v.Turnaround.Seconds())
 	m.reported = now
 	waiting, credit, connected := 0, 0, 0
 	for _, n := range v.Waiting {
@@ -93,6 +96,7 @@
 		case <-isolationTicker.C:
 			if v, err := d.View(); err == nil {
 				d.updateIsolation(v)
+				d.updateShedding(v)
 			}
 			continue
 		case <-ticker.C:
--- a/metrics/roles.go
+++ b/metrics/roles.go
@@ -38,6 +38,12 @@
 	WastedMessages tally.Counter
 	// Retries counts further attempts at tasks that may have run.
 	Retries tally.Counter
+	// WaitingLate counts jobs that waited on although they could not meet their
+	// objective. Shed counts jobs refused because agents answered too slowly.
+	WaitingLate tally.Counter
+	Shed        tally.Counter
+	// Turnaround is the median time of agents to an answer, in seconds.
+	Turnaround tally.Gauge
 	// ResentInFlight and ResentAnswered count jobs that were sent again while this
 	// entry held them or kept their answer.
 	ResentInFlight tally.Counter
@@ -76,6 +82,9 @@
 		Messages:       s.Counter("messages"),
 		WastedMessages: s.Counter("wasted_messages"),
 		Retries:        s.Counter("retries"),
+		WaitingLate:    s.Counter("jobs_waiting_late"),
+		Shed:           s.Counter("jobs_shed"),
+		Turnaround:     s.Gauge("turnaround_seconds"),
 		ResentInFlight: s.Tagged(map[string]string{"state": "in_flight"}).Counter("jobs_resent"),
 		ResentAnswered: s.Tagged(map[string]string{"state": "answered"}).Counter("jobs_resent"),
 		Queue:          s.Gauge("queue"),
--- a/node/entry.go
+++ b/node/entry.go
@@ -25,6 +25,10 @@
 	HTTP     httpapi.Config
 	Policy   placement.Policy
 	Order    queue.Order
+	// LateLimit is that of entry.Options.
+	LateLimit float64
+	// ShedAbove is that of entry.Options.
+	ShedAbove time.Duration
 	// DemandFanout is that of entry.Options.
 	DemandFanout int
 	// Trace enables logging of the decisions about submissions.
@@ -62,6 +66,8 @@
 		HTTP:              o.HTTP,
 		Policy:            o.Policy,
 		Order:             o.Order,
+		LateLimit:         o.LateLimit,
+		ShedAbove:         o.ShedAbove,
 		Seed:              self.Incarnation,
 		DemandFanout:      o.DemandFanout,
 		Trace:             o.Trace,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -79,6 +79,12 @@
 	Placement string
 	// Order is one of the Order constants.
 	Order string
+	// LateLimit is the multiple of a job's latency objective until which its answer
+	// is of use to the caller.
+	LateLimit float64
+	// ShedAbove is the median time of agents to an answer above which the entry
+	// sheds load; zero disables this.
+	ShedAbove time.Duration
 	// PeerPort replaces the ports in Control unless it is zero.
 	PeerPort uint32
 	// Clients and Readiness are the HTTP host:ports for the platform's clients
@@ -210,6 +216,8 @@
 	minPeerTimeout       = 100 * time.Millisecond
 	maxPeerTimeout       = time.Minute
 	maxKeepaliveInterval = time.Minute
+	maxShedAbove         = time.Minute
+	maxLateLimit         = 100
 	maxDemandFanout      = 1 << 12
 	maxTolerance         = 4
 	minElectionTimeout   = 100 * time.Millisecond
@@ -287,6 +295,8 @@
 			PlacementCredits, PlacementLeastOutstanding, PlacementTwoChoices, PlacementRandom).withDefault(PlacementCredits),
 		oneOf(&e.Order, "placement", "order", "Order of waiting jobs.",
 			OrderLeftOverSlowdown, OrderLeftOverAge, OrderFewestLeft, OrderFIFO, OrderUrgent).withDefault(OrderLeftOverSlowdown),
+		duration(&e.ShedAbove, "limits", "shed-above", "Median time of agents to an answer above which this entry is short of processor or link: it closes some connections of the platform's clients after an answer, so that they use another entry, and refuses jobs that can't start in time. 0s disables this.", 0, maxShedAbove).withDefault("0s"),
+		number(&e.LateLimit, "placement", "late-limit", "Multiple of a job's latency objective until which its answer is of use to the caller; with the order urgent, a job that can't meet its objective waits that long behind those that can. 1 refuses it.", 1, maxLateLimit).withDefault("1"),
 		peerPort(&e.PeerPort),
 		boolean(&e.LogJobs, "process", "log-jobs", "Whether to log each answer and each decision about jobs that did not complete.").withDefault("true"),
 		count(&e.DemandFanout, "agents", "poke", "How many agents are notified at once of waiting tasks when no agent has credit.", 1, maxDemandFanout).withDefault("3"),
