--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -132,6 +132,10 @@
 	}
 	_, rank := s.q.Head(e.now)
 	if s.demandNotified && rank >= demandRankRatio*s.notifiedRank {
+		if demandRankRatio*rank > s.notifiedRank {
+			// The next urgent job is announced again.
+			s.notifiedRank = rank
+		}
 		return
 	}
 	if !s.demandNotified {
@@ -141,13 +145,15 @@
 	e.sendDemand(s, rank)
 }
 
-// demandDue repeats the demand announcement while the entry is starved.
+// demandDue repeats the demand announcement while the entry is starved. Under
+// queue.Urgent it does so as long as tasks wait: an agent that does not know of them
+// gives its next slot to less urgent tasks of another entry.
 func (e *Entry) demandDue(s *service) {
 	if s.q.Len() == 0 {
 		s.demandNotified = false
 		return
 	}
-	if e.starved(s) {
+	if e.starved(s) || e.opts.Order == queue.Urgent {
 		_, rank := s.q.Head(e.now)
 		s.notifiedRank = rank
 		e.sendDemand(s, rank)
