--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -132,10 +132,6 @@
 	}
 	_, rank := s.q.Head(e.now)
 	if s.demandNotified && rank >= demandRankRatio*s.notifiedRank {
-		if demandRankRatio*rank > s.notifiedRank {
-			// The next urgent job is announced again.
-			s.notifiedRank = rank
-		}
 		return
 	}
 	if !s.demandNotified {
@@ -145,15 +141,13 @@
 	e.sendDemand(s, rank)
 }
 
-// demandDue repeats the demand announcement while the entry is starved. Under
-// queue.Urgent it does so as long as tasks wait: an agent that does not know of them
-// gives its next slot to less urgent tasks of another entry.
+// demandDue repeats the demand announcement while the entry is starved.
 func (e *Entry) demandDue(s *service) {
 	if s.q.Len() == 0 {
 		s.demandNotified = false
 		return
 	}
-	if e.starved(s) || e.opts.Order == queue.Urgent {
+	if e.starved(s) {
 		_, rank := s.q.Head(e.now)
 		s.notifiedRank = rank
 		e.sendDemand(s, rank)
