--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -37,13 +37,15 @@
 		return err
 	}
 	return node.RunEntry(ctx, node.EntryOptions{
-		Common:  common(rt, s),
-		Callers: s.Callers,
-		HTTP:    httpapi.Config{MaxBody: s.MaxBody},
-		Policy:  policy,
-		Order:   order,
-		Speeds:  s.Speeds,
-		Serve:   platformInterfaces(rt, s),
+		Common:    common(rt, s),
+		Callers:   s.Callers,
+		HTTP:      httpapi.Config{MaxBody: s.MaxBody},
+		Policy:    policy,
+		Order:     order,
+		Speeds:    s.Speeds,
+		ShedAbove: s.ShedAbove,
+		LateLimit: s.LateLimit,
+		Serve:     platformInterfaces(rt, s),
 
 		Trace:             s.LogJobs,
 		DemandFanout:      int(s.DemandFanout),
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -23,7 +23,7 @@
 // dispatch so that it does not block other jobs.
 func (e *Entry) dispatch(s *service) {
 	s.requeueDeferred()
-	s.forecast.observe(e.now, s.q.Len() > 0)
+	s.observeForecasts(e.now, s.q.Len() > 0)
 	s.inTime.Begin()
 	for {
 		j, rank := s.q.Head(e.now)
@@ -52,7 +52,7 @@
 	waiting := s.q.Len() > 0
 	s.requeueHeld()
 	e.notifyDemand(s)
-	s.forecast.observe(e.now, waiting)
+	s.observeForecasts(e.now, waiting)
 }
 
 // placeTask assigns task i of a submission to an agent and uses one credit. The
@@ -85,7 +85,7 @@
 	}
 	a.Used = a.Used.Add(spec.Need)
 	a.svc.pool.Changed(&a.Agent)
-	s.svc.forecast.addPlacedWork(s.job.TaskRunTime().Seconds())
+	s.svc.addPlacedWork(&s.job)
 	e.stats.Placed++
 	e.markDirty(a)
 }
--- a/entry/pace_test.go
+++ b/entry/pace_test.go
@@ -132,8 +132,8 @@
 		require.Empty(t, placedOn(f.step(Tick{})))
 	}
 	w := &f.e.service("svc").forecast
-	require.False(t, w.known, "no other work has waited")
-	w.known, w.rate = true, 1
+	require.False(t, w.known(f.now), "no other work has waited")
+	w.windows, w.rate = 1, 1
 	short := shortJob(2)
 	short.Priority = 120 // ranks behind all held work
 	effects := f.submit(10, short)
--- a/entry/stats.go
+++ b/entry/stats.go
@@ -20,6 +20,10 @@
 	// Evacuated counts the refused assignments whose agents' failure domain is
 	// evacuated.
 	Evacuated uint64
+	// Demoted counts submissions that went on as late ones.
+	Demoted uint64
+	// Shed counts submissions refused because agents answer this entry too slowly.
+	Shed uint64
 	// Retries counts further attempts at tasks that may have run.
 	Retries uint64
 	// PlacedTooSlow counts tasks placed on an upstream that was predicted to miss
@@ -100,6 +104,8 @@
 	Waiting   map[string]int
 	Agents    []AgentView
 	Draining  bool
+	// Turnaround is the median time of agents to an answer, zero if unknown.
+	Turnaround time.Duration
 }
 
 // View returns a snapshot for status pages.
@@ -109,6 +115,8 @@
 		InFlight: len(e.subs),
 		Waiting:  make(map[string]int),
 		Draining: e.draining,
+
+		Turnaround: e.turnaround.median(e.now),
 	}
 	v.Stats.Answered = maps.Clone(e.stats.Answered)
 	v.Stats.Reasons = maps.Clone(e.stats.Reasons)
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -62,7 +62,11 @@
 	HTTP     httpapi.Config
 	Policy   placement.Policy
 	Order    queue.Order
-	Seed     uint64
+	// LateLimit is that of entry.Options.
+	LateLimit float64
+	// ShedAbove is that of entry.Options.
+	ShedAbove time.Duration
+	Seed      uint64
 	// DemandFanout is that of entry.Options.
 	DemandFanout int
 	// Speeds is that of entry.Options.
@@ -109,6 +113,7 @@
 	draining   atomic.Bool
 	// isolated is set while most known agents are not connected.
 	isolated atomic.Bool
+	shedding shedding
 	// unroutedRequests counts requests that arrived before the first
 	// configuration.
 	unroutedRequests atomic.Uint64
@@ -148,12 +153,15 @@
 		holding:   newHolding(o.HoldUnconfigured),
 		budget:    logging.NewBudget(logging.LinesPerSecond),
 	}
+	d.shedding.above = o.ShedAbove
 	d.resolver = newResolver(o.Control, d.log)
 	d.state = entry.New(entry.Options{
 		Self:         o.Self,
 		Policy:       o.Policy,
 		Order:        o.Order,
 		Speeds:       o.Speeds,
+		LateLimit:    o.LateLimit,
+		ShedAbove:    o.ShedAbove,
 		Seed:         o.Seed,
 		Config:       o.Config,
 		DemandFanout: o.DemandFanout,
--- a/entryd/meter.go
+++ b/entryd/meter.go
@@ -65,6 +65,9 @@
 	m.metrics.EvacuatedTasks.Inc(int64(now.Evacuated - m.reported.Evacuated))
 	m.metrics.PlacedTooSlow.Inc(int64(now.PlacedTooSlow - m.reported.PlacedTooSlow))
 	m.metrics.WaitedForFaster.Inc(int64(now.WaitedForFaster - m.reported.WaitedForFaster))
+	m.metrics.WaitingLate.Inc(int64(now.Demoted - m.reported.Demoted))
+	m.metrics.Shed.Inc(int64(now.Shed - m.reported.Shed))
+	m.metrics.Turnaround.Update(v.Turnaround.Seconds())
 	m.reported = now
 	waiting, credit, connected, evacuated := 0, 0, 0, 0
 	for _, n := range v.Waiting {
@@ -100,6 +103,7 @@
 		case <-isolationTicker.C:
 			if v, err := d.View(); err == nil {
 				d.updateIsolation(v)
+				d.updateShedding(v)
 			}
 			continue
 		case <-ticker.C:
--- a/metrics/roles.go
+++ b/metrics/roles.go
@@ -42,6 +42,12 @@
 	// job's objective, WaitedForFaster tasks of jobs that waited for a faster one.
 	PlacedTooSlow   tally.Counter
 	WaitedForFaster tally.Counter
+	// WaitingLate counts jobs that waited on although they could not meet their
+	// objective. Shed counts jobs refused because agents answered too slowly.
+	WaitingLate tally.Counter
+	Shed        tally.Counter
+	// Turnaround is the median time of agents to an answer, in seconds.
+	Turnaround tally.Gauge
 	// ResentInFlight and ResentAnswered count jobs that were sent again while this
 	// entry held them or kept their answer.
 	ResentInFlight tally.Counter
@@ -94,6 +100,9 @@
 		WaitedForFaster: s.Counter("waited_for_faster"),
 		ResentInFlight:  s.Tagged(map[string]string{"state": "in_flight"}).Counter("jobs_resent"),
 		ResentAnswered:  s.Tagged(map[string]string{"state": "answered"}).Counter("jobs_resent"),
+		WaitingLate:     s.Counter("jobs_waiting_late"),
+		Shed:            s.Counter("jobs_shed"),
+		Turnaround:      s.Gauge("turnaround_seconds"),
 		Held:            s.Counter("requests_held"),
 		HeldInVain:      s.Counter("requests_held_in_vain"),
 		HeldNow:         s.Gauge("requests_held_now"),
--- a/node/entry.go
+++ b/node/entry.go
@@ -27,6 +27,10 @@
 	Order    queue.Order
 	// Speeds is that of entry.Options.
 	Speeds bool
+	// LateLimit is that of entry.Options.
+	LateLimit float64
+	// ShedAbove is that of entry.Options.
+	ShedAbove time.Duration
 	// DemandFanout is that of entry.Options.
 	DemandFanout int
 	// Trace enables logging of the decisions about submissions.
@@ -69,6 +73,8 @@
 		Policy:            o.Policy,
 		Order:             o.Order,
 		Speeds:            o.Speeds,
+		LateLimit:         o.LateLimit,
+		ShedAbove:         o.ShedAbove,
 		Seed:              self.Incarnation,
 		DemandFanout:      o.DemandFanout,
 		Trace:             o.Trace,
