agentd: calls of a leased upstream use goroutines again

Each start and hold call ran on a new goroutine, whose stack grew several times before it held the HTTP client's frames.

Ruled out: the HTTP server's and QUIC's goroutines, which live long.

Change: idle goroutines, at most 8, take the next call. A call never waits for another one, as before.

--- a/agentd/leased.go
+++ b/agentd/leased.go
@@ -37,10 +37,11 @@
 	// logStop logs a call that stops a run, with its result and duration.
 	logStop func(c lease.StopCall, result string, took time.Duration)
 	loop    *loop.Loop[lease.Event, lease.Effect]
+	callers *callers
 }
 
 func newLeasedRunner(o LeasedOptions, post func(agent.Event) bool, m *meter, l *log.Logger, logStop func(lease.StopCall, string, time.Duration)) *LeasedRunner {
-	r := &LeasedRunner{executor: o.Executor, post: post, meter: m, log: l, logStop: logStop}
+	r := &LeasedRunner{executor: o.Executor, post: post, meter: m, log: l, logStop: logStop, callers: newCallers()}
 	// The first fencing token is the current Unix time in milliseconds, which is
 	// normally above the tokens of an earlier process. If the upstream rejects a
 	// token as too low, the reducer raises it.
@@ -49,7 +50,10 @@
 	return r
 }
 
-func (r *LeasedRunner) run(ctx context.Context) { r.loop.Run(ctx) }
+func (r *LeasedRunner) run(ctx context.Context) {
+	defer r.callers.close()
+	r.loop.Run(ctx)
+}
 
 // Announce handles an announcement. It returns false if the agent has stopped.
 func (r *LeasedRunner) Announce(ev lease.Announced) bool { return r.loop.Post(ev) }
@@ -63,11 +67,11 @@
 func (r *LeasedRunner) execute(eff lease.Effect) {
 	switch eff := eff.(type) {
 	case lease.StartCall:
-		go func() { r.loop.Post(r.executor.Start(eff)) }()
+		r.callers.run(func() { r.loop.Post(r.executor.Start(eff)) })
 	case lease.StopCall:
-		go r.stopRun(eff)
+		r.callers.run(func() { r.stopRun(eff) })
 	case lease.HoldCall:
-		go func() { r.loop.Post(r.executor.Hold(eff)) }()
+		r.callers.run(func() { r.loop.Post(r.executor.Hold(eff)) })
 	case lease.Notify:
 		if ended, ok := eff.Event.(agent.RunEnded); ok && ended.End == agent.EndCutOff {
 			r.meter.cutOff.Inc(1)
