loop: read the clock once an event

Cause: a loop's clock costs two system calls (CLOCK_BOOTTIME, CLOCK_MONOTONIC), and each event read it twice: to arm the timer of the next tick and for the step. Log lines of a step read it again for their budget (19% of BenchmarkRunLines, pprof).

Ruled out: reading the boot time less often; a process that wakes up could act on an expired lease. The step still gets the time read after its event came.

Change: the timer is armed from the step's reading and Go's own clock, and left alone while the tick stays the same and is within MaxSleep; a due tick is stepped with the time that showed it due. Budgets of lines use the time of the step. Tests of logDecision pass the time.

--- a/agentd/agentd.go
+++ b/agentd/agentd.go
@@ -290,8 +290,9 @@
 
 // logTask logs a line about a task unless the lines of its kind exceed the log
 // budget. Before the next line that is written, it logs how many lines were left out.
+// Only execute may call it.
 func (d *daemon) logTask(kind, text string, ref *agent.TaskRef, inputs ...any) {
-	if !d.opts.Agent.Trace || !d.budget.Allow(kind, d.loop.Now()) {
+	if !d.opts.Agent.Trace || !d.budget.Allow(kind, d.loop.StepTime()) {
 		return
 	}
 	for kind, n := range d.budget.Suppressed() {
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -369,7 +369,7 @@
 	case entry.Hangup:
 		d.hangup(eff)
 	case entry.Decision:
-		d.logDecision(eff)
+		d.logDecision(eff, d.loop.StepTime())
 	case entry.SendClaim:
 		go d.claim(eff.Claim)
 	case entry.SendResolve:
@@ -392,13 +392,13 @@
 }
 
 // logDecision logs a decision about a submission if the budget of log lines of
-// its kind allows it.
-func (d *Daemon) logDecision(eff entry.Decision) {
+// its kind allows it at the time now.
+func (d *Daemon) logDecision(eff entry.Decision, now time.Duration) {
 	kind := eff.Message
 	if eff.Incomplete {
 		kind += incompleteSuffix
 	}
-	if !d.budget.Allow(kind, d.loop.Now()) {
+	if !d.budget.Allow(kind, now) {
 		return
 	}
 	kv := append([]any{"at", eff.At.Round(time.Microsecond)}, eff.Inputs...)
--- a/entryd/jobs.go
+++ b/entryd/jobs.go
@@ -252,7 +252,8 @@
 // logRequest logs a decision about a request for a job.
 func (d *Daemon) logRequest(message, ref string, inputs ...any) {
 	if d.opts.Trace {
-		d.logDecision(entry.Decision{Ref: ref, Message: message, At: d.loop.Now(), Inputs: inputs, Incomplete: true})
+		now := d.loop.Now()
+		d.logDecision(entry.Decision{Ref: ref, Message: message, At: now, Inputs: inputs, Incomplete: true}, now)
 	}
 }
 
@@ -272,7 +273,7 @@
 	}
 	d.logDecision(entry.Decision{Ref: r.ref, Message: "job sent again", At: now, Inputs: []any{
 		"submission", r.id, "answered", answered, "first-sent", now - r.openedAt,
-	}})
+	}}, now)
 }
 
 // CancelJob cancels a job and reports whether it was in flight.
--- a/entryd/log_test.go
+++ b/entryd/log_test.go
@@ -27,11 +27,11 @@
 		var out bytes.Buffer
 		d := New(Options{Log: log.New(&out)})
 		for range 3 * logging.LinesPerSecond {
-			d.logDecision(answeredDecision(false))
+			d.logDecision(answeredDecision(false), d.loop.Now())
 		}
 		require.Equal(t, logging.LinesPerSecond, bytes.Count(out.Bytes(), []byte("\n")))
 		out.Reset()
-		d.logDecision(answeredDecision(true))
+		d.logDecision(answeredDecision(true), d.loop.Now())
 		require.Equal(t, 1, bytes.Count(out.Bytes(), []byte("\n")))
 	})
 }
@@ -77,7 +77,7 @@
 			line := answeredDecision(false)
 			b.ReportAllocs()
 			for b.Loop() {
-				d.logDecision(line)
+				d.logDecision(line, d.loop.Now())
 			}
 		})
 	}
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -30,6 +30,8 @@
 	exec    func(Eff)
 	events  chan Ev
 	clock   steadyclock.Clock
+	// stepTime is the time of the last step. Only the goroutine of Run uses it.
+	stepTime time.Duration
 
 	// mu is held for reading while an event is queued, and for writing to set
 	// closed.
@@ -53,6 +55,10 @@
 // Now returns the time since the loop was created, suspended time included.
 func (l *Loop[Ev, Eff]) Now() time.Duration { return l.clock.Now() }
 
+// StepTime returns the time of the step whose effect is carried out. Only exec may call
+// it. Unlike Now it reads no clock.
+func (l *Loop[Ev, Eff]) StepTime() time.Duration { return l.stepTime }
+
 // Post queues an event for the reducer. It returns false once the loop is ending;
 // the event is then not handled. It must not be called from exec.
 func (l *Loop[Ev, Eff]) Post(ev Ev) bool {
@@ -70,17 +76,22 @@
 func (l *Loop[Ev, Eff]) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, l.close)
 	defer stop()
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
+	tick := newTickTimer()
+	defer tick.timer.Stop()
 	var out []Eff
+	now, readAt := l.Now(), time.Now()
 	for {
-		l.arm(timer)
+		at, ok := l.reducer.Next()
+		tick.arm(at, ok, now, readAt)
 		var ev Ev
 		open := true
 		select {
 		case ev, open = <-l.events:
-		case <-timer.C:
-			if !l.tickDue() {
+			now, readAt = l.Now(), time.Now()
+		case <-tick.timer.C:
+			tick.armed = false
+			now, readAt = l.Now(), time.Now()
+			if !ok || now < at {
 				continue
 			}
 			ev = l.tick
@@ -88,7 +99,8 @@
 		if !open {
 			return
 		}
-		out = l.reducer.Step(l.Now(), ev, out[:0])
+		l.stepTime = now
+		out = l.reducer.Step(now, ev, out[:0])
 		for _, eff := range out {
 			l.exec(eff)
 		}
@@ -103,20 +115,3 @@
 	l.closed = true
 	close(l.events)
 }
-
-// arm sets the timer to the time of the next tick, or to when to look at the clock
-// again. Without a next tick it does not matter how much time has passed.
-func (l *Loop[Ev, Eff]) arm(timer *time.Timer) {
-	at, ok := l.reducer.Next()
-	if !ok {
-		timer.Reset(time.Hour)
-		return
-	}
-	timer.Reset(min(max(0, at-l.Now()), steadyclock.MaxSleep))
-}
-
-// tickDue reports whether the time of the next tick has come.
-func (l *Loop[Ev, Eff]) tickDue() bool {
-	at, ok := l.reducer.Next()
-	return ok && l.Now() >= at
-}
