entry: answered submissions wake the process no more

Cause: each submission sets timers for its deadline, the last moments that it could end and start in time, its forecast check and its lock.

Ruled out: dropping the timers of submissions whose tasks were sent; such a task may come back and the timers count then.

Change: timers whose handlers return at once for an answered submission are removed when they are next. Other kinds stay.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -226,6 +226,7 @@
 	e.dispatchActive()
 	e.flush()
 	e.checkDrained()
+	e.dropStaleTimers()
 	out, e.out = e.out, nil
 	return out
 }
