--- a/agent/evacuation_test.go
+++ b/agent/evacuation_test.go
@@ -48,7 +48,7 @@
 }
 
 // An evacuated agent gives its queued tasks and those on the way back as not run, and
-// offers nothing; its runs end in peace. Ends of runs start nothing.
+// offers nothing; its runs go on to their end. Ends of runs start nothing.
 func TestEvacuatedAgentStartsNothing(t *testing.T) {
 	s := evacuationFixture(5)
 	effs := s.Step(time.Second, ConfigChanged{Index: 7, Evacuated: true}, nil)
--- a/cmd/fireflytray-control/main.go
+++ b/cmd/fireflytray-control/main.go
@@ -75,8 +75,8 @@
 }
 
 // Evacuate implements platform.OperatorBackend.
-func (o operators) Evacuate(ctx context.Context, by, zone string, evacuated bool) (string, error) {
-	reply, err := o.Host.Evacuate(ctx, control.Operator{Name: controld.PlatformOperator, Addr: by}, zone, evacuated)
+func (o operators) Evacuate(ctx context.Context, by, domain string, evacuated bool) (string, error) {
+	reply, err := o.Host.Evacuate(ctx, control.Operator{Name: controld.PlatformOperator, Addr: by}, domain, evacuated)
 	if err != nil || reply.Accepted {
 		return "", err
 	}
--- a/command/evacuate.go
+++ b/command/evacuate.go
@@ -3,7 +3,7 @@
 import "github.com/fireflytray/fireflytray/adminapi"
 
 var _ = register("evacuate", "Send no new work to a failure domain",
-	"Evacuates a failure domain until take-back. Work that runs there ends in peace; what waits is placed elsewhere.",
+	"Evacuates a failure domain until take-back. Tasks that run there go on to their end; what waits is placed elsewhere.",
 	func(e *Env) any { return &evacuateCommand{env: e} })
 
 type evacuateCommand struct {
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -109,8 +109,7 @@
 }
 
 // loadState replaces configuration, claims, orders and audit trail with those of a
-// state.
-// The machine's time does not go backwards.
+// state. The machine's time does not go backwards.
 func (m *Machine) loadState(s *State, c *configs) {
 	m.now, m.configs, m.published, m.domainOrders = max(m.now, s.Now), c, s.Published, s.DomainOrders
 	m.auditLog = &auditLog{entries: s.Audit, anchor: s.Anchor, seq: s.AuditSeq}
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -182,13 +182,12 @@
 			waiting = append(waiting, sub)
 		}
 	}
-	waiting = waiting[:min(len(waiting), maxRechecks)]
 	ahead := make(map[*submission]float64, len(waiting))
 	for _, sub := range waiting {
 		ahead[sub] = s.q.WorkBefore(&sub.job)
 	}
 	sort.SliceStable(waiting, func(i, k int) bool { return ahead[waiting[i]] < ahead[waiting[k]] })
-	for _, sub := range waiting {
+	for _, sub := range waiting[:min(len(waiting), maxRechecks)] {
 		e.dropByForecast(sub)
 	}
 }
--- a/entryd/holding.go
+++ b/entryd/holding.go
@@ -188,7 +188,7 @@
 	now := d.loop.Now()
 	d.logDecision(entry.Decision{Message: "held a request", At: now, Incomplete: outcome != "released", Inputs: []any{
 		"path", r.Path, "outcome", outcome, "held", now - since, "unread", since - r.ArrivedAt, "left", r.Left, "configured", d.configured.Load(),
-	}})
+	}}, now)
 }
 
 // holdConfigured releases the requests that a configuration makes servable.
