--- a/agentd/callers_test.go
+++ b/agentd/callers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,7 +15,6 @@
 func TestCallersNeverWaitForEachOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCallers()
-		before := runtime.NumGoroutine()
 		for range 3 {
 			var finished sync.WaitGroup
 			release := make(chan struct{})
@@ -23,23 +23,36 @@
 				c.run(func() { <-release; finished.Done() })
 			}
 			synctest.Wait()
-			require.Equal(t, before+4*maxIdleCallers, runtime.NumGoroutine())
+			require.Equal(t, 4*maxIdleCallers, workers())
 			close(release)
 			finished.Wait()
 			synctest.Wait()
-			require.Equal(t, before+maxIdleCallers, runtime.NumGoroutine())
+			require.Equal(t, maxIdleCallers, workers())
 		}
 		c.close()
 		synctest.Wait()
-		require.Equal(t, before, runtime.NumGoroutine())
+		require.Zero(t, workers())
 		late := make(chan struct{})
 		c.run(func() { close(late) })
 		<-late
 		synctest.Wait()
-		require.Equal(t, before, runtime.NumGoroutine())
+		require.Zero(t, workers())
 	})
 }
 
+// workers returns the number of goroutines of callers in the test's bubble. Goroutines
+// of earlier tests end at any time, so that those of the process can't be counted.
+func workers() int {
+	buf := make([]byte, 1<<20)
+	n := 0
+	for _, stack := range strings.Split(string(buf[:runtime.Stack(buf, true)]), "\n\n") {
+		if strings.Contains(stack, "synctest bubble") && strings.Contains(stack, "(*callers).work(") {
+			n++
+		}
+	}
+	return n
+}
+
 // useStack takes about as much stack as a call of the HTTP client.
 //
 //go:noinline
