--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -35,7 +35,10 @@
 func (o *output) Write(p []byte) (int, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.lines <- string(p)
+	// Lines that are queued together are written together.
+	for line := range strings.Lines(string(p)) {
+		o.lines <- line
+	}
 	return o.buf.Write(p)
 }
 
