--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -286,9 +286,3 @@
 		"domain", domain, "config", e.cfg.Index, "agents", agents, "slots-left", slots, "waiting", waiting,
 	}})
 }
-
-// scale adjusts the rate to a change of the number of slots.
-func (f *forecast) scale(share float64) {
-	f.rate *= share
-	f.placedWork *= share
-}
--- a/entry/forecast.go
+++ b/entry/forecast.go
@@ -115,3 +115,9 @@
 func (f *forecast) placementTime(work float64) time.Duration {
 	return time.Duration(work / max(f.rate, minForecastRate) * float64(time.Second))
 }
+
+// scale adjusts the rate to a change of the number of slots.
+func (f *forecast) scale(share float64) {
+	f.rate *= share
+	f.placedWork *= share
+}
--- a/entryd/holding.go
+++ b/entryd/holding.go
@@ -92,13 +92,16 @@
 	return t
 }
 
-// leave ends the hold of a request whose time is over or whose caller has left.
-func (h *holding) leave(r *hold.Request) {
+// leave ends the hold of a request whose time is over or whose caller has left. It
+// reports whether the request was held until now, and not released before.
+func (h *holding) leave(r *hold.Request) (held bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.gate.Leave(r) {
+	held = h.gate.Leave(r)
+	if held {
 		delete(h.turns, r)
 	}
+	return held
 }
 
 // release starts the turns of the requests that choose returns, one after the
@@ -172,10 +175,10 @@
 		outcome = "expired"
 		d.meter.metrics.HeldInVain.Inc(1)
 	}
-	d.holding.leave(r)
+	held := d.holding.leave(r)
 	d.logHold(r, outcome, now)
 	return hold.Turn{
-		Missed:    outcome == "expired" && d.configured.Load(),
+		Missed:    outcome == "expired" && !held,
 		Submitted: sync.OnceFunc(func() { close(t.submitted) }),
 		Answered:  sync.OnceFunc(func() { close(t.answered) }),
 	}
--- a/entryd/holding_test.go
+++ b/entryd/holding_test.go
@@ -123,6 +123,19 @@
 	require.False(t, f.d.InFlight("00000000000000cc"))
 }
 
+// A request that is still held at its end, because no agent is connected, has missed no
+// turn: it is handled as without a hold.
+func TestHeldRequestWithoutAgentMissesNoTurn(t *testing.T) {
+	f := newUnconfiguredFixture(t, longHold)
+	f.serve()
+	conn := f.send(testRef, "X-Fireflytray-Deadline-Ms: 400")
+	f.awaitHeld(1)
+	f.configure()
+	status, body := f.answer(conn)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Contains(t, body, "no upstream")
+}
+
 // The time of a hold counts against the job's deadline.
 func TestHoldCountsAgainstTheDeadline(t *testing.T) {
 	f := newUnconfiguredFixture(t, longHold)
