agent: log what ran at an upstream when it crashed, and tell entries

The logs could not tell whether upstreams crash under fresh or repeated tasks, nor under which. Assignments carry the route as the kind of the task. An agent that gets no answer from its upstream logs 'upstream crash suspected' with the runs in progress, and later 'confirmed' (another process answers) or 'withdrawn' (the same one does); reports carry the same to all entries, which make no use of it yet. Counter agent_upstream_crashes by state.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -27,6 +27,7 @@
 	// meanNeed is a moving average of the resource needs of received tasks.
 	meanNeed     meanNeed
 	runTimeRatio runTimeRatio
+	crashes      crashes
 	health       health
 	drain        drain
 	evacuation   evacuation
@@ -112,8 +113,11 @@
 		s.probed(ev)
 	case Silent:
 		if ev.Instance == s.up.Instance {
+			s.suspectCrash()
 			s.markUnreachable()
 		}
+	case Crashed:
+		s.confirmCrash(ev.Instance)
 	case Stalled:
 		s.stalled(ev)
 	case Usage:
--- a/agent/effect.go
+++ b/agent/effect.go
@@ -95,6 +95,17 @@
 	For      time.Duration
 }
 
+// UpstreamCrash describes, for the log, a crash of the upstream or a change of what
+// is known of it.
+type UpstreamCrash struct {
+	Instance string
+	State    wire.CrashState
+	// Age is the time since the crash was noticed.
+	Age time.Duration
+	// Runs are the runs that were in progress, those that had started last first.
+	Runs []wire.CrashedRun
+}
+
 // Drained signals that the process may exit.
 type Drained struct {
 	// Unacked is the number of outcomes that no entry has acknowledged.
@@ -162,6 +173,7 @@
 func (AnnounceWorker) effect() {}
 func (Evacuation) effect()     {}
 func (ColdUpstream) effect()   {}
+func (UpstreamCrash) effect()  {}
 func (Drained) effect()        {}
 
 // CloseReason is the reason why the agent closes a session.
--- a/agent/event.go
+++ b/agent/event.go
@@ -61,6 +61,10 @@
 // Silent reports that the upstream does not answer calls.
 type Silent struct{ Instance string }
 
+// Crashed reports that the process of an upstream has ended without leaving first.
+// It precedes the ends of its runs.
+type Crashed struct{ Instance string }
+
 // Stalled reports that a run makes no progress although its upstream answers.
 type Stalled struct{ Run RunID }
 
@@ -95,6 +99,7 @@
 func (RunChecked) event()     {}
 func (Probed) event()         {}
 func (Silent) event()         {}
+func (Crashed) event()        {}
 func (Stalled) event()        {}
 func (Usage) event()          {}
 func (ConfigChanged) event()  {}
--- a/agent/record.go
+++ b/agent/record.go
@@ -24,6 +24,7 @@
 	rank    float64
 	need    task.Resources
 	name    string
+	kind    string
 	payload []byte
 	// declared is the run time that the caller expects.
 	declared time.Duration
--- a/agent/report.go
+++ b/agent/report.go
@@ -5,8 +5,8 @@
 	"github.com/fireflytray/fireflytray/wire"
 )
 
-// flush sends a report to each connected entry for which there are new outcomes or
-// answers about locks, whose last report has an outdated offer or number of slots,
+// flush sends a report to each connected entry for which there are new outcomes,
+// answers about locks or news of crashes, whose last report has an outdated offer or number of slots,
 // or which has to learn of a drain. It then sends credit for the remaining free slots.
 func (s *State) flush() {
 	s.expireReservations()
@@ -18,7 +18,7 @@
 		for len(e.unacked) > e.sent {
 			s.sendReport(e)
 		}
-		if slotsChanged(e.reportedSlots, slots) || e.reportedOffer != current || e.reportSeq < e.withdrawSeq || len(e.lockAnswers) > 0 {
+		if slotsChanged(e.reportedSlots, slots) || e.reportedOffer != current || e.reportSeq < e.withdrawSeq || len(e.lockAnswers) > 0 || s.crashes.news(e) {
 			s.sendReport(e)
 		}
 	}
@@ -54,6 +54,7 @@
 		LogRunTimeRatio: s.runTimeRatio.value(),
 		Outcomes:        s.takeUnsent(e),
 		Locks:           e.lockAnswers,
+		Crashes:         s.crashes.untold(s.now, e),
 	}
 	e.lockAnswers = nil
 	if current := s.offer(); e.reportedOffer != current {
--- a/agent/run.go
+++ b/agent/run.go
@@ -26,6 +26,7 @@
 		rank:    a.Rank,
 		need:    a.Spec.Need,
 		name:    a.Spec.Name,
+		kind:    a.Kind,
 		payload: a.Spec.Payload,
 
 		declared: a.Spec.DeclaredRunTime,
--- a/agent/session.go
+++ b/agent/session.go
@@ -54,6 +54,8 @@
 	// idleCreditAt is the earliest time of the next report that only grants
 	// credit to the entry while it is idle.
 	idleCreditAt time.Duration
+	// crashVersion is the version of the crash records last told.
+	crashVersion uint64
 	// lockAnswers are sent in the next report.
 	lockAnswers []wire.LockAnswer
 	// forgotten is set once the entry is dropped; outcomes of its tasks are
@@ -127,7 +129,7 @@
 // welcome sends the Welcome with the unacknowledged outcomes and with outcomes
 // for the pending tasks that this incarnation does not hold.
 func (s *State) welcome(e *entry, h *wire.Hello) {
-	e.sent = 0
+	e.sent, e.crashVersion = 0, 0
 	e.reportedOffer = s.offer()
 	s.repeatRevocations(e)
 	rep := s.nextReport(e)
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -140,6 +140,7 @@
 	}
 	s.up.probing = false
 	if ev.OK {
+		s.withdrawCrash()
 		s.up.unreachable = false
 		return
 	}
--- a/agentd/agentd.go
+++ b/agentd/agentd.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -259,6 +260,9 @@
 		d.logEvacuation(eff)
 	case agent.ColdUpstream:
 		d.opts.Log.Info("upstream is cold, slots grow", "instance", eff.Instance, "for", eff.For)
+	case agent.UpstreamCrash:
+		d.meter.recordCrash(eff.State)
+		d.logCrash(eff)
 	case agent.Drained:
 		d.opts.Log.Info("agent has drained", "unacknowledged", eff.Unacked)
 		close(d.drained)
@@ -273,6 +277,18 @@
 	d.opts.Log.Info(text, "domain", d.opts.Self.Domain, "config", eff.Index, "refused", eff.Refused, "running", eff.Running)
 }
 
+// maxLoggedRuns bounds the runs that a line about a crash names.
+const maxLoggedRuns = 12
+
+func (d *daemon) logCrash(eff agent.UpstreamCrash) {
+	var runs []string
+	for _, r := range eff.Runs[:min(len(eff.Runs), maxLoggedRuns)] {
+		runs = append(runs, fmt.Sprintf("%s %s %s", r.Task, r.Kind, r.Ran.Round(100*time.Microsecond)))
+	}
+	d.opts.Log.Warn("upstream crash "+eff.State.String(), "instance", eff.Instance, "age", eff.Age,
+		"running", len(eff.Runs), "last-started", strings.Join(runs, ", "))
+}
+
 // logRunStarted, logStopOrdered and logDecision log one line about a task, each from
 // a log budget of its own.
 func (d *daemon) logRunStarted(eff agent.RunStarted) {
--- a/agentd/meter.go
+++ b/agentd/meter.go
@@ -29,6 +29,8 @@
 	// stopCalls counts the calls that stop a run at a leased upstream, by result.
 	stopCalls map[string]tally.Counter
 	stops     map[task.Reason]tally.Counter
+	// crashes counts crashes of upstreams by what became known of them.
+	crashes map[wire.CrashState]tally.Counter
 	// evacuated is 1 while the agent's failure domain is evacuated.
 	evacuated tally.Gauge
 }
@@ -55,6 +57,7 @@
 
 		stopCalls: stopCallCounters(scope),
 		stops:     make(map[task.Reason]tally.Counter),
+		crashes:   crashCounters(scope),
 		evacuated: scope.Gauge("evacuated"),
 	}
 }
@@ -67,6 +70,16 @@
 	return counters
 }
 
+func crashCounters(scope tally.Scope) map[wire.CrashState]tally.Counter {
+	counters := make(map[wire.CrashState]tally.Counter)
+	for _, state := range []wire.CrashState{wire.CrashSuspected, wire.CrashConfirmed, wire.CrashWithdrawn} {
+		counters[state] = scope.Tagged(map[string]string{"state": state.String()}).Counter("upstream_crashes")
+	}
+	return counters
+}
+
+func (m *meter) recordCrash(s wire.CrashState) { m.crashes[s].Inc(1) }
+
 func (m *meter) recordWorker(w wire.Worker) { m.slots.Update(float64(w.Slots)) }
 
 func (m *meter) recordEvacuation(e agent.Evacuation) {
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -394,5 +394,6 @@
 		Rank:        rank,
 		StartWithin: max(remaining-returnMargin, 0),
 		RunWithin:   remaining,
+		Kind:        s.sub.Route,
 	}
 }
--- a/lease/hold.go
+++ b/lease/hold.go
@@ -88,6 +88,7 @@
 		s.sendHold(false, h.probe)
 	case HoldWrongInstance:
 		s.log("upstream has restarted", "instance", s.upstream.Instance)
+		s.notifyCrash()
 		s.endAllRuns()
 		s.haveUpstream = false
 		s.notify(agent.Left{Instance: s.upstream.Instance})
--- a/lease/state.go
+++ b/lease/state.go
@@ -241,6 +241,7 @@
 	s.lastAnnounced = ev
 	if !s.haveUpstream || up.Instance != s.upstream.Instance {
 		s.log("upstream instance changed", "instance", up.Instance, "before", s.upstream.Instance)
+		s.notifyCrash()
 		s.endAllRuns()
 		s.haveUpstream, s.reconciled = true, false
 		s.clock, s.clockAt, s.latestLeaseEnd = 0, 0, 0
@@ -272,6 +273,14 @@
 	s.haveUpstream = false
 }
 
+// notifyCrash tells the agent that the current process has ended, unless it had
+// announced that it would.
+func (s *State) notifyCrash() {
+	if s.haveUpstream && !s.upstream.Draining {
+		s.notify(agent.Crashed{Instance: s.upstream.Instance})
+	}
+}
+
 // endAllRuns ends every run and drops all holds, because the process that ran
 // them no longer exists.
 func (s *State) endAllRuns() {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -153,6 +153,8 @@
 	StartWithin time.Duration `msg:"w"`
 	// RunWithin bounds the time from sending to the end of the run.
 	RunWithin time.Duration `msg:"e"`
+	// Kind groups tasks that are alike, such as those of one route.
+	Kind string `msg:"k,omitempty"`
 }
 
 // Update is the one message type that an entry sends to an agent during a
@@ -245,6 +247,55 @@
 	Outcomes []Result `msg:"o"`
 	// Locks answers lock requests.
 	Locks []LockAnswer `msg:"j,omitempty"`
+	// Crashes holds the crashes of the agent's upstreams that the session has not
+	// been told of, and those whose state has changed.
+	Crashes []Crash `msg:"x,omitempty"`
+}
+
+// CrashState says how much an agent knows of a crash of its upstream.
+type CrashState uint8
+
+// The states of a crash.
+const (
+	// CrashSuspected means that the upstream does not answer. It may be cut off.
+	CrashSuspected CrashState = iota + 1
+	// CrashConfirmed means that another process has taken the upstream's place.
+	CrashConfirmed
+	// CrashWithdrawn means that the same process answers again.
+	CrashWithdrawn
+)
+
+// String returns the state as it appears in logs.
+func (s CrashState) String() string {
+	switch s {
+	case CrashSuspected:
+		return "suspected"
+	case CrashConfirmed:
+		return "confirmed"
+	case CrashWithdrawn:
+		return "withdrawn"
+	}
+	return "unknown"
+}
+
+// Crash describes a crash of an agent's upstream and what ran there.
+type Crash struct {
+	// Seq numbers the crashes that one incarnation of the agent has seen.
+	Seq   uint64     `msg:"q"`
+	State CrashState `msg:"s"`
+	// Age is the time since the agent noticed the crash.
+	Age time.Duration `msg:"a"`
+	// Runs are the runs in progress, those that had started last first.
+	Runs []CrashedRun `msg:"r"`
+}
+
+// CrashedRun is a run that was in progress when its upstream crashed.
+type CrashedRun struct {
+	// Task is Spec.Name of the task, and Kind that of its assignment.
+	Task string `msg:"t"`
+	Kind string `msg:"k"`
+	// Ran is the time from the start of the run until the agent noticed the crash.
+	Ran time.Duration `msg:"a"`
 }
 
 // Result is the outcome of one task.
--- a/wire/wire_gen.go
+++ b/wire/wire_gen.go
@@ -279,33 +279,51 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Assignment) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "i"
-	o = append(o, 0x86, 0xa1, 0x69)
-	o, err = z.ID.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Kind == "" {
+		zb0001Len--
+		zb0001Mask |= 0x40
 	}
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendString(o, z.Team)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o, err = z.Spec.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Spec")
-		return
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o, err = z.ID.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "ID")
+			return
+		}
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendString(o, z.Team)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o, err = z.Spec.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Spec")
+			return
+		}
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendFloat64(o, z.Rank)
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendDuration(o, z.StartWithin)
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		o = msgp.AppendDuration(o, z.RunWithin)
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "k"
+			o = append(o, 0xa1, 0x6b)
+			o = msgp.AppendString(o, z.Kind)
+		}
 	}
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendFloat64(o, z.Rank)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendDuration(o, z.StartWithin)
-	// string "e"
-	o = append(o, 0xa1, 0x65)
-	o = msgp.AppendDuration(o, z.RunWithin)
 	return
 }
 
@@ -367,6 +385,12 @@
 				err = msgp.WrapError(err, "RunWithin")
 				return
 			}
+		case "k":
+			z.Kind, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Kind")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -381,7 +405,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Assignment) Msgsize() (s int) {
-	s = 1 + 2 + z.ID.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Team) + 2 + z.Spec.Msgsize() + 2 + msgp.Float64Size + 2 + msgp.DurationSize + 2 + msgp.DurationSize
+	s = 1 + 2 + z.ID.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Team) + 2 + z.Spec.Msgsize() + 2 + msgp.Float64Size + 2 + msgp.DurationSize + 2 + msgp.DurationSize + 2 + msgp.StringPrefixSize + len(z.Kind)
 	return
 }
 
@@ -1062,6 +1086,266 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Crash) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "q"
+	o = append(o, 0x84, 0xa1, 0x71)
+	o = msgp.AppendUint64(o, z.Seq)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint8(o, uint8(z.State))
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendDuration(o, z.Age)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
+	for za0001 := range z.Runs {
+		// map header, size 3
+		// string "t"
+		o = append(o, 0x83, 0xa1, 0x74)
+		o = msgp.AppendString(o, z.Runs[za0001].Task)
+		// string "k"
+		o = append(o, 0xa1, 0x6b)
+		o = msgp.AppendString(o, z.Runs[za0001].Kind)
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendDuration(o, z.Runs[za0001].Ran)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Crash) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "q":
+			z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Seq")
+				return
+			}
+		case "s":
+			{
+				var zb0002 uint8
+				zb0002, bts, err = msgp.ReadUint8Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+				z.State = CrashState(zb0002)
+			}
+		case "a":
+			z.Age, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Age")
+				return
+			}
+		case "r":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Runs")
+				return
+			}
+			if zb0003 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Runs) >= int(zb0003) {
+				z.Runs = (z.Runs)[:zb0003]
+			} else {
+				z.Runs = make([]CrashedRun, zb0003)
+			}
+			for za0001 := range z.Runs {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Runs", za0001)
+					return
+				}
+				if zb0004 > z5817a858limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Runs", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "t":
+						z.Runs[za0001].Task, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Runs", za0001, "Task")
+							return
+						}
+					case "k":
+						z.Runs[za0001].Kind, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Runs", za0001, "Kind")
+							return
+						}
+					case "a":
+						z.Runs[za0001].Ran, bts, err = msgp.ReadDurationBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Runs", za0001, "Ran")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Runs", za0001)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Crash) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint8Size + 2 + msgp.DurationSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Runs {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Runs[za0001].Task) + 2 + msgp.StringPrefixSize + len(z.Runs[za0001].Kind) + 2 + msgp.DurationSize
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z CrashState) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendUint8(o, uint8(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CrashState) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 uint8
+		zb0001, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = CrashState(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z CrashState) Msgsize() (s int) {
+	s = msgp.Uint8Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z CrashedRun) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "t"
+	o = append(o, 0x83, 0xa1, 0x74)
+	o = msgp.AppendString(o, z.Task)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendString(o, z.Kind)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendDuration(o, z.Ran)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CrashedRun) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "t":
+			z.Task, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Task")
+				return
+			}
+		case "k":
+			z.Kind, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Kind")
+				return
+			}
+		case "a":
+			z.Ran, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ran")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z CrashedRun) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Task) + 2 + msgp.StringPrefixSize + len(z.Kind) + 2 + msgp.DurationSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Demand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2567,13 +2851,17 @@
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
 	_ = zb0001Mask
 	if z.Locks == nil {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
+	if z.Crashes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -2649,6 +2937,18 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "x"
+			o = append(o, 0xa1, 0x78)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
+			for za0003 := range z.Crashes {
+				o, err = z.Crashes[za0003].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Crashes", za0003)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -2825,6 +3125,29 @@
 					return
 				}
 			}
+		case "x":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Crashes")
+				return
+			}
+			if zb0005 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Crashes) >= int(zb0005) {
+				z.Crashes = (z.Crashes)[:zb0005]
+			} else {
+				z.Crashes = make([]Crash, zb0005)
+			}
+			for za0003 := range z.Crashes {
+				bts, err = z.Crashes[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Crashes", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2853,6 +3176,10 @@
 	for za0002 := range z.Locks {
 		s += z.Locks[za0002].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Crashes {
+		s += z.Crashes[za0003].Msgsize()
+	}
 	return
 }
 
