tests: reproduce tasks that crash upstreams and capacity that shrinks, failing

The stand-in upstream learns deadly payloads, crashes by itself and capacities that shrink and grow; its ledger checks the users' bounds for both. Data for the fixes only: Worker.Largest, StartRun.Need.

--- a/agent/effect.go
+++ b/agent/effect.go
@@ -37,6 +37,7 @@
 	Payload []byte
 	// Declared is the run time that the caller expects; zero if unknown.
 	Declared time.Duration
+	Need     task.Resources
 	// StartBy is the time, on the clock of Step, after which the request must
 	// not be written. RunBy is the deadline for the end of the run.
 	StartBy time.Duration
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -35,6 +35,12 @@
 	// exempted counts the cut requests of direct callers by the reason that allows
 	// the cut.
 	exempted map[string]int
+	// deadlyShare is the share of new jobs that crash upstreams; deadly holds these.
+	deadlyShare float64
+	deadly      map[string]bool
+	// maxCrashes is the number of crashes that a deadly task may cause; zero for no
+	// bound beyond that of the ledger.
+	maxCrashes int
 
 	complete, refusals, timedOut, unanswered atomic.Int64
 	// direct counts the answers to direct callers, cuts their requests that ended
@@ -73,10 +79,14 @@
 func (c *callers) newJob(rng *rand.Rand, addr string) (string, *http.Request) {
 	id := fmt.Sprintf("%016x", rng.Uint64())
 	runTime := time.Duration(20+rng.IntN(250)) * time.Millisecond
+	text, path := standin.Payload(runTime, 500), prefix
+	if c.deadlyShare > 0 {
+		path, text = c.drawKind(rng, id, runTime, text)
+	}
 	body := fmt.Sprintf(`{"jobSpec":%s,"bestEffort":true,"steps":[{"count":%d,"cpu":500,"memMb":1,"estimateMs":%d}]}`,
-		strconv.Quote(standin.Payload(runTime, 500)), 1+rng.IntN(maxTasksPerJob), runTime.Milliseconds())
+		strconv.Quote(text), 1+rng.IntN(maxTasksPerJob), runTime.Milliseconds())
 	c.ledger.Submitted(id)
-	req, err := http.NewRequest(http.MethodPost, "http://"+addr+prefix+id, strings.NewReader(body))
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+path+id, strings.NewReader(body))
 	if err != nil {
 		panic(err) // the address and the method are valid
 	}
@@ -89,7 +99,7 @@
 	switch resp.StatusCode {
 	case http.StatusOK:
 		c.complete.Add(1)
-		if text != `{"state":"completed"}` {
+		if text != `{"state":"completed"}` && !c.mayFail(id) {
 			c.ledger.AddViolation("job %s: unexpected answer %s", id, text)
 		}
 		if c.ledger.Started(id) == 0 {
@@ -143,8 +153,13 @@
 }
 
 func configDocument(version int64) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":%q,"pathPrefix":%q,"kind":"non_idempotent","timeoutMs":%d,"targetLatencyMs":60,"priority":0,"service":%q,"maxAttempts":3,"latencyFactor":3}],"services":[{"name":%q}]}`,
-		version, host, prefix, 1500+version%7, service, service)
+	timeout := callerTimeout.Milliseconds() + version%7 // versions differ in content
+	route := func(name, path string) string {
+		return fmt.Sprintf(`{"name":%q,"host":%q,"pathPrefix":%q,"kind":"non_idempotent","timeoutMs":%d,"targetLatencyMs":60,"priority":0,"service":%q,"maxAttempts":3,"latencyFactor":3}`,
+			name, host, path, timeout, service)
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s],"services":[{"name":%q}]}`,
+		version, route("r", prefix), route("risky", riskyPrefix), service)
 }
 
 // publish sends the next version to random hosts until one acknowledges it.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -210,9 +210,10 @@
 	stop()
 	waitAll(t.Fatalf, &loads, callersTimeout, "the callers")
 	jobs.check()
-	t.Logf("%s seed %d: concurrent runs %d; complete %d, refused %d, timed out %d, no answer through relays %d; versions acknowledged up to %d; evacuation orders %d, verified %d; direct callers: answers %d, cut %d (%d after a second SIGTERM), allowed %s; stops %s",
+	jobs.checkCrashes()
+	t.Logf("%s seed %d: concurrent runs %d; complete %d, refused %d, timed out %d, no answer through relays %d; versions acknowledged up to %d; evacuation orders %d, verified %d; upstream crashes %d; direct callers: answers %d, cut %d (%d after a second SIGTERM), allowed %s; stops %s",
 		m.name, seed, ledger.Concurrent(), jobs.complete.Load(), jobs.refusals.Load(), jobs.timedOut.Load(), jobs.unanswered.Load(), op.acked.Load(),
-		evacuations.orders.Load(), evacuations.verified.Load(),
+		evacuations.orders.Load(), evacuations.verified.Load(), ledger.Crashes(),
 		jobs.direct.Load(), jobs.cuts.Load(), jobs.forced.Load(), jobs.exemptions(), f.countedStops())
 	if v := ledger.Violations(); len(v) > 0 {
 		t.Errorf("%s seed %d: violations:\n%s", m.name, seed, strings.Join(v, "\n"))
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -124,8 +124,11 @@
 	Slots uint32 `msg:"l"`
 	// Connections is the number of connections that the upstream accepts.
 	Connections uint32 `msg:"c"`
-	// Offered is the worker's total resources.
+	// Offered is the worker's total resources. They may shrink and grow while the
+	// upstream runs.
 	Offered task.Resources `msg:"o"`
+	// Largest holds the most of each resource that the upstream has offered.
+	Largest task.Resources `msg:"g"`
 	Rack    string         `msg:"k"`
 	// Draining is set once the upstream has announced that it is leaving.
 	Draining bool `msg:"d"`
--- a/wire/wire_gen.go
+++ b/wire/wire_gen.go
@@ -3975,9 +3975,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Worker) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "s"
-	o = append(o, 0x86, 0xa1, 0x73)
+	o = append(o, 0x87, 0xa1, 0x73)
 	o = msgp.AppendString(o, z.Service)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
@@ -3992,6 +3992,13 @@
 		err = msgp.WrapError(err, "Offered")
 		return
 	}
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o, err = z.Largest.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Largest")
+		return
+	}
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
 	o = msgp.AppendString(o, z.Rack)
@@ -4047,6 +4054,12 @@
 				err = msgp.WrapError(err, "Offered")
 				return
 			}
+		case "g":
+			bts, err = z.Largest.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Largest")
+				return
+			}
 		case "k":
 			z.Rack, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -4073,6 +4086,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Worker) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + z.Offered.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Rack) + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + z.Offered.Msgsize() + 2 + z.Largest.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Rack) + 2 + msgp.BoolSize
 	return
 }
