lease: no start beyond a capacity that has shrunk

What could happen: a start without an answer was repeated some 100 ms later, and a start decided by the agent sent, by the capacity of before, although a heartbeat had told of a smaller one in between; an upstream that does not guard its capacity would have run it. Cause: only the agent's reducer checks resources, at the moment of its decision. Runs now carry their needs, and the lease checks each start and each repetition against the last heartbeat; the task is returned as busy.

--- a/lease/state.go
+++ b/lease/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fireflytray/fireflytray/agent"
+	"github.com/fireflytray/fireflytray/task"
 )
 
 // Config tunes a State.
@@ -309,11 +310,26 @@
 	case s.runs[r.key] != nil || s.unknownRuns[r.key]:
 		s.notify(agent.RunEnded{Run: eff.Run, End: agent.EndRejected})
 		return
+	case !s.hasRoomFor(r):
+		s.notify(agent.RunEnded{Run: eff.Run, End: agent.EndBusy})
+		return
 	}
 	s.runs[r.key], s.runsByID[eff.Run] = r, r
 	s.sendStart(r)
 }
 
+// hasRoomFor reports whether a run fits the capacity beside all others. The capacity
+// may have shrunk since the agent decided on the start.
+func (s *State) hasRoomFor(r *run) bool {
+	used := r.Need
+	for _, o := range s.runs {
+		if o != r {
+			used = used.Add(o.Need)
+		}
+	}
+	return used == (task.Resources{}) || used.Fits(s.upstream.Offered)
+}
+
 func (s *State) sendStart(r *run) {
 	r.phase, r.call, r.fence = phaseStarting, s.nextCall(), s.fence
 	r.lastCall = r.call
@@ -399,6 +415,11 @@
 		s.end(r, agent.EndEvacuated)
 		return
 	}
+	if !s.hasRoomFor(r) {
+		s.log("start is not repeated, the capacity has shrunk", "task", r.key.task, "run", r.key.run, "offered", s.upstream.Offered)
+		s.end(r, agent.EndBusy)
+		return
+	}
 	if s.stopOf(r.key) != nil || s.now >= min(r.StartBy, r.startedAt+s.cfg.RunsEndWithin()) {
 		s.end(r, agent.EndRejected)
 		return
