agent, entry: a task that fits once its upstream has grown again is not failed

What callers would have seen: a job shown as failed, without cause, because its task had been sent to an upstream that had just shrunk below the task's need, or because all upstreams had shrunk at that moment; or a job that waits at such an agent until its deadline. Cause: 'never fits' was judged by the capacity of the moment. Agents keep the largest offer of the instance and tell it (Worker.Largest); only what exceeds that never fits. A task that exceeds the present offer is refused as busy and placed elsewhere, those that wait in the agent's queue too.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -148,6 +148,7 @@
 		Slots:       uint32(s.slots()),
 		Connections: u.Connections,
 		Offered:     u.Offered,
+		Largest:     u.largest,
 		Rack:        u.Rack,
 		Draining:    u.leaving || s.drain.active,
 	}
--- a/agent/run.go
+++ b/agent/run.go
@@ -92,8 +92,11 @@
 		return task.ReasonUpstreamGone
 	case s.health.suspended:
 		return task.ReasonSuspended
-	case !r.need.Fits(s.up.Offered):
+	case !r.need.Fits(s.up.largest):
 		return task.ReasonNeverFits
+	case !r.need.Fits(s.up.Offered):
+		s.stats.Busy++
+		return task.ReasonBusy
 	}
 	return task.ReasonNone
 }
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -10,6 +10,9 @@
 // upstream is the agent's view of the process on which it starts tasks.
 type upstream struct {
 	Upstream
+	// largest holds the most of each resource that this instance has offered. Its
+	// capacity may shrink and grow while it runs.
+	largest task.Resources
 	// leaseUntil is when the lease expires; zero without a lease.
 	leaseUntil time.Duration
 	leaving    bool
@@ -81,7 +84,12 @@
 	if a.Addr != u.Addr || a.Connections != u.Connections {
 		s.emit(UseUpstream{Upstream: a})
 	}
+	u.largest = u.largest.Max(a.Offered)
+	shrunk := !u.Offered.Fits(a.Offered)
 	u.Upstream = a
+	if shrunk {
+		s.refuseOversized()
+	}
 	u.leaseUntil = s.now + max(a.Lease, time.Millisecond)
 	if _, cold := s.warmUp.nextStep(s.now); !cold && a.ColdFor > 0 {
 		s.emit(ColdUpstream{Instance: a.Instance, For: a.ColdFor})
@@ -92,6 +100,17 @@
 	}
 }
 
+// refuseOversized refuses the queued tasks that need more than the upstream offers
+// now. They fit others, or this one later.
+func (s *State) refuseOversized() {
+	for i := 0; i < s.queue.len(); i++ {
+		if r := s.queue.recs[i]; !r.need.Fits(s.up.Offered) {
+			s.refuse(r, task.ReasonBusy)
+			i--
+		}
+	}
+}
+
 // upstreamLeaving refuses queued and new tasks, because the upstream accepts no
 // more; running tasks end normally.
 func (s *State) upstreamLeaving(instance string) {
--- a/entry/agent.go
+++ b/entry/agent.go
@@ -208,7 +208,7 @@
 	if a.svc == nil {
 		a.worker = *m.Worker
 		a.svc = e.service(m.Worker.Service)
-		a.Offered = m.Worker.Offered
+		a.setOffered(*m.Worker)
 	}
 	e.updateLockAgent(a)
 	switch {
@@ -284,7 +284,14 @@
 		e.forgetPace(a)
 	}
 	a.svc = e.service(w.Service)
+	a.setOffered(w)
+}
+
+// setOffered applies the resources in a description of a worker. Agents of older
+// builds do not say what their upstream offered at most.
+func (a *agent) setOffered(w wire.Worker) {
 	a.Offered = w.Offered
+	a.Largest = w.Offered.Max(w.Largest)
 }
 
 // addToPool adds the agent to the pool of its service, unless its failure domain is
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -253,7 +253,7 @@
 // withheldAgentFor returns a withheld agent that could run a task when idle, or nil.
 func (e *Entry) withheldAgentFor(s *service, need task.Resources) *agent {
 	for _, id := range slices.Sorted(maps.Keys(e.agents)) {
-		if a := e.agents[id]; a.withheldFrom == s && need.Fits(a.Offered) {
+		if a := e.agents[id]; a.withheldFrom == s && need.Fits(a.Largest) {
 			return a
 		}
 	}
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -34,6 +34,8 @@
 	// unknown; see Pool.SetSpeed.
 	Speed   float64
 	Offered task.Resources
+	// Largest holds the most of each resource that its upstream has offered.
+	Largest task.Resources
 	// Used is the sum of the resources declared by this entry's tasks at the
 	// agent.
 	Used task.Resources
@@ -165,10 +167,11 @@
 	return s
 }
 
-// EverFits reports whether any agent in the pool could run the task when idle.
+// EverFits reports whether any agent in the pool could run the task when idle, now or
+// once its capacity has grown again.
 func (p *Pool) EverFits(need task.Resources) bool {
 	for _, a := range p.agents {
-		if need.Fits(a.Offered) {
+		if need.Fits(a.Largest) {
 			return true
 		}
 	}
--- a/task/task.go
+++ b/task/task.go
@@ -85,6 +85,11 @@
 	return Resources{saturatingSub(r.MilliCPU, o.MilliCPU), saturatingSub(r.MemoryMB, o.MemoryMB), saturatingSub(r.Accelerators, o.Accelerators)}
 }
 
+// Max returns the larger of each component of r and o.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.MilliCPU, o.MilliCPU), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
+}
+
 func saturatingSub(a, b uint32) uint32 {
 	if b > a {
 		return 0
