entry, agent: give up tasks that crash upstreams, confine kinds that do

Cause: nothing that crashes teach was kept.

A task that had just started in two crashes, in the later one as the only one, is guilty: its job fails at once, and so does each resubmission. Until then its next start is kept apart from others, so that the next crash proves it or clears the others.

--- a/agent/deadlines.go
+++ b/agent/deadlines.go
@@ -95,6 +95,9 @@
 func (s *State) addTaskDeadlines(t *earliest) {
 	for _, r := range s.queue.recs {
 		t.add(r.startBy)
+		if at := s.joinAt(r); at > s.now && at < neverWhileRunning {
+			t.add(at)
+		}
 	}
 	for _, r := range s.running {
 		if s.cfg.OrphanAfter > 0 && r.stopReason == task.ReasonNone {
--- a/agent/record.go
+++ b/agent/record.go
@@ -18,14 +18,17 @@
 // record is a task that is queued or running, or whose outcome is not yet
 // acknowledged.
 type record struct {
-	id      task.ID
-	entry   *entry
-	phase   phase
-	rank    float64
-	need    task.Resources
-	name    string
-	kind    string
-	payload []byte
+	id    task.ID
+	entry *entry
+	phase phase
+	rank  float64
+	need  task.Resources
+	name  string
+	kind  string
+	// apartFor and alone are those of the assignment.
+	apartFor time.Duration
+	alone    bool
+	payload  []byte
 	// declared is the run time that the caller expects.
 	declared time.Duration
 	arrived  time.Duration
--- a/agent/run.go
+++ b/agent/run.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -20,13 +21,17 @@
 	}
 	s.stats.Received++
 	r := &record{
-		id:      a.ID,
-		entry:   e,
-		phase:   phaseQueued,
-		rank:    a.Rank,
-		need:    a.Spec.Need,
-		name:    a.Spec.Name,
-		kind:    a.Kind,
+		id:    a.ID,
+		entry: e,
+		phase: phaseQueued,
+		rank:  a.Rank,
+		need:  a.Spec.Need,
+		name:  a.Spec.Name,
+		kind:  a.Kind,
+
+		apartFor: a.ApartFor,
+		alone:    a.Alone,
+
 		payload: a.Spec.Payload,
 
 		declared: a.Spec.DeclaredRunTime,
@@ -157,7 +162,7 @@
 // Once the first task has been queued for MaxBypass, no other may overtake it.
 func (s *State) nextFitting() *record {
 	for i, r := range s.queue.recs {
-		if s.up.fits(r.need, s.running) {
+		if s.mayJoin(r) && s.up.fits(r.need, s.running) {
 			return r
 		}
 		if i == 0 && s.now-r.arrived >= s.cfg.MaxBypass {
@@ -167,6 +172,32 @@
 	return nil
 }
 
+// mayJoin reports whether a task may start beside the runs in progress, as far as it or
+// one of them has to be kept apart from others.
+func (s *State) mayJoin(r *record) bool {
+	return s.joinAt(r) <= s.now
+}
+
+// joinAt returns when a task may start beside the runs in progress, neverWhileRunning
+// if that depends on the end of a run.
+func (s *State) joinAt(r *record) time.Duration {
+	at := time.Duration(0)
+	if r.alone && len(s.running) > 0 {
+		return neverWhileRunning
+	}
+	for _, o := range s.running {
+		if o.alone {
+			return neverWhileRunning
+		}
+		if apart := max(r.apartFor, o.apartFor); apart > 0 {
+			at = max(at, o.started+apart)
+		}
+	}
+	return at
+}
+
+const neverWhileRunning = time.Duration(math.MaxInt64)
+
 // start takes a task from the queue and starts it at the upstream.
 func (s *State) start(r *record) {
 	s.queue.remove(r)
--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -7,6 +7,7 @@
 
 	"github.com/fireflytray/fireflytray/daemon"
 	"github.com/fireflytray/fireflytray/entry/placement"
+	"github.com/fireflytray/fireflytray/entry/quarantine"
 	"github.com/fireflytray/fireflytray/entry/queue"
 	"github.com/fireflytray/fireflytray/entryd"
 	"github.com/fireflytray/fireflytray/httpapi"
@@ -37,15 +38,16 @@
 		return err
 	}
 	return node.RunEntry(ctx, node.EntryOptions{
-		Common:    common(rt, s),
-		Callers:   s.Callers,
-		HTTP:      httpapi.Config{MaxBody: s.MaxBody},
-		Policy:    policy,
-		Order:     order,
-		Speeds:    s.Speeds,
-		ShedAbove: s.ShedAbove,
-		LateLimit: s.LateLimit,
-		Serve:     platformInterfaces(rt, s),
+		Common:     common(rt, s),
+		Callers:    s.Callers,
+		HTTP:       httpapi.Config{MaxBody: s.MaxBody},
+		Policy:     policy,
+		Order:      order,
+		Speeds:     s.Speeds,
+		ShedAbove:  s.ShedAbove,
+		Quarantine: quarantine.Config{Share: s.QuarantineShare, Onset: s.CrashOnset},
+		LateLimit:  s.LateLimit,
+		Serve:      platformInterfaces(rt, s),
 
 		Trace:             s.LogJobs,
 		DemandFanout:      int(s.DemandFanout),
--- a/entry/agent.go
+++ b/entry/agent.go
@@ -108,8 +108,10 @@
 
 // sentTask is an attempt at a task that was sent to an agent and has not ended.
 type sentTask struct {
-	sub      *submission
-	index    uint32
+	sub   *submission
+	index uint32
+	// svc is the service or lane from whose queue the task was taken.
+	svc      *service
 	at       time.Duration
 	declared time.Duration
 	need     task.Resources
@@ -207,7 +209,7 @@
 	}
 	if a.svc == nil {
 		a.worker = *m.Worker
-		a.svc = e.service(m.Worker.Service)
+		a.svc = e.service(m.Worker.Service).homeOf(a.ID)
 		a.setOffered(*m.Worker)
 	}
 	e.updateLockAgent(a)
@@ -283,7 +285,7 @@
 	if a.svc == nil || a.svc.name != w.Service || a.Offered != w.Offered {
 		e.forgetPace(a)
 	}
-	a.svc = e.service(w.Service)
+	a.svc = e.service(w.Service).homeOf(a.ID)
 	a.setOffered(w)
 }
 
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -10,6 +10,7 @@
 // step.
 func (e *Entry) dispatchActive() {
 	e.refuseEvacuated()
+	e.refuseInDownLanes()
 	for _, s := range e.active {
 		s.active = false
 		e.dispatch(s)
@@ -35,6 +36,9 @@
 		}
 		sub := j.Owner.(*submission)
 		i := sub.ready[len(sub.ready)-1]
+		if e.dropGuilty(sub, i) {
+			continue
+		}
 		pick, end := e.pick(s, sub, i)
 		if end.verdict == placement.Wait {
 			e.hold(s, sub, i, end)
@@ -76,7 +80,7 @@
 		}
 	}
 	spec := &s.sub.Tasks[i]
-	a.sent[s.taskID(i)] = sentTask{sub: s, index: i, at: e.now, declared: spec.DeclaredRunTime, need: spec.Need}
+	a.sent[s.taskID(i)] = sentTask{sub: s, index: i, svc: s.svc, at: e.now, declared: spec.DeclaredRunTime, need: spec.Need}
 	a.toAssign = append(a.toAssign, e.assignment(s, i, rank))
 	a.Outstanding++
 	a.Credit--
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/fireflytray/fireflytray/entry/placement"
+	"github.com/fireflytray/fireflytray/entry/quarantine"
 	"github.com/fireflytray/fireflytray/entry/queue"
 	"github.com/fireflytray/fireflytray/fleet"
 	"github.com/fireflytray/fireflytray/limit"
@@ -64,6 +65,9 @@
 	// counts as short of processor or link. It then refuses submissions on arrival
 	// that can't start in time. Zero disables this. Its settings key is shed-above.
 	ShedAbove time.Duration
+	// Quarantine tunes how tasks and kinds that crash upstreams are found, and on how
+	// many agents such a kind may run. Its settings are in the section crashes.
+	Quarantine quarantine.Config
 }
 
 // DefaultAgentTimeout is the default of Options.AgentTimeout.
@@ -176,6 +180,14 @@
 	// answered.
 	inSystem int
 	withheld withheldAgents
+	// crashes holds the crashes of the service's upstreams, lanes those of its kinds
+	// that are confined, and laneOf the lanes of their agents.
+	crashes *quarantine.Registry
+	lanes   map[string]*service
+	laneOf  map[string]*service
+	// base is the service of which this is the lane for a kind; nil for others.
+	base *service
+	kind string
 }
 
 // New returns an entry with the given options.
@@ -263,16 +275,23 @@
 	e.cfg = cfg
 	for name, sc := range cfg.Services {
 		s := e.service(name)
-		s.cfg = sc
-		s.retries.SetLimits(cfg.Retry.Budget, retryReserve)
-		for _, t := range cfg.Teams {
-			s.q.SetTeam(t.Name, t.Weight, t.MaxRunning)
+		e.configureService(s, sc)
+		for _, lane := range s.lanes {
+			e.configureService(lane, sc)
 		}
 	}
 	e.configureTeams()
 	e.applyEvacuations(previous)
 }
 
+func (e *Entry) configureService(s *service, sc fleet.Service) {
+	s.cfg = sc
+	s.retries.SetLimits(e.cfg.Retry.Budget, retryReserve)
+	for _, t := range e.cfg.Teams {
+		s.q.SetTeam(t.Name, t.Weight, t.MaxRunning)
+	}
+}
+
 // service returns the state of a service and creates it if there is none.
 func (e *Entry) service(name string) *service {
 	s := e.services[name]
@@ -287,6 +306,7 @@
 
 			limit:   limit.New(e.now, 1, defaultMaxWaiting),
 			retries: retry.New(0, retryReserve),
+			crashes: quarantine.New(e.opts.Quarantine),
 		}
 		e.services[name] = s
 	}
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -201,10 +201,12 @@
 			subs = append(subs, sub)
 		}
 	}
-	slices.SortFunc(subs, func(a, b *submission) int { return bytes.Compare(a.id[:], b.id[:]) })
+	slices.SortFunc(subs, func(a, b *submission) int { return compareSubmissions(a.id, b.id) })
 	return subs
 }
 
+func compareSubmissions(a, b task.SubmissionID) int { return bytes.Compare(a[:], b[:]) }
+
 // allEvacuated reports whether every failure domain in which agents of the service
 // are known is evacuated.
 func (e *Entry) allEvacuated(s *service) bool {
--- /dev/null
+++ b/entry/quarantine/quarantine.go
@@ -0,0 +1,220 @@
+// Package quarantine decides, from the crashes of upstreams that the agents of a
+// service report, which tasks crash upstreams, which kinds of tasks do, and on which
+// agents such a kind may run. It reads no clock; the caller passes the time.
+//
+// It answers two load patterns. A task that crashes each upstream that starts it must
+// not be started for as long as its job lives. A kind of which many tasks do so would
+// take down all upstreams, however seldom each task is started, because an upstream
+// needs seconds to return. Confined to a few agents, it leaves the others to the
+// other kinds.
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fireflytray/fireflytray/wire"
+)
+
+// Config tunes a Registry. Zero fields take the defaults.
+type Config struct {
+	// Share is the share of a service's agents to which a kind is confined; zero
+	// confines none.
+	Share float64
+	// Onset is the time from its start within which a task that crashes its upstream
+	// is expected to do so.
+	Onset time.Duration
+}
+
+// DefaultOnset is the default of Config.Onset.
+const DefaultOnset = 25 * time.Millisecond
+
+const (
+	// retention is how long a crash counts. Jobs and the resubmissions of their
+	// callers end sooner.
+	retention = time.Minute
+	// crashesToConvict is the number of crashes under a task after which it may be
+	// given up.
+	crashesToConvict = 2
+)
+
+// Standing is what the crashes say about a task.
+type Standing uint8
+
+const (
+	// Clear means that nothing speaks against the task.
+	Clear Standing = iota
+	// Suspected means that an upstream crashed shortly after it had started the task.
+	// No other task may start around its next start, so that a further crash tells
+	// which task caused it.
+	Suspected
+	// Recurring means that several upstreams crashed while they ran the task. It may
+	// only run alone.
+	Recurring
+	// Guilty means that the task crashes its upstreams. It must not start again.
+	Guilty
+)
+
+var standingNames = [...]string{"clear", "suspected", "recurring", "guilty"}
+
+// String returns the standing as it appears in logs.
+func (s Standing) String() string { return standingNames[s] }
+
+// crashID identifies a crash across the reports about it.
+type crashID struct {
+	agent       string
+	incarnation uint64
+	seq         uint64
+}
+
+// crash is a crash that an agent has reported.
+type crash struct {
+	id        crashID
+	at        time.Duration
+	withdrawn bool
+	// fresh are the kinds of the tasks started within the onset before the crash.
+	fresh []string
+}
+
+// hit is a crash of an upstream that was running a task.
+type hit struct {
+	crash *crash
+	// fresh is set if the task had started within the onset, sole if no other had,
+	// alone if nothing else ran.
+	fresh, sole, alone bool
+}
+
+// Registry holds what is known of the crashes of one service's upstreams.
+type Registry struct {
+	cfg     Config
+	crashes []*crash // by the time of the crash
+	byID    map[crashID]*crash
+	tasks   map[string][]hit
+	kinds   map[string]*confinement
+}
+
+// New returns an empty registry.
+func New(cfg Config) *Registry {
+	if cfg.Onset == 0 {
+		cfg.Onset = DefaultOnset
+	}
+	return &Registry{
+		cfg: cfg, byID: make(map[crashID]*crash), tasks: make(map[string][]hit), kinds: make(map[string]*confinement),
+	}
+}
+
+// Onset returns the time around the start of a suspected task within which no other
+// task may start.
+func (r *Registry) Onset() time.Duration { return r.cfg.Onset }
+
+// Idle reports whether nothing is known that may change what Review decided.
+func (r *Registry) Idle() bool { return len(r.crashes) == 0 && len(r.kinds) == 0 }
+
+// Report records a crash, or what has become known of it, and returns the tasks that
+// it shows to be guilty.
+func (r *Registry) Report(now time.Duration, agent string, incarnation uint64, c *wire.Crash) (guilty []string) {
+	id := crashID{agent, incarnation, c.Seq}
+	if known := r.byID[id]; known != nil {
+		known.withdrawn = c.State == wire.CrashWithdrawn
+		return nil
+	}
+	if c.State == wire.CrashWithdrawn || c.Age >= retention {
+		return nil
+	}
+	r.forget(now)
+	added := &crash{id: id, at: now - c.Age}
+	r.byID[id] = added
+	i, _ := slices.BinarySearchFunc(r.crashes, added.at, func(c *crash, at time.Duration) int { return cmp.Compare(c.at, at) })
+	r.crashes = slices.Insert(r.crashes, i, added)
+	r.addHits(added, c.Runs)
+	for i := range c.Runs {
+		run := &c.Runs[i]
+		if r.Standing(run.Task) != Guilty {
+			continue
+		}
+		guilty = append(guilty, run.Task)
+		if run.Kind != "" {
+			r.confess(now, run.Kind)
+		}
+	}
+	return guilty
+}
+
+func (r *Registry) addHits(c *crash, runs []wire.CrashedRun) {
+	fresh := 0
+	for i := range runs {
+		if runs[i].Ran <= r.cfg.Onset {
+			fresh++
+		}
+	}
+	for i := range runs {
+		run := &runs[i]
+		h := hit{crash: c, fresh: run.Ran <= r.cfg.Onset, alone: len(runs) == 1}
+		h.sole = h.fresh && fresh == 1
+		// Reports of different agents arrive in any order.
+		hits := append(r.tasks[run.Task], h)
+		slices.SortStableFunc(hits, func(a, b hit) int { return cmp.Compare(a.crash.at, b.crash.at) })
+		r.tasks[run.Task] = hits
+		if h.fresh && run.Kind != "" && !slices.Contains(c.fresh, run.Kind) {
+			c.fresh = append(c.fresh, run.Kind)
+		}
+	}
+}
+
+// forget drops the crashes that no longer count.
+func (r *Registry) forget(now time.Duration) {
+	old := 0
+	for old < len(r.crashes) && now-r.crashes[old].at >= retention {
+		delete(r.byID, r.crashes[old].id)
+		old++
+	}
+	if old == 0 {
+		return
+	}
+	r.crashes = slices.Delete(r.crashes, 0, old)
+	for name, hits := range r.tasks {
+		hits = slices.DeleteFunc(hits, func(h hit) bool { return now-h.crash.at >= retention })
+		if len(hits) == 0 {
+			delete(r.tasks, name)
+			continue
+		}
+		r.tasks[name] = hits
+	}
+}
+
+// Standing returns what the crashes say about a task.
+func (r *Registry) Standing(name string) Standing {
+	all, fresh, proof := 0, 0, false
+	for _, h := range r.tasks[name] {
+		if h.crash.withdrawn {
+			continue
+		}
+		all++
+		if h.fresh {
+			fresh++
+		}
+		// Of two crashes, the later one must point at this task and no other.
+		proof = proof || h.alone && all >= crashesToConvict || h.sole && fresh >= crashesToConvict
+	}
+	switch {
+	case proof:
+		return Guilty
+	case all >= crashesToConvict:
+		return Recurring
+	case fresh > 0:
+		return Suspected
+	}
+	return Clear
+}
+
+// Crashes returns the number of crashes while upstreams ran a task.
+func (r *Registry) Crashes(name string) int {
+	n := 0
+	for _, h := range r.tasks[name] {
+		if !h.crash.withdrawn {
+			n++
+		}
+	}
+	return n
+}
--- a/entry/report.go
+++ b/entry/report.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/fireflytray/fireflytray/entry/quarantine"
 	"github.com/fireflytray/fireflytray/task"
 	"github.com/fireflytray/fireflytray/wire"
 )
@@ -26,6 +27,7 @@
 		return
 	}
 	a.lastReportSeq = r.Seq
+	e.handleCrashes(a, r.Crashes)
 	newOutcomes := 0
 	for i := range r.Outcomes {
 		if e.handleResult(a, &r.Outcomes[i]) {
@@ -100,6 +102,7 @@
 		rec.sub.messages++
 	}
 	if r.Outcome.State == task.Complete {
+		a.observeSurvivor(rec.sub)
 		a.runTimeRatio.observe(rec.declared, r.Outcome.Ran)
 		e.observePace(a, rec.declared, r.Outcome.Ran)
 		if a.Slow {
@@ -135,7 +138,7 @@
 		a.svc.pool.Changed(&a.Agent)
 	}
 	s := rec.sub
-	s.svc.q.EndTask(s.sub.Team)
+	rec.svc.q.EndTask(s.sub.Team)
 	s.inFlight--
 	if o.State == task.Unknown {
 		s.runsUntil = e.now + e.runsEndWithin
@@ -151,6 +154,9 @@
 	if o.State != task.NotRun {
 		s.mayHaveRun = true
 	}
+	if o.State != task.Complete && e.standing(s, rec.index) == quarantine.Guilty {
+		o = crashOutcome(a.ID)
+	}
 	if e.shouldResend(s, rec.index, o) {
 		if o.State != task.NotRun {
 			e.stats.Retries++
--- a/entry/speed.go
+++ b/entry/speed.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -72,13 +73,16 @@
 		e.resumedAt = e.now
 	}
 	e.reviewedAt = e.now
-	for _, s := range e.services {
+	for _, s := range slices.Collect(maps.Values(e.services)) {
 		median, known := e.medianReportedLogRatio(s)
 		for _, p := range s.pool.Shuffled() {
 			a := e.agents[p.ID]
 			e.reviewAgent(a, known && a.reportedLogRatio != 0 && a.reportedLogRatio-median > math.Log(slowReportedRatio))
 		}
 		e.estimateSpeeds(s)
+		if s.base == nil {
+			e.reviewConfinements(s)
+		}
 		if s.q.Len() > 0 {
 			e.markActive(s)
 		}
--- a/entry/stats.go
+++ b/entry/stats.go
@@ -24,6 +24,11 @@
 	Demoted uint64
 	// Shed counts submissions refused because agents answer this entry too slowly.
 	Shed uint64
+	// GuiltyTasks counts tasks that were found to crash upstreams, Isolated the
+	// assignments that agents have to keep apart because an upstream crashed under
+	// their tasks.
+	GuiltyTasks uint64
+	Isolated    uint64
 	// Retries counts further attempts at tasks that may have run.
 	Retries uint64
 	// PlacedTooSlow counts tasks placed on an upstream that was predicted to miss
@@ -106,6 +111,16 @@
 	Draining  bool
 	// Turnaround is the median time of agents to an answer, zero if unknown.
 	Turnaround time.Duration
+	// Confined lists the kinds of tasks that may run on a few agents only.
+	Confined []ConfinedView
+}
+
+// ConfinedView is a confined kind for status pages.
+type ConfinedView struct {
+	Service string
+	Kind    string
+	Agents  []string
+	For     time.Duration
 }
 
 // View returns a snapshot for status pages.
@@ -126,6 +141,9 @@
 	}
 	for name, s := range e.services {
 		v.Waiting[name] = s.waiting()
+		for _, c := range s.crashes.Confined() {
+			v.Confined = append(v.Confined, ConfinedView{Service: name, Kind: c.Kind, Agents: c.Agents, For: e.now - c.Since})
+		}
 	}
 	for _, a := range e.agents {
 		v.Agents = append(v.Agents, a.view())
@@ -159,6 +177,8 @@
 	task.ReasonSuperseded:        "the job was submitted again",
 	task.ReasonCancelled:         "cancelled by the caller",
 	task.ReasonCallerGone:        "the caller has closed its connection",
+	task.ReasonCrashesUpstreams:  "the task crashes the upstreams that start it",
+	task.ReasonQuarantined:       "requests of this kind crash upstreams, and those set aside for them are down",
 	task.ReasonEvacuated:         "all failure domains of the service are evacuated",
 	task.ReasonNeverFits:         "no worker offers what the task needs",
 	task.ReasonClaimedElsewhere:  "the idempotency key is held by a submission without an outcome yet",
@@ -188,6 +208,8 @@
 		return lostTaskRetryAfter
 	case task.ReasonEvacuated:
 		return evacuatedRetryAfter
+	case task.ReasonQuarantined:
+		return laneDownRetryAfter
 	}
 	return 0
 }
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -387,7 +387,7 @@
 // agent.
 func (e *Entry) assignment(s *submission, i uint32, rank float64) wire.Assignment {
 	remaining := s.deadline - e.now
-	return wire.Assignment{
+	a := wire.Assignment{
 		ID:          s.taskID(i),
 		Team:        s.sub.Team,
 		Spec:        s.sub.Tasks[i],
@@ -396,4 +396,6 @@
 		RunWithin:   remaining,
 		Kind:        s.sub.Route,
 	}
+	e.isolate(s, i, &a)
+	return a
 }
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -70,13 +70,19 @@
 	if !ok {
 		return nil, &refusal{reason: task.ReasonUnknownService, detail: fmt.Sprintf("service %q is not configured", sub.Service)}
 	}
-	svc := e.service(sub.Service)
+	svc := e.service(sub.Service).laneFor(sub.Route)
 	if r := e.checkTeam(sub); r != nil {
 		return svc, r
 	}
 	if r := checkSize(sub, sc.MaxTasks, sc.MaxBody); r != nil {
 		return svc, r
 	}
+	if r := e.checkGuilt(svc, sub); r != nil {
+		return svc, r
+	}
+	if r := e.checkLane(svc); r != nil {
+		return svc, r
+	}
 	if r := e.checkEvacuation(svc, sub); r != nil {
 		return svc, r
 	}
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -20,6 +20,7 @@
 
 	"github.com/fireflytray/fireflytray/entry"
 	"github.com/fireflytray/fireflytray/entry/placement"
+	"github.com/fireflytray/fireflytray/entry/quarantine"
 	"github.com/fireflytray/fireflytray/entry/queue"
 	"github.com/fireflytray/fireflytray/fleet"
 	"github.com/fireflytray/fireflytray/httpapi"
@@ -66,7 +67,9 @@
 	LateLimit float64
 	// ShedAbove is that of entry.Options.
 	ShedAbove time.Duration
-	Seed      uint64
+	// Quarantine is that of entry.Options.
+	Quarantine quarantine.Config
+	Seed       uint64
 	// DemandFanout is that of entry.Options.
 	DemandFanout int
 	// Speeds is that of entry.Options.
@@ -162,6 +165,7 @@
 		Speeds:       o.Speeds,
 		LateLimit:    o.LateLimit,
 		ShedAbove:    o.ShedAbove,
+		Quarantine:   o.Quarantine,
 		Seed:         o.Seed,
 		Config:       o.Config,
 		DemandFanout: o.DemandFanout,
--- a/entryd/jobs.go
+++ b/entryd/jobs.go
@@ -161,7 +161,7 @@
 // submission that it answers.
 func saysHowJobEnded(a task.Answer) bool {
 	switch a.Reason {
-	case task.ReasonUpstreamError, task.ReasonNeverFits, task.ReasonCancelled:
+	case task.ReasonUpstreamError, task.ReasonNeverFits, task.ReasonCrashesUpstreams, task.ReasonCancelled:
 		return a.State != task.NotRun
 	}
 	return a.State == task.Complete
--- a/entryd/meter.go
+++ b/entryd/meter.go
@@ -67,6 +67,9 @@
 	m.metrics.WaitedForFaster.Inc(int64(now.WaitedForFaster - m.reported.WaitedForFaster))
 	m.metrics.WaitingLate.Inc(int64(now.Demoted - m.reported.Demoted))
 	m.metrics.Shed.Inc(int64(now.Shed - m.reported.Shed))
+	m.metrics.GuiltyTasks.Inc(int64(now.GuiltyTasks - m.reported.GuiltyTasks))
+	m.metrics.IsolatedTasks.Inc(int64(now.Isolated - m.reported.Isolated))
+	m.metrics.ConfinedKinds.Update(float64(len(v.Confined)))
 	m.metrics.Turnaround.Update(v.Turnaround.Seconds())
 	m.reported = now
 	waiting, credit, connected, evacuated := 0, 0, 0, 0
--- a/httpapi/problem.go
+++ b/httpapi/problem.go
@@ -88,6 +88,8 @@
 	task.ReasonBusy:              {fasthttp.StatusServiceUnavailable, "All workers are busy"},
 	task.ReasonDraining:          {fasthttp.StatusServiceUnavailable, "The process is shutting down"},
 	task.ReasonSuspended:         {fasthttp.StatusServiceUnavailable, "The worker is suspended"},
+	task.ReasonCrashesUpstreams:  {fasthttp.StatusUnprocessableEntity, "The task crashes the upstreams that start it"},
+	task.ReasonQuarantined:       {fasthttp.StatusServiceUnavailable, "The upstreams for requests of this kind are down"},
 	task.ReasonEvacuated:         {fasthttp.StatusServiceUnavailable, "The failure domains of the service are evacuated"},
 	task.ReasonNoUpstream:        {fasthttp.StatusServiceUnavailable, "No upstream of the service is announced"},
 	task.ReasonClaimsUnavailable: {fasthttp.StatusServiceUnavailable, "Idempotency keys can't be claimed now"},
--- a/metrics/roles.go
+++ b/metrics/roles.go
@@ -46,6 +46,12 @@
 	// objective. Shed counts jobs refused because agents answered too slowly.
 	WaitingLate tally.Counter
 	Shed        tally.Counter
+	// GuiltyTasks counts tasks found to crash upstreams, IsolatedTasks assignments kept
+	// apart because an upstream crashed under their tasks. ConfinedKinds is the number
+	// of routes that are confined to a few agents.
+	GuiltyTasks   tally.Counter
+	IsolatedTasks tally.Counter
+	ConfinedKinds tally.Gauge
 	// Turnaround is the median time of agents to an answer, in seconds.
 	Turnaround tally.Gauge
 	// ResentInFlight and ResentAnswered count jobs that were sent again while this
@@ -102,6 +108,9 @@
 		ResentAnswered:  s.Tagged(map[string]string{"state": "answered"}).Counter("jobs_resent"),
 		WaitingLate:     s.Counter("jobs_waiting_late"),
 		Shed:            s.Counter("jobs_shed"),
+		GuiltyTasks:     s.Counter("crashing_tasks"),
+		IsolatedTasks:   s.Counter("isolated_tasks"),
+		ConfinedKinds:   s.Gauge("confined_kinds"),
 		Turnaround:      s.Gauge("turnaround_seconds"),
 		Held:            s.Counter("requests_held"),
 		HeldInVain:      s.Counter("requests_held_in_vain"),
--- a/node/entry.go
+++ b/node/entry.go
@@ -7,6 +7,7 @@
 
 	"github.com/fireflytray/fireflytray/controlclient"
 	"github.com/fireflytray/fireflytray/entry/placement"
+	"github.com/fireflytray/fireflytray/entry/quarantine"
 	"github.com/fireflytray/fireflytray/entry/queue"
 	"github.com/fireflytray/fireflytray/entryd"
 	"github.com/fireflytray/fireflytray/fleet"
@@ -31,6 +32,8 @@
 	LateLimit float64
 	// ShedAbove is that of entry.Options.
 	ShedAbove time.Duration
+	// Quarantine is that of entry.Options.
+	Quarantine quarantine.Config
 	// DemandFanout is that of entry.Options.
 	DemandFanout int
 	// Trace enables logging of the decisions about submissions.
@@ -75,6 +78,7 @@
 		Speeds:            o.Speeds,
 		LateLimit:         o.LateLimit,
 		ShedAbove:         o.ShedAbove,
+		Quarantine:        o.Quarantine,
 		Seed:              self.Incarnation,
 		DemandFanout:      o.DemandFanout,
 		Trace:             o.Trace,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -87,6 +87,12 @@
 	// ShedAbove is the median time of agents to an answer above which the entry
 	// sheds load; zero disables this.
 	ShedAbove time.Duration
+	// CrashOnset is the time from the start of a task within which it is expected to
+	// crash its upstream, if it does.
+	CrashOnset time.Duration
+	// QuarantineShare is the share of a service's agents to which a kind of tasks that
+	// crash upstreams is confined; zero confines none.
+	QuarantineShare float64
 	// PeerPort replaces the ports in Control unless it is zero.
 	PeerPort uint32
 	// Clients and Readiness are the HTTP host:ports for the platform's clients
@@ -224,6 +230,9 @@
 	maxPeerTimeout       = time.Minute
 	maxKeepaliveInterval = time.Minute
 	maxShedAbove         = time.Minute
+	minCrashOnset        = time.Millisecond
+	maxCrashOnset        = time.Second
+	maxQuarantineShare   = 0.5
 	maxLateLimit         = 100
 	maxDemandFanout      = 1 << 12
 	maxDials             = 1 << 12
@@ -307,6 +316,8 @@
 		boolean(&e.Speeds, "placement", "speeds", "Whether tasks that only the faster upstreams end within the job's latency objective are placed on these; needs policy credits.").withDefault("false"),
 		duration(&e.ShedAbove, "limits", "shed-above", "Median time of agents to an answer above which this entry is short of processor or link: it closes some connections of the platform's clients after an answer, so that they use another entry, and refuses jobs that can't start in time. 0s disables this.", 0, maxShedAbove).withDefault("0s"),
 		number(&e.LateLimit, "placement", "late-limit", "Multiple of a job's latency objective until which its answer is of use to the caller; with the order urgent, a job that can't meet its objective waits that long behind those that can. 1 refuses it.", 1, maxLateLimit).withDefault("1"),
+		duration(&e.CrashOnset, "crashes", "onset", "Time from its start within which a task that crashes its upstream is expected to do so. Around the next start of a task under which an upstream has crashed, no other starts there for that long.", minCrashOnset, maxCrashOnset).withDefault("25ms"),
+		number(&e.QuarantineShare, "crashes", "quarantine-share", "Share of a service's agents on which the tasks of a route may run while these crash upstreams, so that other routes keep the rest; 0 confines none.", 0, maxQuarantineShare).withDefault("0"),
 		peerPort(&e.PeerPort),
 		boolean(&e.LogJobs, "process", "log-jobs", "Whether to log each answer and each decision about jobs that did not complete.").withDefault("true"),
 		count(&e.DemandFanout, "agents", "poke", "How many agents are notified at once of waiting tasks when no agent has credit.", 1, maxDemandFanout).withDefault("3"),
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -158,6 +158,11 @@
 	RunWithin time.Duration `msg:"e"`
 	// Kind groups tasks that are alike, such as those of one route.
 	Kind string `msg:"k,omitempty"`
+	// ApartFor is the time around the start of the task within which no other task may
+	// start at the upstream.
+	ApartFor time.Duration `msg:"p,omitempty"`
+	// Alone is set if nothing else may run at the upstream while the task runs.
+	Alone bool `msg:"l,omitempty"`
 }
 
 // Update is the one message type that an entry sends to an agent during a
--- a/wire/wire_gen.go
+++ b/wire/wire_gen.go
@@ -280,13 +280,21 @@
 func (z *Assignment) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
 	_ = zb0001Mask
 	if z.Kind == "" {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
+	if z.ApartFor == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.Alone == false {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -323,6 +331,16 @@
 			o = append(o, 0xa1, 0x6b)
 			o = msgp.AppendString(o, z.Kind)
 		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "p"
+			o = append(o, 0xa1, 0x70)
+			o = msgp.AppendDuration(o, z.ApartFor)
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "l"
+			o = append(o, 0xa1, 0x6c)
+			o = msgp.AppendBool(o, z.Alone)
+		}
 	}
 	return
 }
@@ -391,6 +409,18 @@
 				err = msgp.WrapError(err, "Kind")
 				return
 			}
+		case "p":
+			z.ApartFor, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ApartFor")
+				return
+			}
+		case "l":
+			z.Alone, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Alone")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -405,7 +435,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Assignment) Msgsize() (s int) {
-	s = 1 + 2 + z.ID.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Team) + 2 + z.Spec.Msgsize() + 2 + msgp.Float64Size + 2 + msgp.DurationSize + 2 + msgp.DurationSize + 2 + msgp.StringPrefixSize + len(z.Kind)
+	s = 1 + 2 + z.ID.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Team) + 2 + z.Spec.Msgsize() + 2 + msgp.Float64Size + 2 + msgp.DurationSize + 2 + msgp.DurationSize + 2 + msgp.StringPrefixSize + len(z.Kind) + 2 + msgp.DurationSize + 2 + msgp.BoolSize
 	return
 }
 
