agent, lease: a crash noticed by silence blames no task that has just started

The lease now tells failures at once (refused, reset) from timeouts; for the latter the time of the crash is unknown and only a task that ran alone is blamed. Test: TestSilentUpstreamBlamesNoStart.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -113,7 +113,7 @@
 		s.probed(ev)
 	case Silent:
 		if ev.Instance == s.up.Instance {
-			s.suspectCrash()
+			s.suspectCrash(!ev.Failed)
 			s.markUnreachable()
 		}
 	case Crashed:
--- a/agent/crash.go
+++ b/agent/crash.go
@@ -24,6 +24,8 @@
 	instance string
 	state    wire.CrashState
 	runs     []wire.CrashedRun
+	// timeUnknown is that of wire.Crash.
+	timeUnknown bool
 	// version is that of the last change.
 	version uint64
 }
@@ -48,7 +50,7 @@
 	var out []wire.Crash
 	for _, r := range c.list {
 		if r.version > e.crashVersion && now < r.at+crashTTL {
-			out = append(out, wire.Crash{Seq: r.seq, State: r.state, Age: now - r.at, Runs: r.runs})
+			out = append(out, wire.Crash{Seq: r.seq, State: r.state, Age: now - r.at, Runs: r.runs, TimeUnknown: r.timeUnknown})
 		}
 	}
 	e.crashVersion = c.version
@@ -77,9 +79,9 @@
 
 // suspectCrash records that the upstream does not answer. One that has announced its
 // end leaves as planned.
-func (s *State) suspectCrash() {
+func (s *State) suspectCrash(timeUnknown bool) {
 	if !s.up.leaving && len(s.running) > 0 && s.crashes.suspected(s.up.Instance) == nil {
-		s.addCrash(wire.CrashSuspected)
+		s.addCrash(wire.CrashSuspected, timeUnknown)
 	}
 }
 
@@ -93,7 +95,7 @@
 		return r.instance == instance && r.state == wire.CrashConfirmed
 	})
 	if !known && instance == s.up.Instance && len(s.running) > 0 {
-		s.addCrash(wire.CrashConfirmed)
+		s.addCrash(wire.CrashConfirmed, true)
 	}
 }
 
@@ -104,8 +106,8 @@
 	}
 }
 
-func (s *State) addCrash(state wire.CrashState) {
-	r := &crash{at: s.now, instance: s.up.Instance, runs: s.runsInProgress()}
+func (s *State) addCrash(state wire.CrashState, timeUnknown bool) {
+	r := &crash{at: s.now, instance: s.up.Instance, runs: s.runsInProgress(), timeUnknown: timeUnknown}
 	s.crashes.add(r)
 	s.setCrashState(r, state)
 }
--- a/agent/event.go
+++ b/agent/event.go
@@ -59,7 +59,12 @@
 }
 
 // Silent reports that the upstream does not answer calls.
-type Silent struct{ Instance string }
+type Silent struct {
+	Instance string
+	// Failed is set if the calls failed at once, as with a refused connection, so that
+	// the upstream has answered until a moment ago.
+	Failed bool
+}
 
 // Crashed reports that the process of an upstream has ended without leaving first.
 // It precedes the ends of its runs.
--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -127,7 +127,7 @@
 	r.byID[id] = added
 	i, _ := slices.BinarySearchFunc(r.crashes, added.at, func(c *crash, at time.Duration) int { return cmp.Compare(c.at, at) })
 	r.crashes = slices.Insert(r.crashes, i, added)
-	r.addHits(added, c.Runs)
+	r.addHits(added, c)
 	for i := range c.Runs {
 		run := &c.Runs[i]
 		if r.Standing(run.Task) != Guilty {
@@ -141,16 +141,17 @@
 	return guilty
 }
 
-func (r *Registry) addHits(c *crash, runs []wire.CrashedRun) {
+func (r *Registry) addHits(c *crash, news *wire.Crash) {
+	isFresh := func(run *wire.CrashedRun) bool { return !news.TimeUnknown && run.Ran <= r.cfg.Onset }
 	fresh := 0
-	for i := range runs {
-		if runs[i].Ran <= r.cfg.Onset {
+	for i := range news.Runs {
+		if isFresh(&news.Runs[i]) {
 			fresh++
 		}
 	}
-	for i := range runs {
-		run := &runs[i]
-		h := hit{crash: c, fresh: run.Ran <= r.cfg.Onset, alone: len(runs) == 1}
+	for i := range news.Runs {
+		run := &news.Runs[i]
+		h := hit{crash: c, fresh: isFresh(run), alone: len(news.Runs) == 1}
 		h.sole = h.fresh && fresh == 1
 		// Reports of different agents arrive in any order.
 		hits := append(r.tasks[run.Task], h)
--- a/entry/quarantine/quarantine_test.go
+++ b/entry/quarantine/quarantine_test.go
@@ -82,6 +82,21 @@
 	require.Equal(t, Suspected, f.r.Standing("x"))
 }
 
+// An upstream that falls silent may have crashed long before its agent noticed. What has
+// started meanwhile is not to blame.
+func TestSilentUpstreamBlamesNoStart(t *testing.T) {
+	f := newFleet(0.25)
+	for i := range 4 {
+		f.r.Report(time.Duration(i)*time.Second/2, elevenAgents[i], 1, &wire.Crash{
+			Seq: 1, State: wire.CrashSuspected, TimeUnknown: true,
+			Runs: []wire.CrashedRun{run(fmt.Sprint(i), "k", 10*ms), run("old", "k", time.Second)},
+		})
+	}
+	require.Empty(t, f.confined(2*time.Second))
+	require.Equal(t, Clear, f.r.Standing("3"))
+	require.Equal(t, Recurring, f.r.Standing("old"))
+}
+
 // An entry that starts late gets the crashes of each agent at once, in the order in
 // which it connects to them, and finds the same.
 func TestOrderOfReportsDoesNotMatter(t *testing.T) {
--- a/lease/hold.go
+++ b/lease/hold.go
@@ -97,11 +97,17 @@
 	}
 }
 
+// timeoutMargin is how long before its deadline a hold may fail because of it.
+const timeoutMargin = 5 * time.Millisecond
+
 // holdFailed counts a hold without an answer. The hold is harmless if it is
 // carried out late: its lease has expired, and the ended runs that it
 // acknowledges have been handled.
 func (s *State) holdFailed(h hold) {
 	s.failures++
+	if s.now >= h.deadline-timeoutMargin {
+		s.timeouts++
+	}
 	s.lossyUntil = s.now + s.cfg.LossyFor
 	if s.failures > 1 {
 		s.retryAt = s.now + retryDelay
@@ -110,14 +116,14 @@
 		s.notify(agent.Probed{Instance: h.probe})
 	}
 	if s.failures == failuresToSuspect {
-		s.log("upstream does not answer", "instance", s.upstream.Instance, "failures", s.failures)
-		s.notify(agent.Silent{Instance: s.upstream.Instance})
+		s.log("upstream does not answer", "instance", s.upstream.Instance, "failures", s.failures, "timeouts", s.timeouts)
+		s.notify(agent.Silent{Instance: s.upstream.Instance, Failed: s.timeouts == 0})
 	}
 }
 
 // handleView handles the lists in the answer to a hold.
 func (s *State) handleView(h hold, v View) {
-	s.failures, s.retryAt = 0, 0
+	s.failures, s.timeouts, s.retryAt = 0, 0, 0
 	s.observeClock(v.Clock)
 	if h.probe != "" {
 		s.notify(agent.Probed{Instance: h.probe, OK: true})
--- a/lease/state.go
+++ b/lease/state.go
@@ -148,8 +148,9 @@
 	// lastEndSeq is the sequence number of the last ended run handled,
 	// ackedSeq the last one acknowledged.
 	lastEndSeq, ackedSeq uint64
-	// failures counts holds without an answer since the last answer.
-	failures int
+	// failures counts holds without an answer since the last answer, timeouts those of
+	// them that failed only when their time was over.
+	failures, timeouts int
 	// lossyUntil is when the normal time-outs apply again.
 	lossyUntil time.Duration
 	retryAt    time.Duration
@@ -291,7 +292,7 @@
 	s.holds = s.holds[:0]
 	clear(s.unknownRuns)
 	s.stops = s.stops[:0]
-	s.failures, s.retryAt, s.ackAt = 0, 0, 0
+	s.failures, s.timeouts, s.retryAt, s.ackAt = 0, 0, 0, 0
 }
 
 // start starts a run. A start past its StartBy is not sent.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -295,6 +295,9 @@
 	Age time.Duration `msg:"a"`
 	// Runs are the runs in progress, those that had started last first.
 	Runs []CrashedRun `msg:"r"`
+	// TimeUnknown is set if the upstream may have crashed long before the agent
+	// noticed, as when calls time out.
+	TimeUnknown bool `msg:"u,omitempty"`
 }
 
 // CrashedRun is a run that was in progress when its upstream crashed.
--- a/wire/wire_gen.go
+++ b/wire/wire_gen.go
@@ -1119,30 +1119,48 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Crash) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "q"
-	o = append(o, 0x84, 0xa1, 0x71)
-	o = msgp.AppendUint64(o, z.Seq)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint8(o, uint8(z.State))
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendDuration(o, z.Age)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
-	for za0001 := range z.Runs {
-		// map header, size 3
-		// string "t"
-		o = append(o, 0x83, 0xa1, 0x74)
-		o = msgp.AppendString(o, z.Runs[za0001].Task)
-		// string "k"
-		o = append(o, 0xa1, 0x6b)
-		o = msgp.AppendString(o, z.Runs[za0001].Kind)
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.TimeUnknown == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "q"
+		o = append(o, 0xa1, 0x71)
+		o = msgp.AppendUint64(o, z.Seq)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendUint8(o, uint8(z.State))
 		// string "a"
 		o = append(o, 0xa1, 0x61)
-		o = msgp.AppendDuration(o, z.Runs[za0001].Ran)
+		o = msgp.AppendDuration(o, z.Age)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
+		for za0001 := range z.Runs {
+			// map header, size 3
+			// string "t"
+			o = append(o, 0x83, 0xa1, 0x74)
+			o = msgp.AppendString(o, z.Runs[za0001].Task)
+			// string "k"
+			o = append(o, 0xa1, 0x6b)
+			o = msgp.AppendString(o, z.Runs[za0001].Kind)
+			// string "a"
+			o = append(o, 0xa1, 0x61)
+			o = msgp.AppendDuration(o, z.Runs[za0001].Ran)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "u"
+			o = append(o, 0xa1, 0x75)
+			o = msgp.AppendBool(o, z.TimeUnknown)
+		}
 	}
 	return
 }
@@ -1253,6 +1271,12 @@
 					}
 				}
 			}
+		case "u":
+			z.TimeUnknown, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TimeUnknown")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1271,6 +1295,7 @@
 	for za0001 := range z.Runs {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Runs[za0001].Task) + 2 + msgp.StringPrefixSize + len(z.Runs[za0001].Kind) + 2 + msgp.DurationSize
 	}
+	s += 2 + msgp.BoolSize
 	return
 }
 
