--- a/entry/pace.go
+++ b/entry/pace.go
@@ -57,9 +57,6 @@
 // pick returns the agent for task i of a submission, or nil if it has to wait.
 func (e *Entry) pick(s *service, sub *submission, i uint32) (*placement.Agent, forecastEnd) {
 	need := sub.sub.Tasks[i].Need
-	if s.base != nil && e.opts.Policy.LateBinding() {
-		return placement.Packed{}.Pick(s.pool, need), forecastEnd{}
-	}
 	if !e.opts.Speeds {
 		return e.opts.Policy.Pick(s.pool, need), forecastEnd{}
 	}
--- a/entry/placement/policy.go
+++ b/entry/placement/policy.go
@@ -27,25 +27,6 @@
 	return best
 }
 
-// Packed fills the agents in the order of their ids. Tasks of a job then share few
-// upstreams, and all entries choose the same ones, so that a crash takes few jobs with
-// it and the last agents stay in reserve.
-type Packed struct{}
-
-// LateBinding returns true.
-func (Packed) LateBinding() bool { return true }
-
-// Pick returns the available agent with the lowest id that fits.
-func (Packed) Pick(p *Pool, need task.Resources) *Agent {
-	var first *Agent
-	for _, a := range p.available {
-		if a.fitsNow(need) && (first == nil || a.ID < first.ID) {
-			first = a
-		}
-	}
-	return first
-}
-
 // Random sends each task immediately to a random agent. It serves as the
 // baseline.
 type Random struct{}
