lease: a start that the upstream may never have seen is not blamed for its crash

What callers saw: a sound job shown as failed (crashes_upstreams). Cause: an idle upstream that has crashed is noticed by the next start at it, and a busy one some milliseconds late under load; the runs whose starts got no answer looked as if they had just started there, and as the only ones. The lease now leaves out runs without an answer unless the upstream answered something in the 10 ms before.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -113,11 +113,11 @@
 		s.probed(ev)
 	case Silent:
 		if ev.Instance == s.up.Instance {
-			s.suspectCrash(!ev.Failed)
+			s.suspectCrash(!ev.Failed, ev.Unstarted)
 			s.markUnreachable()
 		}
 	case Crashed:
-		s.confirmCrash(ev.Instance)
+		s.confirmCrash(ev.Instance, ev.Unstarted)
 	case Stalled:
 		s.stalled(ev)
 	case Usage:
--- a/agent/crash.go
+++ b/agent/crash.go
@@ -79,14 +79,14 @@
 
 // suspectCrash records that the upstream does not answer. One that has announced its
 // end leaves as planned.
-func (s *State) suspectCrash(timeUnknown bool) {
-	if !s.up.leaving && len(s.running) > 0 && s.crashes.suspected(s.up.Instance) == nil {
-		s.addCrash(wire.CrashSuspected, timeUnknown)
+func (s *State) suspectCrash(timeUnknown bool, unstarted []RunID) {
+	if !s.up.leaving && s.crashes.suspected(s.up.Instance) == nil {
+		s.addCrash(wire.CrashSuspected, timeUnknown, unstarted)
 	}
 }
 
 // confirmCrash records that the process of an upstream has ended.
-func (s *State) confirmCrash(instance string) {
+func (s *State) confirmCrash(instance string, unstarted []RunID) {
 	if r := s.crashes.suspected(instance); r != nil {
 		s.setCrashState(r, wire.CrashConfirmed)
 		return
@@ -94,8 +94,8 @@
 	known := slices.ContainsFunc(s.crashes.list, func(r *crash) bool {
 		return r.instance == instance && r.state == wire.CrashConfirmed
 	})
-	if !known && instance == s.up.Instance && len(s.running) > 0 {
-		s.addCrash(wire.CrashConfirmed, true)
+	if !known && instance == s.up.Instance {
+		s.addCrash(wire.CrashConfirmed, true, unstarted)
 	}
 }
 
@@ -106,8 +106,13 @@
 	}
 }
 
-func (s *State) addCrash(state wire.CrashState, timeUnknown bool) {
-	r := &crash{at: s.now, instance: s.up.Instance, runs: s.runsInProgress(), timeUnknown: timeUnknown}
+// addCrash records a crash, unless nothing ran that may have caused it.
+func (s *State) addCrash(state wire.CrashState, timeUnknown bool, unstarted []RunID) {
+	runs := s.runsInProgress(unstarted)
+	if len(runs) == 0 {
+		return
+	}
+	r := &crash{at: s.now, instance: s.up.Instance, runs: runs, timeUnknown: timeUnknown}
 	s.crashes.add(r)
 	s.setCrashState(r, state)
 }
@@ -118,10 +123,14 @@
 	s.emit(UpstreamCrash{Instance: r.instance, State: state, Age: s.now - r.at, Runs: r.runs})
 }
 
-// runsInProgress describes the runs at the upstream, those started last first.
-func (s *State) runsInProgress() []wire.CrashedRun {
+// runsInProgress describes the runs at the upstream but those listed, those started last
+// first.
+func (s *State) runsInProgress(without []RunID) []wire.CrashedRun {
 	runs := make([]wire.CrashedRun, 0, len(s.running))
 	for _, r := range s.running {
+		if slices.Contains(without, r.run) {
+			continue
+		}
 		runs = append(runs, wire.CrashedRun{Task: s.ref(r).Task, Kind: r.kind, Ran: s.now - r.started})
 	}
 	slices.SortStableFunc(runs, func(a, b wire.CrashedRun) int { return cmp.Compare(a.Ran, b.Ran) })
--- a/lease/hold.go
+++ b/lease/hold.go
@@ -117,13 +117,13 @@
 	}
 	if s.failures == failuresToSuspect {
 		s.log("upstream does not answer", "instance", s.upstream.Instance, "failures", s.failures, "timeouts", s.timeouts)
-		s.notify(agent.Silent{Instance: s.upstream.Instance, Failed: s.timeouts == 0})
+		s.notify(agent.Silent{Instance: s.upstream.Instance, Failed: s.timeouts == 0, Unstarted: s.unstarted()})
 	}
 }
 
 // handleView handles the lists in the answer to a hold.
 func (s *State) handleView(h hold, v View) {
-	s.failures, s.timeouts, s.retryAt = 0, 0, 0
+	s.failures, s.timeouts, s.retryAt, s.answeredAt = 0, 0, 0, s.now
 	s.observeClock(v.Clock)
 	if h.probe != "" {
 		s.notify(agent.Probed{Instance: h.probe, OK: true})
--- a/lease/state.go
+++ b/lease/state.go
@@ -156,6 +156,8 @@
 	retryAt    time.Duration
 	ackAt      time.Duration
 
+	// answeredAt is when the upstream last answered a call.
+	answeredAt time.Duration
 	// clock is the upstream's clock at the local time clockAt.
 	clock   time.Duration
 	clockAt time.Duration
@@ -279,10 +281,26 @@
 // announced that it would.
 func (s *State) notifyCrash() {
 	if s.haveUpstream && !s.upstream.Draining {
-		s.notify(agent.Crashed{Instance: s.upstream.Instance})
+		s.notify(agent.Crashed{Instance: s.upstream.Instance, Unstarted: s.unstarted()})
 	}
 }
 
+// aliveWithin is how long before the start of a run the upstream must have answered for
+// a run without an answer to count as one that it has seen. An idle upstream may have
+// crashed unnoticed before.
+const aliveWithin = 10 * time.Millisecond
+
+// unstarted returns the runs that the upstream may never have seen.
+func (s *State) unstarted() []agent.RunID {
+	var out []agent.RunID
+	for _, r := range s.sortedRuns() {
+		if r.phase != phaseRunning && s.answeredAt < r.startedAt-aliveWithin {
+			out = append(out, r.Run)
+		}
+	}
+	return out
+}
+
 // endAllRuns ends every run and drops all holds, because the process that ran
 // them no longer exists.
 func (s *State) endAllRuns() {
@@ -380,6 +398,9 @@
 		return
 	}
 	s.observeClock(ev.Clock)
+	if ev.Result != StartLost {
+		s.answeredAt = s.now
+	}
 	switch ev.Result {
 	case StartAccepted:
 		r.phase, r.lastCall = phaseRunning, s.lastCallID
