--- a/agent/run.go
+++ b/agent/run.go
@@ -172,6 +172,9 @@
 	return nil
 }
 
+// neverWhileRunning is later than any time.
+const neverWhileRunning = time.Duration(math.MaxInt64)
+
 // mayJoin reports whether a task may start beside the runs in progress, as far as it or
 // one of them has to be kept apart from others.
 func (s *State) mayJoin(r *record) bool {
@@ -196,8 +199,6 @@
 	return at
 }
 
-const neverWhileRunning = time.Duration(math.MaxInt64)
-
 // start takes a task from the queue and starts it at the upstream.
 func (s *State) start(r *record) {
 	s.queue.remove(r)
