--- a/entry/quarantine/confinement.go
+++ b/entry/quarantine/confinement.go
@@ -22,10 +22,9 @@
 	// cause is likelier than tasks.
 	simultaneous = 5 * time.Millisecond
 	// calmTime is how long no task of a confined kind may have crashed an upstream
-	// before the kind is released. It doubles with each confinement that follows the
-	// last within relapseTime, up to maxCalmTime.
+	// before the kind is released. It is doubled if the confinement follows the last
+	// one within relapseTime.
 	calmTime    = 2 * time.Second
-	maxCalmTime = 16 * time.Second
 	relapseTime = 10 * time.Second
 	// runsToRelease is the number of runs of the kind that must have ended meanwhile,
 	// since a kind of which nothing runs crashes nothing.
@@ -49,8 +48,8 @@
 	survived  int
 	calm      time.Duration
 	endedAt   time.Duration
-	// confessed is set if a task of the kind is guilty and the kind not yet confined.
-	confessed bool
+	// guiltyTask is set if a task of the kind is guilty and the kind not yet confined.
+	guiltyTask bool
 }
 
 // Confinement describes a confined kind.
@@ -60,10 +59,10 @@
 	Since  time.Duration
 }
 
-// confess records that a task of a kind is guilty.
-func (r *Registry) confess(now time.Duration, kind string) {
+// noteGuiltyTask records that a task of a kind is guilty.
+func (r *Registry) noteGuiltyTask(now time.Duration, kind string) {
 	k := r.kind(kind)
-	k.confessed = !k.active
+	k.guiltyTask = !k.active
 	k.lastCrash, k.survived = now, 0
 }
 
@@ -88,12 +87,12 @@
 		}
 	}
 	for r.cfg.Share > 0 {
-		kind, evidence := r.accused(now)
+		kind, evidence := r.kindToConfine(now)
 		if kind == "" {
 			break
 		}
 		k := r.kind(kind)
-		k.confessed = false
+		k.guiltyTask = false
 		k.agents = r.chooseAgents(kind, evidence, agents)
 		if len(k.agents) == 0 {
 			break
@@ -108,7 +107,7 @@
 func (k *confinement) begin(now time.Duration) {
 	k.calm = calmTime
 	if k.endedAt > 0 && now-k.endedAt < relapseTime {
-		k.calm = min(2*k.calm, maxCalmTime)
+		k.calm = 2 * calmTime
 	}
 	k.active, k.since, k.lastCrash, k.survived = true, now, now, 0
 }
@@ -137,9 +136,9 @@
 	}
 }
 
-// accused returns a kind to confine, with the crashes that it explains, or none. Such a
+// kindToConfine returns a kind to confine, with the crashes that it explains, or none. Such a
 // kind has a guilty task, or explains enough crashes, and more than any other.
-func (r *Registry) accused(now time.Duration) (string, []*crash) {
+func (r *Registry) kindToConfine(now time.Duration) (string, []*crash) {
 	byKind := make(map[string][]*crash)
 	for _, c := range r.unexplained(now) {
 		for _, kind := range c.fresh {
@@ -151,7 +150,7 @@
 		}
 	}
 	for _, kind := range slices.Sorted(maps.Keys(r.kinds)) {
-		if r.kinds[kind].confessed {
+		if r.kinds[kind].guiltyTask {
 			return kind, byKind[kind]
 		}
 	}
--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -34,9 +34,9 @@
 	// retention is how long a crash counts. Jobs and the resubmissions of their
 	// callers end sooner.
 	retention = time.Minute
-	// crashesToConvict is the number of crashes under a task after which it may be
+	// crashesForProof is the number of crashes under a task after which it may be
 	// given up.
-	crashesToConvict = 2
+	crashesForProof = 2
 )
 
 // Standing is what the crashes say about a task.
@@ -135,7 +135,7 @@
 		}
 		guilty = append(guilty, run.Task)
 		if run.Kind != "" {
-			r.confess(now, run.Kind)
+			r.noteGuiltyTask(now, run.Kind)
 		}
 	}
 	return guilty
@@ -196,12 +196,12 @@
 			fresh++
 		}
 		// Of two crashes, the later one must point at this task and no other.
-		proof = proof || h.alone && all >= crashesToConvict || h.sole && fresh >= crashesToConvict
+		proof = proof || h.alone && all >= crashesForProof || h.sole && fresh >= crashesForProof
 	}
 	switch {
 	case proof:
 		return Guilty
-	case all >= crashesToConvict:
+	case all >= crashesForProof:
 		return Recurring
 	case fresh > 0:
 		return Suspected
