--- a/lease/crash_test.go
+++ b/lease/crash_test.go
@@ -49,7 +49,7 @@
 			b.now += idle
 			b.step(startEvent(firstRun, "a"))
 			b.step(StartAnswered{Call: b.starts[0].Call, Result: StartLost})
-			for len(b.s.holds) > 0 && b.s.failures < failuresToSuspect {
+			for len(b.s.holds) > 0 && !b.s.silence.reported {
 				b.step(HoldAnswered{Call: b.s.holds[0].call, Result: HoldLost})
 			}
 			want := agent.Silent{Instance: instance, Failed: true}
--- a/lease/hold.go
+++ b/lease/hold.go
@@ -16,14 +16,11 @@
 	if !s.haveUpstream {
 		return
 	}
-	wait, answerTimeout := s.cfg.Wait, s.cfg.AnswerTimeout
-	if s.now < s.lossyUntil {
-		wait, answerTimeout = s.cfg.LossyWait, s.cfg.LossyAnswerTimeout
-	}
+	wait, answerTimeout := s.waits()
 	if !longPoll {
 		wait = 0
 	}
-	h := hold{call: s.nextCall(), deadline: s.now + wait + answerTimeout, fence: s.fence, longPoll: longPoll, probe: probe}
+	h := hold{call: s.nextCall(), sentAt: s.now, deadline: s.now + wait + answerTimeout, fence: s.fence, longPoll: longPoll, probe: probe}
 	eff := HoldCall{
 		Call: h.call, Target: s.target, AckSeq: s.lastEndSeq, Fence: s.fence,
 		Wait: wait, AnswerTimeout: answerTimeout,
@@ -36,6 +33,23 @@
 	s.emit(eff)
 }
 
+// waits returns how long the upstream may delay the answer to a long poll now, and how
+// long an answer may take beyond that.
+func (s *State) waits() (wait, answerTimeout time.Duration) {
+	if s.now < s.lossyUntil {
+		return s.cfg.LossyWait, s.cfg.LossyAnswerTimeout
+	}
+	return s.cfg.Wait, s.cfg.AnswerTimeout
+}
+
+// awaitsHold reports whether the answer to a hold is due no later than that to a long
+// poll sent now would be. One that was sent before answers were lost may be due much
+// later.
+func (s *State) awaitsHold() bool {
+	wait, answerTimeout := s.waits()
+	return slices.ContainsFunc(s.holds, func(h hold) bool { return h.deadline <= s.now+wait+answerTimeout })
+}
+
 // probe checks for the agent whether the upstream answers.
 func (s *State) probe(instance string) {
 	if !s.haveUpstream || instance != s.upstream.Instance {
@@ -45,17 +59,17 @@
 	s.sendHold(false, instance)
 }
 
-// maintainHold keeps a hold in flight while there are runs, and acknowledges the
-// last ended runs once there are none.
+// maintainHold keeps a hold in flight while there are runs or the upstream is silent,
+// and acknowledges the last ended runs once there are none.
 func (s *State) maintainHold() {
 	if !s.haveUpstream || s.now < s.retryAt {
 		return
 	}
 	switch {
-	case len(s.holds) > 0:
+	case s.awaitsHold():
 	case len(s.runs) > 0 || len(s.unknownRuns) > 0:
 		s.sendHold(true, "")
-	case !s.reconciled:
+	case !s.reconciled || s.silence.reported:
 		s.requestLists()
 	case s.ackedSeq < s.lastEndSeq && s.ackAt == 0:
 		s.ackAt = s.now + idleAckDelay
@@ -97,33 +111,9 @@
 	}
 }
 
-// timeoutMargin is how long before its deadline a hold may fail because of it.
-const timeoutMargin = 5 * time.Millisecond
-
-// holdFailed counts a hold without an answer. The hold is harmless if it is
-// carried out late: its lease has expired, and the ended runs that it
-// acknowledges have been handled.
-func (s *State) holdFailed(h hold) {
-	s.failures++
-	if s.now >= h.deadline-timeoutMargin {
-		s.timeouts++
-	}
-	s.lossyUntil = s.now + s.cfg.LossyFor
-	if s.failures > 1 {
-		s.retryAt = s.now + retryDelay
-	}
-	if h.probe != "" {
-		s.notify(agent.Probed{Instance: h.probe})
-	}
-	if s.failures == failuresToSuspect {
-		s.log("upstream does not answer", "instance", s.upstream.Instance, "failures", s.failures, "timeouts", s.timeouts)
-		s.notify(agent.Silent{Instance: s.upstream.Instance, Failed: s.timeouts == 0, Unstarted: s.unstarted()})
-	}
-}
-
 // handleView handles the lists in the answer to a hold.
 func (s *State) handleView(h hold, v View) {
-	s.failures, s.timeouts, s.retryAt, s.answeredAt = 0, 0, 0, s.now
+	s.answered()
 	s.observeClock(v.Clock)
 	if h.probe != "" {
 		s.notify(agent.Probed{Instance: h.probe, OK: true})
@@ -265,12 +255,12 @@
 	}
 	// One hold without an answer may only mean that this process was paused; the
 	// next lists then show how each run ended.
-	if len(s.runs) == 0 || s.failures < failuresToSuspect || s.clockAt == 0 || s.now < s.leasesExpiredAt() {
+	if len(s.runs) == 0 || !s.silence.reported || s.clockAt == 0 || s.now < s.leasesExpiredAt() {
 		return
 	}
 	for _, r := range s.sortedRuns() {
 		if r.phase != phaseStarting {
-			s.log("lease expired", "task", r.key.task, "run", r.key.run, "failures", s.failures)
+			s.log("lease expired", "task", r.key.task, "run", r.key.run, "failures", s.silence.failures)
 			s.end(r, agent.EndCutOff)
 		}
 	}
@@ -297,7 +287,7 @@
 			add(p.sendAt)
 		}
 	}
-	if len(s.runs) > 0 && s.failures >= failuresToSuspect && s.clockAt > 0 {
+	if len(s.runs) > 0 && s.silence.reported && s.clockAt > 0 {
 		if at := s.leasesExpiredAt(); at > s.now {
 			add(at)
 		}
--- a/lease/state.go
+++ b/lease/state.go
@@ -52,9 +52,6 @@
 	// fenceIncrement is added to a token that the upstream rejected as too low,
 	// for example because a predecessor's wall clock was ahead.
 	fenceIncrement = 1 << 16
-	// failuresToSuspect is how many consecutive holds without an answer make
-	// the upstream count as unreachable.
-	failuresToSuspect = 2
 	// stopEffectTimeout is how long a run may go on after its stop was accepted
 	// before the stop is sent again.
 	stopEffectTimeout = 250 * time.Millisecond
@@ -116,6 +113,7 @@
 // requested a probe, empty for none.
 type hold struct {
 	call     CallID
+	sentAt   time.Duration
 	deadline time.Duration
 	fence    uint64
 	longPoll bool
@@ -148,9 +146,7 @@
 	// lastEndSeq is the sequence number of the last ended run handled,
 	// ackedSeq the last one acknowledged.
 	lastEndSeq, ackedSeq uint64
-	// failures counts holds without an answer since the last answer, timeouts those of
-	// them that failed only when their time was over.
-	failures, timeouts int
+	silence              silence
 	// lossyUntil is when the normal time-outs apply again.
 	lossyUntil time.Duration
 	retryAt    time.Duration
@@ -310,7 +306,7 @@
 	s.holds = s.holds[:0]
 	clear(s.unknownRuns)
 	s.stops = s.stops[:0]
-	s.failures, s.timeouts, s.retryAt, s.ackAt = 0, 0, 0, 0
+	s.silence, s.retryAt, s.ackAt = silence{}, 0, 0
 }
 
 // start starts a run. A start past its StartBy is not sent.
@@ -362,7 +358,7 @@
 // upstream does not answer, may have runs of a predecessor or does not carry out
 // a stop.
 func (s *State) mayRenew() bool {
-	return s.reconciled && s.failures < failuresToSuspect && !slices.ContainsFunc(s.stops, s.isIneffective)
+	return s.reconciled && !s.silence.reported && !slices.ContainsFunc(s.stops, s.isIneffective)
 }
 
 // startLeaseEnd returns the end of the lease in a start. If the leases may not be
@@ -398,8 +394,8 @@
 		return
 	}
 	s.observeClock(ev.Clock)
-	if ev.Result != StartLost {
-		s.answeredAt = s.now
+	if ev.Result.answered() {
+		s.answered()
 	}
 	switch ev.Result {
 	case StartAccepted:
--- a/lease/stop.go
+++ b/lease/stop.go
@@ -58,8 +58,11 @@
 // whether the run has ended. The token is raised after a stop without an answer,
 // so that the stop can't be carried out late.
 func (s *State) stopAnswered(ev StopAnswered) {
-	if ev.Result == StopLost {
+	switch ev.Result {
+	case StopLost:
 		s.fence++
+	case StopAccepted, StopFenced:
+		s.answered()
 	}
 	if i := slices.IndexFunc(s.stops, func(p *pendingStop) bool { return p.call == ev.Call }); i >= 0 {
 		s.scheduleStop(s.stops[i], ev.Result)
--- a/lease/types.go
+++ b/lease/types.go
@@ -167,6 +167,12 @@
 	StartWrongInstance
 )
 
+// answered reports whether the upstream's process has answered. One that is unhealthy
+// may refuse everything.
+func (r StartResult) answered() bool {
+	return r != StartLost && r != StartUnhealthy && r != StartWrongInstance
+}
+
 // StopResult is an upstream's answer to a stop.
 type StopResult uint8
 
