--- a/cmd/fireflytray-agent/main.go
+++ b/cmd/fireflytray-agent/main.go
@@ -28,6 +28,10 @@
 	}, os.Args[1:], os.Stdout, os.Stderr))
 }
 
+// minQueue is the number of tasks that may wait at an agent however small queue-share is.
+// It hides the way to the entry and back when a slot falls free.
+const minQueue = 1
+
 func run(ctx context.Context, rt daemon.Runtime, s *settings.Agent) error {
 	policy, ok := agent.PolicyByName(s.Credit)
 	if !ok {
@@ -39,7 +43,7 @@
 		Upstream: s.Upstream,
 		Rack:     s.Rack,
 		Leased:   leasedUpstream(rt, s),
-		Agent:    agent.Config{Policy: policy, QueueShare: s.QueueShare, OrphanAfter: s.OrphanAfter, Trace: s.LogTasks},
+		Agent:    agent.Config{Policy: policy, QueueShare: s.QueueShare, QueueMin: minQueue, OrphanAfter: s.OrphanAfter, Trace: s.LogTasks},
 		Offered: task.Resources{
 			MilliCPU:     s.Processors * 1000,
 			MemoryMB:     s.MemoryMB,
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -154,13 +154,15 @@
 	e.sendDemand(s, rank)
 }
 
-// demandDue repeats the demand announcement while the entry is starved.
+// demandDue repeats the demand announcement while the entry is starved, under
+// queue.Urgent as long as tasks wait: an agent that does not know of them gives its next
+// slot to less urgent tasks of another entry.
 func (e *Entry) demandDue(s *service) {
 	if s.q.Len() == 0 {
 		s.demandNotified = false
 		return
 	}
-	if e.starved(s) {
+	if e.starved(s) || e.urgentWaits(s) {
 		_, rank := s.q.Head(e.now)
 		s.notifiedRank = rank
 		e.sendDemand(s, rank)
@@ -168,6 +170,12 @@
 	e.arm(timer{at: e.now + demandInterval, kind: timerDemand, svc: s})
 }
 
+// urgentWaits reports whether tasks wait that must not yield to those of other entries.
+// Jobs that are served late for want of room yield.
+func (e *Entry) urgentWaits(s *service) bool {
+	return e.opts.Order == queue.Urgent && (!e.lateService() || s.q.Len() > s.q.LateLen())
+}
+
 // starved reports whether the entry's tasks occupy less than half of its even
 // share of a service's slots.
 func (e *Entry) starved(s *service) bool {
@@ -191,6 +199,20 @@
 	}
 }
 
+// declineCredit tells the agents that have just given credit for waiting tasks that none
+// waits any more, so that they offer their free slots to other entries at once.
+//
+// The load pattern that it answers is that of several entries near the room of their
+// upstreams: an entry asks many agents for slots and needs few of them.
+func (e *Entry) declineCredit() {
+	for _, a := range e.credited {
+		if a.link == linkOpen && a.Credit > 0 && a.sentDemand > 0 && a.svc.q.Len() == 0 {
+			e.markDirty(a)
+		}
+	}
+	e.credited = e.credited[:0]
+}
+
 // flush sends one update to each agent marked dirty.
 func (e *Entry) flush() {
 	for _, a := range e.dirty {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -141,11 +141,13 @@
 	dials         dialQueue
 	timers        timers
 	dirty         []*agent // agents to flush at the end of the step
-	active        []*service
-	draining      bool
-	drained       bool
-	turnaround    turnaround
-	stats         Stats
+	// credited lists the agents whose reports in this step gave credit for waiting tasks.
+	credited   []*agent
+	active     []*service
+	draining   bool
+	drained    bool
+	turnaround turnaround
+	stats      Stats
 }
 
 // service is the state of one service.
@@ -253,6 +255,7 @@
 	e.advanceLocks()
 	e.fireTimers()
 	e.dispatchActive()
+	e.declineCredit()
 	e.startDials()
 	e.flush()
 	e.checkDrained()
@@ -301,8 +304,7 @@
 			q:    queue.New(e.opts.Order),
 			pool: placement.NewPool(e.opts.Seed ^ uint64(len(e.services)+1)),
 
-			lateForecast: forecast{smoothing: lateSmoothing, expires: true},
-			forecast:     forecast{expires: e.lateService() || e.opts.ShedAbove > 0},
+			lateForecast: forecast{smoothing: lateSmoothing},
 
 			limit:   limit.New(e.now, 1, defaultMaxWaiting),
 			retries: retry.New(0, retryReserve),
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -345,3 +345,24 @@
 	require.Len(t, sent, 1)
 	require.Equal(t, r.Seq, sent[0].Update.Ack)
 }
+
+// An entry asks many agents for slots and needs few of them. Slots that it does not need
+// stayed reserved for it while tasks of other entries waited.
+func TestUnneededCreditIsDeclined(t *testing.T) {
+	f := newFixture(t, "a", "b")
+	f.e.opts.DemandFanout = 16
+	for _, a := range f.e.agents {
+		f.step(Received{Agent: a.ID, Session: a.session, Report: f.report(a.ID, 0)})
+	}
+	require.Len(t, sends(f.submit(1, job(1))), 2, "both agents are asked")
+	session := func(id string) uint64 { return f.e.agents[id].session }
+	placed := sends(f.step(Received{Agent: "a", Session: session("a"), Report: f.report("a", 1)}))
+	require.Len(t, placed, 1)
+	require.Len(t, placed[0].Update.Tasks, 1)
+	declined := sends(f.step(Received{Agent: "b", Session: session("b"), Report: f.report("b", 1)}))
+	require.Len(t, declined, 1)
+	require.Zero(t, declined[0].Update.Demand.Waiting)
+	require.Empty(t, declined[0].Update.Tasks)
+	again := sends(f.step(Received{Agent: "b", Session: session("b"), Report: f.report("b", 1)}))
+	require.Empty(t, again, "the agent knows that nothing waits")
+}
--- a/entry/forecast.go
+++ b/entry/forecast.go
@@ -33,10 +33,6 @@
 type forecast struct {
 	// smoothing is the weight of a new window; zero means forecastSmoothing.
 	smoothing float64
-	// expires is set if a rate counts after minForecastWindows windows only, as their
-	// mean at first, and for forecastTTL after the last one. Otherwise it counts after
-	// the first window and without end.
-	expires bool
 	// rate is in seconds of work per second.
 	rate float64
 	// windows counts the windows in rate.
@@ -73,10 +69,7 @@
 	}
 	f.measuredAt = now
 	f.windows++
-	weight := cmp.Or(f.smoothing, forecastSmoothing)
-	if f.expires || f.windows == 1 {
-		weight = max(weight, 1/float64(f.windows))
-	}
+	weight := max(cmp.Or(f.smoothing, forecastSmoothing), 1/float64(f.windows))
 	f.rate += weight * (f.placedWork/length - f.rate)
 }
 
@@ -88,14 +81,11 @@
 
 // stale reports whether the last window in the rate ended too long ago.
 func (f *forecast) stale(now time.Duration) bool {
-	return f.expires && now > f.measuredAt+forecastTTL
+	return now > f.measuredAt+forecastTTL
 }
 
 // known reports whether the rate rests on enough windows that are not stale.
 func (f *forecast) known(now time.Duration) bool {
-	if !f.expires {
-		return f.windows > 0
-	}
 	return f.windows >= minForecastWindows && !f.stale(now)
 }
 
--- a/entry/report.go
+++ b/entry/report.go
@@ -64,6 +64,9 @@
 	}
 	e.updateExpect(a)
 	e.markActive(a.svc)
+	if a.Credit > 0 && a.sentDemand > 0 {
+		e.credited = append(e.credited, a)
+	}
 }
 
 // applyCapacity applies the slots, load and run time ratio in a report. It
