--- a/e2e/control_test.go
+++ b/e2e/control_test.go
@@ -68,7 +68,7 @@
 	leader := c.leader()
 	for i, p := range c.controls {
 		if i != leader {
-			p.signal(t, syscall.SIGSTOP)
+			p.pause(t)
 		}
 	}
 	reply, err := c.applyAt(leader, "alone", base, "21s")
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -65,6 +67,38 @@
 	require.NoError(t, p.cmd.Process.Signal(s), "signal %v to %s", s, p.name)
 }
 
+// pause sends SIGSTOP to the process and waits until each of its threads has stopped,
+// which the kernel does some time after the signal.
+func (p *process) pause(t *testing.T) {
+	t.Helper()
+	p.signal(t, syscall.SIGSTOP)
+	dir := fmt.Sprintf("/proc/%d/task", p.cmd.Process.Pid)
+	require.Eventually(t, func() bool {
+		threads, err := os.ReadDir(dir)
+		if err != nil {
+			return false
+		}
+		for _, thread := range threads {
+			if threadState(filepath.Join(dir, thread.Name(), "stat")) != "T" {
+				return false
+			}
+		}
+		return len(threads) > 0
+	}, waitTimeout, time.Millisecond, "%s has not stopped", p.name)
+}
+
+// threadState returns the state in a stat file of /proc, the field after the name in
+// parentheses; empty if the file can't be read.
+func threadState(file string) string {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return ""
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	state, _, _ := strings.Cut(rest, " ")
+	return state
+}
+
 // kill sends SIGKILL to the process group and waits until the process exits.
 func (p *process) kill() {
 	if p.cmd == nil {
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -22,6 +22,7 @@
 	"github.com/fireflytray/fireflytray/entry/placement"
 	"github.com/fireflytray/fireflytray/entry/quarantine"
 	"github.com/fireflytray/fireflytray/entry/queue"
+	"github.com/fireflytray/fireflytray/entryd/hold"
 	"github.com/fireflytray/fireflytray/fleet"
 	"github.com/fireflytray/fireflytray/httpapi"
 	"github.com/fireflytray/fireflytray/logging"
@@ -153,7 +154,7 @@
 		drained:   make(chan struct{}),
 		meter:     newMeter(o.Scope),
 		jobs:      newJobs(),
-		holding:   newHolding(o.HoldUnconfigured),
+		holding:   newHolding(o.HoldUnconfigured, hold.DefaultRunReserve),
 		budget:    logging.NewBudget(logging.LinesPerSecond),
 	}
 	d.shedding.above = o.ShedAbove
--- a/entryd/hold/hold.go
+++ b/entryd/hold/hold.go
@@ -10,6 +10,7 @@
 package hold
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -20,16 +21,19 @@
 	Wait time.Duration
 	// Count and Bytes bound the requests held at a time and their bodies.
 	Count, Bytes int
+	// RunReserve is the part of the caller's time that a held request keeps for its run
+	// and the answer; zero means DefaultRunReserve.
+	RunReserve time.Duration
 }
 
+// DefaultRunReserve is the time for a short run and its answer.
+const DefaultRunReserve = 100 * time.Millisecond
+
 const (
 	// patience is the time after the start during which requests are held, in
 	// units of Limits.Wait. An entry that has no configuration by then is cut off
 	// from the control hosts, and its callers are served sooner elsewhere.
 	patience = 2
-	// runReserve is the part of the caller's time that a held request keeps for
-	// its run and the answer.
-	runReserve = 100 * time.Millisecond
 )
 
 // Request is a request for a job.
@@ -110,7 +114,7 @@
 func (g *Gate) Until(r *Request) time.Duration {
 	at := min(g.until, r.ArrivedAt+g.limits.Wait)
 	if r.Left > 0 {
-		at = min(at, r.ArrivedAt+r.Left-runReserve)
+		at = min(at, r.ArrivedAt+r.Left-cmp.Or(g.limits.RunReserve, DefaultRunReserve))
 	}
 	return at
 }
--- a/entryd/holding.go
+++ b/entryd/holding.go
@@ -55,8 +55,8 @@
 	}
 }
 
-func newHolding(wait time.Duration) *holding {
-	g := hold.New(0, hold.Limits{Wait: wait, Count: maxHeldRequests, Bytes: maxHeldBytes})
+func newHolding(wait, runReserve time.Duration) *holding {
+	g := hold.New(0, hold.Limits{Wait: wait, Count: maxHeldRequests, Bytes: maxHeldBytes, RunReserve: runReserve})
 	return &holding{
 		gate: g, turns: make(map[*hold.Request]*turn), room: newRoom(),
 		endsAt: g.Until(&hold.Request{ArrivedAt: 1 << 62}),
--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -161,11 +161,17 @@
 	}
 }
 
-// Serve serves until Shutdown is called or the listener fails.
-func (s *Server) Serve() error {
+// begin records that Serve is about to accept connections, so that a shutdown waits for
+// those in the backlog.
+func (s *Server) begin() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.begun = true
-	s.mu.Unlock()
+}
+
+// Serve serves until Shutdown is called or the listener fails.
+func (s *Server) Serve() error {
+	s.begin()
 	defer close(s.served)
 	if err := s.http.Serve(s.ln); err != nil && !s.stopping.Load() {
 		return fmt.Errorf("%s: serve on %s: %w", s.name, s.addr, err)
@@ -185,6 +191,7 @@
 			s.log.Error("connections cut off", "err", err)
 		}
 	}
+	s.begin()
 	stop := context.AfterFunc(ctx, shutdown)
 	err := s.Serve()
 	if stop() {
--- a/internal/httpserve/server_test.go
+++ b/internal/httpserve/server_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -17,6 +18,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
 )
 
 const testTimeout = 10 * time.Second
@@ -175,6 +177,33 @@
 	require.NoError(t, <-ended)
 }
 
+// A server that was told to stop before it had begun to serve closed its listener at
+// once, which reset the connections that the kernel had completed.
+func TestStopBeforeServingAnswersConnectionsInBacklog(t *testing.T) {
+	const rounds, atOnce = 40, 32
+	for range rounds {
+		var g errgroup.Group
+		for range atOnce {
+			s := newTestServer(t, func(*fasthttp.RequestCtx) {})
+			c := dial(t, s)
+			ctx, stop := context.WithCancel(context.Background())
+			g.Go(func() error { return s.Run(ctx, testTimeout) })
+			stop()
+			g.Go(func() error {
+				for !s.stopping.Load() {
+					runtime.Gosched()
+				}
+				if err := c.send(request); err != nil {
+					return err
+				}
+				_, err := c.receive()
+				return err
+			})
+		}
+		require.NoError(t, g.Wait())
+	}
+}
+
 // A client that never sends the rest of its request must not hold up the stop of
 // the server, and with it the drain of the process.
 func TestHalfRequestDoesNotHoldUpStop(t *testing.T) {
