--- a/entry/lock.go
+++ b/entry/lock.go
@@ -157,6 +157,10 @@
 		return
 	}
 	s.lock.majority = len(members)/2 + 1
+	if s.lock.stage == lockRequested && e.cutOffFromMajority(members) {
+		e.answerAbandoned(s, task.ReasonLockUnavailable)
+		return
+	}
 	asked := s.lock.countAsked()
 	for _, slow := range []bool{false, true} {
 		for _, a := range members {
@@ -169,6 +173,19 @@
 	e.checkLock(s)
 }
 
+// cutOffFromMajority reports whether too many members have been out of reach for so long
+// that no majority is to be had soon. An agent that was never connected may be just being
+// dialled.
+func (e *Entry) cutOffFromMajority(members []*agent) bool {
+	lost := 0
+	for _, a := range members {
+		if a.link != linkOpen && a.incarnation != 0 && e.now >= a.disconnectedAt+lockAnswerTimeout {
+			lost++
+		}
+	}
+	return len(members)-lost < len(members)/2+1
+}
+
 // anyKeepsLocks reports whether a connected agent keeps locks, also one that is not
 // in lockAgents because it has announced no service yet.
 func (e *Entry) anyKeepsLocks() bool {
--- a/entry/lock_test.go
+++ b/entry/lock_test.go
@@ -507,3 +507,41 @@
 	}
 	return f.step(DirectoryChanged{Directory: wire.Directory{Upserts: []wire.Member{{Peer: peer, Worker: &wire.Worker{Service: "svc"}}}}})
 }
+
+// An entry that was cut off from two of the three agents that keep a job's lock held the
+// job until its latest start, although it could not be served here.
+func TestJobWhoseLockIsOutOfReachIsRefusedAtOnce(t *testing.T) {
+	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3", "a4")
+	members := f.members()
+	disconnect := func(agent string) {
+		f.step(Disconnected{Agent: agent, Session: f.e.agents[agent].session})
+	}
+	disconnect(members[0])
+	f.wait(lockAnswerTimeout)
+	f.submit(1, jobWithRef(1))
+	require.Contains(t, f.e.subs, task.NewSubmissionID(1, 1), "two members are connected")
+	disconnect(members[1])
+	f.submit(2, jobWithRef(1))
+	require.Contains(t, f.e.subs, task.NewSubmissionID(1, 2), "the session may be opened again at once")
+	f.wait(lockAnswerTimeout)
+	got := answers(f.submit(3, jobWithRef(1)))
+	last := got[len(got)-1]
+	require.Equal(t, task.NewSubmissionID(1, 3), last.ID)
+	require.Equal(t, task.NotRun, last.State)
+	require.Equal(t, task.ReasonLockUnavailable, last.Reason)
+	require.Positive(t, last.RetryAfter)
+}
+
+// The share of jobs that an entry can't lock decides whether callers should use another
+// one.
+func TestUnlockableShareFollowsLostAgents(t *testing.T) {
+	var ids []string
+	for i := range 11 {
+		ids = append(ids, fmt.Sprintf("a%02d", i))
+	}
+	f := newLockFixture(t, testRunsEndWithin, ids...)
+	for lost, want := range []float64{0, 0, 0.055, 0.152, 0.279, 0.424} {
+		require.InDelta(t, want, f.e.View().Unlockable, 0.001, "%d lost", lost)
+		f.step(Disconnected{Agent: ids[lost], Session: f.e.agents[ids[lost]].session})
+	}
+}
--- a/entry/lockmembers.go
+++ b/entry/lockmembers.go
@@ -103,3 +103,23 @@
 	e.members = members
 	return members
 }
+
+// unlockable returns the share of jobs, by random members, whose lock this entry can't
+// get because it is cut off from a majority of their members; zero if no agent keeps
+// locks.
+func (e *Entry) unlockable() float64 {
+	n, lost := len(e.lockAgents), 0
+	for _, a := range e.lockAgents {
+		if a.link != linkOpen {
+			lost++
+		}
+	}
+	if n < lockMembers {
+		return 0
+	}
+	return float64(choose2(lost)*(n-lost)+choose3(lost)) / float64(choose3(n))
+}
+
+// choose2 and choose3 return the number of pairs and of triples of n things.
+func choose2(n int) int { return n * (n - 1) / 2 }
+func choose3(n int) int { return n * (n - 1) * (n - 2) / 6 }
--- a/entry/stats.go
+++ b/entry/stats.go
@@ -111,6 +111,8 @@
 	Draining  bool
 	// Turnaround is the median time of agents to an answer, zero if unknown.
 	Turnaround time.Duration
+	// Unlockable is about the share of jobs whose lock this entry can't get.
+	Unlockable float64
 	// Confined lists the kinds of tasks that may run on a few agents only.
 	Confined []ConfinedView
 }
@@ -132,6 +134,7 @@
 		Draining: e.draining,
 
 		Turnaround: e.turnaround.median(e.now),
+		Unlockable: e.unlockable(),
 	}
 	v.Stats.Answered = maps.Clone(e.stats.Answered)
 	v.Stats.Reasons = maps.Clone(e.stats.Reasons)
@@ -180,6 +183,7 @@
 	task.ReasonCrashesUpstreams:  "the task crashes the upstreams that start it",
 	task.ReasonQuarantined:       "requests of this kind crash upstreams, and those set aside for them are down",
 	task.ReasonEvacuated:         "all failure domains of the service are evacuated",
+	task.ReasonLockUnavailable:   "this entry is cut off from most agents that keep the job's lock, others may not be",
 	task.ReasonNeverFits:         "no worker offers what the task needs",
 	task.ReasonClaimedElsewhere:  "the idempotency key is held by a submission without an outcome yet",
 	task.ReasonClaimMismatch:     "the idempotency key was used for a different request",
@@ -204,7 +208,7 @@
 	case task.ReasonDeadline, task.ReasonOverload, task.ReasonBusy, task.ReasonStartExpired:
 		return s.svc.limit.RetryAfter(e.now, s.svc.waiting()+1)
 	case task.ReasonUpstreamGone, task.ReasonAgentGone, task.ReasonAgentRestarted,
-		task.ReasonDraining, task.ReasonSuspended, task.ReasonNeverReceived:
+		task.ReasonDraining, task.ReasonSuspended, task.ReasonNeverReceived, task.ReasonLockUnavailable:
 		return lostTaskRetryAfter
 	case task.ReasonEvacuated:
 		return evacuatedRetryAfter
--- a/entryd/isolation.go
+++ b/entryd/isolation.go
@@ -25,9 +25,16 @@
 	}
 }
 
-// updateIsolation sets the isolation flag if fewer than half of the known agents
-// are connected. If the agents themselves are down, every entry counts as
-// isolated, and the load balancer then uses all of them.
+// maxUnlockable is the share of jobs whose locks an entry can't get from which it sheds
+// its connections. With one agent lost there are none.
+const maxUnlockable = 0.1
+
+// updateIsolation sets the isolation flag if fewer than half of the known agents are
+// connected, or if too many jobs can't get their locks. If the agents themselves are
+// down, every entry counts as isolated, and the load balancer then uses all of them.
+//
+// The load pattern that it answers is that of a cut between some entries and some agents:
+// an entry that reaches half of them serves half of its callers, and others serve all.
 func (d *Daemon) updateIsolation(v entry.View) {
 	connected := 0
 	for _, a := range v.Agents {
@@ -35,13 +42,13 @@
 			connected++
 		}
 	}
-	isolated := 2*connected < len(v.Agents)
+	isolated := 2*connected < len(v.Agents) || v.Unlockable > maxUnlockable
 	if isolated == d.isolated.Swap(isolated) {
 		return
 	}
 	if isolated {
-		d.log.Warn("most agents are not connected", "connected", connected, "known", len(v.Agents))
+		d.log.Warn("cut off from too many agents", "connected", connected, "known", len(v.Agents), "unlockable", v.Unlockable)
 	} else {
-		d.log.Info("most agents are connected again", "connected", connected, "known", len(v.Agents))
+		d.log.Info("enough agents are connected again", "connected", connected, "known", len(v.Agents), "unlockable", v.Unlockable)
 	}
 }
--- a/entryd/isolation_test.go
+++ b/entryd/isolation_test.go
@@ -34,3 +34,15 @@
 		require.Equal(t, !c.accepts, d.ShedsConnections())
 	}
 }
+
+// An entry that reaches half of the agents, but can't get the locks of many jobs, served
+// half of its callers while others could have served all.
+func TestEntryThatCannotLockJobsShedsConnections(t *testing.T) {
+	d := New(Options{Log: log.New(io.Discard)})
+	d.configured.Store(true)
+	for unlockable, accepts := range map[float64]bool{0: true, 0.05: true, 0.15: false, 0.42: false} {
+		d.updateIsolation(entry.View{Unlockable: unlockable, Agents: []entry.AgentView{{Connected: true}, {Connected: true}, {}}})
+		require.Equal(t, accepts, d.Accepting(), "%v", unlockable)
+		require.Equal(t, !accepts, d.ShedsConnections())
+	}
+}
--- a/httpapi/problem.go
+++ b/httpapi/problem.go
@@ -85,6 +85,7 @@
 	task.ReasonUnknownTeam:       {fasthttp.StatusForbidden, "No such team"},
 	task.ReasonQuota:             {fasthttp.StatusTooManyRequests, "The team's quota is used up"},
 	task.ReasonOverload:          {fasthttp.StatusServiceUnavailable, "The service is overloaded"},
+	task.ReasonLockUnavailable:   {fasthttp.StatusServiceUnavailable, "The entry is cut off from the agents that keep the job's lock"},
 	task.ReasonBusy:              {fasthttp.StatusServiceUnavailable, "All workers are busy"},
 	task.ReasonDraining:          {fasthttp.StatusServiceUnavailable, "The process is shutting down"},
 	task.ReasonSuspended:         {fasthttp.StatusServiceUnavailable, "The worker is suspended"},
--- a/task/task.go
+++ b/task/task.go
@@ -176,7 +176,8 @@
 	ReasonEntryRestarted    Reason = "entry_restarted"        // the entry incarnation that sent the task will not reconnect
 	ReasonEntryGone         Reason = "entry_gone"             // the agent received no message from the entry for too long
 	ReasonCallerGone        Reason = "caller_gone"
-	ReasonSuperseded        Reason = "superseded" // the same job was submitted again
+	ReasonSuperseded        Reason = "superseded"       // the same job was submitted again
+	ReasonLockUnavailable   Reason = "lock_unavailable" // the entry is cut off from most agents that keep the job's lock
 	ReasonDuplicateTaskID   Reason = "duplicate_task_id"
 )
 
