--- a/entry/late.go
+++ b/entry/late.go
@@ -34,12 +34,7 @@
 // latestUsefulStart returns the latest start of a submission that arrives now after
 // which the answer is of use, or zero if a late answer never is.
 func (e *Entry) latestUsefulStart(sub *task.Submission, longest, deadline time.Duration) time.Duration {
-	switch {
-	case sub.Objective <= 0 || e.opts.Order != queue.Urgent:
-		return 0
-	case sub.Waited > max(0, sub.Objective-longest):
-		return e.now + deadline - returnMargin - longest
-	case !e.lateService():
+	if !e.lateService() || sub.Objective <= 0 {
 		return 0
 	}
 	useful := min(time.Duration(e.opts.LateLimit*float64(sub.Objective)), deadline-returnMargin)
--- a/entry/pace.go
+++ b/entry/pace.go
@@ -64,7 +64,7 @@
 		Need:          need,
 		RunTime:       sub.sub.Tasks[i].DeclaredRunTime,
 		Objective:     sub.sub.Objective,
-		Left:          sub.arrived + sub.sub.Objective - sub.sub.Waited - e.now,
+		Left:          sub.arrived + sub.sub.Objective - e.now,
 		UntilDeadline: sub.deadline - e.now,
 		First:         len(sub.ready) == len(sub.tasks) && !sub.held,
 		Tasks:         len(sub.tasks),
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -99,7 +99,7 @@
 	}
 	if s.sub.Objective > 0 {
 		run := svc.inTime.ShortestRun(e.now, svc.pool, s.job.LongestDeclared)
-		s.job.StartBy = e.now + s.sub.Objective - s.sub.Waited - run
+		s.job.StartBy = e.now + s.sub.Objective - run
 		s.latestUseful = e.latestUsefulStart(&s.sub, run, s.deadline-e.now)
 	}
 	return s
@@ -117,7 +117,7 @@
 	}
 	if s.sub.Objective > 0 {
 		e.arm(timer{at: s.arrived + s.sub.Objective/forecastCheckDivisor, kind: timerForecastCheck, sub: s})
-		e.arm(timer{at: max(s.job.StartBy, e.now), kind: timerLatestStart, sub: s})
+		e.arm(timer{at: s.job.StartBy, kind: timerLatestStart, sub: s})
 		e.armLateChecks(s)
 	}
 	if s.sub.Ref != "" {
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -178,7 +178,7 @@
 		return nil
 	}
 	wait, ok := svc.forecast.wait(e.now, svc.q.WorkAhead(sub.Priority))
-	slack := sub.Objective - sub.Waited - longestDeclared(sub)
+	slack := sub.Objective - longestDeclared(sub)
 	if !ok || wait <= slack || e.usefulLate(svc, sub) {
 		return nil
 	}
--- a/entryd/jobs.go
+++ b/entryd/jobs.go
@@ -202,7 +202,6 @@
 		return
 	}
 	c := &jobCaller{done: done, late: sub.Deadline > 0 && unread >= sub.Deadline}
-	sub.Waited = unread
 	if sub.Deadline > 0 {
 		sub.Deadline -= unread
 	}
--- a/task/submission.go
+++ b/task/submission.go
@@ -25,9 +25,6 @@
 	// Objective is the latency objective: the time within which an answer has
 	// its full value to the caller; zero if unknown.
 	Objective time.Duration
-	// Waited is how long the caller is known to have waited before the submission. It
-	// counts against Objective.
-	Waited time.Duration
 	// Route is the route on which the submission arrived; empty if it came
 	// through the native submission interface. Only a submission with a route
 	// may have no team.
