entry: remove late service

Jobs that can't meet their objective are refused as before by default. Tests: TestLateServiceThroughShortBurst and TestLateServiceUnderLastingOverload compared it with refusing; what they checked besides (the order by urgency against that of arrival, few held in vain) is checked by TestUrgentOrderThroughShortBurst and TestUrgentOrderUnderLastingOverload on the same loads and seeds. TestAssumedRateDecays tested a rate that only late work had.

--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -46,7 +46,6 @@
 		Speeds:     s.Speeds,
 		ShedAbove:  s.ShedAbove,
 		Quarantine: quarantine.Config{Share: s.QuarantineShare, Onset: s.CrashOnset},
-		LateLimit:  s.LateLimit,
 		Serve:      platformInterfaces(rt, s),
 
 		Trace:             s.LogJobs,
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -24,7 +24,7 @@
 // dispatch so that it does not block other jobs.
 func (e *Entry) dispatch(s *service) {
 	s.requeueDeferred()
-	s.observeForecasts(e.now, s.q.Len() > 0)
+	s.forecast.observe(e.now, s.q.Len() > 0)
 	s.inTime.Begin()
 	for {
 		j, rank := s.q.Head(e.now)
@@ -56,7 +56,7 @@
 	waiting := s.q.Len() > 0
 	s.requeueHeld()
 	e.notifyDemand(s)
-	s.observeForecasts(e.now, waiting)
+	s.forecast.observe(e.now, waiting)
 }
 
 // placeTask assigns task i of a submission to an agent and uses one credit. The
@@ -89,7 +89,7 @@
 	}
 	a.Used = a.Used.Add(spec.Need)
 	a.svc.pool.Changed(&a.Agent)
-	s.svc.addPlacedWork(&s.job)
+	s.svc.forecast.addPlacedWork(s.job.TaskRunTime().Seconds())
 	e.stats.Placed++
 	e.markDirty(a)
 }
@@ -162,7 +162,7 @@
 		s.demandNotified = false
 		return
 	}
-	if e.starved(s) || e.urgentWaits(s) {
+	if e.starved(s) || e.opts.Order == queue.Urgent {
 		_, rank := s.q.Head(e.now)
 		s.notifiedRank = rank
 		e.sendDemand(s, rank)
@@ -170,12 +170,6 @@
 	e.arm(timer{at: e.now + demandInterval, kind: timerDemand, svc: s})
 }
 
-// urgentWaits reports whether tasks wait that must not yield to those of other entries.
-// Jobs that are served late for want of room yield.
-func (e *Entry) urgentWaits(s *service) bool {
-	return e.opts.Order == queue.Urgent && (!e.lateService() || s.q.Len() > s.q.LateLen())
-}
-
 // starved reports whether the entry's tasks occupy less than half of its even
 // share of a service's slots.
 func (e *Entry) starved(s *service) bool {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,11 +56,6 @@
 	// Dials bounds the dials of agents in flight, so that the first sessions open
 	// soon on a small host; zero means no bound. Its settings key is dials.
 	Dials int
-	// LateLimit is the multiple of a submission's objective until which an answer
-	// is of use to its caller. A submission that can't meet its objective waits for
-	// an answer until then, behind all that can; up to 1, it is refused. It has an
-	// effect with the order queue.Urgent only. Its settings key is late-limit.
-	LateLimit float64
 	// ShedAbove is the median time of agents to an answer above which this entry
 	// counts as short of processor or link. It then refuses submissions on arrival
 	// that can't start in time. Zero disables this. Its settings key is shed-above.
@@ -174,10 +169,8 @@
 	runTimeRatio runTimeRatio
 	// forecast estimates how long a new job would wait.
 	forecast forecast
-	// lateForecast is that of late work, which is placed when no other waits.
-	lateForecast forecast
-	limit        *limit.Limiter
-	retries      *retry.Budget
+	limit    *limit.Limiter
+	retries  *retry.Budget
 	// inSystem counts the tasks that are admitted and whose submissions are not
 	// answered.
 	inSystem int
@@ -304,8 +297,6 @@
 			q:    queue.New(e.opts.Order),
 			pool: placement.NewPool(e.opts.Seed ^ uint64(len(e.services)+1)),
 
-			lateForecast: forecast{smoothing: lateSmoothing},
-
 			limit:   limit.New(e.now, 1, defaultMaxWaiting),
 			retries: retry.New(0, retryReserve),
 			crashes: quarantine.New(e.opts.Quarantine),
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -141,7 +141,6 @@
 	left := s.pool.Slots()
 	share := float64(left) / float64(left+lost)
 	s.forecast.scale(share)
-	s.lateForecast.scale(share)
 	s.limit.SetBounds(e.limitBounds(s))
 	s.limit.Scale(e.now, share)
 	e.recheckWaiting(s)
--- a/entry/forecast.go
+++ b/entry/forecast.go
@@ -1,9 +1,6 @@
 package entry
 
-import (
-	"cmp"
-	"time"
-)
+import "time"
 
 const (
 	// forecastWindow is the time over which one sample of the placement rate is
@@ -31,8 +28,6 @@
 // seconds after a long time without one, be it by a burst or because other entries
 // were lost: the rates of the two are unrelated.
 type forecast struct {
-	// smoothing is the weight of a new window; zero means forecastSmoothing.
-	smoothing float64
 	// rate is in seconds of work per second.
 	rate float64
 	// windows counts the windows in rate.
@@ -69,16 +64,10 @@
 	}
 	f.measuredAt = now
 	f.windows++
-	weight := max(cmp.Or(f.smoothing, forecastSmoothing), 1/float64(f.windows))
+	weight := max(forecastSmoothing, 1/float64(f.windows))
 	f.rate += weight * (f.placedWork/length - f.rate)
 }
 
-// assume sets the rate to a guess, which counts as much as all windows before.
-func (f *forecast) assume(now time.Duration, rate float64) {
-	f.rate, f.measuredAt = rate, now
-	f.windows = int(1 / cmp.Or(f.smoothing, forecastSmoothing))
-}
-
 // stale reports whether the last window in the rate ended too long ago.
 func (f *forecast) stale(now time.Duration) bool {
 	return now > f.measuredAt+forecastTTL
@@ -98,12 +87,7 @@
 	if !f.known(now) {
 		return 0, false
 	}
-	return f.placementTime(max(0, work-f.setAside)), true
-}
-
-// placementTime returns how long the placement of work, in seconds, takes at the rate.
-func (f *forecast) placementTime(work float64) time.Duration {
-	return time.Duration(work / max(f.rate, minForecastRate) * float64(time.Second))
+	return time.Duration(max(0, work-f.setAside) / max(f.rate, minForecastRate) * float64(time.Second)), true
 }
 
 // scale adjusts the rate to a change of the number of slots.
--- a/entry/forecast_test.go
+++ b/entry/forecast_test.go
@@ -58,21 +58,6 @@
 	require.InDelta(t, 0.1, wait.Seconds(), 0.02, "the old rate must not count in the new one")
 }
 
-// An assumed rate gives way to what is measured only gradually.
-func TestAssumedRateDecays(t *testing.T) {
-	f, now := &forecast{smoothing: lateSmoothing}, time.Second
-	f.observe(now, true)
-	f.assume(now, 100)
-	for range 10 {
-		window(f, &now, 0)
-	}
-	require.InDelta(t, 60, f.rate, 5, "after a second without room")
-	for range 40 {
-		window(f, &now, 0)
-	}
-	require.Less(t, f.rate, 10.0, "after five")
-}
-
 // A single window without a placement, and a rate from a fault that has passed, refused
 // jobs for waits of seconds while room was free. Neither says anything.
 func TestForecastNeedsRecentWindows(t *testing.T) {
--- a/entry/queue/queue.go
+++ b/entry/queue/queue.go
@@ -71,7 +71,6 @@
 	usage   decayingMean
 	backlog decayingMean
 	waiting int
-	late    int // waiting tasks of late jobs
 	running int // tasks dequeued and not yet ended
 	limit   int // maximum of running, 0 for no limit
 	pos     int // index in Queue.backlogged, -1 if no task waits
@@ -270,9 +269,6 @@
 	h := &t.classes[j.class]
 	h.remove(j)
 	t.work[j.class] -= j.work()
-	if j.late {
-		t.late -= int(j.waiting)
-	}
 	if len(*h) == 0 {
 		t.work[j.class] = 0
 		t.nonEmpty[j.class/64] &^= 1 << (j.class % 64)
@@ -307,47 +303,6 @@
 	return sum
 }
 
-// LateLen returns the number of waiting tasks of late jobs.
-func (q *Queue) LateLen() int {
-	n := 0
-	for _, t := range q.backlogged {
-		n += t.late
-	}
-	return n
-}
-
-// Demote ranks a job under Urgent with those that can no longer meet their
-// objective, even if it still could. It may be queued or not.
-func (q *Queue) Demote(j *Job) {
-	if q.order != Urgent || j.late {
-		return
-	}
-	if j.waiting == 0 {
-		j.late = true
-		return
-	}
-	j.team.remove(j)
-	j.late = true
-	q.insert(j.team, j)
-}
-
-// WorkAheadLate returns the declared run time, in seconds, of the waiting tasks
-// that rank before a new late job of the given priority under Urgent: that of jobs
-// which can be in time, and that of late jobs.
-func (q *Queue) WorkAheadLate(priority uint32) (inTime, late float64) {
-	last := int(min(priority, maxUrgentPriority)) + lateClass
-	for _, t := range q.backlogged {
-		for class := range last + 1 {
-			if class < lateClass {
-				inTime += t.work[class]
-			} else {
-				late += t.work[class]
-			}
-		}
-	}
-	return inTime, late
-}
-
 // WorkBefore returns the declared run time, in seconds, of the waiting tasks
 // that rank before a queued job under Urgent. The work in the job's own class
 // and team counts in proportion to the jobs of that class that precede it.
@@ -377,23 +332,6 @@
 	return j.team.work[j.class] * float64(before) / float64(len(sameClass))
 }
 
-// WorkBeforeLate is WorkAheadLate for a job that is late or would become so.
-func (q *Queue) WorkBeforeLate(j *Job) (inTime, late float64) {
-	if !j.late || j.waiting == 0 || j.team == nil {
-		return q.WorkAheadLate(j.Priority)
-	}
-	for _, t := range q.backlogged {
-		for class := range j.class {
-			if class < lateClass {
-				inTime += t.work[class]
-			} else {
-				late += t.work[class]
-			}
-		}
-	}
-	return inTime, late + j.workBeforeInClass()
-}
-
 // demote moves jobs that can no longer meet their objective to the classes of
 // late jobs.
 func (t *team) demote(now time.Duration) {
@@ -413,9 +351,6 @@
 	t.classes[j.class].push(j)
 	t.nonEmpty[j.class/64] |= 1 << (j.class % 64)
 	t.work[j.class] += j.work()
-	if j.late {
-		t.late += int(j.waiting)
-	}
 }
 
 // search returns the job with the lowest rank among the first jobs of all classes,
--- a/entry/stale_timers.go
+++ b/entry/stale_timers.go
@@ -5,7 +5,7 @@
 // stale reports whether the timer's handler would do nothing, now and later.
 func (t *timer) stale() bool {
 	switch t.kind {
-	case timerDeadline, timerInfeasible, timerForecastCheck, timerLatestStart, timerLatestUseful, timerLateCheck, timerLock:
+	case timerDeadline, timerInfeasible, timerForecastCheck, timerLatestStart, timerLock:
 		return t.sub.answered
 	}
 	return false
--- a/entry/stats.go
+++ b/entry/stats.go
@@ -20,8 +20,6 @@
 	// Evacuated counts the refused assignments whose agents' failure domain is
 	// evacuated.
 	Evacuated uint64
-	// Demoted counts submissions that went on as late ones.
-	Demoted uint64
 	// Shed counts submissions refused because agents answer this entry too slowly.
 	Shed uint64
 	// GuiltyTasks counts tasks that were found to crash upstreams, Isolated the
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -30,20 +30,17 @@
 
 // submission is the state of a submission from admission to answer.
 type submission struct {
-	id        task.SubmissionID
-	sub       task.Submission // as received from the caller; without its tasks once answered
-	svc       *service
-	job       queue.Job
-	tasks     []taskRecord
-	ready     []uint32 // indices of waiting tasks; the last one is next
-	remaining int      // number of tasks that are not done
-	arrived   time.Duration
-	deadline  time.Duration
-	// latestUseful is the latest start after which the answer comes too late to be
-	// of use, zero if the caller has no use for a late answer.
-	latestUseful time.Duration
-	mayHaveRun   bool // an attempt ended with an outcome other than not run
-	inFlight     int  // number of tasks sent and not ended
+	id         task.SubmissionID
+	sub        task.Submission // as received from the caller; without its tasks once answered
+	svc        *service
+	job        queue.Job
+	tasks      []taskRecord
+	ready      []uint32 // indices of waiting tasks; the last one is next
+	remaining  int      // number of tasks that are not done
+	arrived    time.Duration
+	deadline   time.Duration
+	mayHaveRun bool // an attempt ended with an outcome other than not run
+	inFlight   int  // number of tasks sent and not ended
 	// runsUntil is when the runs with an unknown outcome have ended.
 	runsUntil time.Duration
 	lock      jobLock
@@ -100,7 +97,6 @@
 	if s.sub.Objective > 0 {
 		run := svc.inTime.ShortestRun(e.now, svc.pool, s.job.LongestDeclared)
 		s.job.StartBy = e.now + s.sub.Objective - run
-		s.latestUseful = e.latestUsefulStart(&s.sub, run, s.deadline-e.now)
 	}
 	return s
 }
@@ -118,7 +114,6 @@
 	if s.sub.Objective > 0 {
 		e.arm(timer{at: s.arrived + s.sub.Objective/forecastCheckDivisor, kind: timerForecastCheck, sub: s})
 		e.arm(timer{at: s.job.StartBy, kind: timerLatestStart, sub: s})
-		e.armLateChecks(s)
 	}
 	if s.sub.Ref != "" {
 		e.awaitLock(s)
@@ -129,7 +124,6 @@
 
 // enqueue queues the submission's tasks for placement.
 func (e *Entry) enqueue(s *submission) {
-	e.demoteIfLate(s)
 	s.svc.q.Add(&s.job, uint32(len(s.ready)))
 	e.markActive(s.svc)
 }
@@ -307,29 +301,24 @@
 const forecastCheckDivisor = 5
 
 // dropByForecast gives up a submission of which no task was sent if the forecast
-// shows that it can't start in time, so that the caller learns this early. If the
-// caller has use for a late answer, it goes on as a late one.
+// shows that it can't start in time, so that the caller learns this early.
 func (e *Entry) dropByForecast(s *submission) {
 	if s.answered || s.mayHaveStarted() || len(s.ready) < len(s.tasks) {
 		return
 	}
-	if s.job.Late() {
-		e.dropIfUseless(s)
-		return
-	}
 	wait, ok := s.svc.forecast.wait(e.now, s.svc.q.WorkBefore(&s.job))
-	if ok && e.now+wait > s.job.StartBy {
-		e.continueLate(s)
+	if s.job.Late() || ok && e.now+wait > s.job.StartBy {
+		e.answerAbandoned(s, task.ReasonOverload)
 	}
 }
 
 // dropAtLatestStart gives up a submission of which no task was sent and that
-// can no longer meet its objective, unless its caller has use for a late answer.
+// can no longer meet its objective.
 func (e *Entry) dropAtLatestStart(s *submission) {
 	if s.answered || s.mayHaveStarted() || len(s.ready) < len(s.tasks) {
 		return
 	}
-	e.continueLate(s)
+	e.answerAbandoned(s, task.ReasonOverload)
 }
 
 // shouldResend reports whether another attempt follows an attempt with the given
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -155,9 +155,6 @@
 		return nil
 	}
 	slack := sub.Objective - longestDeclared(sub)
-	if latest := e.latestUsefulStart(sub, longestDeclared(sub), e.deadlineFor(svc, sub.Deadline)); latest > 0 {
-		slack = latest - e.now
-	}
 	ok, needs := e.turnaround.admit(e.now, slack)
 	if ok {
 		return nil
@@ -171,15 +168,14 @@
 }
 
 // checkObjective rejects a submission that would wait beyond the latest start
-// that meets its objective, unless its caller has use for a late answer that the
-// forecast allows.
+// that meets its objective.
 func (e *Entry) checkObjective(svc *service, sub *task.Submission) *refusal {
 	if sub.Objective <= 0 || svc.q.Len() == 0 {
 		return nil
 	}
 	wait, ok := svc.forecast.wait(e.now, svc.q.WorkAhead(sub.Priority))
 	slack := sub.Objective - longestDeclared(sub)
-	if !ok || wait <= slack || e.usefulLate(svc, sub) {
+	if !ok || wait <= slack {
 		return nil
 	}
 	return &refusal{
--- a/entry/timers.go
+++ b/entry/timers.go
@@ -13,8 +13,6 @@
 	timerInfeasible
 	timerForecastCheck
 	timerLatestStart
-	timerLateCheck
-	timerLatestUseful
 	timerAck
 	timerDial
 	timerDialSlot // a dial in flight leaves room for another
@@ -85,10 +83,6 @@
 			e.dropByForecast(t.sub)
 		case timerLatestStart:
 			e.dropAtLatestStart(t.sub)
-		case timerLateCheck:
-			e.checkLate(t.sub)
-		case timerLatestUseful:
-			e.dropUseless(t.sub)
 		case timerAck:
 			e.ackDue(t.agent)
 		case timerDial:
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -64,8 +64,6 @@
 	HTTP     httpapi.Config
 	Policy   placement.Policy
 	Order    queue.Order
-	// LateLimit is that of entry.Options.
-	LateLimit float64
 	// ShedAbove is that of entry.Options.
 	ShedAbove time.Duration
 	// Quarantine is that of entry.Options.
@@ -164,7 +162,6 @@
 		Policy:       o.Policy,
 		Order:        o.Order,
 		Speeds:       o.Speeds,
-		LateLimit:    o.LateLimit,
 		ShedAbove:    o.ShedAbove,
 		Quarantine:   o.Quarantine,
 		Seed:         o.Seed,
--- a/entryd/meter.go
+++ b/entryd/meter.go
@@ -65,7 +65,6 @@
 	m.metrics.EvacuatedTasks.Inc(int64(now.Evacuated - m.reported.Evacuated))
 	m.metrics.PlacedTooSlow.Inc(int64(now.PlacedTooSlow - m.reported.PlacedTooSlow))
 	m.metrics.WaitedForFaster.Inc(int64(now.WaitedForFaster - m.reported.WaitedForFaster))
-	m.metrics.WaitingLate.Inc(int64(now.Demoted - m.reported.Demoted))
 	m.metrics.Shed.Inc(int64(now.Shed - m.reported.Shed))
 	m.metrics.GuiltyTasks.Inc(int64(now.GuiltyTasks - m.reported.GuiltyTasks))
 	m.metrics.IsolatedTasks.Inc(int64(now.Isolated - m.reported.Isolated))
--- a/metrics/roles.go
+++ b/metrics/roles.go
@@ -42,10 +42,7 @@
 	// job's objective, WaitedForFaster tasks of jobs that waited for a faster one.
 	PlacedTooSlow   tally.Counter
 	WaitedForFaster tally.Counter
-	// WaitingLate counts jobs that waited on although they could not meet their
-	// objective. Shed counts jobs refused because agents answered too slowly.
-	WaitingLate tally.Counter
-	Shed        tally.Counter
+	Shed            tally.Counter
 	// GuiltyTasks counts tasks found to crash upstreams, IsolatedTasks assignments kept
 	// apart because an upstream crashed under their tasks. ConfinedKinds is the number
 	// of routes that are confined to a few agents.
@@ -106,7 +103,6 @@
 		WaitedForFaster: s.Counter("waited_for_faster"),
 		ResentInFlight:  s.Tagged(map[string]string{"state": "in_flight"}).Counter("jobs_resent"),
 		ResentAnswered:  s.Tagged(map[string]string{"state": "answered"}).Counter("jobs_resent"),
-		WaitingLate:     s.Counter("jobs_waiting_late"),
 		Shed:            s.Counter("jobs_shed"),
 		GuiltyTasks:     s.Counter("crashing_tasks"),
 		IsolatedTasks:   s.Counter("isolated_tasks"),
--- a/node/entry.go
+++ b/node/entry.go
@@ -28,8 +28,6 @@
 	Order    queue.Order
 	// Speeds is that of entry.Options.
 	Speeds bool
-	// LateLimit is that of entry.Options.
-	LateLimit float64
 	// ShedAbove is that of entry.Options.
 	ShedAbove time.Duration
 	// Quarantine is that of entry.Options.
@@ -76,7 +74,6 @@
 		Policy:            o.Policy,
 		Order:             o.Order,
 		Speeds:            o.Speeds,
-		LateLimit:         o.LateLimit,
 		ShedAbove:         o.ShedAbove,
 		Quarantine:        o.Quarantine,
 		Seed:              self.Incarnation,
--- a/proof/overload_test.go
+++ b/proof/overload_test.go
@@ -59,10 +59,10 @@
 const meanOverloadWork = 0.9*2*0.2 + 0.1*4*0.9
 
 // overloadOptions are three entries and six agents.
-func overloadOptions(seed uint64, order queue.Order, lateLimit float64) simulationOptions {
+func overloadOptions(seed uint64, order queue.Order) simulationOptions {
 	return simulationOptions{
 		seed: seed, entries: 3, agents: 6, slots: 8, linkDelay: 700 * time.Microsecond,
-		policy: placement.Credits{}, order: order, lateLimit: lateLimit, demandFanout: 16,
+		policy: placement.Credits{}, order: order, demandFanout: 16,
 	}
 }
 
@@ -104,21 +104,29 @@
 }
 
 // The load pattern is a burst of two seconds at one and a half times the room, between
-// times in which a third of the room is free. Late service must refuse fewer, and at most
-// one caller in fifty of those in time may become late by it.
-func TestLateServiceThroughShortBurst(t *testing.T) {
-	burst := []phase{{4 * time.Second, 0.65}, {2 * time.Second, 1.5}, {4 * time.Second, 0.65}}
-	var refuse, late, fifo overloadCounts
-	for seed := range uint64(8) {
-		refuse.add(runOverload(overloadOptions(seed+1, queue.Urgent, 1), burst))
-		late.add(runOverload(overloadOptions(seed+1, queue.Urgent, usefulFactor), burst))
-		fifo.add(runOverload(overloadOptions(seed+1, queue.FIFO, 1), burst))
+// times in which a third of the room is free. The order by urgency must serve more in time
+// than the order of arrival, and hold few in vain.
+func TestUrgentOrderThroughShortBurst(t *testing.T) {
+	compareWithArrivalOrder(t, 8, []phase{{4 * time.Second, 0.65}, {2 * time.Second, 1.5}, {4 * time.Second, 0.65}})
+}
+
+// The load pattern is overload that lasts: a fifth more than the room for 20 seconds.
+func TestUrgentOrderUnderLastingOverload(t *testing.T) {
+	compareWithArrivalOrder(t, 6, []phase{{2 * time.Second, 0.65}, {20 * time.Second, 1.2}, {2 * time.Second, 0.65}})
+}
+
+// compareWithArrivalOrder plays a load in the order by urgency and in that of arrival.
+func compareWithArrivalOrder(t *testing.T, seeds uint64, phases []phase) {
+	t.Helper()
+	var urgent, fifo overloadCounts
+	for seed := range seeds {
+		urgent.add(runOverload(overloadOptions(seed+1, queue.Urgent), phases))
+		fifo.add(runOverload(overloadOptions(seed+1, queue.FIFO), phases))
 	}
-	t.Logf("refuse %+v, late %+v, first in first out %+v", refuse, late, fifo)
-	require.Less(t, late.refused, refuse.refused)
-	require.Greater(t, late.inTime, refuse.inTime*98/100)
-	require.Greater(t, late.inTime, fifo.inTime)
-	require.Less(t, late.held, refuse.held+late.served()/100, "few are held and then refused")
+	t.Logf("urgent %+v, first in first out %+v", urgent, fifo)
+	require.Greater(t, urgent.inTime, fifo.inTime)
+	require.Less(t, urgent.refused, fifo.refused)
+	require.Less(t, urgent.held, urgent.served()/20, "few are held and then refused")
 }
 
 func (c *overloadCounts) add(o overloadCounts) {
@@ -128,20 +136,3 @@
 	c.refused += o.refused
 	c.held += o.held
 }
-
-// The load pattern is overload that lasts: a fifth more than the room for 20 seconds.
-// Late service can't serve more then, and must not cost those in time.
-func TestLateServiceUnderLastingOverload(t *testing.T) {
-	lasting := []phase{{2 * time.Second, 0.65}, {20 * time.Second, 1.2}, {2 * time.Second, 0.65}}
-	var refuse, late, fifo overloadCounts
-	for seed := range uint64(6) {
-		refuse.add(runOverload(overloadOptions(seed+1, queue.Urgent, 1), lasting))
-		late.add(runOverload(overloadOptions(seed+1, queue.Urgent, usefulFactor), lasting))
-		fifo.add(runOverload(overloadOptions(seed+1, queue.FIFO, 1), lasting))
-	}
-	t.Logf("refuse %+v, late %+v, first in first out %+v", refuse, late, fifo)
-	require.Greater(t, late.served(), refuse.served()*99/100)
-	require.Greater(t, late.inTime, refuse.inTime*98/100)
-	require.Greater(t, late.inTime, fifo.inTime)
-	require.Less(t, late.held, refuse.held+late.served()/100, "few are held and then refused")
-}
--- a/proof/simulation_test.go
+++ b/proof/simulation_test.go
@@ -160,7 +160,6 @@
 	agentCfg     agent.Config
 	config       *fleet.Config
 	demandFanout int
-	lateLimit    float64
 	keepalive    time.Duration
 	agentTimeout time.Duration
 	lease        time.Duration
@@ -264,7 +263,6 @@
 		Self:         wire.Peer{Role: wire.RoleEntry, ID: id, Incarnation: e.incarnation},
 		Policy:       o.policy,
 		Order:        o.order,
-		LateLimit:    o.lateLimit,
 		Seed:         o.seed + e.incarnation,
 		Config:       sim.config,
 		DemandFanout: o.demandFanout,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -81,9 +81,6 @@
 	Order string
 	// Speeds makes placement heed the speeds of upstreams.
 	Speeds bool
-	// LateLimit is the multiple of a job's latency objective until which its answer
-	// is of use to the caller.
-	LateLimit float64
 	// ShedAbove is the median time of agents to an answer above which the entry
 	// sheds load; zero disables this.
 	ShedAbove time.Duration
@@ -233,7 +230,6 @@
 	minCrashOnset        = time.Millisecond
 	maxCrashOnset        = time.Second
 	maxQuarantineShare   = 0.5
-	maxLateLimit         = 100
 	maxDemandFanout      = 1 << 12
 	maxDials             = 1 << 12
 	maxHold              = 10 * time.Second
@@ -315,7 +311,6 @@
 			OrderLeftOverSlowdown, OrderLeftOverAge, OrderFewestLeft, OrderFIFO, OrderUrgent).withDefault(OrderLeftOverSlowdown),
 		boolean(&e.Speeds, "placement", "speeds", "Whether tasks that only the faster upstreams end within the job's latency objective are placed on these; needs policy credits.").withDefault("false"),
 		duration(&e.ShedAbove, "limits", "shed-above", "Median time of agents to an answer above which this entry is short of processor or link: it closes some connections of the platform's clients after an answer, so that they use another entry, and refuses jobs that can't start in time. 0s disables this.", 0, maxShedAbove).withDefault("0s"),
-		number(&e.LateLimit, "placement", "late-limit", "Multiple of a job's latency objective until which its answer is of use to the caller; with the order urgent, a job that can't meet its objective waits that long behind those that can. 1 refuses it.", 1, maxLateLimit).withDefault("1"),
 		duration(&e.CrashOnset, "crashes", "onset", "Time from its start within which a task that crashes its upstream is expected to do so. Around the next start of a task under which an upstream has crashed, no other starts there for that long.", minCrashOnset, maxCrashOnset).withDefault("25ms"),
 		number(&e.QuarantineShare, "crashes", "quarantine-share", "Share of a service's agents on which the tasks of a route may run while these crash upstreams, so that other routes keep the rest; 0 confines none.", 0, maxQuarantineShare).withDefault("0"),
 		peerPort(&e.PeerPort),
