entry: the share of jobs without a lock counts the spread of members over failure domains

Cause: found in the read-through. The three members of a lock are in different failure domains, so that the loss of one domain leaves a majority of every lock; taken as three random agents, the loss of a third of the agents made every entry shed its callers. Change: the share is computed by failure domain; with fewer than three domains as before.

--- a/entry/lock_test.go
+++ b/entry/lock_test.go
@@ -545,3 +545,25 @@
 		f.step(Disconnected{Agent: ids[lost], Session: f.e.agents[ids[lost]].session})
 	}
 }
+
+// The members of a lock are in different failure domains, so that the loss of one domain
+// leaves a majority of each. Entries must not shed their callers then.
+func TestLossOfOneDomainLeavesEveryLock(t *testing.T) {
+	perDomain := func(agents, lost int) domainLosses { return domainLosses{agents: agents, lost: lost} }
+	for _, c := range []struct {
+		name    string
+		domains []domainLosses
+		want    float64
+	}{
+		{"one of three", []domainLosses{perDomain(4, 4), perDomain(4, 0), perDomain(3, 0)}, 0},
+		{"two of three", []domainLosses{perDomain(4, 4), perDomain(4, 4), perDomain(3, 0)}, 1},
+		{"spread", []domainLosses{perDomain(4, 2), perDomain(4, 2), perDomain(4, 2)}, 0.5},
+		{"two of four", []domainLosses{perDomain(3, 3), perDomain(3, 3), perDomain(3, 0), perDomain(3, 0)}, 0.5},
+	} {
+		agents := 0
+		for _, d := range c.domains {
+			agents += d.agents
+		}
+		require.InDelta(t, c.want, unlockableOver(c.domains, agents), 1e-9, c.name)
+	}
+}
--- a/entry/lockmembers.go
+++ b/entry/lockmembers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -104,22 +105,68 @@
 	return members
 }
 
-// unlockable returns the share of jobs, by random members, whose lock this entry can't
-// get because it is cut off from a majority of their members; zero if no agent keeps
-// locks.
+// domainLosses counts the agents of a failure domain that keep locks, and those of them
+// that are not connected.
+type domainLosses struct {
+	hash         uint64
+	agents, lost int
+}
+
+// unlockable returns the share of jobs whose lock this entry can't get because it is cut
+// off from a majority of their members; zero if there are fewer than lockMembers agents.
 func (e *Entry) unlockable() float64 {
-	n, lost := len(e.lockAgents), 0
+	if len(e.lockAgents) < lockMembers {
+		return 0
+	}
+	domains, lost := e.lossesByDomain()
+	if len(domains) >= lockMembers {
+		return unlockableOver(domains, len(e.lockAgents))
+	}
+	n := len(e.lockAgents)
+	return float64(pairs(lost)*(n-lost)+triples(lost)) / float64(triples(n))
+}
+
+// lossesByDomain returns the losses of each failure domain, in a fixed order, and their
+// sum.
+func (e *Entry) lossesByDomain() (domains []domainLosses, lost int) {
 	for _, a := range e.lockAgents {
+		i, found := slices.BinarySearchFunc(domains, a.domainHash, func(d domainLosses, hash uint64) int { return cmp.Compare(d.hash, hash) })
+		if !found {
+			domains = slices.Insert(domains, i, domainLosses{hash: a.domainHash})
+		}
+		domains[i].agents++
 		if a.link != linkOpen {
+			domains[i].lost++
 			lost++
 		}
 	}
-	if n < lockMembers {
-		return 0
+	return domains, lost
+}
+
+// unlockableOver returns the probability that two of three members in different failure
+// domains are lost. Each member is any of the agents in the domains that are left.
+func unlockableOver(domains []domainLosses, agents int) float64 {
+	sum := 0.0
+	for i, x := range domains {
+		for j, y := range domains {
+			for k, z := range domains {
+				if i == j || j == k || i == k {
+					continue
+				}
+				left := agents - x.agents
+				chosen := float64(x.agents*y.agents*z.agents) / float64(agents*left*(left-y.agents))
+				sum += chosen * twoOfThree(x.share(), y.share(), z.share())
+			}
+		}
 	}
-	return float64(choose2(lost)*(n-lost)+choose3(lost)) / float64(choose3(n))
+	return sum
 }
 
-// choose2 and choose3 return the number of pairs and of triples of n things.
-func choose2(n int) int { return n * (n - 1) / 2 }
-func choose3(n int) int { return n * (n - 1) * (n - 2) / 6 }
+func (d domainLosses) share() float64 { return float64(d.lost) / float64(d.agents) }
+
+// twoOfThree returns the probability of at least two of three independent events.
+func twoOfThree(a, b, c float64) float64 { return a*b + a*c + b*c - 2*a*b*c }
+
+// pairs and triples return the numbers of pairs and of triples of n things.
+func pairs(n int) int   { return n * (n - 1) / 2 }
+func triples(n int) int { return n * (n - 1) * (n - 2) / 6 }
