proof: one in fifty callers at most may be held in vain under overload

Cause: the bound of one in twenty that replaced the comparison with late service was looser than it.

--- a/proof/overload_test.go
+++ b/proof/overload_test.go
@@ -126,7 +126,7 @@
 	t.Logf("urgent %+v, first in first out %+v", urgent, fifo)
 	require.Greater(t, urgent.inTime, fifo.inTime)
 	require.Less(t, urgent.refused, fifo.refused)
-	require.Less(t, urgent.held, urgent.served()/20, "few are held and then refused")
+	require.Less(t, urgent.held, urgent.served()/50, "few are held and then refused")
 }
 
 func (c *overloadCounts) add(o overloadCounts) {
