--- a/review/harness/clients.go
+++ b/review/harness/clients.go
@@ -129,10 +129,19 @@
 
 // submit sends a job of tasks that take runTime each and waits for its answer.
 func (f *fleet) submit(m *machine, tasks int, runTime time.Duration) job {
-	j := job{id: fmt.Sprintf("%016x", rand.Uint64())}
+	return f.submitJob(m, tasks, runTime, runTime, "")
+}
+
+// submitJob is like submit for tasks whose client expects estimate. It sends the job
+// with the given id again, or a new one if the id is empty.
+func (f *fleet) submitJob(m *machine, tasks int, runTime, estimate time.Duration, id string) job {
+	j := job{id: id}
+	if id == "" {
+		j.id = fmt.Sprintf("%016x", rand.Uint64())
+	}
 	body, err := json.Marshal(map[string]any{
 		"jobSpec": standin.Payload(runTime, taskMilliCPU), "bestEffort": true,
-		"steps": []any{map[string]any{"count": tasks, "cpu": taskMilliCPU, "memMb": taskMemoryMB, "estimateMs": runTime.Milliseconds()}},
+		"steps": []any{map[string]any{"count": tasks, "cpu": taskMilliCPU, "memMb": taskMemoryMB, "estimateMs": estimate.Milliseconds()}},
 	})
 	if err != nil {
 		panic(err) // plain values always encode
