--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -121,11 +121,12 @@
 	return &machine{name: fmt.Sprintf("front-%s-%d", zones[i%len(zones)], 1+i/len(zones)), zone: zones[i%len(zones)], ip: f.ip(1 + i), bootstrap: i < fronts}
 }
 
-// firstSideIP and firstUpstreamIP are the last numbers of the addresses of the first
-// side machine and of its upstream.
+// firstSideIP, firstUpstreamIP and firstProxyIP are the last numbers of the addresses of
+// the first side machine, of its upstream and of what stands between the two.
 const (
 	firstSideIP     = 100
 	firstUpstreamIP = 150
+	firstProxyIP    = 200
 )
 
 // side returns the side machine with the number i, from 0.
@@ -261,6 +262,8 @@
 	agents             []*process
 	stopUpstream       []context.CancelFunc
 	upstreamIDs, addrs []string
+	// reportTo are the addresses to which the upstreams send their liveness reports.
+	reportTo []string
 }
 
 // deploy starts a fleet with three front machines, sides side machines and their
@@ -292,6 +295,7 @@
 		d.sides, d.agents = append(d.sides, m), append(d.agents, agent)
 		d.upstreamIDs = append(d.upstreamIDs, fmt.Sprintf("i-%08x", rand.Uint32()))
 		d.addrs = append(d.addrs, address(f.ip(firstUpstreamIP+i), upstreamPort))
+		d.reportTo = append(d.reportTo, address(m.ip, controlPort))
 		d.stopUpstream = append(d.stopUpstream, f.runUpstream(d, i))
 	}
 	if err := f.publishUntilAccepted(d.fronts, 1); err != nil {
@@ -313,7 +317,7 @@
 	f.upstreams.Go(func() {
 		defer close(ended)
 		err := standin.Run(ctx, standin.Options{
-			ID: d.upstreamIDs[i], Service: service, Addr: d.addrs[i], Agent: address(d.sides[i].ip, controlPort),
+			ID: d.upstreamIDs[i], Service: service, Addr: d.addrs[i], Agent: d.reportTo[i],
 			MilliCPU: hostMilliCPU, MaxLease: holdMax, Heartbeats: heartbeatInterval, StopGrace: stopGrace, Ledger: f.ledger,
 		})
 		if err != nil && !errors.Is(err, context.Canceled) {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -33,6 +33,7 @@
 var scenarios = map[string]scenario{
 	"odd-report": playOddReport,
 	"repair":     playRepair,
+	"reborn":     playReborn,
 	"lost-locks": playLostLocks,
 }
 
