--- a/review/harness/lostlocks.go
+++ b/review/harness/lostlocks.go
@@ -10,9 +10,9 @@
 
 const (
 	// lostLocksEntries is the number of front machines without a disk, lostLocksSides
-	// that of side machines, as in psrc-tray.
+	// that of side machines, one more than in psrc-tray.
 	lostLocksEntries = 4
-	lostLocksSides   = 11
+	lostLocksSides   = 12
 	lostLocksJobs    = 10
 	lostLocksTasks   = 2
 	// lostLocksRunTime is the time that the tasks take, lostLocksEstimate what their
@@ -22,7 +22,7 @@
 	// killAfter is the time from the submission to the kill of killedSides agents and of
 	// the entry that holds the jobs; restartAfter is the time until they run again.
 	killAfter    = 400 * time.Millisecond
-	killedSides  = 7
+	killedSides  = 8
 	restartAfter = 300 * time.Millisecond
 	// freezeAfter is the time from the kill to the freeze of frozenSides other machines
 	// for freezeFor.
