--- a/review/harness/clients.go
+++ b/review/harness/clients.go
@@ -35,10 +35,16 @@
 
 // manifestWith returns a manifest with a route for each of the prefixes.
 func manifestWith(version int, prefixes ...string) []byte {
+	return manifestFor(version, 1500*time.Millisecond, prefixes...)
+}
+
+// manifestFor is like manifestWith for routes with another time-out, which differs a
+// little from one version to the next.
+func manifestFor(version int, timeout time.Duration, prefixes ...string) []byte {
 	var routes []any
 	for i, prefix := range prefixes {
 		routes = append(routes, map[string]any{
-			"name": fmt.Sprintf("r-%d", i), "host": routeHost, "pathPrefix": prefix, "kind": "non_idempotent", "timeoutMs": 1500 + version,
+			"name": fmt.Sprintf("r-%d", i), "host": routeHost, "pathPrefix": prefix, "kind": "non_idempotent", "timeoutMs": timeout.Milliseconds() + int64(version),
 			"targetLatencyMs": 60, "priority": 0, "service": service, "maxAttempts": 4, "latencyFactor": 1.6,
 		})
 	}
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -54,9 +54,10 @@
 
 	mu        sync.Mutex
 	processes []*process
-	upstreams sync.WaitGroup
-	ctx       context.Context
-	cancel    context.CancelFunc
+	// helpers are the upstreams and what else runs until the fleet is closed.
+	helpers sync.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
 }
 
 func newFleet(repository string, rec *record) (*fleet, error) {
@@ -89,14 +90,14 @@
 
 // close ends every process and upstream that the fleet started.
 func (f *fleet) close() {
+	f.cancel()
+	f.helpers.Wait()
 	f.mu.Lock()
 	processes := f.processes
 	f.mu.Unlock()
 	for _, p := range processes {
 		p.kill()
 	}
-	f.cancel()
-	f.upstreams.Wait()
 	if os.Getenv("KEEP") == "" {
 		os.RemoveAll(f.dir)
 	} else {
@@ -314,7 +315,7 @@
 	ctx, cancel := context.WithCancel(f.ctx)
 	ended := make(chan struct{})
 	f.rec.add("upstream %s of %s starts at %s", d.upstreamIDs[i], d.sides[i].name, d.addrs[i])
-	f.upstreams.Go(func() {
+	f.helpers.Go(func() {
 		defer close(ended)
 		err := standin.Run(ctx, standin.Options{
 			ID: d.upstreamIDs[i], Service: service, Addr: d.addrs[i], Agent: d.reportTo[i],
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -35,6 +35,8 @@
 	"repair":     playRepair,
 	"reborn":     playReborn,
 	"lost-locks": playLostLocks,
+	"cancel":     playCancel, "history": playHistory,
+	"first-start": playFirstStart,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
