controlclient, controld: log where a configuration comes from

Control hosts log each version that comes into force with them. No behaviour changes; an error that was dropped when a held back configuration is adopted is logged.

--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -100,7 +100,7 @@
 	c := &Client{opts: o, log: o.Log.WithPrefix("controlclient"), clock: steadyclock.New(), calls: newPendingCalls(), table: directory.NewTable()}
 	c.lifetime, c.endLifetime = context.WithCancel(context.Background())
 	c.releaseSlots = make(chan struct{}, maxReleases)
-	c.config = newConfigState(o.Site, c.configAdopted)
+	c.config = newConfigState(o.Site, c.configAdopted, c.log)
 	c.opts.Transport.Stamp = c.Stamp
 	for _, addr := range o.Controls {
 		c.sessions = append(c.sessions, newSession(c, addr))
--- a/controlclient/config.go
+++ b/controlclient/config.go
@@ -4,6 +4,8 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/fireflytray/fireflytray/fleet"
 	"github.com/fireflytray/fireflytray/wire"
 )
@@ -13,6 +15,7 @@
 type configState struct {
 	site     string
 	onConfig func(*fleet.Config)
+	log      *log.Logger
 
 	// currentStamp is atomic because it is read for every frame sent, also by
 	// goroutines that must not block on mu.
@@ -28,11 +31,17 @@
 	staleAllowed bool
 	// staleOffer is the newest configuration pushed before staleAllowed was set by
 	// a control host without a fresh quorum.
-	staleOffer *wire.ConfigPush
+	staleOffer *offer
+}
+
+// offer is a configuration pushed by the control host at the address control.
+type offer struct {
+	*wire.ConfigPush
+	control string
 }
 
-func newConfigState(site string, onConfig func(*fleet.Config)) *configState {
-	s := &configState{site: site, onConfig: onConfig, doc: fleet.Empty()}
+func newConfigState(site string, onConfig func(*fleet.Config), logger *log.Logger) *configState {
+	s := &configState{site: site, onConfig: onConfig, log: logger, doc: fleet.Empty()}
 	s.currentStamp.Store(&wire.Stamp{Digest: s.doc.Digest()})
 	return s
 }
@@ -54,7 +63,7 @@
 // push adopts a pushed configuration if its index is above the one in force. The
 // first configuration of a process must also come from a control host with a
 // fresh quorum, or satisfy acceptsStale; otherwise it is kept as staleOffer.
-func (s *configState) push(m *wire.ConfigPush) error {
+func (s *configState) push(m offer) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if m.Index <= s.index {
@@ -62,8 +71,9 @@
 	}
 	s.highestSeen = max(s.highestSeen, m.Index)
 	if s.index == 0 && !m.Fresh && !s.acceptsStale(m) {
+		s.log.Info("configuration held back, its control host has no fresh quorum", "index", m.Index, "control", m.control, "newest-known", s.highestSeen)
 		if s.staleOffer == nil || m.Index > s.staleOffer.Index {
-			s.staleOffer = m
+			s.staleOffer = &m
 		}
 		return nil
 	}
@@ -73,16 +83,17 @@
 // acceptsStale reports whether the first configuration of this process may be m
 // although its sender has no fresh quorum: the wait for a fresh one is over, and
 // no newer index is known.
-func (s *configState) acceptsStale(m *wire.ConfigPush) bool {
+func (s *configState) acceptsStale(m offer) bool {
 	return s.staleAllowed && m.Index >= s.highestSeen
 }
 
 // adopt puts a pushed configuration in force.
-func (s *configState) adopt(m *wire.ConfigPush) error {
-	next, err := s.doc.Receive(s.index, m)
+func (s *configState) adopt(m offer) error {
+	next, err := s.doc.Receive(s.index, m.ConfigPush)
 	if err != nil {
 		return err
 	}
+	s.log.Info("configuration adopted", "index", m.Index, "before", s.index, "control", m.control, "fresh", m.Fresh, "newest-known", s.highestSeen)
 	s.index, s.doc, s.staleOffer = m.Index, next, nil
 	s.currentStamp.Store(&wire.Stamp{Index: s.index, Digest: next.Digest()})
 	conf := next.Effective(s.site)
@@ -97,8 +108,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.staleAllowed = true
-	if s.staleOffer != nil && s.index == 0 && s.acceptsStale(s.staleOffer) {
-		// On an error the caller's fetch requests the configuration again.
-		_ = s.adopt(s.staleOffer)
+	if s.staleOffer == nil || s.index != 0 || !s.acceptsStale(*s.staleOffer) {
+		return
+	}
+	if err := s.adopt(*s.staleOffer); err != nil {
+		// The caller's fetch requests the configuration again.
+		s.log.Warn("offered configuration rejected", "control", s.staleOffer.control, "err", err)
 	}
 }
--- a/controlclient/config_test.go
+++ b/controlclient/config_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 
+	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -24,6 +26,8 @@
 	return docs
 }
 
+var discardLogger = log.New(io.Discard)
+
 func indexOf(version int) uint64 { return uint64(10 * version) }
 
 func pushOf(docs []*fleet.Document, version, base int, fresh bool) *wire.ConfigPush {
@@ -54,7 +58,7 @@
 				require.Equal(t, docs[c.Index/10].Digest(), c.Digest)
 				require.Equal(t, uint32(c.Index/10), c.Services["s"].MaxTasks)
 				last = c.Index
-			})
+			}, discardLogger)
 		}
 		restart(t)
 		t.Repeat(map[string]func(*rapid.T){
@@ -63,7 +67,7 @@
 				base := rapid.IntRange(0, version-1).Draw(t, "base")
 				fresh := rapid.Bool().Draw(t, "fresh")
 				before := last
-				err := s.push(pushOf(docs, version, base, fresh))
+				err := s.push(offer{pushOf(docs, version, base, fresh), "c1"})
 				index := indexOf(version)
 				switch {
 				case index <= before:
@@ -106,10 +110,10 @@
 // A difference whose result does not have the announced digest is rejected.
 func TestPushWithWrongDigestIsRejected(t *testing.T) {
 	docs := testDocuments(t, 3)
-	s := newConfigState("", func(*fleet.Config) {})
-	require.NoError(t, s.push(pushOf(docs, 1, 0, true)))
+	s := newConfigState("", func(*fleet.Config) {}, discardLogger)
+	require.NoError(t, s.push(offer{pushOf(docs, 1, 0, true), "c1"}))
 	bad := pushOf(docs, 2, 1, true)
 	bad.Digest++
-	require.Error(t, s.push(bad))
+	require.Error(t, s.push(offer{bad, "c1"}))
 	require.Equal(t, indexOf(1), s.stamp().Index)
 }
--- a/controlclient/session.go
+++ b/controlclient/session.go
@@ -133,7 +133,7 @@
 // push adopts a pushed configuration. If the push is a difference that can't be
 // applied, it fetches the full configuration.
 func (s *session) push(m *wire.ConfigPush) {
-	if err := s.client.config.push(m); err != nil {
+	if err := s.client.config.push(offer{m, s.addr}); err != nil {
 		s.client.log.Warn("pushed configuration rejected", "control", s.addr, "err", err)
 		if m.Base != 0 {
 			s.send(&wire.ConfigFetch{})
--- a/controld/session.go
+++ b/controld/session.go
@@ -235,6 +235,8 @@
 			return
 		case <-h.configChanged:
 		}
+		version, _ := h.machine.Current()
+		h.log.Info("configuration in force", "index", version.Index, "change", version.Action, "op", version.Op, "fresh", h.fresh.Load())
 		h.pushAll()
 		h.links.announceNow()
 	}
