controld: confirm that a configuration is the newest before a process begins with it

Callers of a restarted entry were served by a configuration older than the one that the entry had served before: dropped routes worked again, added ones were answered 404.

Cause: a control host marked its pushes as fresh by a flag that says that it hears from a leader and had caught up when that began. A follower whose disk stalls goes on hearing from its leader and applies nothing, and one that has been paused marks pushes until the next poll of its status. A process without a configuration takes a fresh one whatever newer index it knows of.

Ruled out: a version that goes down inside one process (one lock, rising indices), a log that goes back (no index was reused in these logs).

Change: the first configuration of a process is sent as fresh only after a read barrier that began after the process asked; one barrier serves all that wait. Without a confirmation it is offered as not fresh, and the barrier is tried again, which replaces the repeated push when a host regains its quorum.

In TestHostWithoutQuorumRejectsChanges the flag of the push was asserted; what decides it now is asserted in its place.

--- a/controld/cluster_test.go
+++ b/controld/cluster_test.go
@@ -66,6 +66,7 @@
 	// partitioned, if set, drops the log messages from and to a host; entries and
 	// agents still reach it.
 	partitioned []*atomic.Bool
+	disks       []*stallingDisk
 }
 
 // partitionableLog is a Log that drops received messages while partitioned is set.
@@ -103,6 +104,7 @@
 		c.addrs = append(c.addrs, freeAddr(t))
 		c.folders = append(c.folders, filepath.Join(t.TempDir(), "data"))
 		c.partitioned = append(c.partitioned, new(atomic.Bool))
+		c.disks = append(c.disks, &stallingDisk{})
 	}
 	c.hosts = make([]*testHost, size)
 	for i := range size {
@@ -120,7 +122,7 @@
 		Identity: identity(c.t, c.authority, wire.RoleControl, id),
 		Listen:   c.addrs[i],
 		Peers:    c.addrs,
-		OpenLog:  openPartitionable(ReplicaOptions{Dir: c.folders[i], Addr: c.addrs[i], Initial: c.addrs, Join: join}, c.partitioned[i]),
+		OpenLog:  openPartitionable(ReplicaOptions{Dir: c.folders[i], Addr: c.addrs[i], Initial: c.addrs, Join: join, FS: c.disks[i]}, c.partitioned[i]),
 	})
 }
 
@@ -260,7 +262,7 @@
 	defer cancel()
 	_, err := c.hosts[2].propose(ctx, &control.Command{Apply: &control.Apply{Op: "op-2", Base: first.Index, Sections: sections(2)}})
 	require.ErrorIs(t, err, errNotFresh)
-	require.False(t, c.hosts[2].pushFrom(0).Fresh)
+	require.False(t, c.hosts[2].caughtUp(context.Background()))
 	reply := c.hosts[2].claim(context.Background(), &wire.Claim{Request: 3, Team: "night-nurses"})
 	require.Equal(t, wire.ClaimUnavailable, reply.State)
 	require.Zero(t, reply.RetryAfter)
--- a/controld/controld.go
+++ b/controld/controld.go
@@ -83,8 +83,10 @@
 	sessions *sessions
 	links    *links
 	// fresh is set if the log reports a fresh quorum and this host has caught up
-	// since the quorum became fresh.
+	// since the quorum became fresh. It says nothing of the changes accepted since
+	// then.
 	fresh         atomic.Bool
+	firstConfigs  *firstConfigs
 	configChanged chan struct{}
 	listener      *transport.Listener
 	group         *errgroup.Group
@@ -114,7 +116,7 @@
 		o.Listen = o.Self.Addr
 	}
 	h := &Host{
-		opts: o, log: o.Log.WithPrefix("controld"), sessions: newSessions(),
+		opts: o, log: o.Log.WithPrefix("controld"), sessions: newSessions(), firstConfigs: newFirstConfigs(),
 		configChanged: make(chan struct{}, 1), requestSlots: make(chan struct{}, maxRequests), clock: time.Now,
 		metrics: newHostMetrics(o.Transport.Scope),
 	}
@@ -219,9 +221,6 @@
 		if h.fresh.Swap(fresh) != fresh {
 			h.loop.Post(directory.Event{Quorum: &directory.Quorum{Fresh: fresh}})
 			h.log.Info("quorum changed", "fresh", fresh, "leader", status.LeaderAddr, "term", status.Term)
-			if fresh {
-				h.repushConfig()
-			}
 		}
 		h.metrics.setGauges(h.machine, h.sessions.count(), fresh)
 		h.manageMembers(ctx, status)
--- a/controld/replicalog.go
+++ b/controld/replicalog.go
@@ -30,6 +30,9 @@
 	// ElectionTimeout is the time without messages from the leader after which an
 	// election starts; zero selects the default.
 	ElectionTimeout time.Duration
+	// FS is the file system of the data folder; nil selects that of the operating
+	// system.
+	FS wal.FS
 }
 
 // heartbeatsPerTimeout is the number of heartbeats per election timeout.
@@ -54,7 +57,7 @@
 	opt := replica.Options{
 		Dir: l.opts.Dir, Addr: l.opts.Addr, Join: join,
 		ElectionTimeout: l.opts.ElectionTimeout, HeartbeatInterval: l.opts.ElectionTimeout / heartbeatsPerTimeout,
-		Transport: raftTransport(l.deps.Send), StateMachine: l.deps.Machine,
+		Transport: raftTransport(l.deps.Send), StateMachine: l.deps.Machine, FS: l.opts.FS,
 		Log: func(msg string, keyvals ...any) { l.deps.Log.WithPrefix("replica").Info(msg, keyvals...) },
 	}
 	if !join {
--- a/controld/session.go
+++ b/controld/session.go
@@ -30,8 +30,11 @@
 	// peerIndex is the highest configuration index in a stamp of the peer.
 	peerIndex uint64
 	// pushedIndex is the index of the last push, which was sent at pushedAt.
-	pushedIndex uint64
-	pushedAt    time.Time
+	// pushedUnconfirmed is set if it was offered to a process without a configuration
+	// and not confirmed to be the newest.
+	pushedIndex       uint64
+	pushedAt          time.Time
+	pushedUnconfirmed bool
 	// announced is set after the first announcement of the peer.
 	announced bool
 }
@@ -56,12 +59,27 @@
 	return s.peerIndex, true
 }
 
-// resetPush clears the last push, so that the configuration index in force can be
-// pushed again immediately.
-func (s *session) resetPush() {
+// firstPushDue is like pushDue for a process without a configuration. A confirmed push
+// is due at once after one that was not.
+func (s *session) firstPushDue(index uint64, confirmed bool, now time.Time) (peerIndex uint64, due bool) {
+	s.mu.Lock()
+	if confirmed && s.pushedUnconfirmed {
+		s.pushedIndex = 0
+	}
+	s.mu.Unlock()
+	if peerIndex, due = s.pushDue(index, now); due {
+		s.mu.Lock()
+		s.pushedUnconfirmed = !confirmed
+		s.mu.Unlock()
+	}
+	return peerIndex, due
+}
+
+// hasConfig reports whether the peer is known to have a configuration.
+func (s *session) hasConfig() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pushedIndex = 0
+	return s.peerIndex > 0
 }
 
 // firstAnnouncement reports whether it is called for the first time.
@@ -172,7 +190,7 @@
 		}
 		h.loop.Post(directory.Event{Announce: &directory.ReceivedAnnouncement{Conn: s.id, Msg: m, Index: stamp.Index}})
 		if role != wire.RoleControl {
-			h.push(s)
+			h.push(ctx, s)
 		} else {
 			if s.firstAnnouncement() {
 				h.links.appeared(m.From.Addr)
@@ -180,7 +198,11 @@
 			h.memberManager.recordAnnouncement(m)
 		}
 	case *wire.ConfigFetch:
-		s.send(h.pushFrom(m.Have))
+		if !s.hasConfig() {
+			h.pushFirst(ctx, s)
+			return true
+		}
+		s.send(h.machine.Push(m.Have))
 	case *wire.Claim:
 		if role != wire.RoleEntry {
 			return false
@@ -213,19 +235,17 @@
 	return cert.Role == p.Role && cert.ID == p.ID && cert.Domain == p.Domain
 }
 
-// push sends the configuration in force to a peer that has an older one.
-func (h *Host) push(s *session) {
+// push sends the configuration in force to a peer that has an older one or none.
+func (h *Host) push(ctx context.Context, s *session) {
+	if !s.hasConfig() {
+		h.pushFirst(ctx, s)
+		return
+	}
 	if peerIndex, due := s.pushDue(h.machine.Stamp().Index, time.Now()); due {
-		s.send(h.pushFrom(peerIndex))
+		s.send(h.machine.Push(peerIndex))
 	}
 }
 
-func (h *Host) pushFrom(peerIndex uint64) *wire.ConfigPush {
-	msg := h.machine.Push(peerIndex)
-	msg.Fresh = h.fresh.Load()
-	return msg
-}
-
 // pushChanges pushes each new configuration to all connected entries and agents
 // and announces it to the other control hosts.
 func (h *Host) pushChanges(ctx context.Context) {
@@ -237,25 +257,11 @@
 		}
 		version, _ := h.machine.Current()
 		h.log.Info("configuration in force", "index", version.Index, "change", version.Action, "op", version.Op, "fresh", h.fresh.Load())
-		h.pushAll()
-		h.links.announceNow()
-	}
-}
-
-func (h *Host) pushAll() {
-	for _, s := range h.sessions.all() {
-		if s.conn.Peer().Role != wire.RoleControl {
-			h.push(s)
+		for _, s := range h.sessions.all() {
+			if s.conn.Peer().Role != wire.RoleControl {
+				h.push(ctx, s)
+			}
 		}
+		h.links.announceNow()
 	}
 }
-
-// repushConfig pushes the configuration again to all processes that are behind. It
-// is called when this host regains a fresh quorum, because a process that has
-// just started accepts its first configuration only from a host with one.
-func (h *Host) repushConfig() {
-	for _, s := range h.sessions.all() {
-		s.resetPush()
-	}
-	h.pushAll()
-}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -396,8 +396,8 @@
 	Sections []ConfigSection `msg:"s"`
 	// Removed names the sections of Base that no longer exist.
 	Removed []string `msg:"r"`
-	// Fresh reports whether the sender has recently been in contact with a
-	// quorum.
+	// Fresh reports, to a process without a configuration, whether the push includes
+	// every change that was accepted before the process asked.
 	Fresh bool `msg:"f"`
 }
 
