controlclient: wait for a quorum after the first offer, not after the start

Callers of an entry that had been restarted while all control hosts were down were served by an old configuration when the control hosts came back.

Cause: the wait of 2 s for a host with a quorum began with the process. After a longer outage it is over before any control host answers, so that the first one decides alone. A host that has restarted doesn't know yet that the end of its log was accepted, and offers what was in force before.

Change: the wait begins with the first offer that is held back. Without a quorum anywhere an entry is served 2 s after an offer, as was meant.

TestOfferIsTakenWithoutQuorum shows the other side.

--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -29,7 +29,8 @@
 	renewalsPerLease = 3
 	// freshConfigWait is how long a process without a configuration waits for a
 	// control host with a fresh quorum (one that has recently heard from a quorum)
-	// before it accepts one from any other control host.
+	// after another one has offered its own, before it accepts that one. Control
+	// hosts that return together offer what they know before they elect a leader.
 	freshConfigWait = 2 * time.Second
 )
 
@@ -185,9 +186,15 @@
 	}
 }
 
-// endFreshConfigWait waits for freshConfigWait, then allows a configuration from a
-// control host without a fresh quorum and fetches it.
+// endFreshConfigWait waits until freshConfigWait after the first offer of a
+// configuration by a control host without a fresh quorum, then allows such
+// configurations and fetches one.
 func (c *Client) endFreshConfigWait(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-c.config.offered:
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(freshConfigWait):
--- a/controlclient/config.go
+++ b/controlclient/config.go
@@ -30,8 +30,9 @@
 	// from a control host that has no fresh quorum.
 	staleAllowed bool
 	// staleOffer is the newest configuration pushed before staleAllowed was set by
-	// a control host without a fresh quorum.
+	// a control host without a fresh quorum. offered is closed with the first one.
 	staleOffer *offer
+	offered    chan struct{}
 }
 
 // offer is a configuration pushed by the control host at the address control.
@@ -41,7 +42,7 @@
 }
 
 func newConfigState(site string, onConfig func(*fleet.Config), logger *log.Logger) *configState {
-	s := &configState{site: site, onConfig: onConfig, log: logger, doc: fleet.Empty()}
+	s := &configState{site: site, onConfig: onConfig, log: logger, doc: fleet.Empty(), offered: make(chan struct{})}
 	s.currentStamp.Store(&wire.Stamp{Digest: s.doc.Digest()})
 	return s
 }
@@ -72,14 +73,22 @@
 	s.highestSeen = max(s.highestSeen, m.Index)
 	if s.index == 0 && !m.Fresh && !s.acceptsStale(m) {
 		s.log.Info("configuration held back, its control host has no fresh quorum", "index", m.Index, "control", m.control, "newest-known", s.highestSeen)
-		if s.staleOffer == nil || m.Index > s.staleOffer.Index {
-			s.staleOffer = &m
-		}
+		s.hold(m)
 		return nil
 	}
 	return s.adopt(m)
 }
 
+// hold keeps the newest configuration that was held back.
+func (s *configState) hold(m offer) {
+	if s.staleOffer == nil {
+		close(s.offered)
+	}
+	if s.staleOffer == nil || m.Index > s.staleOffer.Index {
+		s.staleOffer = &m
+	}
+}
+
 // acceptsStale reports whether the first configuration of this process may be m
 // although its sender has no fresh quorum: the wait for a fresh one is over, and
 // no newer index is known.
