lease: an announced process replaces the upstream only after it has answered

Cause: the birth in a report was believed as it stood, and nobody looked at the process that it named.

Change: a report of another process starts a check; the process must answer a call under the instance that it announced before anything is given up (lease/candidate.go). At most four are checked at a time, with 20 calls each. Only the birth of a process that has answered makes earlier ones stale, so that an odd first report shuts nobody out, and an upstream's numbers can't jump out of its own reach. The successor of a crashed process is taken as before if the crash was noticed first, else one call later.

Three tests of announced successors answer the check now, and one of them asserts that nothing ends before it.

--- /dev/null
+++ b/lease/candidate.go
@@ -0,0 +1,138 @@
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fireflytray/fireflytray/agent"
+)
+
+const (
+	// maxCandidates bounds the announced processes that are checked at a time.
+	maxCandidates = 4
+	// maxCandidateCalls bounds the calls to a candidate that does not answer. Its next
+	// announcement starts them anew.
+	maxCandidateCalls = 20
+	// maxSeqStep bounds by how much an announcement's number may exceed the last one.
+	maxSeqStep = 1 << 20
+)
+
+// candidate is a process that has announced itself beside the present upstream. Anyone
+// can send an announcement, and the runs of the present upstream are given up with it,
+// so that the candidate first has to answer under the instance that it announced.
+type candidate struct {
+	Announced
+	// call is the hold in flight; zero if none.
+	call     CallID
+	deadline time.Duration
+	calls    int
+	retryAt  time.Duration
+}
+
+// propose starts to check the process of an announcement.
+func (s *State) propose(ev Announced) {
+	i := slices.IndexFunc(s.candidates, func(c *candidate) bool { return c.Upstream.Instance == ev.Upstream.Instance })
+	switch {
+	case i >= 0:
+		if c := s.candidates[i]; ev.Seq > c.Seq {
+			c.Announced, c.calls = ev, 0
+		}
+		return
+	case len(s.candidates) == maxCandidates:
+		s.log("announcement ignored, too many processes are being checked", "instance", ev.Upstream.Instance)
+		return
+	}
+	s.log("checking announced upstream", "instance", ev.Upstream.Instance, "addr", ev.Upstream.Addr, "present", s.upstream.Instance)
+	c := &candidate{Announced: ev}
+	s.candidates = append(s.candidates, c)
+	s.callCandidate(c)
+}
+
+// callCandidate requests the lists of a candidate without a lease.
+func (s *State) callCandidate(c *candidate) {
+	c.call, c.deadline = s.nextCall(), s.now+s.cfg.AnswerTimeout
+	c.calls++
+	s.emit(HoldCall{
+		Call: c.call, Target: Target{Addr: c.Upstream.Addr, Instance: c.Upstream.Instance},
+		Fence: s.fence, AnswerTimeout: s.cfg.AnswerTimeout,
+	})
+}
+
+// candidateAnswered handles the answer to a call to a candidate. It reports whether the
+// call was one.
+func (s *State) candidateAnswered(ev HoldAnswered) bool {
+	i := slices.IndexFunc(s.candidates, func(c *candidate) bool { return c.call == ev.Call })
+	if i < 0 {
+		return false
+	}
+	switch c := s.candidates[i]; ev.Result {
+	case HoldOK:
+		s.replaceUpstream(c.Announced)
+		s.handleView(hold{call: ev.Call, fence: s.fence}, ev.View)
+	case HoldFenced:
+		s.fence += fenceIncrement
+		s.replaceUpstream(c.Announced)
+		s.requestLists()
+	default:
+		s.candidateFailed(c)
+	}
+	return true
+}
+
+func (s *State) candidateFailed(c *candidate) {
+	c.call, c.retryAt = 0, s.now+retryDelay
+	if c.calls < maxCandidateCalls {
+		return
+	}
+	s.log("announced upstream does not answer", "instance", c.Upstream.Instance, "addr", c.Upstream.Addr, "calls", c.calls)
+	s.candidates = slices.DeleteFunc(s.candidates, func(o *candidate) bool { return o == c })
+}
+
+// checkCandidates repeats the calls to candidates that have not answered.
+func (s *State) checkCandidates() {
+	for _, c := range slices.Clone(s.candidates) {
+		switch {
+		case c.call != 0 && s.now >= c.deadline:
+			s.candidateFailed(c)
+		case c.call == 0 && s.now >= c.retryAt:
+			s.callCandidate(c)
+		}
+	}
+}
+
+// replaceUpstream makes an announced process the upstream. The runs of the one before
+// have ended with it.
+func (s *State) replaceUpstream(ev Announced) {
+	s.log("upstream instance changed", "instance", ev.Upstream.Instance, "before", s.upstream.Instance)
+	s.candidates = slices.DeleteFunc(s.candidates, func(c *candidate) bool {
+		return c.Born < ev.Born || c.Upstream.Instance == ev.Upstream.Instance
+	})
+	s.notifyCrash()
+	s.endAllRuns()
+	s.haveUpstream, s.reconciled = true, false
+	s.clock, s.clockAt, s.latestLeaseEnd = 0, 0, 0
+	s.lastEndSeq, s.ackedSeq = 0, 0
+	s.renewUpstream(ev)
+}
+
+// renewUpstream applies an announcement of the present upstream.
+func (s *State) renewUpstream(ev Announced) {
+	s.lastAnnounced = ev
+	s.observeClock(ev.Clock)
+	s.upstream = ev.Upstream
+	s.target = Target{Addr: ev.Upstream.Addr, Instance: ev.Upstream.Instance}
+	if s.reconciled {
+		s.notify(agent.Announced{Upstream: ev.Upstream})
+	}
+}
+
+// isStale reports whether an announcement is older than what is known, or can't follow
+// it. Until the present upstream has answered, what it announced may be another
+// writer's, and sets no bound for others.
+func (s *State) isStale(ev Announced) bool {
+	last := &s.lastAnnounced
+	if ev.Born == last.Born && ev.ID == last.ID {
+		return ev.Seq <= last.Seq || last.ID != "" && ev.Seq-last.Seq > maxSeqStep
+	}
+	return ev.Born < s.verifiedBorn
+}
--- /dev/null
+++ b/lease/candidate_test.go
@@ -0,0 +1,85 @@
+package lease
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fireflytray/fireflytray/agent"
+)
+
+// otherWriter returns an announcement of a process that doesn't exist, with numbers as
+// large as they get.
+func otherWriter(id string) Announced {
+	return Announced{
+		ID: id, Born: math.MaxUint64, Seq: math.MaxUint64, Clock: math.MaxInt64,
+		Upstream: agent.Upstream{Instance: id + "@18446744073709551615", Addr: "10.0.0.1:80", Leased: true},
+	}
+}
+
+// Another writer announces a process that doesn't answer. The runs of the present
+// upstream go on, are not started elsewhere, and the upstream is used as before.
+func TestAnnouncementOfAnotherWriterEndsNoRun(t *testing.T) {
+	for name, result := range map[string]HoldResult{"silent": HoldLost, "another process": HoldWrongInstance} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t).announceUpstream()
+			b.startRun(firstRun, "a")
+			b.step(otherWriter("i-odd"))
+			for range 2 * maxCandidateCalls {
+				last := b.holds[len(b.holds)-1]
+				if last.Target.Instance != instance {
+					b.step(HoldAnswered{Call: last.Call, Result: result})
+				}
+				b.answer(View{Running: []Running{{Task: "a", Run: 1}}})
+				b.advance(retryDelay)
+			}
+			require.Empty(t, b.ends())
+			require.Empty(t, b.s.candidates)
+			b.step(announcement(2))
+			require.Contains(t, b.events, agent.Event(agent.Announced{Upstream: announcement(2).Upstream}))
+			b.startRun(2, "b")
+			require.Equal(t, instance, b.starts[1].Target.Instance)
+		})
+	}
+}
+
+// Another writer's announcement comes first, with a birth that no upstream reaches. The
+// upstream that then announces itself and answers is used.
+func TestFirstAnnouncementOfAnotherWriterShutsNobodyOut(t *testing.T) {
+	b := newHarness(t)
+	b.step(otherWriter("i-odd"))
+	b.step(announcement(1))
+	b.answerCandidate()
+	require.Contains(t, b.events, agent.Event(agent.Announced{Upstream: announcement(1).Upstream}))
+	b.startRun(firstRun, "a")
+	require.Equal(t, instance, b.starts[0].Target.Instance)
+}
+
+// An announcement in the upstream's name carries a number that none of its own will
+// exceed. Its own announcements count on.
+func TestAnnouncementWithNumberOutOfReachIsIgnored(t *testing.T) {
+	b := newHarness(t).announceUpstream()
+	odd := announcement(math.MaxUint64)
+	odd.Upstream.Addr = "10.0.0.9:1"
+	b.step(odd)
+	leaving := announcement(2)
+	leaving.Upstream.Draining = true
+	b.step(leaving)
+	require.Contains(t, b.events, agent.Event(agent.Announced{Upstream: leaving.Upstream}))
+	require.NotContains(t, b.events, agent.Event(agent.Announced{Upstream: odd.Upstream}))
+}
+
+// Many odd announcements are not checked all at once, and those that are checked end.
+func TestCandidatesAreBounded(t *testing.T) {
+	b := newHarness(t).announceUpstream()
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		b.step(otherWriter(id))
+	}
+	require.Len(t, b.s.candidates, maxCandidates)
+	calls := len(b.holds)
+	b.advance(time.Hour)
+	require.Empty(t, b.s.candidates)
+	require.LessOrEqual(t, len(b.holds)-calls, maxCandidates*maxCandidateCalls)
+}
--- a/lease/crash_test.go
+++ b/lease/crash_test.go
@@ -17,7 +17,10 @@
 	successor := announcement(1)
 	successor.Born, successor.Upstream.Instance = 2000, "i-1@2000"
 	for name, replace := range map[string]func(b *harness){
-		"announcement": func(b *harness) { b.step(successor) },
+		"announcement": func(b *harness) {
+			b.step(successor)
+			b.answerCandidate()
+		},
 		"answer": func(b *harness) {
 			b.step(HoldAnswered{Call: b.s.holds[len(b.s.holds)-1].call, Result: HoldWrongInstance})
 		},
@@ -70,5 +73,6 @@
 	successor := announcement(1)
 	successor.Born, successor.Upstream.Instance = 2000, "i-1@2000"
 	b.step(successor)
+	b.answerCandidate()
 	require.NotContains(t, b.events, agent.Event(agent.Crashed{Instance: instance}))
 }
--- a/lease/hold.go
+++ b/lease/hold.go
@@ -89,6 +89,9 @@
 }
 
 func (s *State) holdAnswered(ev HoldAnswered) {
+	if s.candidateAnswered(ev) {
+		return
+	}
 	h, ok := s.removeHold(ev.Call)
 	if !ok {
 		return
@@ -114,6 +117,7 @@
 // handleView handles the lists in the answer to a hold.
 func (s *State) handleView(h hold, v View) {
 	s.answered()
+	s.verifiedBorn = s.lastAnnounced.Born
 	s.observeClock(v.Clock)
 	if h.probe != "" {
 		s.notify(agent.Probed{Instance: h.probe, OK: true})
@@ -276,6 +280,13 @@
 	for _, h := range s.holds {
 		add(h.deadline)
 	}
+	for _, c := range s.candidates {
+		if c.call != 0 {
+			add(c.deadline)
+		} else {
+			add(c.retryAt)
+		}
+	}
 	if s.retryAt > s.now {
 		add(s.retryAt)
 	}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -68,6 +68,14 @@
 	b.step(HoldAnswered{Call: newest.call, Result: HoldOK, View: v})
 }
 
+// answerCandidate answers the newest call, which is to an announced process, under the
+// instance that it announced.
+func (b *harness) answerCandidate() {
+	require.NotEmpty(b.t, b.s.candidates)
+	b.step(HoldAnswered{Call: b.holds[len(b.holds)-1].Call, Result: HoldOK, View: View{Clock: time.Second}})
+	require.Empty(b.t, b.s.candidates)
+}
+
 func announcement(seq uint64) Announced {
 	return Announced{ID: "i-1", Born: 1000, Seq: seq, Upstream: agent.Upstream{Instance: instance, Addr: "10.0.0.1:80", Leased: true}}
 }
@@ -194,6 +202,8 @@
 	next := announcement(1)
 	next.Born, next.Upstream.Instance = 2000, "i-1@2000"
 	b.step(next)
+	require.Empty(t, b.ends())
+	b.answerCandidate()
 	require.Equal(t, agent.EndCutOff, b.ends()[0].End)
 }
 
--- a/lease/state.go
+++ b/lease/state.go
@@ -125,9 +125,12 @@
 	cfg Config
 
 	upstream agent.Upstream
-	// lastAnnounced is the newest announcement.
+	// lastAnnounced is the newest announcement of the upstream. verifiedBorn is when
+	// the last process started that has answered as the upstream.
 	lastAnnounced Announced
+	verifiedBorn  uint64
 	haveUpstream  bool
+	candidates    []*candidate
 	evacuated     bool
 	target        Target
 	// reconciled is set once the lists show no run of a predecessor.
@@ -214,6 +217,7 @@
 	case Tick:
 	}
 	s.expire()
+	s.checkCandidates()
 	s.sendStops()
 	s.maintainHold()
 	out, s.out = s.out, nil
@@ -229,32 +233,24 @@
 	return s.lastCallID
 }
 
-// announced handles an announcement. A new incarnation of the process ends every
-// run of the previous one. It is announced to the agent once its lists show no
+// announced handles an announcement. A process other than the present upstream is
+// checked before it takes over. It is announced to the agent once its lists show no
 // unknown run.
 func (s *State) announced(ev Announced) {
-	up := ev.Upstream
-	if ev.Born < s.lastAnnounced.Born || ev.Born == s.lastAnnounced.Born && ev.ID == s.lastAnnounced.ID && ev.Seq <= s.lastAnnounced.Seq {
-		s.log("ignoring stale announcement", "instance", up.Instance, "seq", ev.Seq)
-		return
-	}
-	s.lastAnnounced = ev
-	if !s.haveUpstream || up.Instance != s.upstream.Instance {
-		s.log("upstream instance changed", "instance", up.Instance, "before", s.upstream.Instance)
-		s.notifyCrash()
-		s.endAllRuns()
-		s.haveUpstream, s.reconciled = true, false
-		s.clock, s.clockAt, s.latestLeaseEnd = 0, 0, 0
-		s.lastEndSeq, s.ackedSeq = 0, 0
-	}
-	s.observeClock(ev.Clock)
-	s.upstream = up
-	s.target = Target{Addr: up.Addr, Instance: up.Instance}
-	if s.reconciled {
-		s.notify(agent.Announced{Upstream: up})
-		return
+	switch {
+	case s.isStale(ev):
+		s.log("ignoring stale announcement", "instance", ev.Upstream.Instance, "seq", ev.Seq)
+	case s.haveUpstream && ev.Upstream.Instance != s.upstream.Instance:
+		s.propose(ev)
+	case !s.haveUpstream:
+		s.replaceUpstream(ev)
+		s.requestLists()
+	default:
+		s.renewUpstream(ev)
+		if !s.reconciled {
+			s.requestLists()
+		}
 	}
-	s.requestLists()
 }
 
 // left handles a departure. It does not say which incarnation has left, and may
