lease: a start that the successor of a process accepted is not started elsewhere

Change: a start whose answer names another birth, or whose clock has started anew, is known to be at the successor; one in flight, or without an answer at an upstream that had been idle, may be. These end as lost, which is told as unknown and not started again. A start that could not be sent (no connection) still ends as cut off, as do the runs that the process before had accepted, so that the tasks of a crashed upstream go on being started elsewhere.

--- a/lease/state.go
+++ b/lease/state.go
@@ -82,6 +82,12 @@
 	phase     phase
 	call      CallID
 	startedAt time.Duration
+	// sentClock is a time that the upstream's clock had reached when the start was
+	// sent; zero if unknown.
+	sentClock time.Duration
+	// byOther is set once another incarnation of the process has accepted the start,
+	// notSent if the last start was not sent.
+	byOther, notSent bool
 	// lastCall is the last call that had been sent when the run was started or
 	// confirmed as running; only the answer to a later hold can show that the
 	// run is missing.
@@ -293,11 +299,16 @@
 	return out
 }
 
-// endAllRuns ends every run and drops all holds, because the process that ran
-// them no longer exists.
+// endAllRuns ends every run and drops all holds, because the process that ran them no
+// longer exists. Its successor may have accepted a start that was meant for it.
 func (s *State) endAllRuns() {
 	for _, r := range s.sortedRuns() {
-		s.end(r, agent.EndCutOff)
+		how := agent.EndCutOff
+		if s.maySucceed(r) {
+			s.log("run may be at the successor", "task", r.key.task, "run", r.key.run, "instance", s.upstream.Instance)
+			how = agent.EndLost
+		}
+		s.end(r, how)
 	}
 	s.holds = s.holds[:0]
 	clear(s.unknownRuns)
@@ -305,6 +316,17 @@
 	s.silence, s.retryAt, s.ackAt = silence{}, 0, 0
 }
 
+// maySucceed reports whether the successor of the present process may run r.
+func (s *State) maySucceed(r *run) bool {
+	switch r.phase {
+	case phaseRunning:
+		return r.byOther
+	case phaseUnconfirmed:
+		return !r.notSent && s.answeredAt < r.startedAt-aliveWithin
+	}
+	return true
+}
+
 // start starts a run. A start past its StartBy is not sent.
 func (s *State) start(eff agent.StartRun) {
 	r := &run{StartRun: eff, key: keyOf(eff), startedAt: s.now}
@@ -343,7 +365,10 @@
 
 func (s *State) sendStart(r *run) {
 	r.phase, r.call, r.fence = phaseStarting, s.nextCall(), s.fence
-	r.lastCall = r.call
+	r.lastCall, r.notSent, r.sentClock = r.call, false, 0
+	if s.clockAt > 0 {
+		r.sentClock = s.clockNow()
+	}
 	s.emit(StartCall{
 		Call: r.call, Target: s.target, Task: r.key.task, Run: r.key.run,
 		Payload: r.Payload, Until: s.startLeaseEnd(), Fence: s.fence,
@@ -389,6 +414,10 @@
 	if r == nil {
 		return
 	}
+	if ev.Result == StartAccepted && ev.Clock > 0 && ev.Clock < r.sentClock {
+		// The clock of the process that answered has started anew.
+		ev.Result = StartAcceptedByOther
+	}
 	s.observeClock(ev.Clock)
 	if ev.Result.answered() {
 		s.answered()
@@ -396,7 +425,12 @@
 	switch ev.Result {
 	case StartAccepted:
 		r.phase, r.lastCall = phaseRunning, s.lastCallID
-	case StartLost:
+	case StartAcceptedByOther:
+		s.log("start was accepted by another process", "task", r.key.task, "run", r.key.run, "instance", s.upstream.Instance)
+		r.phase, r.lastCall, r.byOther = phaseRunning, s.lastCallID, true
+		s.requestLists()
+	case StartLost, StartNotSent:
+		r.notSent = ev.Result == StartNotSent
 		s.markUnconfirmed(r)
 	case StartFenced:
 		if r.fence == s.fence {
--- a/lease/types.go
+++ b/lease/types.go
@@ -165,12 +165,22 @@
 	StartInvalid
 	// StartWrongInstance means that another incarnation of the process answered.
 	StartWrongInstance
+	// StartAcceptedByOther means that another incarnation of the process has started
+	// the run.
+	StartAcceptedByOther
+	// StartNotSent means that the upstream could not be reached, so that the start is
+	// not carried out.
+	StartNotSent
 )
 
 // answered reports whether the upstream's process has answered. One that is unhealthy
 // may refuse everything.
 func (r StartResult) answered() bool {
-	return r != StartLost && r != StartUnhealthy && r != StartWrongInstance
+	switch r {
+	case StartLost, StartNotSent, StartUnhealthy, StartWrongInstance, StartAcceptedByOther:
+		return false
+	}
+	return true
 }
 
 // StopResult is an upstream's answer to a stop.
