lease: the starts of runs in a file of their own

The functions about starts, their answers and what a successor may have taken of them move to start.go as they are.

--- a/lease/state.go
+++ b/lease/state.go
@@ -1,11 +1,9 @@
 package lease
 
 import (
-	"slices"
 	"time"
 
 	"github.com/fireflytray/fireflytray/agent"
-	"github.com/fireflytray/fireflytray/task"
 )
 
 // Config tunes a State.
@@ -316,81 +314,6 @@
 	s.silence, s.retryAt, s.ackAt = silence{}, 0, 0
 }
 
-// maySucceed reports whether the successor of the present process may run r.
-func (s *State) maySucceed(r *run) bool {
-	switch r.phase {
-	case phaseRunning:
-		return r.byOther
-	case phaseUnconfirmed:
-		return !r.notSent && s.answeredAt < r.startedAt-aliveWithin
-	}
-	return true
-}
-
-// start starts a run. A start past its StartBy is not sent.
-func (s *State) start(eff agent.StartRun) {
-	r := &run{StartRun: eff, key: keyOf(eff), startedAt: s.now}
-	switch {
-	case !s.haveUpstream || !s.reconciled:
-		s.notify(agent.RunEnded{Run: eff.Run, End: agent.EndRejected})
-		return
-	case s.now >= eff.StartBy:
-		s.notify(agent.RunEnded{Run: eff.Run, End: agent.EndExpired})
-		return
-	case s.evacuated:
-		s.notify(agent.RunEnded{Run: eff.Run, End: agent.EndEvacuated})
-		return
-	case s.runs[r.key] != nil || s.unknownRuns[r.key]:
-		s.notify(agent.RunEnded{Run: eff.Run, End: agent.EndRejected})
-		return
-	case !s.hasRoomFor(r):
-		s.notify(agent.RunEnded{Run: eff.Run, End: agent.EndBusy})
-		return
-	}
-	s.runs[r.key], s.runsByID[eff.Run] = r, r
-	s.sendStart(r)
-}
-
-// hasRoomFor reports whether a run fits the capacity beside all others. The capacity
-// may have shrunk since the agent decided on the start.
-func (s *State) hasRoomFor(r *run) bool {
-	used := r.Need
-	for _, o := range s.runs {
-		if o != r {
-			used = used.Add(o.Need)
-		}
-	}
-	return used == (task.Resources{}) || used.Fits(s.upstream.Offered)
-}
-
-func (s *State) sendStart(r *run) {
-	r.phase, r.call, r.fence = phaseStarting, s.nextCall(), s.fence
-	r.lastCall, r.notSent, r.sentClock = r.call, false, 0
-	if s.clockAt > 0 {
-		r.sentClock = s.clockNow()
-	}
-	s.emit(StartCall{
-		Call: r.call, Target: s.target, Task: r.key.task, Run: r.key.run,
-		Payload: r.Payload, Until: s.startLeaseEnd(), Fence: s.fence,
-	})
-}
-
-// mayRenew reports whether calls may extend the leases. They must not while the
-// upstream does not answer, may have runs of a predecessor or does not carry out
-// a stop.
-func (s *State) mayRenew() bool {
-	return s.reconciled && !s.silence.reported && !slices.ContainsFunc(s.stops, s.isIneffective)
-}
-
-// startLeaseEnd returns the end of the lease in a start. If the leases may not be
-// renewed, it is one that has been sent before.
-func (s *State) startLeaseEnd() time.Duration {
-	if s.mayRenew() {
-		return s.newLeaseEnd()
-	}
-	return s.latestLeaseEnd
-}
-
 // clockNow returns a time that the upstream's clock has certainly reached.
 func (s *State) clockNow() time.Duration {
 	return s.clock + time.Duration(float64(s.now-s.clockAt)*(1-maxClockDrift))
@@ -407,93 +330,6 @@
 	return until
 }
 
-// startAnswered handles the outcome of a start. Except for a lost or fenced start,
-// a start that was not accepted ends the run.
-func (s *State) startAnswered(ev StartAnswered) {
-	r := s.runByCall(ev.Call)
-	if r == nil {
-		return
-	}
-	if ev.Result == StartAccepted && ev.Clock > 0 && ev.Clock < r.sentClock {
-		// The clock of the process that answered has started anew.
-		ev.Result = StartAcceptedByOther
-	}
-	s.observeClock(ev.Clock)
-	if ev.Result.answered() {
-		s.answered()
-	}
-	switch ev.Result {
-	case StartAccepted:
-		r.phase, r.lastCall = phaseRunning, s.lastCallID
-	case StartAcceptedByOther:
-		s.log("start was accepted by another process", "task", r.key.task, "run", r.key.run, "instance", s.upstream.Instance)
-		r.phase, r.lastCall, r.byOther = phaseRunning, s.lastCallID, true
-		s.requestLists()
-	case StartLost, StartNotSent:
-		r.notSent = ev.Result == StartNotSent
-		s.markUnconfirmed(r)
-	case StartFenced:
-		if r.fence == s.fence {
-			s.fence += fenceIncrement
-			s.log("fencing token was too low", "task", r.key.task, "token", s.fence)
-		}
-		s.resendStart(r)
-	case StartStale:
-		s.end(r, agent.EndRejected)
-	case StartExpired:
-		s.end(r, agent.EndRejected)
-		s.requestLists()
-	case StartNoCapacity:
-		s.end(r, agent.EndBusy)
-	case StartUnhealthy:
-		s.end(r, agent.EndRefused)
-	case StartInvalid:
-		s.end(r, agent.EndFailed)
-	case StartWrongInstance:
-		s.end(r, agent.EndRejected)
-	}
-}
-
-// resendStart sends a start again that was certainly not carried out, unless the
-// run is no longer wanted, its entry may have given it up meanwhile, as during a
-// pause of this process, or the failure domain is evacuated.
-func (s *State) resendStart(r *run) {
-	if s.evacuated {
-		s.log("start is not repeated, the failure domain is evacuated", "task", r.key.task, "run", r.key.run)
-		s.end(r, agent.EndEvacuated)
-		return
-	}
-	if !s.hasRoomFor(r) {
-		s.log("start is not repeated, the capacity has shrunk", "task", r.key.task, "run", r.key.run, "offered", s.upstream.Offered)
-		s.end(r, agent.EndBusy)
-		return
-	}
-	if s.stopOf(r.key) != nil || s.now >= min(r.StartBy, r.startedAt+s.cfg.RunsEndWithin()) {
-		s.end(r, agent.EndRejected)
-		return
-	}
-	s.sendStart(r)
-}
-
-// markUnconfirmed keeps a run whose start got no answer until the upstream has
-// seen a higher token.
-func (s *State) markUnconfirmed(r *run) {
-	s.fence++
-	s.lossyUntil = s.now + s.cfg.LossyFor
-	r.phase, r.fence = phaseUnconfirmed, s.fence
-	s.log("start got no answer", "task", r.key.task, "run", r.key.run, "token", s.fence)
-	s.requestLists()
-}
-
-func (s *State) runByCall(call CallID) *run {
-	for _, r := range s.runs {
-		if r.call == call && r.phase == phaseStarting {
-			return r
-		}
-	}
-	return nil
-}
-
 // end removes a run and reports its end to the agent.
 func (s *State) end(r *run, how agent.End) {
 	delete(s.runs, r.key)
