lease: a successor is used only once its lists show what it has accepted

Traced in its logs, 12:58:47.80 to .88: while the successor of a crashed process was being checked, a refusal by that successor counted as an answer of the process before, which was used again; eight starts meant for it were accepted by the successor after the list that the check had brought. The successor was then announced with all its capacity free.

Change: a successor's lists are requested after it has replaced the process before, under a higher token: they show all that it has accepted, and it accepts no more of the starts before. An answer whose clock has started anew is no answer of the upstream.

TestSuccessorIsUsedOnceItsAcceptedRunsAreStopped and TestRefusalOfSuccessorIsNo- AnswerOfTheUpstream failed before.

--- a/lease/candidate.go
+++ b/lease/candidate.go
@@ -68,11 +68,9 @@
 	switch c := s.candidates[i]; ev.Result {
 	case HoldOK:
 		s.replaceUpstream(c.Announced)
-		s.handleView(hold{call: ev.Call, fence: s.fence}, ev.View)
 	case HoldFenced:
 		s.fence += fenceIncrement
 		s.replaceUpstream(c.Announced)
-		s.requestLists()
 	default:
 		s.candidateFailed(c)
 	}
@@ -100,8 +98,10 @@
 	}
 }
 
-// replaceUpstream makes an announced process the upstream. The runs of the one before
-// have ended with it.
+// replaceUpstream makes an announced process the upstream and requests its lists. The
+// runs of the one before have ended with it, but starts that were meant for it may have
+// reached the successor, or may yet: the lists are requested under a higher token, so
+// that they show all that it has accepted and it accepts no more of them.
 func (s *State) replaceUpstream(ev Announced) {
 	s.log("upstream instance changed", "instance", ev.Upstream.Instance, "before", s.upstream.Instance)
 	s.candidates = slices.DeleteFunc(s.candidates, func(c *candidate) bool {
@@ -112,7 +112,9 @@
 	s.haveUpstream, s.reconciled = true, false
 	s.clock, s.clockAt, s.latestLeaseEnd = 0, 0, 0
 	s.lastEndSeq, s.ackedSeq = 0, 0
+	s.fence++
 	s.renewUpstream(ev)
+	s.requestLists()
 }
 
 // renewUpstream applies an announcement of the present upstream.
--- a/lease/candidate_test.go
+++ b/lease/candidate_test.go
@@ -52,11 +52,49 @@
 	b.step(otherWriter("i-odd"))
 	b.step(announcement(1))
 	b.answerCandidate()
+	b.answer(View{})
 	require.Contains(t, b.events, agent.Event(agent.Announced{Upstream: announcement(1).Upstream}))
 	b.startRun(firstRun, "a")
 	require.Equal(t, instance, b.starts[0].Target.Instance)
 }
 
+// While the successor of a crashed process is being checked, it accepts a start that was
+// meant for the process before. Its capacity is used only once that run has been found
+// and stopped.
+func TestSuccessorIsUsedOnceItsAcceptedRunsAreStopped(t *testing.T) {
+	b := newHarness(t).announceUpstream()
+	successor := announcement(1)
+	successor.Born, successor.Upstream.Instance = 2000, "i-1@2000"
+	b.step(successor)
+	check := b.holds[len(b.holds)-1].Call
+	b.step(startEvent(firstRun, "a"))
+	b.step(StartAnswered{Call: b.starts[0].Call, Result: StartAccepted, Clock: time.Millisecond})
+	b.step(HoldAnswered{Call: check, Result: HoldOK, View: View{Clock: time.Millisecond}})
+	require.Equal(t, agent.EndLost, b.ends()[0].End)
+	require.Greater(t, b.holds[len(b.holds)-1].Fence, b.starts[0].Fence)
+	b.answer(View{Running: []Running{{Task: "a", Run: 1}}})
+	require.Equal(t, "a", b.stops[0].Task)
+	require.NotContains(t, b.events, agent.Event(agent.Announced{Upstream: successor.Upstream}))
+	b.step(StopAnswered{Call: b.stops[0].Call, Result: StopAccepted})
+	b.answer(View{Ended: []Ended{{Seq: 1, Task: "a", Run: 1, How: EndStopped}}})
+	require.Contains(t, b.events, agent.Event(agent.Announced{Upstream: successor.Upstream}))
+}
+
+// A silent upstream has ended, and its successor refuses a start. That is no answer of
+// the upstream, which must not be used again for it.
+func TestRefusalOfSuccessorIsNoAnswerOfTheUpstream(t *testing.T) {
+	b := newHarness(t).announceUpstream()
+	b.step(startEvent(firstRun, "a"))
+	b.step(startEvent(2, "b"))
+	b.step(StartAnswered{Call: b.starts[0].Call, Result: StartLost})
+	for len(b.s.holds) > 0 && !b.s.silence.reported {
+		b.step(HoldAnswered{Call: b.s.holds[0].call, Result: HoldLost})
+	}
+	require.True(t, b.s.silence.reported)
+	b.step(StartAnswered{Call: b.starts[1].Call, Result: StartNoCapacity, Clock: time.Millisecond})
+	require.True(t, b.s.silence.reported)
+}
+
 // An announcement in the upstream's name carries a number that none of its own will
 // exceed. Its own announcements count on.
 func TestAnnouncementWithNumberOutOfReachIsIgnored(t *testing.T) {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -72,8 +72,10 @@
 // instance that it announced.
 func (b *harness) answerCandidate() {
 	require.NotEmpty(b.t, b.s.candidates)
-	b.step(HoldAnswered{Call: b.holds[len(b.holds)-1].Call, Result: HoldOK, View: View{Clock: time.Second}})
+	before := b.holds[len(b.holds)-1]
+	b.step(HoldAnswered{Call: before.Call, Result: HoldOK, View: View{Clock: time.Second}})
 	require.Empty(b.t, b.s.candidates)
+	require.Greater(b.t, b.holds[len(b.holds)-1].Fence, before.Fence)
 }
 
 func announcement(seq uint64) Announced {
--- a/lease/start.go
+++ b/lease/start.go
@@ -79,12 +79,13 @@
 	if r == nil {
 		return
 	}
-	if ev.Result == StartAccepted && ev.Clock > 0 && ev.Clock < r.sentClock {
-		// The clock of the process that answered has started anew.
+	// The clock of another process has started anew.
+	byOther := ev.Clock > 0 && ev.Clock < r.sentClock
+	if byOther && ev.Result == StartAccepted {
 		ev.Result = StartAcceptedByOther
 	}
 	s.observeClock(ev.Clock)
-	if ev.Result.answered() {
+	if ev.Result.answered() && !byOther {
 		s.answered()
 	}
 	switch ev.Result {
--- a/lease/state.go
+++ b/lease/state.go
@@ -248,7 +248,6 @@
 		s.propose(ev)
 	case !s.haveUpstream:
 		s.replaceUpstream(ev)
-		s.requestLists()
 	default:
 		s.renewUpstream(ev)
 		if !s.reconciled {
