--- a/controlclient/first_config_test.go
+++ b/controlclient/first_config_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,18 +17,25 @@
 // startClient runs a client without control hosts until the test ends, and returns it
 // with the indices that come into force.
 func startClient(t *testing.T) (*Client, func() []uint64) {
+	var mu sync.Mutex
 	var indices []uint64
 	c := New(Options{
-		Self:     func() wire.Announce { return wire.Announce{} },
-		OnConfig: func(conf *fleet.Config) { indices = append(indices, conf.Index) },
-		Log:      discardLogger,
+		Self: func() wire.Announce { return wire.Announce{} },
+		OnConfig: func(conf *fleet.Config) {
+			mu.Lock()
+			defer mu.Unlock()
+			indices = append(indices, conf.Index)
+		},
+		Log: discardLogger,
 	})
 	ctx, stop := context.WithCancel(t.Context())
 	t.Cleanup(stop)
 	go func() { _ = c.Run(ctx) }()
 	return c, func() []uint64 {
 		synctest.Wait()
-		return indices
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Clone(indices)
 	}
 }
 
