directory: a lost control host's members go although dials of it fail

Cause: controld posts SourceLost after each failed dial, and each one put off the removal by the whole grace of 10 s; a host that is gone for good is dialled every second.

Change: directory.LostSources keeps the time of the first loss until the source reports again.

TestLostSourceExpiresWhileDialsFail fails with the rule of before (the mutation that counts each loss anew), and passes now.

--- a/directory/reducer.go
+++ b/directory/reducer.go
@@ -15,9 +15,6 @@
 	// completeAfter is how long after its start a control host's list may still
 	// lack live processes.
 	completeAfter = MaxLease
-	// lostSourceGrace is how long the members reported by another control host
-	// are kept after the connection to it has ended.
-	lostSourceGrace = MaxLease
 	// upsertDelay is the delay for batching announcements into one message to
 	// each watcher.
 	upsertDelay = 100 * time.Millisecond
@@ -98,9 +95,7 @@
 	leases   map[processKey]*lease
 	local    *Table
 	watchers []watcher
-	// removeSourceAt is the time at which the members of each disconnected source
-	// are removed.
-	removeSourceAt map[Source]time.Duration
+	lost     LostSources
 	// domains holds the failure domains seen since the start.
 	domains     domainSet
 	quorumFresh bool
@@ -115,7 +110,7 @@
 func NewReducer(now time.Duration) *Reducer {
 	return &Reducer{
 		table: NewTable(), leases: map[processKey]*lease{}, local: NewTable(),
-		removeSourceAt: map[Source]time.Duration{}, domains: domainSet{}, startedAt: now, flushAt: never, wakeAt: never,
+		lost: LostSources{}, domains: domainSet{}, startedAt: now, flushAt: never, wakeAt: never,
 	}
 }
 
@@ -136,12 +131,12 @@
 	case ev.ConnClosed != nil:
 		r.watchers = slices.DeleteFunc(r.watchers, func(w watcher) bool { return w.conn == ev.ConnClosed.Conn })
 	case ev.Received != nil:
-		delete(r.removeSourceAt, ev.Received.Source)
+		r.lost.Returned(ev.Received.Source)
 		r.domains.addMembers(ev.Received.Msg.Upserts)
 		r.table.Merge(now, ev.Received.Source, ev.Received.Msg)
 	case ev.SourceLost != nil:
-		r.removeSourceAt[ev.SourceLost.Source] = now + lostSourceGrace
-		r.wakeAt = min(r.wakeAt, now+lostSourceGrace)
+		r.lost.Lost(now, ev.SourceLost.Source)
+		r.wakeAt = min(r.wakeAt, now+LostSourceGrace)
 	case ev.Quorum != nil:
 		r.quorumFresh = ev.Quorum.Fresh
 	case ev.Query != nil:
@@ -208,7 +203,7 @@
 }
 
 // expire removes expired leases and the members of sources that have been lost
-// for lostSourceGrace. It scans all of them, but not before wakeAt, when the first
+// for LostSourceGrace. It scans all of them, but not before wakeAt, when the first
 // may have expired.
 func (r *Reducer) expire(now time.Duration) {
 	if now < r.wakeAt {
@@ -224,14 +219,7 @@
 		r.table.Expire(Local, l.peer)
 		r.local.Expire(Local, l.peer)
 	}
-	for src, at := range r.removeSourceAt {
-		if at > now {
-			r.wakeAt = min(r.wakeAt, at)
-			continue
-		}
-		delete(r.removeSourceAt, src)
-		r.table.RemoveSource(src)
-	}
+	r.wakeAt = min(r.wakeAt, r.lost.Expire(now, r.table))
 	r.table.PurgeTombstones(now)
 	r.local.PurgeTombstones(now)
 }
--- a/directory/reducer_test.go
+++ b/directory/reducer_test.go
@@ -247,20 +247,33 @@
 	require.Equal(t, []string{"a2"}, ids(table.Members()), "a delayed update about the previous incarnation")
 }
 
-// The members reported by another control host are kept for lostSourceGrace after
+// The members reported by another control host are kept for LostSourceGrace after
 // the connection to it is lost.
 func TestLostSourceExpiresAfterGrace(t *testing.T) {
 	w := newHarness(t)
 	w.advance(completeAfter)
 	w.step(Event{Received: &ReceivedDirectory{Source: "c2", Msg: &wire.Directory{Full: true, Complete: true, Upserts: []wire.Member{member("a", 1, 1)}}}})
 	w.step(Event{SourceLost: &SourceLost{Source: "c2"}})
-	w.advance(lostSourceGrace - time.Millisecond)
+	w.advance(LostSourceGrace - time.Millisecond)
 	require.Contains(t, w.entryView, "a")
 	require.NotContains(t, w.controlView, "a", "a control host reports only its own leases")
 	w.advance(time.Millisecond)
 	require.NotContains(t, w.entryView, "a")
 }
 
+// Members that a lost control host had reported stayed listed for ever: each failed dial
+// of it reported the loss again and put off their removal.
+func TestLostSourceExpiresWhileDialsFail(t *testing.T) {
+	w := newHarness(t)
+	w.advance(completeAfter)
+	w.step(Event{Received: &ReceivedDirectory{Source: "c2", Msg: &wire.Directory{Full: true, Complete: true, Upserts: []wire.Member{member("a", 1, 1)}}}})
+	for range LostSourceGrace / time.Second {
+		w.step(Event{SourceLost: &SourceLost{Source: "c2"}})
+		w.advance(time.Second)
+	}
+	require.NotContains(t, w.entryView, "a")
+}
+
 // A renewal without a change sends no message to the watchers; a new
 // configuration index alone is sent to control hosts, not to entries.
 func TestUnchangedRenewalSendsNoUpdate(t *testing.T) {
