controlclient, directory: entries and agents follow the control hosts that are there

Cause: an agent announced itself to the control hosts of its settings only. It got no directory, so that it never heard of those that took their place; the directory is soft state, and once the control hosts that had heard of the agent had gone or restarted, nobody listed it, and an entry that started later found no agent.

Ruled out: the entries (they listed what their control hosts listed) and the control hosts' cluster (it had a fresh quorum throughout).

Change: every process subscribes; agents get the control hosts of the list and nothing else. The client keeps sessions as controlhosts.Set says: 3 for an agent, 12 for an entry, with another one in the place of each that can't be reached; sessions to hosts that are gone end.

--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -1,13 +1,12 @@
 // Package controlclient connects entries and agents to the control hosts. It
-// keeps a session to each configured control host, announces the process there,
-// and passes on changes of the directory and of the configuration. While no
-// control host is reachable, the process continues with its last known state.
+// keeps a session to each control host that package controlhosts selects, announces
+// the process there, and passes on changes of the directory and of the configuration.
+// While no control host is reachable, the process continues with its last known state.
 package controlclient
 
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/charmbracelet/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/fireflytray/fireflytray/controlhosts"
 	"github.com/fireflytray/fireflytray/directory"
 	"github.com/fireflytray/fireflytray/fleet"
 	"github.com/fireflytray/fireflytray/internal/steadyclock"
@@ -25,6 +25,8 @@
 const (
 	// DefaultLease is how long an announcement is valid.
 	DefaultLease = 9 * time.Second
+	// DefaultSessions is the default of Options.Sessions.
+	DefaultSessions = 12
 	// renewalsPerLease is the number of announcements sent within one lease.
 	renewalsPerLease = 3
 	// freshConfigWait is how long a process without a configuration waits for a
@@ -39,18 +41,22 @@
 type Options struct {
 	// Controls lists the peer addresses of the configured control hosts.
 	Controls []string
+	// ControlsChanged delivers lists that replace Controls; nil delivers none.
+	ControlsChanged <-chan []string
 	// Transport configures the connections; Stamp is set by the client.
 	Transport transport.Options
-	// Self returns the current announcement; the client sets Seq, Lease and
-	// Leaving. It is called from several goroutines.
+	// Self returns the current announcement; the client sets Seq, Lease, Leaving and
+	// Watch. It is called from several goroutines.
 	Self func() wire.Announce
+	// Sessions is the number of control hosts to keep sessions to, if that many live.
+	Sessions int
 	// Site selects the site overlay of the configuration.
 	Site string
 	// Lease is how long an announcement is valid without renewal.
 	Lease time.Duration
 	// OnDirectory receives the changes of the merged member list, one call at a
-	// time, marked as complete once the list holds every live process. It is called only
-	// if the announcement of Self sets Watch.
+	// time, marked as complete once the list holds every live process that control
+	// hosts report to this role: all to entries, control hosts to agents.
 	OnDirectory func(wire.Directory)
 	// OnConfig receives each configuration of the site that comes into force,
 	// one call at a time and with increasing indices.
@@ -80,9 +86,14 @@
 	table *directory.Table
 	// complete is set once a control host has sent a complete list.
 	complete bool
-
-	// sessionsMu guards sessions and startSession.
-	sessionsMu   sync.Mutex
+	// lost holds the control hosts whose sessions have ended.
+	lost directory.LostSources
+
+	// sessionsMu guards hosts, sessions and startSession. It may be locked while mu is
+	// held, not the other way round.
+	sessionsMu sync.Mutex
+	hosts      *controlhosts.Set
+	// sessions has one session for each present host of hosts.
 	sessions     []*session
 	startSession func(*session)
 }
@@ -92,6 +103,9 @@
 	if o.Lease == 0 {
 		o.Lease = DefaultLease
 	}
+	if o.Sessions == 0 {
+		o.Sessions = DefaultSessions
+	}
 	if o.OnDirectory == nil {
 		o.OnDirectory = func(wire.Directory) {}
 	}
@@ -101,14 +115,13 @@
 	if o.Log == nil {
 		o.Log = log.Default()
 	}
-	c := &Client{opts: o, log: o.Log.WithPrefix("controlclient"), clock: steadyclock.New(), calls: newPendingCalls(), table: directory.NewTable()}
+	c := &Client{opts: o, log: o.Log.WithPrefix("controlclient"), clock: steadyclock.New(), calls: newPendingCalls(), table: directory.NewTable(), lost: directory.LostSources{}}
 	c.lifetime, c.endLifetime = context.WithCancel(context.Background())
 	c.releaseSlots = make(chan struct{}, maxReleases)
 	c.config = newConfigState(o.Site, c.configAdopted, c.log)
 	c.opts.Transport.Stamp = c.Stamp
-	for _, addr := range o.Controls {
-		c.sessions = append(c.sessions, newSession(c, addr))
-	}
+	c.hosts = controlhosts.New(o.Self().From.ID, o.Sessions)
+	c.stepHosts(controlhosts.Event{Configured: &controlhosts.Configured{Addrs: o.Controls}})
 	return c
 }
 
@@ -117,8 +130,11 @@
 	defer c.endLifetime()
 	g, ctx := errgroup.WithContext(ctx)
 	c.startSessions(func(s *session) {
-		g.Go(func() error { s.run(ctx); return nil })
+		sessionCtx, stop := context.WithCancel(ctx)
+		s.stop = stop
+		g.Go(func() error { defer stop(); s.run(sessionCtx); return nil })
 	})
+	g.Go(func() error { c.maintainHosts(ctx); return nil })
 	g.Go(func() error { c.renew(ctx); return nil })
 	g.Go(func() error { c.endFreshConfigWait(ctx); return nil })
 	return g.Wait()
@@ -159,6 +175,7 @@
 	msg := c.opts.Self()
 	msg.Seq = c.seq.Add(1)
 	msg.Lease = c.opts.Lease
+	msg.Watch = true
 	return &msg
 }
 
@@ -212,67 +229,3 @@
 		s.send(&wire.ConfigFetch{Have: c.Stamp().Index})
 	}
 }
-
-// merge applies a Directory message of one control host to the merged member
-// list and passes the changes to OnDirectory.
-func (c *Client) merge(addr string, msg *wire.Directory) {
-	ahead := false
-	for _, m := range msg.Upserts {
-		if m.Peer.Role == wire.RoleControl {
-			c.addControlHost(m.Peer.Addr)
-		}
-		ahead = c.config.observe(m.ConfigIndex) || ahead
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.table.Merge(c.clock.Now(), directory.Source(addr), msg)
-	c.table.PurgeTombstones(c.clock.Now())
-	diff := c.table.TakeDifference()
-	out := diff.Message(false)
-	completed := msg.Complete && !c.complete
-	c.complete = c.complete || msg.Complete
-	out.Complete = c.complete
-	if completed || len(out.Upserts)+len(out.Removed) > 0 {
-		c.opts.OnDirectory(*out)
-	}
-	if ahead {
-		go c.fetch()
-	}
-}
-
-// allSessions returns a copy of the session list.
-func (c *Client) allSessions() []*session {
-	c.sessionsMu.Lock()
-	defer c.sessionsMu.Unlock()
-	return slices.Clone(c.sessions)
-}
-
-// startSessions starts the sessions to the configured control hosts.
-// addControlHost starts those to control hosts discovered later.
-func (c *Client) startSessions(startSession func(*session)) {
-	c.sessionsMu.Lock()
-	defer c.sessionsMu.Unlock()
-	c.startSession = startSession
-	for _, s := range c.sessions {
-		startSession(s)
-	}
-}
-
-// maxSessions bounds the sessions of a process. Configured control hosts count
-// first, and some of them may have been removed permanently.
-const maxSessions = 12
-
-// addControlHost starts a session to a control host found in the directory that
-// the settings don't list.
-func (c *Client) addControlHost(addr string) {
-	c.sessionsMu.Lock()
-	defer c.sessionsMu.Unlock()
-	known := slices.ContainsFunc(c.sessions, func(s *session) bool { return s.addr == addr })
-	if known || addr == "" || c.startSession == nil || len(c.sessions) >= maxSessions || c.leaving.Load() {
-		return
-	}
-	c.log.Info("discovered a control host in the directory", "control", addr)
-	s := newSession(c, addr)
-	c.sessions = append(c.sessions, s)
-	c.startSession(s)
-}
--- a/controlclient/session.go
+++ b/controlclient/session.go
@@ -25,6 +25,8 @@
 type session struct {
 	client *Client
 	addr   string
+	// stop ends run; nil until the session is started.
+	stop context.CancelFunc
 
 	mu   sync.Mutex
 	conn *transport.Conn
@@ -34,6 +36,9 @@
 	// is its sequence number; zero until it is sent.
 	leaveAnswered chan struct{}
 	leaveSeq      uint64
+	// fresh and complete tell whether the control host has a fresh quorum and has sent
+	// a complete list on conn.
+	fresh, complete bool
 
 	// lastError is the error that was last logged as a warning; only the goroutine
 	// of run uses it.
@@ -91,6 +96,8 @@
 	ended := make(chan struct{})
 	defer close(ended)
 	s.setConn(conn, ended)
+	s.client.sessionOpened(s)
+	defer s.client.sessionClosed(s)
 	defer s.setConn(nil, nil)
 	defer conn.Close("session ended")
 	if !s.client.leaving.Load() {
@@ -109,6 +116,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conn, s.connEnded = conn, ended
+	s.fresh, s.complete = false, false
+}
+
+// informs reports whether the control host is connected, has a fresh quorum, and has
+// sent a complete list.
+func (s *session) informs() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conn != nil && s.fresh && s.complete
 }
 
 func (s *session) handle(conn *transport.Conn, m wire.Message, stamp wire.Stamp) {
@@ -116,8 +132,10 @@
 	case *wire.Announced:
 		conn.SetAwaitingReply(false)
 		s.announceAnswered(m.Seq)
+		s.client.quorumReported(s, m.Fresh)
 	case *wire.Directory:
 		s.client.merge(s.addr, m)
+		s.client.listReceived(s, m.Complete)
 	case *wire.ConfigPush:
 		s.push(m)
 		return
--- a/directory/reducer.go
+++ b/directory/reducer.go
@@ -27,6 +27,9 @@
 // ConnID identifies a connection to this control host. It is never reused.
 type ConnID uint64
 
+// OwnConn stands for this control host itself in effects.
+const OwnConn ConnID = 0
+
 // Event is an input of the Reducer. At most one pointer is set; an empty Event
 // is a timer tick.
 type Event struct {
@@ -35,6 +38,7 @@
 	Received   *ReceivedDirectory
 	SourceLost *SourceLost
 	Quorum     *Quorum
+	Subscribe  *Subscribe
 	Query      *MembersQuery
 	Domains    *DomainsQuery
 }
@@ -63,6 +67,10 @@
 // Quorum reports whether this control host has recently heard from a quorum.
 type Quorum struct{ Fresh bool }
 
+// Subscribe makes the reducer send each change of the listed control hosts to OwnConn,
+// as a full list.
+type Subscribe struct{}
+
 // MembersQuery asks for all members. Reply is called with them on the event loop.
 type MembersQuery struct{ Reply func([]wire.Member) }
 
@@ -81,10 +89,31 @@
 
 // watcher is a connection that receives differences.
 type watcher struct {
-	conn ConnID
-	// localOnly is set for control hosts: they receive only the leases held
-	// here, so that no control host passes on what another one reported.
-	localOnly bool
+	conn  ConnID
+	scope scope
+}
+
+// scope is the part of the list that a watcher receives.
+type scope uint8
+
+const (
+	// scopeAll is the merged list, for entries.
+	scopeAll scope = iota
+	// scopeLocal holds the leases of this host only, for control hosts, so that no
+	// control host passes on what another one reported.
+	scopeLocal
+	// scopeControlHosts holds the control hosts of the merged list, for agents.
+	scopeControlHosts
+)
+
+func scopeOf(r wire.Role) scope {
+	switch r {
+	case wire.RoleControl:
+		return scopeLocal
+	case wire.RoleAgent:
+		return scopeControlHosts
+	}
+	return scopeAll
 }
 
 // Reducer is the directory of one control host.
@@ -139,6 +168,8 @@
 		r.wakeAt = min(r.wakeAt, now+LostSourceGrace)
 	case ev.Quorum != nil:
 		r.quorumFresh = ev.Quorum.Fresh
+	case ev.Subscribe != nil:
+		r.watchers = append(r.watchers, watcher{OwnConn, scopeControlHosts})
 	case ev.Query != nil:
 		ev.Query.Reply(r.table.Members())
 	}
@@ -189,15 +220,20 @@
 	if slices.ContainsFunc(r.watchers, func(w watcher) bool { return w.conn == a.Conn }) {
 		return out
 	}
-	w := watcher{a.Conn, a.Msg.From.Role == wire.RoleControl}
+	w := watcher{a.Conn, scopeOf(a.Msg.From.Role)}
 	r.watchers = append(r.watchers, w)
 	return append(out, Effect{w.conn, r.fullList(w)})
 }
 
 func (r *Reducer) fullList(w watcher) *wire.Directory {
-	members := r.table.Members()
-	if w.localOnly {
+	var members []wire.Member
+	switch w.scope {
+	case scopeLocal:
 		members = r.local.Members()
+	case scopeControlHosts:
+		members = r.table.MembersWithRole(wire.RoleControl)
+	default:
+		members = r.table.Members()
 	}
 	return &wire.Directory{Full: true, Complete: r.complete, Upserts: members}
 }
@@ -246,13 +282,15 @@
 	}
 	r.flushAt = never
 	merged, local := r.table.TakeDifference(), r.local.TakeDifference()
-	entryMsg, controlMsg := merged.Message(false), local.Message(true)
+	all := merged.Message(false)
+	messages := map[scope]*wire.Directory{scopeAll: all, scopeLocal: local.Message(true), scopeControlHosts: withRole(all, wire.RoleControl)}
 	for _, w := range r.watchers {
-		msg := entryMsg
-		if w.localOnly {
-			msg = controlMsg
-		}
-		if len(msg.Upserts)+len(msg.Removed) > 0 {
+		msg := messages[w.scope]
+		switch {
+		case len(msg.Upserts)+len(msg.Removed) == 0:
+		case w.conn == OwnConn:
+			out = append(out, Effect{OwnConn, r.fullList(w)})
+		default:
 			out = append(out, Effect{w.conn, msg})
 		}
 	}
--- a/directory/reducer_test.go
+++ b/directory/reducer_test.go
@@ -347,13 +347,46 @@
 	w := newHarness(t)
 	w.deliver(w.announcement("a", 1, 4, false))
 	w.step(Event{Received: &ReceivedDirectory{Source: "c2", Msg: &wire.Directory{Upserts: []wire.Member{member("b", 1, 1)}}}})
-	full := w.reducer.fullList(watcher{conn: controlConn, localOnly: true})
+	full := w.reducer.fullList(watcher{conn: controlConn, scope: scopeLocal})
 	require.Contains(t, ids(full.Upserts), "a1")
 	require.NotContains(t, ids(full.Upserts), "b1")
 	full = w.reducer.fullList(watcher{conn: entryConn})
 	require.Contains(t, ids(full.Upserts), "b1")
 }
 
+// An agent that watches learns of the control hosts, of changes among them, and of no
+// other process, or each start of a process would cost a message to every agent.
+func TestAgentWatcherGetsControlHostsOnly(t *testing.T) {
+	const agentConn ConnID = 1002
+	r, now := NewReducer(0), time.Duration(0)
+	var got []*wire.Directory
+	step := func(ev Event) {
+		for _, e := range r.Step(now, ev, nil) {
+			if d, ok := e.Msg.(*wire.Directory); ok && e.Conn == agentConn {
+				got = append(got, d)
+			}
+		}
+	}
+	host := func(id string) wire.Member {
+		return wire.Member{Peer: wire.Peer{Role: wire.RoleControl, ID: id, Incarnation: 1, Addr: id}, Seq: 1}
+	}
+	step(Event{Received: &ReceivedDirectory{Source: "c2", Msg: &wire.Directory{Upserts: []wire.Member{host("c1"), member("a", 1, 1)}}}})
+	now += upsertDelay
+	step(Event{})
+	step(Event{Announce: &ReceivedAnnouncement{Conn: agentConn, Msg: &wire.Announce{
+		From: wire.Peer{Role: wire.RoleAgent, ID: "b", Incarnation: 1}, Seq: 1, Lease: testLease, Watch: true,
+	}}})
+	step(Event{Received: &ReceivedDirectory{Source: "c2", Msg: &wire.Directory{Upserts: []wire.Member{host("c3"), member("c", 1, 1)}}}})
+	now += upsertDelay
+	step(Event{})
+	step(Event{Received: &ReceivedDirectory{Source: "c2", Msg: &wire.Directory{Removed: []wire.Peer{host("c1").Peer, member("a", 1, 1).Peer}}}})
+	require.Len(t, got, 3)
+	require.True(t, got[0].Full)
+	require.Equal(t, []string{"c11"}, ids(got[0].Upserts))
+	require.Equal(t, []string{"c31"}, ids(got[1].Upserts))
+	require.Equal(t, []wire.Peer{host("c1").Peer}, got[2].Removed)
+}
+
 // Incarnations are numbered by the wall clock. A process that has left, and starts again
 // after that clock was set back, is not listed for as long as the tombstone is kept. Its
 // announcements are answered all the same.
--- a/directory/table.go
+++ b/directory/table.go
@@ -87,6 +87,26 @@
 	return msg
 }
 
+// withRole returns the part of msg that is about processes of a role.
+func withRole(msg *wire.Directory, role wire.Role) *wire.Directory {
+	out := &wire.Directory{}
+	for _, m := range msg.Upserts {
+		if m.Peer.Role == role {
+			out.Upserts = append(out.Upserts, m)
+		}
+	}
+	of := func(peers []wire.Peer) (out []wire.Peer) {
+		for _, p := range peers {
+			if p.Role == role {
+				out = append(out, p)
+			}
+		}
+		return out
+	}
+	out.Removed, out.Deregistered = of(msg.Removed), of(msg.Deregistered)
+	return out
+}
+
 func sortMembers(ms []wire.Member) {
 	slices.SortFunc(ms, func(a, b wire.Member) int { return compareKeys(keyOf(a.Peer), keyOf(b.Peer)) })
 }
@@ -109,6 +129,11 @@
 	return t.members(func(r *row) bool { return r.sources[src] })
 }
 
+// MembersWithRole returns the processes of a role, sorted by id.
+func (t *Table) MembersWithRole(role wire.Role) []wire.Member {
+	return t.members(func(r *row) bool { return r.member.Peer.Role == role })
+}
+
 func (t *Table) members(keep func(*row) bool) []wire.Member {
 	out := make([]wire.Member, 0, len(t.rows))
 	for _, r := range t.rows {
--- a/node/agent.go
+++ b/node/agent.go
@@ -12,6 +12,10 @@
 	"github.com/fireflytray/fireflytray/wire"
 )
 
+// agentSessions is the number of control hosts that an agent keeps sessions to. Control
+// hosts tell one another of the agents, so that one of them would do.
+const agentSessions = 3
+
 // AgentOptions are the settings of an agent.
 type AgentOptions struct {
 	Common
@@ -36,7 +40,11 @@
 	logger := o.Logs.For(logging.PartAgent)
 	configs := &configRelay{}
 	client := controlclient.New(controlclient.Options{
-		Controls:  o.Controls,
+		Controls: o.Controls,
+
+		ControlsChanged: o.ControlsChanged,
+		Sessions:        agentSessions,
+
 		Transport: o.transport(),
 		Self:      announced.current,
 		Site:      o.Site,
--- a/node/entry.go
+++ b/node/entry.go
@@ -58,11 +58,13 @@
 	client := controlclient.New(controlclient.Options{
 		Controls:    o.Controls,
 		Transport:   o.transport(),
-		Self:        func() wire.Announce { return wire.Announce{From: self, Watch: true} },
+		Self:        func() wire.Announce { return wire.Announce{From: self} },
 		Site:        o.Site,
 		OnDirectory: func(m wire.Directory) { d.OnDirectory(m) },
 		OnConfig:    func(c *fleet.Config) { d.OnConfig(c) },
 		Log:         logger,
+
+		ControlsChanged: o.ControlsChanged,
 	})
 	t := o.transport()
 	t.Stamp = client.Stamp
--- a/node/node.go
+++ b/node/node.go
@@ -39,8 +39,10 @@
 	// is considered silent; zero selects the transport's default. Its settings
 	// key is "silence".
 	PeerTimeout time.Duration
-	// Controls lists the peer addresses of control hosts.
-	Controls []string
+	// Controls lists the peer addresses of control hosts that the settings name.
+	// ControlsChanged delivers lists that replace it; nil delivers none.
+	Controls        []string
+	ControlsChanged <-chan []string
 }
 
 func (c Common) peer(r wire.Role, addr string) wire.Peer {
