controld: control hosts learn of one another as entries and agents do

A control host dialled the addresses of its settings for ever, those of the log's members and those of hosts that had dialled it within 3 s. A new one whose settings named but one host that still ran heard of no other, and one that was gone for good was dialled every second.

Change: links follow controlhosts.Set, too. Listed are the log's members, hosts that announced themselves, and the control hosts of the directory, which the reducer sends to the host itself; a host is informed while it has a fresh quorum. The loss of a source is posted when a connection ends, not after each dial.

--- a/controld/controld.go
+++ b/controld/controld.go
@@ -60,9 +60,10 @@
 	AdminListener net.Listener
 	// OpenLog opens the replicated log; if nil, an in-memory log is used.
 	OpenLog func(LogDependencies) (Log, error)
-	// Peers lists the initial peer addresses of other control hosts. The members
-	// of the log are added to them.
+	// Peers lists the peer addresses of control hosts that the settings name.
 	Peers []string
+	// PeersChanged delivers lists that replace Peers; nil delivers none.
+	PeersChanged <-chan []string
 	// Membership configures automatic membership changes by the leader, which adds,
 	// promotes and removes control hosts; if nil, only operators change them.
 	Membership *membership.Config
@@ -174,6 +175,8 @@
 		return h.serveOperators(ctx, inner)
 	})
 	g.Go(func() error { h.loop.Run(inner); return nil })
+	h.loop.Post(directory.Event{Subscribe: &directory.Subscribe{}})
+	g.Go(func() error { h.configurePeers(inner); return nil })
 	g.Go(func() error { h.accept(inner); return nil })
 	g.Go(func() error { h.pushChanges(inner); return nil })
 	g.Go(func() error { h.pollLogStatus(inner); return nil })
@@ -216,7 +219,7 @@
 	defer ticker.Stop()
 	for {
 		status := h.replica.Status()
-		h.links.setPeers(ctx, h.peerAddrs(status))
+		h.links.update(ctx, h.listedAddrs(status), h.fresh.Load())
 		fresh := status.Fresh && (h.fresh.Load() || h.caughtUp(ctx))
 		if h.fresh.Swap(fresh) != fresh {
 			h.loop.Post(directory.Event{Quorum: &directory.Quorum{Fresh: fresh}})
@@ -246,25 +249,36 @@
 	return err == nil
 }
 
-// peerAddrs returns the peer addresses of the other control hosts: those of the
-// options, of the log's members and of recent announcements.
-func (h *Host) peerAddrs(s LogStatus) []string {
-	addrs := append([]string(nil), h.opts.Peers...)
-	for _, m := range s.Members {
-		addrs = append(addrs, m.Addr)
+// configurePeers takes the control hosts of the settings, and those of changed settings
+// until ctx ends.
+func (h *Host) configurePeers(ctx context.Context) {
+	h.links.configure(ctx, h.opts.Peers)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case addrs := <-h.opts.PeersChanged:
+			h.log.Info("control hosts of the settings changed", "controls", addrs)
+			h.links.configure(ctx, addrs)
+		}
 	}
-	addrs = append(addrs, h.memberManager.announcedAddrs()...)
+}
+
+// listedAddrs returns the addresses of the log's members and of recent announcements.
+func (h *Host) listedAddrs(s LogStatus) []string {
 	var out []string
-	for _, a := range addrs {
-		if a != h.opts.Self.Addr && a != "" {
-			out = append(out, a)
-		}
+	for _, m := range s.Members {
+		out = append(out, m.Addr)
 	}
-	return out
+	return append(out, h.memberManager.announcedAddrs()...)
 }
 
 // effect executes one effect of the directory reducer.
 func (h *Host) effect(e directory.Effect) {
+	if list, ok := e.Msg.(*wire.Directory); ok && e.Conn == directory.OwnConn {
+		h.links.setReported(list.Upserts)
+		return
+	}
 	if s := h.sessions.get(e.Conn); s != nil {
 		s.send(e.Msg)
 	}
--- a/controld/links.go
+++ b/controld/links.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/fireflytray/fireflytray/controlhosts"
 	"github.com/fireflytray/fireflytray/directory"
 	"github.com/fireflytray/fireflytray/transport"
 	"github.com/fireflytray/fireflytray/wire"
@@ -28,8 +30,12 @@
 type links struct {
 	host *Host
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// hosts decides which links there are; byAddr has one for each present host.
+	hosts  *controlhosts.Set
 	byAddr map[string]*link
+	// reported holds the control hosts of the directory, including this one.
+	reported []string
 	// lastRequest is the number of the last proposal; pending holds the channel
 	// for the answer to each unanswered one.
 	lastRequest uint64
@@ -50,30 +56,66 @@
 }
 
 func newLinks(h *Host) *links {
-	return &links{host: h, byAddr: map[string]*link{}, pending: map[uint64]chan *wire.Proposed{}}
+	return &links{host: h, hosts: controlhosts.New(h.opts.Self.ID, controlhosts.MaxListed), byAddr: map[string]*link{}, pending: map[uint64]chan *wire.Proposed{}}
 }
 
-// setPeers starts links to added addresses and stops links to removed ones.
-func (t *links) setPeers(ctx context.Context, addrs []string) {
+// step passes an event to the set of control hosts, and starts and stops links as it
+// says.
+func (t *links) step(ctx context.Context, ev controlhosts.Event) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	want := map[string]bool{}
-	for _, addr := range addrs {
-		want[addr] = true
-		if t.byAddr[addr] != nil || ctx.Err() != nil {
-			continue
-		}
+	if ctx.Err() != nil {
+		return
+	}
+	connect, drop := t.hosts.Step(t.host.loop.Now(), ev)
+	for _, addr := range drop {
+		t.host.log.Info("control host given up, unreachable and not listed", "control", addr, "for", controlhosts.ForgetAfter)
+		t.byAddr[addr].stop()
+		delete(t.byAddr, addr)
+	}
+	for _, addr := range connect {
+		t.host.log.Info("control host taken up", "control", addr, "links", len(t.byAddr)+1)
 		linkCtx, stop := context.WithCancel(ctx)
 		l := &link{addr: addr, stop: stop}
 		t.byAddr[addr] = l
 		t.host.group.Go(func() error { t.run(linkCtx, l); return nil })
 	}
-	for addr, l := range t.byAddr {
-		if !want[addr] {
-			l.stop()
-			delete(t.byAddr, addr)
+}
+
+// configure takes the control hosts that the settings name.
+func (t *links) configure(ctx context.Context, addrs []string) {
+	t.step(ctx, controlhosts.Event{Configured: &controlhosts.Configured{Addrs: t.others(addrs)}})
+}
+
+// update takes the addresses of the log's members and of recent announcements, which
+// are listed beside those of the directory, and whether this host has a fresh quorum.
+func (t *links) update(ctx context.Context, addrs []string, fresh bool) {
+	t.mu.Lock()
+	addrs = append(addrs, t.reported...)
+	t.mu.Unlock()
+	t.step(ctx, controlhosts.Event{Listed: &controlhosts.Listed{Addrs: t.others(addrs)}})
+	t.step(ctx, controlhosts.Event{Informed: &controlhosts.Informed{Yes: fresh}})
+}
+
+// setReported records the control hosts of the directory.
+func (t *links) setReported(members []wire.Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reported = nil
+	for _, m := range members {
+		t.reported = append(t.reported, m.Peer.Addr)
+	}
+}
+
+// others returns addrs without that of this host and without repetitions.
+func (t *links) others(addrs []string) []string {
+	var out []string
+	for _, a := range addrs {
+		if a != t.host.opts.Self.Addr && !slices.Contains(out, a) {
+			out = append(out, a)
 		}
 	}
+	return out
 }
 
 // run dials and serves connections, with a backoff between attempts, until ctx
@@ -84,7 +126,6 @@
 		started := time.Now()
 		dialCtx, cancel := l.waitContext(ctx)
 		err := t.serve(ctx, dialCtx, l)
-		t.host.loop.Post(directory.Event{SourceLost: &directory.SourceLost{Source: directory.Source(l.addr)}})
 		if time.Since(started) > maxBackoff {
 			backoff = minBackoff
 		}
@@ -140,6 +181,8 @@
 	ended := make(chan struct{})
 	defer close(ended)
 	l.setConn(conn, ended)
+	t.step(ctx, controlhosts.Event{Opened: &controlhosts.Opened{Addr: l.addr}})
+	defer t.ended(ctx, l)
 	defer l.setConn(nil, nil)
 	defer conn.Close("link ended")
 	linkCtx, stop := context.WithCancel(ctx)
@@ -154,6 +197,12 @@
 	}
 }
 
+// ended records that the connection of a link has ended.
+func (t *links) ended(ctx context.Context, l *link) {
+	t.step(ctx, controlhosts.Event{Closed: &controlhosts.Closed{Addr: l.addr}})
+	t.host.loop.Post(directory.Event{SourceLost: &directory.SourceLost{Source: directory.Source(l.addr)}})
+}
+
 // announce sends announcements that register this host with the other one and
 // subscribe to its directory.
 func (t *links) announce(ctx context.Context, conn *transport.Conn) {
--- a/node/control.go
+++ b/node/control.go
@@ -22,7 +22,8 @@
 	AdminListener net.Listener
 	// Data is the directory of the replicated log.
 	Data string
-	// Initial lists the peer addresses of the initial control hosts.
+	// Initial lists the peer addresses of the initial control hosts. They form the
+	// cluster; Common.Controls are dialled.
 	Initial []string
 	// Join makes a host with an empty data directory wait until it is added to
 	// the cluster.
@@ -54,9 +55,11 @@
 			ElectionTimeout: o.ElectionTimeout,
 		}),
 		Membership: o.Membership,
-		Peers:      o.Initial,
+		Peers:      o.Controls,
 		Serve:      o.Serve,
 		Transport:  o.transport(),
 		Log:        o.Logs.For(logging.PartControl),
+
+		PeersChanged: o.ControlsChanged,
 	})
 }
