daemon: SIGHUP takes up the control hosts of changed settings

A process that was cut off while all control hosts that it knew were replaced could only come back by a restart: SIGHUP read the settings and left the addresses.

A control host forms its cluster from its settings at the start only, as before.

--- a/cmd/fireflytray-agent/main.go
+++ b/cmd/fireflytray-agent/main.go
@@ -20,11 +20,12 @@
 
 func main() {
 	os.Exit(daemon.Main(daemon.Program[settings.Agent]{
-		Name:    "fireflytray-agent",
-		Role:    wire.RoleAgent,
-		Load:    settings.LoadAgent,
-		Process: func(s *settings.Agent) *settings.Process { return &s.Process },
-		Run:     run,
+		Name:     "fireflytray-agent",
+		Role:     wire.RoleAgent,
+		Load:     settings.LoadAgent,
+		Process:  func(s *settings.Agent) *settings.Process { return &s.Process },
+		Controls: controls,
+		Run:      run,
 	}, os.Args[1:], os.Stdout, os.Stderr))
 }
 
@@ -67,6 +68,9 @@
 	}
 }
 
+// controls returns the peer addresses of the control hosts that the settings name.
+func controls(s *settings.Agent) []string { return settings.ReplacePort(s.Control, s.PeerPort) }
+
 func common(rt daemon.Runtime, s *settings.Agent) node.Common {
 	return node.Common{
 		ID:           s.ID,
@@ -77,6 +81,8 @@
 		Identity:     rt.Identity,
 		Logs:         rt.Logs,
 		Scope:        rt.Metrics.Scope(),
-		Controls:     settings.ReplacePort(s.Control, s.PeerPort),
+		Controls:     controls(s),
+
+		ControlsChanged: rt.ControlsChanged,
 	}
 }
--- a/cmd/fireflytray-control/main.go
+++ b/cmd/fireflytray-control/main.go
@@ -19,11 +19,12 @@
 
 func main() {
 	os.Exit(daemon.Main(daemon.Program[settings.Control]{
-		Name:    "fireflytray-control",
-		Role:    wire.RoleControl,
-		Load:    settings.LoadControl,
-		Process: func(s *settings.Control) *settings.Process { return &s.Process },
-		Run:     run,
+		Name:     "fireflytray-control",
+		Role:     wire.RoleControl,
+		Load:     settings.LoadControl,
+		Process:  func(s *settings.Control) *settings.Process { return &s.Process },
+		Controls: controls,
+		Run:      run,
 	}, os.Args[1:], os.Stdout, os.Stderr))
 }
 
@@ -31,7 +32,7 @@
 	if s.Data == "" {
 		return platform.ServeRedirect(ctx, s.Operators, s.Initial, rt.Logs.For(logging.PartControl))
 	}
-	initial := settings.ReplacePort(s.Initial, s.PeerPort)
+	initial := controls(s)
 	return node.RunControl(ctx, node.ControlOptions{
 		Common:     common(rt, s),
 		Peers:      s.Peers,
@@ -83,6 +84,9 @@
 	return reply.Detail, nil
 }
 
+// controls returns the peer addresses of the control hosts that the settings name.
+func controls(s *settings.Control) []string { return settings.ReplacePort(s.Initial, s.PeerPort) }
+
 func common(rt daemon.Runtime, s *settings.Control) node.Common {
 	return node.Common{
 		ID:           s.ID,
@@ -93,6 +97,8 @@
 		Identity:     rt.Identity,
 		Logs:         rt.Logs,
 		Scope:        rt.Metrics.Scope(),
-		Controls:     settings.ReplacePort(s.Initial, s.PeerPort),
+		Controls:     controls(s),
+
+		ControlsChanged: rt.ControlsChanged,
 	}
 }
--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -20,11 +20,12 @@
 
 func main() {
 	os.Exit(daemon.Main(daemon.Program[settings.Entry]{
-		Name:    "fireflytray-entry",
-		Role:    wire.RoleEntry,
-		Load:    settings.LoadEntry,
-		Process: func(s *settings.Entry) *settings.Process { return &s.Process },
-		Run:     run,
+		Name:     "fireflytray-entry",
+		Role:     wire.RoleEntry,
+		Load:     settings.LoadEntry,
+		Process:  func(s *settings.Entry) *settings.Process { return &s.Process },
+		Controls: controls,
+		Run:      run,
 	}, os.Args[1:], os.Stdout, os.Stderr))
 }
 
@@ -75,6 +76,9 @@
 	return list
 }
 
+// controls returns the peer addresses of the control hosts that the settings name.
+func controls(s *settings.Entry) []string { return settings.ReplacePort(s.Control, s.PeerPort) }
+
 func common(rt daemon.Runtime, s *settings.Entry) node.Common {
 	return node.Common{
 		ID:           s.ID,
@@ -85,6 +89,8 @@
 		Identity:     rt.Identity,
 		Logs:         rt.Logs,
 		Scope:        rt.Metrics.Scope(),
-		Controls:     settings.ReplacePort(s.Control, s.PeerPort),
+		Controls:     controls(s),
+
+		ControlsChanged: rt.ControlsChanged,
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,6 +44,9 @@
 	Identity *keys.Identity
 	Logs     *logging.Root
 	Metrics  *metrics.Root
+	// ControlsChanged delivers the control hosts of the settings after a reload that
+	// changed them. Only the last of several lists that nobody has received is kept.
+	ControlsChanged <-chan []string
 }
 
 // Program describes one daemon.
@@ -54,6 +58,8 @@
 	Load func(path string) (*S, error)
 	// Process returns the common part of the settings.
 	Process func(*S) *settings.Process
+	// Controls returns the peer addresses of the control hosts that the settings name.
+	Controls func(*S) []string
 	// Run works until ctx ends, then drains: it returns once no work is in
 	// flight, or after Process.DrainTimeout.
 	Run func(ctx context.Context, rt Runtime, s *S) error
@@ -115,6 +121,9 @@
 	settings *S
 	signals  *signals
 	rt       Runtime
+	// controls are the control hosts of the settings as of the last reload.
+	controls        []string
+	controlsChanged chan []string
 }
 
 func (d *daemon[S]) run(stdout, stderr io.Writer) int {
@@ -152,7 +161,8 @@
 		logs.For(logging.PartDaemon).Error("a metric was not registered", "err", err)
 	}
 	m := metrics.New(string(d.program.Role), p.ID, p.Domain, onError)
-	d.rt = Runtime{Identity: id, Logs: logs, Metrics: m}
+	d.controls, d.controlsChanged = d.program.Controls(d.settings), make(chan []string, 1)
+	d.rt = Runtime{Identity: id, Logs: logs, Metrics: m, ControlsChanged: d.controlsChanged}
 	return nil
 }
 
@@ -260,7 +270,7 @@
 	}
 }
 
-// reload reloads the keys and the log level.
+// reload reloads the keys, the log level and the control hosts.
 func (d *daemon[S]) reload() {
 	log := d.rt.Logs.For(logging.PartDaemon)
 	if err := d.rt.Identity.Reload(); err != nil {
@@ -278,5 +288,20 @@
 		log.Error("log level not changed", "err", err)
 		return
 	}
-	log.Info("log level reloaded, other settings need a restart", "level", level)
+	d.reloadControls(s)
+	log.Info("log level reloaded, settings other than the control hosts need a restart", "level", level, "controls", d.controls)
+}
+
+// reloadControls passes on the control hosts of the settings if they have changed.
+func (d *daemon[S]) reloadControls(s *S) {
+	controls := d.program.Controls(s)
+	if slices.Equal(controls, d.controls) {
+		return
+	}
+	d.controls = controls
+	select {
+	case <-d.controlsChanged:
+	default:
+	}
+	d.controlsChanged <- controls
 }
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -96,11 +97,12 @@
 
 func program(run func(context.Context, Runtime, *settings.Agent) error) Program[settings.Agent] {
 	return Program[settings.Agent]{
-		Name:    "fireflytray-agent",
-		Role:    wire.RoleAgent,
-		Load:    settings.LoadAgent,
-		Process: func(s *settings.Agent) *settings.Process { return &s.Process },
-		Run:     run,
+		Name:     "fireflytray-agent",
+		Role:     wire.RoleAgent,
+		Load:     settings.LoadAgent,
+		Process:  func(s *settings.Agent) *settings.Process { return &s.Process },
+		Controls: func(s *settings.Agent) []string { return s.Control },
+		Run:      run,
 	}
 }
 
@@ -134,6 +136,36 @@
 	require.True(t, drained)
 }
 
+// A process that runs on while all control hosts that it knows are replaced hears of the
+// new ones by its settings; it must not need a restart to take them up.
+func TestHangupPassesOnControlHosts(t *testing.T) {
+	out := newOutput()
+	changed := make(chan []string, 1)
+	p := program(func(ctx context.Context, rt Runtime, s *settings.Agent) error {
+		select {
+		case addrs := <-rt.ControlsChanged:
+			changed <- addrs
+		case <-ctx.Done():
+		}
+		<-ctx.Done()
+		return nil
+	})
+	path := writeAgentFiles(t, "agent-1")
+	code := make(chan int, 1)
+	go func() { code <- Main(p, []string{"--config", path}, out, out) }()
+	out.await(t, "started")
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	before := regexp.MustCompile(`(?m)^addresses = .*$`)
+	require.Regexp(t, before, string(text))
+	text = before.ReplaceAll(text, []byte("addresses = 10.9.9.9:7720"))
+	require.NoError(t, os.WriteFile(path, text, 0o600))
+	signalSelf(t, syscall.SIGHUP)
+	require.Equal(t, []string{"10.9.9.9:7720"}, <-changed)
+	signalSelf(t, syscall.SIGTERM)
+	require.Equal(t, ExitOK, <-code)
+}
+
 // A second SIGINT forces the exit of a daemon whose program does not drain.
 func TestSecondInterruptForcesExit(t *testing.T) {
 	out := newOutput()
