soak: control hosts are replaced, lost, restarted and wiped under load

TestSoakControlHostsReplaced: each control host of the settings is replaced, as planned or after a loss, among other faults of control hosts, in an order drawn by seed; agents and entries are restarted or hang up after each, but for one agent that never is. At the end the control hosts restart one after the other, and each must list the processes that run and no other within 25 s.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -212,7 +212,7 @@
 func (o *operator) call(ctx context.Context, rng *rand.Rand, method, body string) (int, string) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	url := "http://" + o.address(netControl, rng.IntN(o.controls), portOperators) + "/config"
+	url := "http://" + o.address(netControl, o.hosts.draw(rng), portOperators) + "/config"
 	status, text, err := o.do(ctx, method, url, body)
 	result := fmt.Sprintf("%s %s: status %d, %v, %s", method, url, status, err, text)
 	o.lastResult.Store(&result)
--- a/soak/evacuation_test.go
+++ b/soak/evacuation_test.go
@@ -32,7 +32,9 @@
 	size
 	ledger *standin.Ledger
 	client http.Client
-	admin  []*adminapi.Client
+	id     *keys.Identity
+	// admin holds a client for each control host that was asked.
+	admin  map[int]*adminapi.Client
 	orders atomic.Int64
 	// verified counts the lists of hosts with a quorum.
 	verified atomic.Int64
@@ -42,11 +44,7 @@
 	t.Helper()
 	id, err := keys.SelfSigned(wire.RoleOperator, "operator", "soak")
 	require.NoError(t, err)
-	e := &evacuator{size: s, ledger: ledger}
-	for i := range s.controls {
-		e.admin = append(e.admin, adminapi.NewClient(id, []string{s.address(netControl, i, portAdmin)}))
-	}
-	return e
+	return &evacuator{size: s, ledger: ledger, id: id, admin: map[int]*adminapi.Client{}}
 }
 
 func (e *evacuator) run(ctx context.Context, rng *rand.Rand) {
@@ -66,7 +64,7 @@
 // ctx has ended before.
 func (e *evacuator) order(ctx context.Context, rng *rand.Rand, method, domain string) bool {
 	for ctx.Err() == nil {
-		url := "http://" + e.address(netControl, rng.IntN(e.controls), portOperators) + "/evacuation/" + domain
+		url := "http://" + e.address(netControl, e.hosts.draw(rng), portOperators) + "/evacuation/" + domain
 		switch status := e.call(ctx, method, url); status {
 		case http.StatusOK:
 			e.orders.Add(1)
@@ -96,12 +94,20 @@
 	return resp.StatusCode
 }
 
+// adminOf returns the client for a control host.
+func (e *evacuator) adminOf(host int) *adminapi.Client {
+	if e.admin[host] == nil {
+		e.admin[host] = adminapi.NewClient(e.id, []string{e.address(netControl, host, portAdmin)})
+	}
+	return e.admin[host]
+}
+
 // check compares the list of a random host with the last acknowledged order.
 func (e *evacuator) check(rng *rand.Rand, domain string, evacuated bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
 	var list adminapi.EvacuationsReply
-	if err := e.admin[rng.IntN(len(e.admin))].Get(ctx, adminapi.PathEvacuations, "", &list); err != nil || !list.Fresh {
+	if err := e.adminOf(e.hosts.draw(rng)).Get(ctx, adminapi.PathEvacuations, "", &list); err != nil || !list.Fresh {
 		return
 	}
 	e.verified.Add(1)
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -110,6 +110,9 @@
 	singleCore bool
 	// upstreamCrashes make the upstream of an agent crash.
 	upstreamCrashes []chan struct{}
+	// added holds control hosts that took the place of others. Only the injector of
+	// faults and close use it.
+	added []*process
 
 	mu sync.Mutex
 	// stops counts the incarnations that ended after SIGTERM, by role and status.
@@ -128,7 +131,11 @@
 )
 
 // size holds the numbers of a fleet's processes and the slot of its addresses.
-type size struct{ slot, controls, entries, agents int }
+type size struct {
+	slot, controls, entries, agents int
+	// hosts holds the numbers of the control hosts that are not gone for good.
+	hosts *hostNumbers
+}
 
 func (s size) address(net, i, port int) string {
 	return fmt.Sprintf("127.%d.%d.%d:%d", s.slot, net, i+1, port)
@@ -136,7 +143,10 @@
 
 func (s size) controlAddresses(net int) string {
 	var list []string
-	for i := range s.controls {
+	for _, i := range s.hosts.all() {
+		if i >= s.controls {
+			net = netControl // those that are added have no relay
+		}
 		list = append(list, s.address(net, i, portControl))
 	}
 	return strings.Join(list, ",")
@@ -179,11 +189,15 @@
 }
 
 func (f *fleet) add(role string, i, net int) {
+	f.processes = append(f.processes, f.newProcess(role, i, net))
+}
+
+func (f *fleet) newProcess(role string, i, net int) *process {
 	name := fmt.Sprintf("%s-%d", role, i+1)
-	f.processes = append(f.processes, &process{
+	return &process{
 		name: name, id: name, role: role, addr: fmt.Sprintf("127.%d.%d.%d", f.slot, net, i+1),
 		domain: fmt.Sprintf("zone-%d", 1+i%failureDomains), data: filepath.Join(f.dir, name), settings: filepath.Join(f.dir, name+".ini"),
-	})
+	}
 }
 
 // writeSettings writes the settings that deploy/ renders on the platform.
@@ -427,7 +441,7 @@
 func (f *fleet) entry(i int) *process { return f.byRole("entry")[i] }
 
 func (f *fleet) close() {
-	for _, p := range f.processes {
+	for _, p := range append(f.processes, f.added...) {
 		f.signal(p, syscall.SIGCONT)
 		f.killAndWait(p)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -48,9 +48,10 @@
 // mode selects the faults of a run.
 type mode struct {
 	name string
-	// entries and agents are the numbers of processes, if larger than those of the flags.
-	entries, agents int
-	plannedOnly     bool
+	// controls, entries and agents are the numbers of processes, if larger than those of
+	// the flags.
+	controls, entries, agents int
+	plannedOnly               bool
 	// seeds are those that always run.
 	seeds []uint64
 	// duration is the time for which faults are injected.
@@ -118,7 +119,7 @@
 
 // runSeedsOf runs the seeds of a mode one after another.
 func runSeedsOf(t *testing.T, m mode, bin string, slot int) {
-	s := size{slot: slot, controls: *controls, entries: max(*entries, m.entries), agents: max(*agents, m.agents)}
+	s := size{slot: slot, controls: max(*controls, m.controls), entries: max(*entries, m.entries), agents: max(*agents, m.agents)}
 	list := m.seeds
 	for i := range *seedCount {
 		list = append(list, *firstSeed+i)
@@ -158,6 +159,7 @@
 
 func runSeed(t *testing.T, m mode, s size, bin string, seed uint64) {
 	dir := t.TempDir()
+	s.hosts = newHostNumbers(s.controls)
 	ctx, cancel := context.WithCancel(context.Background())
 	ledger := standin.NewLedger()
 	f := newFleet(t, s, dir, bin, ledger, m)
