platform: a process without a replica redirects operators to hosts of reloaded settings

It redirected to the control hosts of its settings as they were at its start; once these were replaced, operators were sent to addresses at which nobody listens.

Change: SIGHUP takes up the addresses here as elsewhere. Without SIGHUP it still names those of its start: it keeps no session to a control host (docs/design/control-hosts.md).

--- a/cmd/fireflytray-control/main.go
+++ b/cmd/fireflytray-control/main.go
@@ -3,8 +3,11 @@
 
 import (
 	"context"
+	"fmt"
+	"net/netip"
 	"os"
 	"slices"
+	"sync/atomic"
 
 	"github.com/fireflytray/fireflytray/control"
 	"github.com/fireflytray/fireflytray/controld"
@@ -30,7 +33,7 @@
 
 func run(ctx context.Context, rt daemon.Runtime, s *settings.Control) error {
 	if s.Data == "" {
-		return platform.ServeRedirect(ctx, s.Operators, s.Initial, rt.Logs.For(logging.PartControl))
+		return redirect(ctx, rt, s)
 	}
 	initial := controls(s)
 	return node.RunControl(ctx, node.ControlOptions{
@@ -47,6 +50,31 @@
 	})
 }
 
+// redirect serves operators for a process without a replica, by redirecting them to the
+// control hosts of the settings, also of those that are read again.
+func redirect(ctx context.Context, rt daemon.Runtime, s *settings.Control) error {
+	operators, err := netip.ParseAddrPort(s.Operators)
+	if err != nil {
+		return fmt.Errorf("a process without a data folder only redirects operators: their address: %w", err)
+	}
+	var hosts atomic.Pointer[[]string]
+	hosts.Store(&s.Initial)
+	logger := rt.Logs.For(logging.PartControl)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case addrs := <-rt.ControlsChanged:
+				list := settings.ReplacePort(addrs, uint32(operators.Port()))
+				hosts.Store(&list)
+				logger.Info("operators are redirected to other control hosts", "controls", list)
+			}
+		}
+	}()
+	return platform.ServeRedirect(ctx, s.Operators, func() []string { return *hosts.Load() }, logger)
+}
+
 func membershipConfig(s *settings.Control) *membership.Config {
 	if !s.Managed {
 		return nil
