controlhosts: a host has a position in the settings, and is selected or not

Names that a newcomer stumbled over: present, and a sort with a function of its own for the configured hosts. No change of behaviour; tests of controlhosts and controlclient pass.

--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -93,7 +93,7 @@
 	// held, not the other way round.
 	sessionsMu sync.Mutex
 	hosts      *controlhosts.Set
-	// sessions has one session for each present host of hosts.
+	// sessions has one session for each selected host of hosts.
 	sessions     []*session
 	startSession func(*session)
 }
--- a/controld/links.go
+++ b/controld/links.go
@@ -31,7 +31,7 @@
 	host *Host
 
 	mu sync.Mutex
-	// hosts decides which links there are; byAddr has one for each present host.
+	// hosts decides which links there are; byAddr has one for each selected host.
 	hosts  *controlhosts.Set
 	byAddr map[string]*link
 	// reported holds the control hosts of the directory, including this one.
--- a/controlhosts/controlhosts.go
+++ b/controlhosts/controlhosts.go
@@ -12,6 +12,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"math"
 	"slices"
 	"time"
 )
@@ -65,15 +66,20 @@
 // control host that hears from a quorum and lists all control hosts that are alive.
 type Informed struct{ Yes bool }
 
+// unconfigured is the position of a host that the settings don't name.
+const unconfigured = math.MaxInt
+
 // host is what a Set knows of one control host.
 type host struct {
 	addr string
-	// present tells whether a connection is kept or tried.
-	configured, listed, connected, present bool
+	// position is that in the settings, or unconfigured.
+	position int
+	// selected tells whether a connection is kept or tried.
+	listed, connected, selected bool
 	// seenAt is the last time at which the host was listed or connected, or else the
 	// time at which its address was learnt.
 	seenAt time.Duration
-	// fresh is set while a connected host hears from a quorum. A host that is present
+	// fresh is set while a connected host hears from a quorum. A host that is selected
 	// has been without a connection or without a quorum since troubledSince.
 	fresh         bool
 	troubledSince time.Duration
@@ -134,14 +140,14 @@
 	wanted := s.wanted(now)
 	for _, h := range s.hosts {
 		switch {
-		case wanted[h] && !h.present:
+		case wanted[h] && !h.selected:
 			h.troubledSince = now
 			connect = append(connect, h.addr)
-		case !wanted[h] && h.present:
+		case !wanted[h] && h.selected:
 			h.connected, h.fresh = false, false
 			drop = append(drop, h.addr)
 		}
-		h.present = wanted[h]
+		h.selected = wanted[h]
 	}
 	return connect, drop
 }
@@ -151,18 +157,6 @@
 	return s.informed && now-s.informedSince >= d
 }
 
-// Present returns the addresses to which connections are kept or tried, the preferred
-// ones first.
-func (s *Set) Present() []string {
-	var out []string
-	for _, h := range s.hosts {
-		if h.present {
-			out = append(out, h.addr)
-		}
-	}
-	return out
-}
-
 func (s *Set) find(addr string) *host {
 	if i := slices.IndexFunc(s.hosts, func(h *host) bool { return h.addr == addr }); i >= 0 {
 		return s.hosts[i]
@@ -175,7 +169,7 @@
 	if h := s.find(addr); h != nil {
 		return h
 	}
-	h := &host{addr: addr, seenAt: now, order: orderOf(s.id, addr)}
+	h := &host{addr: addr, position: unconfigured, seenAt: now, order: orderOf(s.id, addr)}
 	s.hosts = append(s.hosts, h)
 	return h
 }
@@ -190,35 +184,28 @@
 // configure takes the addresses of the settings. An address that they name anew counts
 // as seen, so that it is tried whatever the lists say.
 func (s *Set) configure(now time.Duration, addrs []string) {
-	before, position := map[*host]bool{}, map[*host]int{}
+	known := map[string]bool{}
 	for _, h := range s.hosts {
-		before[h], h.configured = h.configured, false
+		known[h.addr] = h.position != unconfigured
+		h.position = unconfigured
 	}
 	for i, addr := range addrs {
 		if addr == "" {
 			continue
 		}
 		h := s.learn(now, addr)
-		if !before[h] {
+		if !known[addr] {
 			h.seenAt = now
 		}
-		h.configured, position[h] = true, i
+		h.position = i
 	}
-	s.sort(func(a, b *host) int { return cmp.Compare(position[a], position[b]) })
+	s.sort()
 }
 
-// sort sorts the hosts by preference, the configured ones by byPosition.
-func (s *Set) sort(byPosition func(a, b *host) int) {
-	slices.SortStableFunc(s.hosts, func(a, b *host) int {
-		switch {
-		case a.configured && b.configured:
-			return byPosition(a, b)
-		case a.configured:
-			return -1
-		case b.configured:
-			return 1
-		}
-		return cmp.Compare(a.order, b.order)
+// sort sorts the hosts by preference.
+func (s *Set) sort() {
+	slices.SortFunc(s.hosts, func(a, b *host) int {
+		return cmp.Or(cmp.Compare(a.position, b.position), cmp.Compare(a.order, b.order))
 	})
 }
 
@@ -233,7 +220,7 @@
 			s.learn(now, addr).listed = true
 		}
 	}
-	s.sort(func(a, b *host) int { return 0 })
+	s.sort()
 }
 
 // wanted returns the hosts to which connections are kept or tried: of those that are
@@ -249,7 +236,7 @@
 		case serving < s.limit && kept < 2*s.limit:
 			wanted[h], h.surplus = true, false
 			kept++
-			if h.fresh || !h.present || now-h.troubledSince < ReplaceAfter {
+			if h.fresh || !h.selected || now-h.troubledSince < ReplaceAfter {
 				serving++
 			}
 		case h.connected:
@@ -273,7 +260,7 @@
 func (s *Set) evict() (dropped []string) {
 	var idle []*host
 	for _, h := range s.hosts {
-		if !h.configured && !h.alive() {
+		if h.position == unconfigured && !h.alive() {
 			idle = append(idle, h)
 		}
 	}
@@ -283,7 +270,7 @@
 	slices.SortStableFunc(idle, func(a, b *host) int { return cmp.Compare(a.seenAt, b.seenAt) })
 	evicted := idle[:len(idle)-MaxRemembered]
 	for _, h := range evicted {
-		if h.present {
+		if h.selected {
 			dropped = append(dropped, h.addr)
 		}
 	}
--- a/controlhosts/controlhosts_test.go
+++ b/controlhosts/controlhosts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -24,13 +25,13 @@
 	// running holds the control hosts that run; cut those that run unreachably, and
 	// stale those without a quorum.
 	running, cut, stale map[string]bool
-	present, open       map[string]bool
+	tried, open         map[string]bool
 }
 
 func newNetwork(limit int, configured ...string) *network {
 	n := &network{
 		set: New("agent-1", limit), running: map[string]bool{}, cut: map[string]bool{}, stale: map[string]bool{},
-		present: map[string]bool{}, open: map[string]bool{},
+		tried: map[string]bool{}, open: map[string]bool{},
 	}
 	for _, addr := range configured {
 		n.running[addr] = true
@@ -42,11 +43,11 @@
 func (n *network) step(ev Event) {
 	connect, drop := n.set.Step(n.now, ev)
 	for _, addr := range drop {
-		delete(n.present, addr)
+		delete(n.tried, addr)
 		delete(n.open, addr)
 	}
 	for _, addr := range connect {
-		n.present[addr] = true
+		n.tried[addr] = true
 	}
 }
 
@@ -59,7 +60,7 @@
 				n.step(Event{Closed: &Closed{addr}})
 			}
 		}
-		for addr := range n.present {
+		for addr := range n.tried {
 			if n.running[addr] && !n.cut[addr] && !n.open[addr] {
 				n.open[addr] = true
 				n.step(Event{Opened: &Opened{addr}})
@@ -97,6 +98,9 @@
 	}
 }
 
+// selected returns the addresses to which connections are kept or tried, sorted.
+func (n *network) selected() []string { return slices.Sorted(maps.Keys(n.tried)) }
+
 // A process whose configured control hosts were all replaced must be connected to the
 // ones that took their place, and give back the connections to those that are gone.
 func TestReplacedControlHostsAreLearntAndForgotten(t *testing.T) {
@@ -108,11 +112,11 @@
 		n.running[fmt.Sprint(zone, i/3+1)] = true
 		n.advance(10 * time.Second)
 		require.Len(t, n.open, 3, "after replacement %d", i)
-		require.LessOrEqual(t, len(n.present), 3+int(ForgetAfter/(10*time.Second)))
+		require.LessOrEqual(t, len(n.tried), 3+int(ForgetAfter/(10*time.Second)))
 		require.LessOrEqual(t, len(n.set.hosts), 3+3+MaxRemembered)
 	}
 	n.advance(2 * ForgetAfter)
-	require.Len(t, n.present, 3, "hosts that are gone are not tried")
+	require.Len(t, n.tried, 3, "hosts that are gone are not tried")
 }
 
 // A process that is cut off from all control hosts must keep trying all that it knows,
@@ -123,13 +127,13 @@
 	delete(n.running, "a0")
 	n.running["a1"] = true
 	n.advance(2 * ForgetAfter)
-	require.NotContains(t, n.present, "a0")
+	require.NotContains(t, n.tried, "a0")
 	for _, addr := range []string{"a1", "b0", "c0"} {
 		n.cut[addr] = true
 	}
 	n.advance(time.Hour)
 	require.Empty(t, n.open)
-	require.Subset(t, n.set.Present(), []string{"a0", "a1", "b0", "c0"})
+	require.Subset(t, n.selected(), []string{"a0", "a1", "b0", "c0"})
 	clear(n.cut)
 	delete(n.running, "b0")
 	delete(n.running, "c0")
@@ -144,10 +148,10 @@
 	delete(n.running, "a0")
 	n.stale["b0"], n.stale["c0"] = true, true
 	n.advance(time.Hour)
-	require.Contains(t, n.present, "a0")
+	require.Contains(t, n.tried, "a0")
 	clear(n.stale)
 	n.advance(2 * ForgetAfter)
-	require.NotContains(t, n.present, "a0")
+	require.NotContains(t, n.tried, "a0")
 	require.Len(t, n.open, 2)
 }
 
@@ -170,14 +174,14 @@
 	clear(n.cut)
 	clear(n.stale)
 	n.advance(time.Second)
-	require.Subset(t, n.set.Present(), configured)
+	require.Subset(t, n.selected(), configured)
 	n.advance(2 * ForgetAfter)
-	require.Equal(t, configured, n.set.Present())
+	require.Equal(t, configured, n.selected())
 	for i := range 25 {
 		n.stale[fmt.Sprint("c", i)] = true
 	}
 	n.advance(time.Hour)
-	require.LessOrEqual(t, len(n.present), 6)
+	require.LessOrEqual(t, len(n.tried), 6)
 }
 
 // Settings that are read again may name the only control hosts that can be reached.
