--- a/controlclient/hosts_test.go
+++ b/controlclient/hosts_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/fireflytray/fireflytray/controlhosts"
 	"github.com/fireflytray/fireflytray/directory"
-	"github.com/fireflytray/fireflytray/internal/steadyclock"
+	"github.com/fireflytray/fireflytray/internal/steadyclock/clocktest"
 	"github.com/fireflytray/fireflytray/keys"
 	"github.com/fireflytray/fireflytray/transport"
 	"github.com/fireflytray/fireflytray/wire"
@@ -170,24 +170,11 @@
 	require.Eventually(t, func() bool { return slices.Contains(c.connected(), next.addr()) }, waitTimeout, 10*time.Millisecond)
 }
 
-// testMachine is a machine whose clocks a test sets.
-func testMachine(now *time.Duration) *steadyclock.Machine {
-	return &steadyclock.Machine{Read: func(clock int32) (time.Duration, error) {
-		if clock == steadyclockBoot {
-			return *now, nil
-		}
-		return 0, nil
-	}}
-}
-
-// steadyclockBoot is CLOCK_BOOTTIME.
-const steadyclockBoot = 7
-
 // Members that a lost control host had reported stayed listed at a client for ever. They
 // must go once another one has listed all members for the grace, and stay while no
 // control host tells.
 func TestMembersOfLostControlHostAreRemoved(t *testing.T) {
-	var now time.Duration
+	machine := clocktest.New()
 	removed := map[string]bool{}
 	c := New(Options{
 		Controls: []string{"c1", "c2"},
@@ -199,7 +186,7 @@
 		},
 		Log: log.New(io.Discard),
 	})
-	c.clock = testMachine(&now).NewClock()
+	c.clock = machine.NewClock()
 	member := func(id string) wire.Member {
 		return wire.Member{Peer: wire.Peer{Role: wire.RoleAgent, ID: id, Incarnation: 1}, Seq: 1}
 	}
@@ -208,15 +195,15 @@
 	sessions := c.allSessions()
 	c.sessionOpened(sessions[0])
 	c.sessionClosed(sessions[0])
-	now += time.Hour
+	machine.Suspend(time.Hour)
 	c.removeLostMembers()
 	require.Empty(t, removed, "no control host is connected")
 	c.sessionOpened(sessions[1])
 	c.stepHosts(controlhosts.Event{Informed: &controlhosts.Informed{Yes: true}})
-	now += directory.LostSourceGrace - time.Second
+	machine.Suspend(directory.LostSourceGrace - time.Second)
 	c.removeLostMembers()
 	require.Empty(t, removed)
-	now += 2 * time.Second
+	machine.Suspend(2 * time.Second)
 	c.removeLostMembers()
 	require.Equal(t, map[string]bool{"a": true}, removed)
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -48,9 +48,8 @@
 // mode selects the faults of a run.
 type mode struct {
 	name string
-	// controls, entries and agents are the numbers of processes, if larger than those of
-	// the flags.
-	controls, entries, agents int
+	// entries and agents are the numbers of processes, if larger than those of the flags.
+	entries, agents int
 	plannedOnly               bool
 	// seeds are those that always run.
 	seeds []uint64
@@ -119,7 +118,7 @@
 
 // runSeedsOf runs the seeds of a mode one after another.
 func runSeedsOf(t *testing.T, m mode, bin string, slot int) {
-	s := size{slot: slot, controls: max(*controls, m.controls), entries: max(*entries, m.entries), agents: max(*agents, m.agents)}
+	s := size{slot: slot, controls: *controls, entries: max(*entries, m.entries), agents: max(*agents, m.agents)}
 	list := m.seeds
 	for i := range *seedCount {
 		list = append(list, *firstSeed+i)
