--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -50,7 +50,7 @@
 	name string
 	// entries and agents are the numbers of processes, if larger than those of the flags.
 	entries, agents int
-	plannedOnly               bool
+	plannedOnly     bool
 	// seeds are those that always run.
 	seeds []uint64
 	// duration is the time for which faults are injected.
