daemon: the test of an overdue drain waits until its goroutine waits

The goroutine that it starts had not run yet when the stacks were logged: "started" is logged before the program runs, so that SIGTERM may come before, and its stack then shows its start only. The test is wrong, not the daemon: the program now goes on once the function is on the stack.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -301,10 +301,11 @@
 // An overdue drain left no trace of what it was waiting for.
 func TestOverdueDrainLogsStacks(t *testing.T) {
 	out := newOutput()
-	release := make(chan struct{})
+	waiting, release := make(chan struct{}), make(chan struct{})
 	t.Cleanup(func() { close(release) })
 	p := program(func(ctx context.Context, _ Runtime, _ *settings.Agent) error {
-		go waitForSilentPeer(release)
+		go waitForSilentPeer(waiting, release)
+		<-waiting
 		<-ctx.Done()
 		return fmt.Errorf("drain: %w", context.DeadlineExceeded)
 	})
@@ -318,7 +319,11 @@
 	require.Equal(t, ExitForced, <-code)
 }
 
-func waitForSilentPeer(release <-chan struct{}) { <-release }
+// waitForSilentPeer closes waiting once it is on the stack of its goroutine.
+func waitForSilentPeer(waiting chan<- struct{}, release <-chan struct{}) {
+	close(waiting)
+	<-release
+}
 
 // An error of a program that is not draining is a failure.
 func TestFailureOutsideDrainHasFailedExitCode(t *testing.T) {
