controlhosts, controlclient, soak: what a second reading found

Cause: read as a newcomer, the change had a test that could not fail for its cause (the control host of TestAgentFollowsReplacedControlHosts listed others to processes that do not watch, so that it guarded the bound of sessions only), a log line that called a connection beyond the limit unreachable, and a soak whose settings named hosts after an added one without their relay.

Change: the test's host lists to watchers only; the line says whether the session was connected; relays are chosen host by host. Set.Step is split, a check and an event of a session share one lock, constants used in one package are not exported, messages of a flush are in an array.

--- a/controlclient/hosts.go
+++ b/controlclient/hosts.go
@@ -59,14 +59,13 @@
 	}
 }
 
-// dropSession ends the session to a control host that is unreachable. The caller must
-// hold sessionsMu.
+// dropSession ends the session to a control host. The caller must hold sessionsMu.
 func (c *Client) dropSession(addr string) {
 	i := slices.IndexFunc(c.sessions, func(s *session) bool { return s.addr == addr })
 	if i < 0 {
 		return
 	}
-	c.log.Info("control host given up, unreachable and not listed", "control", addr, "for", controlhosts.ForgetAfter, "sessions", len(c.sessions)-1)
+	c.log.Info("control host given up", "control", addr, "connected", c.sessions[i].isConnected(), "sessions", len(c.sessions)-1)
 	if stop := c.sessions[i].stop; stop != nil {
 		stop()
 	}
@@ -91,11 +90,17 @@
 	return slices.Clone(c.sessions)
 }
 
-// isCurrent reports whether s has not been dropped.
-func (c *Client) isCurrent(s *session) bool {
+// stepSession passes an event about s to the set of control hosts, unless s has been
+// dropped, and then whether any connected control host has a fresh quorum and a complete
+// list.
+func (c *Client) stepSession(s *session, ev controlhosts.Event) {
 	c.sessionsMu.Lock()
 	defer c.sessionsMu.Unlock()
-	return slices.Contains(c.sessions, s)
+	if slices.Contains(c.sessions, s) {
+		c.stepHostsLocked(ev)
+	}
+	informed := slices.ContainsFunc(c.sessions, (*session).informs)
+	c.stepHostsLocked(controlhosts.Event{Informed: &controlhosts.Informed{Yes: informed}})
 }
 
 // sessionOpened records that s has a connection.
@@ -103,9 +108,7 @@
 	c.mu.Lock()
 	c.lost.Returned(directory.Source(s.addr))
 	c.mu.Unlock()
-	if c.isCurrent(s) {
-		c.stepHosts(controlhosts.Event{Opened: &controlhosts.Opened{Addr: s.addr}})
-	}
+	c.stepSession(s, controlhosts.Event{Opened: &controlhosts.Opened{Addr: s.addr}})
 }
 
 // sessionClosed records that the connection of s has ended.
@@ -113,10 +116,7 @@
 	c.mu.Lock()
 	c.lost.Lost(c.clock.Now(), directory.Source(s.addr))
 	c.mu.Unlock()
-	if c.isCurrent(s) {
-		c.stepHosts(controlhosts.Event{Closed: &controlhosts.Closed{Addr: s.addr}})
-	}
-	c.updateInformed()
+	c.stepSession(s, controlhosts.Event{Closed: &controlhosts.Closed{Addr: s.addr}})
 }
 
 // quorumReported records whether the control host of s has a fresh quorum.
@@ -125,9 +125,8 @@
 	changed := s.fresh != fresh
 	s.fresh = fresh
 	s.mu.Unlock()
-	if changed && c.isCurrent(s) {
-		c.stepHosts(controlhosts.Event{Quorum: &controlhosts.Quorum{Addr: s.addr, Fresh: fresh}})
-		c.updateInformed()
+	if changed {
+		c.stepSession(s, controlhosts.Event{Quorum: &controlhosts.Quorum{Addr: s.addr, Fresh: fresh}})
 	}
 }
 
@@ -138,19 +137,10 @@
 	s.complete = s.complete || complete
 	s.mu.Unlock()
 	if changed {
-		c.updateInformed()
+		c.stepSession(s, controlhosts.Event{})
 	}
 }
 
-// updateInformed passes on whether any connected control host has a fresh quorum and a
-// complete list.
-func (c *Client) updateInformed() {
-	c.sessionsMu.Lock()
-	defer c.sessionsMu.Unlock()
-	informed := slices.ContainsFunc(c.sessions, (*session).informs)
-	c.stepHostsLocked(controlhosts.Event{Informed: &controlhosts.Informed{Yes: informed}})
-}
-
 // merge applies a Directory message of one control host to the merged member
 // list and passes the changes to OnDirectory.
 func (c *Client) merge(addr string, msg *wire.Directory) {
--- a/controlclient/hosts_test.go
+++ b/controlclient/hosts_test.go
@@ -19,7 +19,8 @@
 	"github.com/fireflytray/fireflytray/wire"
 )
 
-// listingHost is a control host that answers announcements and lists control hosts.
+// listingHost is a control host that answers announcements, and lists control hosts to
+// processes that watch.
 type listingHost struct {
 	listener *transport.Listener
 	stop     context.CancelFunc
@@ -76,7 +77,7 @@
 			h.mu.Lock()
 			list := h.list
 			h.mu.Unlock()
-			if c.Send(&wire.Announced{Seq: a.Seq, Fresh: true}) != nil || c.Send(list) != nil {
+			if c.Send(&wire.Announced{Seq: a.Seq, Fresh: true}) != nil || a.Watch && c.Send(list) != nil {
 				return
 			}
 		}
@@ -121,11 +122,9 @@
 func (c *Client) connected() []string {
 	var out []string
 	for _, s := range c.allSessions() {
-		s.mu.Lock()
-		if s.conn != nil {
+		if s.isConnected() {
 			out = append(out, s.addr)
 		}
-		s.mu.Unlock()
 	}
 	slices.Sort(out)
 	return out
--- a/controlclient/session.go
+++ b/controlclient/session.go
@@ -119,6 +119,13 @@
 	s.fresh, s.complete = false, false
 }
 
+// isConnected reports whether there is a connection.
+func (s *session) isConnected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conn != nil
+}
+
 // informs reports whether the control host is connected, has a fresh quorum, and has
 // sent a complete list.
 func (s *session) informs() bool {
--- a/controld/links.go
+++ b/controld/links.go
@@ -69,7 +69,7 @@
 	}
 	connect, drop := t.hosts.Step(t.host.loop.Now(), ev)
 	for _, addr := range drop {
-		t.host.log.Info("control host given up, unreachable and not listed", "control", addr, "for", controlhosts.ForgetAfter)
+		t.host.log.Info("control host given up", "control", addr, "links", len(t.byAddr)-1)
 		t.byAddr[addr].stop()
 		delete(t.byAddr, addr)
 	}
--- a/controlhosts/controlhosts.go
+++ b/controlhosts/controlhosts.go
@@ -18,19 +18,19 @@
 )
 
 const (
-	// ReplaceAfter is how long a control host that is alive may be unreachable, or
+	// replaceAfter is how long a control host that is alive may be unreachable, or
 	// without a quorum, before another one is taken up beside it.
-	ReplaceAfter = 4 * time.Second
-	// ForgetAfter is how long a control host must have been without a connection and
+	replaceAfter = 4 * time.Second
+	// forgetAfter is how long a control host must have been without a connection and
 	// unlisted, while informed, before it is no longer tried. A connection beyond the
 	// limit is closed after the same time.
-	ForgetAfter = 30 * time.Second
+	forgetAfter = 30 * time.Second
 	// MaxListed bounds the addresses that are taken from lists of control hosts. The
 	// largest planned fleet has 25 control hosts.
 	MaxListed = 64
-	// MaxRemembered bounds the forgotten addresses that are tried again by a process
+	// maxRemembered bounds the forgotten addresses that are tried again by a process
 	// that is no longer informed.
-	MaxRemembered = 8
+	maxRemembered = 8
 )
 
 // Event is an input of a Set. Exactly one field is set; an empty Event is a timer tick.
@@ -56,7 +56,8 @@
 // Closed reports that the connection to a control host has ended.
 type Closed struct{ Addr string }
 
-// Quorum reports whether a connected control host hears from a quorum.
+// Quorum reports whether a connected control host hears from a quorum. A control host,
+// whose limit exceeds the number of the others, needs not report it.
 type Quorum struct {
 	Addr  string
 	Fresh bool
@@ -74,8 +75,10 @@
 	addr string
 	// position is that in the settings, or unconfigured.
 	position int
-	// selected tells whether a connection is kept or tried.
-	listed, connected, selected bool
+	listed   bool
+	// connected tells whether a connection is open, selected whether one is kept or
+	// tried.
+	connected, selected bool
 	// seenAt is the last time at which the host was listed or connected, or else the
 	// time at which its address was learnt.
 	seenAt time.Duration
@@ -113,6 +116,25 @@
 // Step handles one event. It returns the addresses to which connections are kept or
 // tried from now on, and those that are given up.
 func (s *Set) Step(now time.Duration, ev Event) (connect, drop []string) {
+	s.apply(now, ev)
+	drop = s.evict()
+	wanted := s.wanted(now)
+	for _, h := range s.hosts {
+		switch {
+		case wanted[h] && !h.selected:
+			h.troubledSince = now
+			connect = append(connect, h.addr)
+		case !wanted[h] && h.selected:
+			h.connected, h.fresh = false, false
+			drop = append(drop, h.addr)
+		}
+		h.selected = wanted[h]
+	}
+	return connect, drop
+}
+
+// apply records what an event says.
+func (s *Set) apply(now time.Duration, ev Event) {
 	switch {
 	case ev.Configured != nil:
 		s.configure(now, ev.Configured.Addrs)
@@ -136,20 +158,6 @@
 		}
 		s.informed = ev.Informed.Yes
 	}
-	drop = s.evict()
-	wanted := s.wanted(now)
-	for _, h := range s.hosts {
-		switch {
-		case wanted[h] && !h.selected:
-			h.troubledSince = now
-			connect = append(connect, h.addr)
-		case !wanted[h] && h.selected:
-			h.connected, h.fresh = false, false
-			drop = append(drop, h.addr)
-		}
-		h.selected = wanted[h]
-	}
-	return connect, drop
 }
 
 // InformedFor reports whether the process has been informed for at least d.
@@ -232,11 +240,11 @@
 	for _, h := range s.hosts {
 		switch {
 		case !h.alive():
-			wanted[h] = !s.informed || now-max(h.seenAt, s.informedSince) < ForgetAfter
+			wanted[h] = !s.informed || now-max(h.seenAt, s.informedSince) < forgetAfter
 		case serving < s.limit && kept < 2*s.limit:
 			wanted[h], h.surplus = true, false
 			kept++
-			if h.fresh || !h.selected || now-h.troubledSince < ReplaceAfter {
+			if h.fresh || !h.selected || now-h.troubledSince < replaceAfter {
 				serving++
 			}
 		case h.connected:
@@ -246,16 +254,16 @@
 	return wanted
 }
 
-// isSurplus reports whether a connected host has been beyond the limit for ForgetAfter.
+// isSurplus reports whether a connected host has been beyond the limit for forgetAfter.
 func (s *Set) isSurplus(now time.Duration, h *host) bool {
 	if !h.surplus {
 		h.surplus, h.surplusSince = true, now
 	}
-	return now-h.surplusSince >= ForgetAfter
+	return now-h.surplusSince >= forgetAfter
 }
 
 // evict removes the hosts that nothing names or reaches and that were seen longest ago,
-// until MaxRemembered of them are left. It returns the addresses of those that were
+// until maxRemembered of them are left. It returns the addresses of those that were
 // being tried.
 func (s *Set) evict() (dropped []string) {
 	var idle []*host
@@ -264,11 +272,11 @@
 			idle = append(idle, h)
 		}
 	}
-	if len(idle) <= MaxRemembered {
+	if len(idle) <= maxRemembered {
 		return nil
 	}
 	slices.SortStableFunc(idle, func(a, b *host) int { return cmp.Compare(a.seenAt, b.seenAt) })
-	evicted := idle[:len(idle)-MaxRemembered]
+	evicted := idle[:len(idle)-maxRemembered]
 	for _, h := range evicted {
 		if h.selected {
 			dropped = append(dropped, h.addr)
--- a/controlhosts/controlhosts_test.go
+++ b/controlhosts/controlhosts_test.go
@@ -51,7 +51,8 @@
 	}
 }
 
-// settle opens and closes connections, and lists hosts, until nothing changes.
+// settle opens and closes connections and lists hosts, in as many rounds as it takes for
+// a host that is listed to be connected and to list others.
 func (n *network) settle() {
 	for range 4 {
 		for addr := range n.open {
@@ -112,10 +113,10 @@
 		n.running[fmt.Sprint(zone, i/3+1)] = true
 		n.advance(10 * time.Second)
 		require.Len(t, n.open, 3, "after replacement %d", i)
-		require.LessOrEqual(t, len(n.tried), 3+int(ForgetAfter/(10*time.Second)))
-		require.LessOrEqual(t, len(n.set.hosts), 3+3+MaxRemembered)
+		require.LessOrEqual(t, len(n.tried), 3+int(forgetAfter/(10*time.Second)))
+		require.LessOrEqual(t, len(n.set.hosts), 3+3+maxRemembered)
 	}
-	n.advance(2 * ForgetAfter)
+	n.advance(2 * forgetAfter)
 	require.Len(t, n.tried, 3, "hosts that are gone are not tried")
 }
 
@@ -126,7 +127,7 @@
 	n.settle()
 	delete(n.running, "a0")
 	n.running["a1"] = true
-	n.advance(2 * ForgetAfter)
+	n.advance(2 * forgetAfter)
 	require.NotContains(t, n.tried, "a0")
 	for _, addr := range []string{"a1", "b0", "c0"} {
 		n.cut[addr] = true
@@ -150,7 +151,7 @@
 	n.advance(time.Hour)
 	require.Contains(t, n.tried, "a0")
 	clear(n.stale)
-	n.advance(2 * ForgetAfter)
+	n.advance(2 * forgetAfter)
 	require.NotContains(t, n.tried, "a0")
 	require.Len(t, n.open, 2)
 }
@@ -166,16 +167,16 @@
 	n.settle()
 	require.Len(t, n.open, 3)
 	n.cut["c0"] = true
-	n.advance(ReplaceAfter + time.Second)
+	n.advance(replaceAfter + time.Second)
 	require.Len(t, n.open, 3)
 	n.stale["c1"] = true
-	n.advance(ReplaceAfter + time.Second)
+	n.advance(replaceAfter + time.Second)
 	require.Len(t, n.open, 4)
 	clear(n.cut)
 	clear(n.stale)
 	n.advance(time.Second)
 	require.Subset(t, n.selected(), configured)
-	n.advance(2 * ForgetAfter)
+	n.advance(2 * forgetAfter)
 	require.Equal(t, configured, n.selected())
 	for i := range 25 {
 		n.stale[fmt.Sprint("c", i)] = true
@@ -227,7 +228,7 @@
 			"restart": func(*rapid.T) {
 				addr := pick(n.running)
 				delete(n.running, addr)
-				n.advance(time.Duration(rapid.Int64Range(0, int64(4*ForgetAfter)).Draw(rt, "down")))
+				n.advance(time.Duration(rapid.Int64Range(0, int64(4*forgetAfter)).Draw(rt, "down")))
 				n.running[addr] = true
 				n.settle()
 			},
@@ -241,12 +242,12 @@
 			"stale": func(*rapid.T) { n.stale[pick(n.running)] = true; n.settle() },
 			"fresh": func(*rapid.T) { clear(n.stale); n.settle() },
 			"wait": func(*rapid.T) {
-				n.advance(time.Duration(rapid.Int64Range(0, int64(2*ForgetAfter)).Draw(rt, "time")))
+				n.advance(time.Duration(rapid.Int64Range(0, int64(2*forgetAfter)).Draw(rt, "time")))
 			},
 			"settings": func(*rapid.T) { n.step(Event{Configured: &Configured{[]string{pick(n.running)}}}); n.settle() },
 			"": func(rt *rapid.T) {
-				require.LessOrEqual(rt, len(n.set.hosts), len(n.running)+3+MaxRemembered)
-				n.advance(2*ReplaceAfter + time.Second)
+				require.LessOrEqual(rt, len(n.set.hosts), len(n.running)+3+maxRemembered)
+				n.advance(2*replaceAfter + time.Second)
 				reachable := 0
 				for addr := range n.running {
 					if !n.cut[addr] {
--- a/directory/reducer.go
+++ b/directory/reducer.go
@@ -283,7 +283,7 @@
 	r.flushAt = never
 	merged, local := r.table.TakeDifference(), r.local.TakeDifference()
 	all := merged.Message(false)
-	messages := map[scope]*wire.Directory{scopeAll: all, scopeLocal: local.Message(true), scopeControlHosts: withRole(all, wire.RoleControl)}
+	messages := [...]*wire.Directory{scopeAll: all, scopeLocal: local.Message(true), scopeControlHosts: withRole(all, wire.RoleControl)}
 	for _, w := range r.watchers {
 		msg := messages[w.scope]
 		switch {
--- a/directory/sources.go
+++ b/directory/sources.go
@@ -11,7 +11,7 @@
 type LostSources map[Source]time.Duration
 
 // Lost records that the connection to src has ended. Only the first call counts until
-// Returned: dials of a host that is gone for good fail again and again.
+// Returned, so that connections that end before src reports put off nothing.
 func (l LostSources) Lost(now time.Duration, src Source) {
 	if _, lost := l[src]; !lost {
 		l[src] = now + LostSourceGrace
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -144,10 +144,11 @@
 func (s size) controlAddresses(net int) string {
 	var list []string
 	for _, i := range s.hosts.all() {
+		through := net
 		if i >= s.controls {
-			net = netControl // those that are added have no relay
+			through = netControl // those that are added have no relay
 		}
-		list = append(list, s.address(net, i, portControl))
+		list = append(list, s.address(through, i, portControl))
 	}
 	return strings.Join(list, ",")
 }
