--- a/node/agent.go
+++ b/node/agent.go
@@ -40,16 +40,14 @@
 	logger := o.Logs.For(logging.PartAgent)
 	configs := &configRelay{}
 	client := controlclient.New(controlclient.Options{
-		Controls: o.Controls,
-
+		Controls:        o.Controls,
 		ControlsChanged: o.ControlsChanged,
 		Sessions:        agentSessions,
-
-		Transport: o.transport(),
-		Self:      announced.current,
-		Site:      o.Site,
-		OnConfig:  configs.put,
-		Log:       logger,
+		Transport:       o.transport(),
+		Self:            announced.current,
+		Site:            o.Site,
+		OnConfig:        configs.put,
+		Log:             logger,
 	})
 	announced.onChange = client.Announce
 	return withClient(ctx, client, func(ctx context.Context) error {
--- a/soak/controls_test.go
+++ b/soak/controls_test.go
@@ -128,25 +128,31 @@
 	slices.Sort(names)
 	for _, i := range c.f.hosts.all() {
 		admin := adminapi.NewClient(id, []string{c.f.address(netControl, i, portAdmin)})
-		var listed []string
-		for end := time.Now().Add(readyTimeout); !slices.Equal(names, listed); sleep(ctx, listInterval) {
-			if time.Now().After(end) {
-				c.f.ledger.AddViolation("%s lists %v, running are %v", c.running[i].name, listed, names)
-				break
-			}
-			var fleet adminapi.FleetReply
-			if err := admin.Get(ctx, adminapi.PathFleet, "", &fleet); err != nil {
-				continue
-			}
-			listed = nil
-			for _, p := range fleet.Processes {
-				listed = append(listed, p.ID)
-			}
-			slices.Sort(listed)
+		listed := listedBy(ctx, admin)
+		for end := time.Now().Add(readyTimeout); !slices.Equal(names, listed) && time.Now().Before(end); listed = listedBy(ctx, admin) {
+			sleep(ctx, listInterval)
+		}
+		if !slices.Equal(names, listed) {
+			c.f.ledger.AddViolation("%s lists %v, running are %v", c.running[i].name, listed, names)
 		}
 	}
 }
 
+// listedBy returns the sorted ids of the processes that a control host lists; none if it
+// does not answer.
+func listedBy(ctx context.Context, admin *adminapi.Client) []string {
+	var fleet adminapi.FleetReply
+	if err := admin.Get(ctx, adminapi.PathFleet, "", &fleet); err != nil {
+		return nil // the caller asks again
+	}
+	var out []string
+	for _, p := range fleet.Processes {
+		out = append(out, p.ID)
+	}
+	slices.Sort(out)
+	return out
+}
+
 // replace starts an empty control host in the place of number i: before that one ends
 // as planned, or after it was lost.
 func (c *controlTurnover) replace(i int) {
