e2e, controld: tests that run at the same time use ports of different ranges

Cause: both packages take free ports of 20,000 to 31,999 on 127.0.0.1 and go test runs them side by side. A port of a process that e2e restarts is free for a moment, and may be given to a control host of a test of controld. That such a test held these two ports isn't logged; its tests ran at that moment, and nothing else on the machine listens in that range on that address.

Change: controld takes 20,000 to 25,999, e2e 26,000 to 31,999. No assertion changes.

--- a/controld/cluster_test.go
+++ b/controld/cluster_test.go
@@ -19,10 +19,11 @@
 )
 
 // The ports of control hosts are below the ephemeral port range, so that no
-// outgoing connection takes the port of a stopped host.
+// outgoing connection takes the port of a stopped host, and apart from those of package
+// e2e, whose tests run at the same time.
 const (
 	firstPort = 20000
-	lastPort  = 31999
+	lastPort  = 25999
 )
 
 var nextPort atomic.Uint32
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -159,9 +159,10 @@
 }
 
 // The port range lies below the ephemeral ports of common systems, so that no
-// outgoing connection takes the port of a process that is to be restarted.
+// outgoing connection takes the port of a process that is to be restarted, and apart from
+// that of package controld, whose tests run at the same time.
 const (
-	firstPort = 20_000
+	firstPort = 26_000
 	lastPort  = 31_999
 	loopback  = "127.0.0.1"
 )
