--- /dev/null
+++ b/review/fleet2/cases.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+)
+
+func hostCase(f *fleet, trouble bool) (bool, error) {
+	plain := newRoute("r-1", "nony24.example", "/lohu930/")
+	if err := f.publish(manifest(1, plain)); err != nil {
+		return false, err
+	}
+	if err := f.awaitServing(plain); err != nil {
+		return false, err
+	}
+	added := newRoute("r-2", "Portal.Prairie.example", "/disputes/")
+	if !trouble {
+		added.Host = strings.ToLower(added.Host)
+	}
+	if err := f.publish(manifest(4, plain, added)); err != nil {
+		return false, err
+	}
+	time.Sleep(configApply + time.Second)
+	status, text := call(time.Second, http.MethodGet, fmt.Sprintf("%s:%d", f.hosts[1].addr, portOperators), "", "/config", "", nil)
+	f.rec.printf("operator: GET /config at %s: %d %s", f.hosts[1].name, status, text)
+	broken := false
+	for i, h := range f.entries() {
+		status, _ := f.submit(h, added.Host, fmt.Sprintf("%s%016x", added.Prefix, 0xbb00+i), jobBody(2, 1000, 100*time.Millisecond), 3*time.Second)
+		broken = broken || status == http.StatusNotFound
+	}
+	return broken, nil
+}
+
+func cancelCase(f *fleet, trouble bool) (bool, error) {
+	r := newRoute("r-1", "nony24.example", "/lohu930/")
+	if err := f.publish(manifest(1, r)); err != nil {
+		return false, err
+	}
+	if err := f.awaitServing(r); err != nil {
+		return false, err
+	}
+	time.Sleep(3 * time.Second)
+	frozen := f.find("front-1", "entry")
+	other := f.find("front-2", "entry")
+	if trouble {
+		f.signal(frozen, syscall.SIGSTOP)
+		time.AfterFunc(3500*time.Millisecond, func() { f.signal(frozen, syscall.SIGCONT) })
+	}
+	const job = "5c0e7a21d94b36f8"
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.submit(frozen.host, r.Host, r.Prefix+job, jobBody(4, 6200, 900*time.Millisecond), 10*time.Second)
+	}()
+	time.Sleep(200 * time.Millisecond)
+	status := f.cancel(other.host, r.Host, r.Prefix+job)
+	acked := time.Now()
+	if status != http.StatusOK && status != http.StatusGone {
+		return false, fmt.Errorf("%w: DELETE was not acknowledged", errSetup)
+	}
+	<-done
+	time.Sleep(2 * time.Second)
+	return f.startedAfterCancel(job, acked), nil
+}
+
+// resendCase lets a copy of a request arrive seconds after its 2xx response, at another
+// entry. The job has been cancelled before.
+func resendCase(f *fleet, trouble bool) (bool, error) {
+	r := newRoute("r-1", "nony24.example", "/lohu930/")
+	if err := f.publish(manifest(1, r)); err != nil {
+		return false, err
+	}
+	if err := f.awaitServing(r); err != nil {
+		return false, err
+	}
+	time.Sleep(3 * time.Second)
+	first, other, third := f.find("core-1", "entry").host, f.find("front-1", "entry").host, f.find("front-2", "entry").host
+	const job = "5c0e7a21d94b36f8"
+	body := jobBody(4, 6200, 900*time.Millisecond)
+	answered := make(chan int, 1)
+	go func() {
+		status, _ := f.submit(first, r.Host, r.Prefix+job, body, 6*time.Second)
+		answered <- status
+	}()
+	time.Sleep(300 * time.Millisecond)
+	status := f.cancel(other, r.Host, r.Prefix+job)
+	acked := time.Now()
+	if status != http.StatusOK {
+		return false, fmt.Errorf("%w: DELETE was not acknowledged", errSetup)
+	}
+	if status := <-answered; status != http.StatusOK {
+		return false, fmt.Errorf("%w: the POST had no 2xx response", errSetup)
+	}
+	time.Sleep(time.Until(acked.Add(cancelWithin + 500*time.Millisecond)))
+	if trouble {
+		f.submit(third, r.Host, r.Prefix+job, body, 6*time.Second)
+	}
+	time.Sleep(2 * time.Second)
+	return f.startedAfterCancel(job, acked), nil
+}
+
+// cancel cancels a job at the entry on a host and records the answer.
+func (f *fleet) cancel(h *host, routeHost, path string) (status int) {
+	status, answer := call(3*time.Second, http.MethodDelete, fmt.Sprintf("%s:%d", h.addr, portClients), routeHost, path, "", nil)
+	f.rec.printf("client: DELETE %s%s at %s: %d %s", routeHost, path, h.name, status, answer)
+	return status
+}
+
+// startedAfterCancel reports whether a task of a job has started later than allowed after
+// its cancelling was acknowledged.
+func (f *fleet) startedAfterCancel(job string, acked time.Time) bool {
+	late := f.rec.startsOf(job, acked.Add(cancelWithin))
+	for _, e := range late {
+		f.rec.printf("UNASKED: %.3f s after the acknowledgement: %s", e.at.Sub(acked).Seconds(), e.text)
+	}
+	return len(late) > 0
+}
