--- a/review/fleet2/cases.go
+++ b/review/fleet2/cases.go
@@ -114,7 +114,101 @@
 func (f *fleet) startedAfterCancel(job string, acked time.Time) bool {
 	late := f.rec.startsOf(job, acked.Add(cancelWithin))
 	for _, e := range late {
-		f.rec.printf("UNASKED: %.3f s after the acknowledgement: %s", e.at.Sub(acked).Seconds(), e.text)
+		f.rec.printf("UNASKED: started %.3f s after the acknowledgement was there or due: %s", e.at.Sub(acked).Seconds(), e.text)
 	}
 	return len(late) > 0
 }
+
+// encodingCase sends a manifest in which one byte is damaged, so that its text is not UTF-8.
+func encodingCase(f *fleet, trouble bool) (bool, error) {
+	portal := newRoute("r-1", "nony24.example", "/lohu930/")
+	first := manifest(1, portal)
+	if err := f.publish(first); err != nil {
+		return false, err
+	}
+	if err := f.awaitServing(portal); err != nil {
+		return false, err
+	}
+	portal.TimeoutMS = 2000
+	changed := manifest(4, portal)
+	if trouble {
+		changed = strings.Replace(changed, "nony24", "\xeeony24", 1)
+	}
+	f.rec.printf("operator: PUT /config %q", changed)
+	acked := false
+	for tries := 0; tries < 3 && !acked; tries++ {
+		status, answer := call(time.Second, http.MethodPut, fmt.Sprintf("%s:%d", f.hosts[tries].addr, portOperators), "", "/config", changed, nil)
+		f.rec.printf("operator: PUT /config at %s: %d %s", f.hosts[tries].name, status, answer)
+		acked = status == http.StatusOK
+	}
+	time.Sleep(configApply + time.Second)
+	refused := 0
+	for i, h := range f.entries() {
+		status, _ := f.submit(h, portal.Host, fmt.Sprintf("%s%016x", portal.Prefix, 0xcc00+i), jobBody(2, 1000, 100*time.Millisecond), 3*time.Second)
+		if status == http.StatusNotFound {
+			refused++
+		}
+	}
+	f.rec.printf("the manifest was acknowledged: %t; %d entries refuse the route with 404", acked, refused)
+	return trouble && acked, nil
+}
+
+// zeroCase sends a first manifest with the version 0.
+func zeroCase(f *fleet, trouble bool) (bool, error) {
+	version := 1
+	if trouble {
+		version = 0
+	}
+	if err := f.publish(manifest(version, newRoute("r-1", "nony24.example", "/lohu930/"))); err != nil {
+		return false, err
+	}
+	read := false
+	for range 16 {
+		time.Sleep(500 * time.Millisecond)
+		for _, h := range f.hosts[:3] {
+			status, answer := call(time.Second, http.MethodGet, fmt.Sprintf("%s:%d", h.addr, portOperators), "", "/config", "", nil)
+			f.rec.printf("operator: GET /config at %s: %d %.100s", h.name, status, answer)
+			read = read || status == http.StatusOK
+		}
+	}
+	return !read, nil
+}
+
+// removedCase removes the route of a job in progress, which its client then cancels.
+func removedCase(f *fleet, trouble bool) (bool, error) {
+	kept, removed := newRoute("r-1", "nony24.example", "/lohu930/"), newRoute("r-2", "nony24.example", "/pule252/")
+	removed.TimeoutMS, removed.TargetLatencyMS = 40000, 30000
+	if err := f.publish(manifest(1, kept, removed)); err != nil {
+		return false, err
+	}
+	if err := f.awaitServing(removed); err != nil {
+		return false, err
+	}
+	const job = "5c0e7a21d94b36f8"
+	holder, other := f.find("core-1", "entry").host, f.find("front-1", "entry").host
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.submit(holder, removed.Host, removed.Prefix+job, jobBody(60, executorCores, time.Second), 30*time.Second)
+	}()
+	time.Sleep(time.Second)
+	if trouble {
+		if err := f.publish(manifest(4, kept)); err != nil {
+			return false, err
+		}
+		time.Sleep(configApply)
+	}
+	sent, answered := time.Now(), false
+	for !answered && time.Since(sent) < 15*time.Second {
+		for _, h := range []*host{other, holder} {
+			status := f.cancel(h, removed.Host, removed.Prefix+job)
+			answered = answered || status == http.StatusOK || status == http.StatusGone
+		}
+		time.Sleep(time.Second)
+	}
+	<-done
+	if answered {
+		return f.startedAfterCancel(job, time.Now()), nil
+	}
+	return f.startedAfterCancel(job, sent.Add(ackWithin)), nil
+}
--- a/review/fleet2/main.go
+++ b/review/fleet2/main.go
@@ -27,10 +27,13 @@
 }
 
 var scenarios = map[string]scenario{
-	"memory": {fronts: 1, sides: 3, run: memoryCase},
-	"resend": {fronts: 2, sides: 5, run: resendCase},
-	"cancel": {fronts: 2, sides: 5, run: cancelCase},
-	"host":   {fronts: 1, sides: 3, run: hostCase},
+	"memory":   {fronts: 1, sides: 3, run: memoryCase},
+	"resend":   {fronts: 2, sides: 5, run: resendCase},
+	"cancel":   {fronts: 2, sides: 5, run: cancelCase},
+	"host":     {fronts: 1, sides: 3, run: hostCase},
+	"removed":  {fronts: 1, sides: 3, run: removedCase},
+	"encoding": {fronts: 1, sides: 3, run: encodingCase},
+	"zero":     {fronts: 1, sides: 3, run: zeroCase},
 }
 
 func main() {
