--- a/review/fleet2/cases.go
+++ b/review/fleet2/cases.go
@@ -36,6 +36,7 @@
 
 func cancelCase(f *fleet, trouble bool) (bool, error) {
 	r := newRoute("r-1", "nony24.example", "/lohu930/")
+	r.TimeoutMS, r.TargetLatencyMS = 10000, 8000
 	if err := f.publish(manifest(1, r)); err != nil {
 		return false, err
 	}
@@ -55,7 +56,7 @@
 		defer close(done)
 		f.submit(frozen.host, r.Host, r.Prefix+job, jobBody(4, 6200, 900*time.Millisecond), 10*time.Second)
 	}()
-	time.Sleep(200 * time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
 	status := f.cancel(other.host, r.Host, r.Prefix+job)
 	acked := time.Now()
 	if status != http.StatusOK && status != http.StatusGone {
