--- a/review/fleet2/cases.go
+++ b/review/fleet2/cases.go
@@ -115,7 +115,7 @@
 func (f *fleet) startedAfterCancel(job string, acked time.Time) bool {
 	late := f.rec.startsOf(job, acked.Add(cancelWithin))
 	for _, e := range late {
-		f.rec.printf("UNASKED: started %.3f s after the acknowledgement was there or due: %s", e.at.Sub(acked).Seconds(), e.text)
+		f.rec.printf("UNASKED: at %.3f s, %.3f s later than allowed: %s", e.at.Sub(f.rec.begin).Seconds(), e.at.Sub(acked.Add(cancelWithin)).Seconds(), e.text)
 	}
 	return len(late) > 0
 }
@@ -213,3 +213,95 @@
 	}
 	return f.startedAfterCancel(job, sent.Add(ackWithin)), nil
 }
+
+const (
+	// coreDown is how long the hosts with a disk are down.
+	coreDown = 9500 * time.Millisecond
+	// waitingJobs is the number of jobs in progress that are cancelled, each with jobTasks
+	// tasks.
+	waitingJobs = 40
+	jobTasks    = 120
+)
+
+// coreCase cancels jobs in progress through the entries of the hosts with a disk, just
+// after these have come back from a loss of power.
+func coreCase(f *fleet, trouble bool) (bool, error) {
+	r := newRoute("r-1", "nony24.example", "/lohu930/")
+	r.TimeoutMS, r.TargetLatencyMS = 60000, 50000
+	if err := f.publish(manifest(1, r)); err != nil {
+		return false, err
+	}
+	if err := f.awaitServing(r); err != nil {
+		return false, err
+	}
+	time.Sleep(4 * time.Second)
+	holder := f.find("front-1", "entry").host
+	var jobs []string
+	for i := range waitingJobs {
+		jobs = append(jobs, fmt.Sprintf("5c0e7a21d94b%04x", i))
+		go f.submit(holder, r.Host, r.Prefix+jobs[i], jobBody(jobTasks, executorCores/2, time.Second), 58*time.Second)
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	if trouble {
+		if err := f.loseCore(); err != nil {
+			return false, err
+		}
+	}
+	// All hosts are in touch again by then.
+	calm := time.Now().Add(2 * contact)
+	acked := f.cancelAll(r, jobs)
+	time.Sleep(cancelWithin + 8*time.Second)
+	broken := false
+	for _, job := range jobs {
+		at, ok := acked[job]
+		if !ok {
+			continue
+		}
+		if at.Add(cancelWithin).Before(calm) {
+			at = calm.Add(-cancelWithin)
+		}
+		broken = f.startedAfterCancel(job, at) || broken
+	}
+	return broken, nil
+}
+
+// loseCore kills all processes of the hosts with a disk, and starts them again.
+func (f *fleet) loseCore() error {
+	var down []*process
+	for _, p := range f.processes {
+		if p.host.roles[0] == "control" {
+			f.signal(p, syscall.SIGKILL)
+			down = append(down, p)
+		}
+	}
+	time.Sleep(coreDown)
+	for _, p := range down {
+		<-p.done
+		if err := f.restart(p); err != nil {
+			return err
+		}
+		f.rec.printf("%s %s: started", p.host.name, p.role)
+	}
+	return nil
+}
+
+// cancelAll cancels each job until it has an acknowledgement, and returns when each was
+// acknowledged. The clients are in two zones whose only entry is on a host with a disk.
+func (f *fleet) cancelAll(r route, jobs []string) map[string]time.Time {
+	acked := map[string]time.Time{}
+	end := time.Now().Add(6 * time.Second)
+	for round := 0; len(acked) < len(jobs) && time.Now().Before(end); round++ {
+		for i, job := range jobs {
+			if _, ok := acked[job]; ok {
+				continue
+			}
+			status := f.cancel(f.hosts[1+(i+round)%2], r.Host, r.Prefix+job)
+			if status == http.StatusOK || status == http.StatusGone {
+				acked[job] = time.Now()
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return acked
+}
--- a/review/fleet2/fleet.go
+++ b/review/fleet2/fleet.go
@@ -29,6 +29,7 @@
 const (
 	configApply   = 2000 * time.Millisecond
 	cancelWithin  = 3000 * time.Millisecond
+	contact       = 3000 * time.Millisecond
 	ackWithin     = 4000 * time.Millisecond
 	holdMax       = 1000 * time.Millisecond
 	heartbeats    = 1500 * time.Millisecond
--- a/review/fleet2/main.go
+++ b/review/fleet2/main.go
@@ -31,6 +31,7 @@
 	"resend":   {fronts: 2, sides: 5, run: resendCase},
 	"cancel":   {fronts: 2, sides: 5, run: cancelCase},
 	"host":     {fronts: 1, sides: 3, run: hostCase},
+	"core":     {fronts: 1, sides: 8, run: coreCase},
 	"removed":  {fronts: 1, sides: 3, run: removedCase},
 	"encoding": {fronts: 1, sides: 3, run: encodingCase},
 	"zero":     {fronts: 1, sides: 3, run: zeroCase},
