--- a/review/fleet2/cases.go
+++ b/review/fleet2/cases.go
@@ -216,7 +216,7 @@
 
 const (
 	// coreDown is how long the hosts with a disk are down.
-	coreDown = 9500 * time.Millisecond
+	coreDown = 900 * time.Millisecond
 	// waitingJobs is the number of jobs in progress that are cancelled, each with jobTasks
 	// tasks.
 	waitingJobs = 40
@@ -224,7 +224,7 @@
 )
 
 // coreCase cancels jobs in progress through the entries of the hosts with a disk, just
-// after these have come back from a loss of power.
+// after all processes there were killed and started again.
 func coreCase(f *fleet, trouble bool) (bool, error) {
 	r := newRoute("r-1", "nony24.example", "/lohu930/")
 	r.TimeoutMS, r.TargetLatencyMS = 60000, 50000
