fleet: the keys of a kind of section are listed once

Cause: each check of a section built the list of its valid keys anew.

Ruled out as the cause of the case: the state that is kept is the same; this is garbage.

Change: the lists are built when the program starts.

--- a/fleet/schema.go
+++ b/fleet/schema.go
@@ -128,24 +128,19 @@
 // validSections describes the accepted section headers.
 const validSections = "[service NAME], [team NAME], [route NAME] and [retry]"
 
-// Keys returns the keys of a kind of section: service, team, route, retry or domain. It
-// returns nil for any other kind.
-func Keys(kind string) []Key {
-	switch kind {
-	case kindService:
-		return keysOf(serviceFields)
-	case kindTeam:
-		return keysOf(teamFields)
-	case kindRoute:
-		return keysOf(routeFields)
-	case kindRetry:
-		return keysOf(retryFields)
-	case kindDomain:
-		return keysOf(domainFields)
-	}
-	return nil
+// keysByKind holds the keys of each kind of section.
+var keysByKind = map[string][]Key{
+	kindService: keysOf(serviceFields),
+	kindTeam:    keysOf(teamFields),
+	kindRoute:   keysOf(routeFields),
+	kindRetry:   keysOf(retryFields),
+	kindDomain:  keysOf(domainFields),
 }
 
+// Keys returns the keys of a kind of section: service, team, route, retry or domain. It
+// returns nil for any other kind. The caller must not change them.
+func Keys(kind string) []Key { return keysByKind[kind] }
+
 func keysOf[T any](fields []field[T]) []Key {
 	out := make([]Key, len(fields))
 	for i, f := range fields {
