--- a/raft/types.go
+++ b/raft/types.go
@@ -56,7 +56,9 @@
 	Index   uint64
 	Term    uint64
 	Members []Member
-	Data    []byte `msg:"Data,limit=268435456"`
+	// Data refers to the encoded bytes after decoding, because a copy may be as large as
+	// the state.
+	Data []byte `msg:"Data,limit=268435456,zerocopy"`
 }
 
 // Chunk is a part of a snapshot that is sent to a follower.
--- a/raft/types_gen.go
+++ b/raft/types_gen.go
@@ -702,16 +702,11 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if z.Data == nil || uint32(cap(z.Data)) < zb0004 {
-		z.Data = make([]byte, zb0004)
-	} else {
-		z.Data = z.Data[:zb0004]
-	}
 	if uint32(len(bts)) < zb0004 {
 		err = msgp.ErrShortBytes
 		return
 	}
-	copy(z.Data, bts[:zb0004])
+	z.Data = bts[:zb0004]
 	bts = bts[zb0004:]
 	o = bts
 	return
--- a/wal/format.go
+++ b/wal/format.go
@@ -145,6 +145,23 @@
 	return b
 }
 
+// frameHeader returns the header of a record whose payload consists of parts.
+func frameHeader(seq uint64, parts ...[]byte) []byte {
+	size := 0
+	for _, p := range parts {
+		size += len(p)
+	}
+	b := binary.BigEndian.AppendUint32(nil, uint32(size))
+	b = binary.BigEndian.AppendUint32(b, 0)
+	b = binary.BigEndian.AppendUint64(b, seq)
+	sum := frameChecksum(b)
+	for _, p := range parts {
+		sum = crc32.Update(sum, castagnoli, p)
+	}
+	binary.BigEndian.PutUint32(b[4:], sum)
+	return b
+}
+
 func frameChecksum(b []byte) uint32 {
 	sum := crc32.Checksum(b[:4], castagnoli)
 	return crc32.Update(sum, castagnoli, b[8:])
--- a/wal/fs.go
+++ b/wal/fs.go
@@ -110,15 +110,15 @@
 	return nil, fmt.Errorf("flock: %w", err)
 }
 
-// writeFileAtomic replaces the content of a file. After a crash the file holds
-// either the old or the new content.
-func writeFileAtomic(fs FS, name string, data []byte) error {
+// writeFileAtomic replaces the content of a file by the concatenated parts. After a
+// crash the file holds either the old or the new content.
+func writeFileAtomic(fs FS, name string, parts ...[]byte) error {
 	tmp := name + tmpSuffix
 	f, err := fs.Create(tmp)
 	if err != nil {
 		return err
 	}
-	if err := writeAndSync(f, data); err != nil {
+	if err := writeAndSync(f, parts...); err != nil {
 		f.Close()
 		return err
 	}
@@ -131,13 +131,15 @@
 	return fs.SyncDir(filepath.Dir(name))
 }
 
-func writeAndSync(f File, data []byte) error {
-	n, err := f.Write(data)
-	if err != nil {
-		return err
-	}
-	if n < len(data) {
-		return io.ErrShortWrite
+func writeAndSync(f File, parts ...[]byte) error {
+	for _, data := range parts {
+		n, err := f.Write(data)
+		if err != nil {
+			return err
+		}
+		if n < len(data) {
+			return io.ErrShortWrite
+		}
 	}
 	return f.Sync()
 }
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -13,6 +13,8 @@
 	"io"
 	"syscall"
 
+	"github.com/tinylib/msgp/msgp"
+
 	"github.com/fireflytray/fireflytray/raft"
 )
 
@@ -196,16 +198,16 @@
 }
 
 func (w *WAL) writeSnapshot(s raft.Snapshot) error {
-	payload, err := s.MarshalMsg(nil)
+	head, err := encodeSnapshotHead(s)
 	if err != nil {
 		return err
 	}
-	if len(payload) > maxSnapshotSize {
-		return fmt.Errorf("a snapshot of %d bytes: %w", len(payload), errTooLarge)
+	if size := len(head) + len(s.Data); size > maxSnapshotSize {
+		return fmt.Errorf("a snapshot of %d bytes: %w", size, errTooLarge)
 	}
-	b := fileHeader(kindSnapshot, w.ident.Replica, s.Index)
 	name := w.path(fileName(s.Index, snapshotSuffix))
-	if err := writeFileAtomic(w.fs, name, appendFrame(b, 0, payload)); err != nil {
+	header := fileHeader(kindSnapshot, w.ident.Replica, s.Index)
+	if err := writeFileAtomic(w.fs, name, header, frameHeader(0, head, s.Data), head, s.Data); err != nil {
 		return err
 	}
 	old := w.snapshots
@@ -221,6 +223,19 @@
 	return nil
 }
 
+// encodeSnapshotHead returns the encoding of a snapshot up to its data, which come last
+// and may be too large to copy.
+func encodeSnapshotHead(s raft.Snapshot) ([]byte, error) {
+	data := s.Data
+	s.Data = nil
+	b, err := s.MarshalMsg(nil)
+	if err != nil {
+		return nil, err
+	}
+	b = b[:len(b)-len(msgp.AppendBytesHeader(nil, 0))]
+	return msgp.AppendBytesHeader(b, uint32(len(data))), nil
+}
+
 // dropSegments removes the first n segments, oldest first and each removal
 // synced, so that a crash in between leaves no gap.
 func (w *WAL) dropSegments(n int) error {
