--- a/replica/handle.go
+++ b/replica/handle.go
@@ -258,6 +258,7 @@
 
 func (l *loop) status() Status {
 	s := Status{ID: l.ident.Replica, Cluster: l.ident.Cluster, Phase: l.ident.Phase, Applied: l.applied}
+	s.SnapshotBytes, s.LogBytes, s.Dropped = l.snapshotBytes, l.appliedBytes, l.r.dropped.Load()
 	if l.node == nil {
 		return s
 	}
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -78,6 +78,7 @@
 
 	lastSnapshotIndex uint64 // applied index at the last snapshot or failed attempt
 	appliedBytes      int    // since the last snapshot
+	snapshotBytes     int    // size of the last snapshot
 	snapshotting      bool
 	stopping          bool
 	failure           error
@@ -210,6 +211,7 @@
 	case ev.req != nil:
 		l.handleRequest(ev.req)
 	default:
+		l.r.queuedBytes.Add(-int64(len(ev.body)))
 		l.handleMessage(ev.body)
 	}
 }
@@ -324,6 +326,7 @@
 func (l *loop) restore(s *raft.Snapshot) {
 	l.failWaiters(ErrUnknownOutcome)
 	l.applied, l.lastSnapshotIndex = s.Index, s.Index
+	l.appliedBytes, l.snapshotBytes = 0, len(s.Data)
 	if s.Index == initialIndex && len(s.Data) == 0 {
 		return
 	}
@@ -340,8 +343,7 @@
 }
 
 func (l *loop) maybeSnapshot() {
-	due := l.applied >= l.lastSnapshotIndex+l.opt.SnapshotEntries || l.appliedBytes >= l.opt.SnapshotBytes
-	if l.snapshotting || l.failure != nil || !due {
+	if l.snapshotting || l.failure != nil || !l.snapshotDue() {
 		return
 	}
 	l.appliedBytes = 0
@@ -355,11 +357,27 @@
 	if !ok {
 		return
 	}
-	l.lastSnapshotIndex = s.Index
+	l.lastSnapshotIndex, l.snapshotBytes = s.Index, len(s.Data)
 	l.snapshotting = true
 	l.saver.jobs <- saveJob{snapshot: &s}
 }
 
+// logShare bounds the work for snapshots of a large state: the log before the next one
+// grows to this fraction of the last one.
+const logShare = 2
+
+// snapshotDue reports whether enough was applied since the last snapshot, or the state
+// has shrunk.
+func (l *loop) snapshotDue() bool {
+	if l.applied == l.lastSnapshotIndex {
+		return false
+	}
+	c, ok := l.opt.StateMachine.(Compacter)
+	shrunk := ok && c.SnapshotDue()
+	bytes := max(l.opt.SnapshotBytes, l.snapshotBytes/logShare)
+	return shrunk || l.applied >= l.lastSnapshotIndex+l.opt.SnapshotEntries || l.appliedBytes >= bytes
+}
+
 // shutDown answers the pending proposals and transfers and closes the files.
 func (l *loop) shutDown() {
 	l.failWaiters(ErrUnknownOutcome)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -9,6 +9,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/fireflytray/fireflytray/internal/steadyclock"
@@ -28,6 +29,13 @@
 	Restore(index uint64, snapshot []byte) error
 }
 
+// Compacter is implemented by a StateMachine whose state may shrink.
+type Compacter interface {
+	// SnapshotDue reports, once, that the state has shrunk since the last call, so that
+	// a snapshot soon makes the last one and the log before it obsolete.
+	SnapshotDue() bool
+}
+
 // Transport carries messages to other replicas. Send must not block and may
 // drop messages. The id in to is zero while that of the replica at addr is
 // unknown.
@@ -56,7 +64,8 @@
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
 	// SnapshotEntries and SnapshotBytes are the numbers of entries and of
-	// command bytes applied since the last snapshot at which a new one is due.
+	// command bytes applied since the last snapshot at which a new one is due. A large
+	// snapshot is replaced less often.
 	SnapshotEntries uint64
 	SnapshotBytes   int
 
@@ -78,7 +87,7 @@
 // Default values of Options.
 const (
 	DefaultSnapshotEntries = 8192
-	DefaultSnapshotBytes   = 16 << 20
+	DefaultSnapshotBytes   = 4 << 20
 )
 
 // Errors returned by the methods of Replica.
@@ -132,14 +141,25 @@
 	// Fresh reports whether the leader is known to hold its lease, that is, to
 	// have had recent contact with a quorum.
 	Fresh bool
+	// SnapshotBytes is the size of the state in the last snapshot, and LogBytes that of
+	// the commands applied since it was taken.
+	SnapshotBytes int
+	LogBytes      int
+	// Dropped counts the received messages that were dropped because the queue was
+	// full.
+	Dropped uint64
 }
 
 // Replica is a running replica of the state machine.
 type Replica struct {
 	opt    Options
 	events chan event
-	done   chan struct{}
-	err    error // why the loop ended; valid once done is closed
+	// queuedBytes is the size of the messages in events, and dropped counts those that
+	// found it full.
+	queuedBytes atomic.Int64
+	dropped     atomic.Uint64
+	done        chan struct{}
+	err         error // why the loop ended; valid once done is closed
 }
 
 // Open starts a replica on its data folder. It doesn't wait until the replica
@@ -307,15 +327,30 @@
 	return fmt.Errorf("replica: transfer: %w", res.err)
 }
 
+// maxQueuedBytes bounds the size of the queued messages. One message alone is always
+// queued.
+const maxQueuedBytes = 16 << 20
+
 // Receive queues a message from another replica. It doesn't block; when the
 // queue is full, the message is dropped.
 func (r *Replica) Receive(body []byte) {
+	size := int64(len(body))
+	if queued := r.queuedBytes.Add(size); queued > maxQueuedBytes && queued > size {
+		r.dropMessage(size)
+		return
+	}
 	select {
 	case r.events <- event{body: body}:
 	default:
+		r.dropMessage(size)
 	}
 }
 
+func (r *Replica) dropMessage(size int64) {
+	r.queuedBytes.Add(-size)
+	r.dropped.Add(1)
+}
+
 // Status returns the state of the replica, or the zero Status once the replica
 // has stopped.
 func (r *Replica) Status() Status {
