entry: what is held for submissions is bounded in bytes

The setting max-submissions was read and never used.

Ruled out: answers kept for late copies of a request carry no bodies; what waits on a connection is bounded; what goes to agents is part of what is held.

What does not fit is refused at once as not run, with Retry-After; what could never fit as too large. max-submissions has its effect. Metrics bytes_in_flight and bound_reached{bound}, a log line when either refuses.

--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -39,13 +39,17 @@
 		return err
 	}
 	return node.RunEntry(ctx, node.EntryOptions{
-		Common:     common(rt, s),
-		Callers:    s.Callers,
-		HTTP:       httpapi.Config{MaxBody: s.MaxBody},
-		Policy:     policy,
-		Order:      order,
-		Speeds:     s.Speeds,
-		ShedAbove:  s.ShedAbove,
+		Common:    common(rt, s),
+		Callers:   s.Callers,
+		HTTP:      httpapi.Config{MaxBody: s.MaxBody},
+		Policy:    policy,
+		Order:     order,
+		Speeds:    s.Speeds,
+		ShedAbove: s.ShedAbove,
+
+		MaxSubmissions: int(s.MaxSubmissions),
+		MaxBytes:       s.MaxBytes,
+
 		Quarantine: quarantine.Config{Share: s.QuarantineShare, Onset: s.CrashOnset},
 		Serve:      platformInterfaces(rt, s),
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,6 +56,10 @@
 	// Dials bounds the dials of agents in flight, so that the first sessions open
 	// soon on a small host; zero means no bound. Its settings key is dials.
 	Dials int
+	// MaxSubmissions and MaxBytes bound the submissions in flight, and the size of their
+	// payloads and of the answers that wait for the rest of their job; zero means no
+	// bound. Their settings keys are max-submissions and max-bytes.
+	MaxSubmissions, MaxBytes int
 	// ShedAbove is the median time of agents to an answer above which this entry
 	// counts as short of processor or link. It then refuses submissions on arrival
 	// that can't start in time. Zero disables this. Its settings key is shed-above.
@@ -121,7 +125,9 @@
 	listComplete bool
 	unidentified map[string]uint64
 	subs         map[task.SubmissionID]*submission
-	claims       map[uint64]*submission
+	// bytes is the total of submission.bytes of subs.
+	bytes  int
+	claims map[uint64]*submission
 	// byRef holds the last submission of each job with a caller's id, until it is
 	// over; lingering those that are answered and may have runs.
 	byRef     map[string]*submission
--- a/entry/stats.go
+++ b/entry/stats.go
@@ -22,6 +22,9 @@
 	Evacuated uint64
 	// Shed counts submissions refused because agents answer this entry too slowly.
 	Shed uint64
+	// NoRoomForSubmissions and NoRoomForBytes count submissions refused because of
+	// Options.MaxSubmissions and MaxBytes.
+	NoRoomForSubmissions, NoRoomForBytes uint64
 	// GuiltyTasks counts tasks that were found to crash upstreams, Isolated the
 	// assignments that agents have to keep apart because an upstream crashed under
 	// their tasks.
@@ -104,9 +107,11 @@
 	// ConfigAge is the time since the configuration took effect.
 	ConfigAge time.Duration
 	InFlight  int
-	Waiting   map[string]int
-	Agents    []AgentView
-	Draining  bool
+	// Bytes is what the submissions in flight take of Options.MaxBytes.
+	Bytes    int
+	Waiting  map[string]int
+	Agents   []AgentView
+	Draining bool
 	// Turnaround is the median time of agents to an answer, zero if unknown.
 	Turnaround time.Duration
 	// Unlockable is about the share of jobs whose lock this entry can't get.
@@ -128,6 +133,7 @@
 	v := View{
 		Stats:    e.stats,
 		InFlight: len(e.subs),
+		Bytes:    e.bytes,
 		Waiting:  make(map[string]int),
 		Draining: e.draining,
 
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -57,6 +57,8 @@
 	// held is set once a task of the job has waited for a faster upstream.
 	held  bool
 	trace []Decision
+	// bytes is what the submission takes of Options.MaxBytes.
+	bytes int
 }
 
 // taskID returns the ID of the current attempt at task i.
@@ -142,6 +144,7 @@
 func (e *Entry) finish(s *submission, i uint32, o task.Outcome) {
 	s.tasks[i].state = taskDone
 	s.tasks[i].outcome = o
+	e.occupy(s, len(o.Body))
 	s.remaining--
 	s.longestRun = max(s.longestRun, o.Ran)
 	if o.State != task.Complete {
@@ -196,6 +199,7 @@
 	a.Messages = s.messages
 	a.Wasted = s.wasted
 	delete(e.subs, s.id)
+	e.release(s)
 	s.svc.q.Remove(&s.job)
 	s.svc.removeDeferred(&s.job)
 	s.svc.inSystem -= len(s.tasks)
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -48,6 +48,7 @@
 	}
 	s := e.newSubmission(ev, svc, e.deadlineFor(svc, ev.Sub.Deadline))
 	e.subs[s.id] = s
+	e.occupy(s, submissionSize(&s.sub))
 	svc.inSystem += len(s.tasks)
 	if s.sub.IdempotencyKey != "" {
 		e.requestClaim(s)
@@ -77,6 +78,9 @@
 	if r := checkSize(sub, sc.MaxTasks, sc.MaxBody); r != nil {
 		return svc, r
 	}
+	if r := e.checkRoom(sub); r != nil {
+		return svc, r
+	}
 	if r := e.checkGuilt(svc, sub); r != nil {
 		return svc, r
 	}
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -64,6 +64,8 @@
 	HTTP     httpapi.Config
 	Policy   placement.Policy
 	Order    queue.Order
+	// MaxSubmissions and MaxBytes are those of entry.Options.
+	MaxSubmissions, MaxBytes int
 	// ShedAbove is that of entry.Options.
 	ShedAbove time.Duration
 	// Quarantine is that of entry.Options.
@@ -160,11 +162,13 @@
 	d.shedding.above = o.ShedAbove
 	d.resolver = newResolver(o.Control, d.log)
 	d.state = entry.New(entry.Options{
-		Self:         o.Self,
-		Policy:       o.Policy,
-		Order:        o.Order,
-		Speeds:       o.Speeds,
-		ShedAbove:    o.ShedAbove,
+		Self:      o.Self,
+		Policy:    o.Policy,
+		Order:     o.Order,
+		Speeds:    o.Speeds,
+		ShedAbove: o.ShedAbove,
+
+		MaxSubmissions: o.MaxSubmissions, MaxBytes: o.MaxBytes,
 		Quarantine:   o.Quarantine,
 		Seed:         o.Seed,
 		Config:       o.Config,
--- a/entryd/meter.go
+++ b/entryd/meter.go
@@ -66,6 +66,9 @@
 	m.metrics.PlacedTooSlow.Inc(int64(now.PlacedTooSlow - m.reported.PlacedTooSlow))
 	m.metrics.WaitedForFaster.Inc(int64(now.WaitedForFaster - m.reported.WaitedForFaster))
 	m.metrics.Shed.Inc(int64(now.Shed - m.reported.Shed))
+	m.metrics.NoRoomForSubmissions.Inc(int64(now.NoRoomForSubmissions - m.reported.NoRoomForSubmissions))
+	m.metrics.NoRoomForBytes.Inc(int64(now.NoRoomForBytes - m.reported.NoRoomForBytes))
+	m.metrics.BytesInFlight.Update(float64(v.Bytes))
 	m.metrics.GuiltyTasks.Inc(int64(now.GuiltyTasks - m.reported.GuiltyTasks))
 	m.metrics.IsolatedTasks.Inc(int64(now.Isolated - m.reported.Isolated))
 	m.metrics.ConfinedKinds.Update(float64(len(v.Confined)))
@@ -92,6 +95,15 @@
 	m.metrics.ConfigAge.Update(v.ConfigAge.Seconds())
 }
 
+// logBounds logs the bounds that refused submissions since the last report.
+func (d *Daemon) logBounds(v entry.View, last entry.Stats) {
+	submissions, bytes := v.Stats.NoRoomForSubmissions-last.NoRoomForSubmissions, v.Stats.NoRoomForBytes-last.NoRoomForBytes
+	if submissions+bytes > 0 {
+		d.log.Warn("a bound of this entry was reached", "in_flight", v.InFlight, "bytes", v.Bytes,
+			"refused_for_submissions", submissions, "refused_for_bytes", bytes)
+	}
+}
+
 // reportMetrics periodically updates the metrics and the isolation flag, and logs
 // counts of refused requests and suppressed lines, until ctx ends.
 func (d *Daemon) reportMetrics(ctx context.Context) {
@@ -118,6 +130,7 @@
 			d.log.Warn("lines left out", "kind", kind, "count", n)
 		}
 		if v, err := d.View(); err == nil {
+			d.logBounds(v, d.meter.reported)
 			d.meter.report(v)
 		}
 	}
--- a/metrics/roles.go
+++ b/metrics/roles.go
@@ -43,6 +43,10 @@
 	PlacedTooSlow   tally.Counter
 	WaitedForFaster tally.Counter
 	Shed            tally.Counter
+	// NoRoomForSubmissions and NoRoomForBytes count submissions refused because of what
+	// the entry holds already; BytesInFlight is what it holds.
+	NoRoomForSubmissions, NoRoomForBytes tally.Counter
+	BytesInFlight                        tally.Gauge
 	// GuiltyTasks counts tasks found to crash upstreams, IsolatedTasks assignments kept
 	// apart because an upstream crashed under their tasks. ConfinedKinds is the number
 	// of routes that are confined to a few agents.
@@ -104,22 +108,27 @@
 		ResentInFlight:  s.Tagged(map[string]string{"state": "in_flight"}).Counter("jobs_resent"),
 		ResentAnswered:  s.Tagged(map[string]string{"state": "answered"}).Counter("jobs_resent"),
 		Shed:            s.Counter("jobs_shed"),
-		GuiltyTasks:     s.Counter("crashing_tasks"),
-		IsolatedTasks:   s.Counter("isolated_tasks"),
-		ConfinedKinds:   s.Gauge("confined_kinds"),
-		Turnaround:      s.Gauge("turnaround_seconds"),
-		Held:            s.Counter("requests_held"),
-		HeldInVain:      s.Counter("requests_held_in_vain"),
-		HeldNow:         s.Gauge("requests_held_now"),
-		Queue:           s.Gauge("queue"),
-		Slots:           s.Gauge("slots"),
-		QueueSeconds:    DurationHistogram(s, "queue_seconds"),
-		RunSeconds:      DurationHistogram(s, "run_seconds"),
-		Connected:       s.Gauge("agents_connected"),
-		Evacuated:       s.Gauge("agents_evacuated"),
-		EvacuatedTasks:  s.Counter("evacuated_tasks"),
-		ConfigIndex:     s.Gauge("config_index"),
-		ConfigAge:       s.Gauge("config_age_seconds"),
+		BytesInFlight:   s.Gauge("bytes_in_flight"),
+
+		NoRoomForSubmissions: s.Tagged(map[string]string{"bound": "submissions"}).Counter("bound_reached"),
+		NoRoomForBytes:       s.Tagged(map[string]string{"bound": "bytes"}).Counter("bound_reached"),
+
+		GuiltyTasks:    s.Counter("crashing_tasks"),
+		IsolatedTasks:  s.Counter("isolated_tasks"),
+		ConfinedKinds:  s.Gauge("confined_kinds"),
+		Turnaround:     s.Gauge("turnaround_seconds"),
+		Held:           s.Counter("requests_held"),
+		HeldInVain:     s.Counter("requests_held_in_vain"),
+		HeldNow:        s.Gauge("requests_held_now"),
+		Queue:          s.Gauge("queue"),
+		Slots:          s.Gauge("slots"),
+		QueueSeconds:   DurationHistogram(s, "queue_seconds"),
+		RunSeconds:     DurationHistogram(s, "run_seconds"),
+		Connected:      s.Gauge("agents_connected"),
+		Evacuated:      s.Gauge("agents_evacuated"),
+		EvacuatedTasks: s.Counter("evacuated_tasks"),
+		ConfigIndex:    s.Gauge("config_index"),
+		ConfigAge:      s.Gauge("config_age_seconds"),
 		answers: map[task.State]tally.Histogram{
 			task.Complete: answerSeconds(s, "complete"),
 			task.NotRun:   answerSeconds(s, "refused"),
--- a/node/entry.go
+++ b/node/entry.go
@@ -28,6 +28,8 @@
 	Order    queue.Order
 	// Speeds is that of entry.Options.
 	Speeds bool
+	// MaxSubmissions and MaxBytes are those of entry.Options.
+	MaxSubmissions, MaxBytes int
 	// ShedAbove is that of entry.Options.
 	ShedAbove time.Duration
 	// Quarantine is that of entry.Options.
@@ -76,6 +78,8 @@
 		Policy:            o.Policy,
 		Order:             o.Order,
 		Speeds:            o.Speeds,
+		MaxSubmissions:    o.MaxSubmissions,
+		MaxBytes:          o.MaxBytes,
 		ShedAbove:         o.ShedAbove,
 		Quarantine:        o.Quarantine,
 		Seed:              self.Incarnation,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -75,6 +75,8 @@
 	MaxConnections uint32
 	// MaxSubmissions bounds the submissions in flight.
 	MaxSubmissions uint32
+	// MaxBytes bounds the size of the submissions in flight.
+	MaxBytes int
 	// Placement is one of the Placement constants.
 	Placement string
 	// Order is one of the Order constants.
@@ -215,6 +217,7 @@
 const (
 	maxDrainTimeout      = 10 * time.Minute
 	maxBodyLimit         = 7 << 20 // bytes
+	maxBytesLimit        = 1 << 40 // bytes
 	maxConnections       = 1 << 20
 	maxSubmissions       = 1 << 24
 	maxSlots             = 1 << 12
@@ -304,6 +307,7 @@
 		hostPorts(&e.Control, "control", "addresses", "Peer addresses of control hosts; reloaded on SIGHUP.").asRequired(),
 		size(&e.MaxBody, "limits", "max-body", "Largest body of a caller's request.", 1, maxBodyLimit).withDefault("4MiB"),
 		count(&e.MaxConnections, "limits", "max-connections", "Maximum number of open connections of callers.", 1, maxConnections).withDefault("10000"),
+		size(&e.MaxBytes, "limits", "max-bytes", "Largest size of the requests and jobs in flight: payloads, answers that wait for the rest of their job, and 512 bytes a task. Further ones are refused.", 1, maxBytesLimit).withDefault("256MiB"),
 		count(&e.MaxSubmissions, "limits", "max-submissions", "Maximum number of requests and jobs in flight.", 1, maxSubmissions).withDefault("100000"),
 		oneOf(&e.Placement, "placement", "policy", "How tasks are placed on agents.",
 			PlacementCredits, PlacementLeastOutstanding, PlacementTwoChoices, PlacementRandom).withDefault(PlacementCredits),
