controld, raft: a document of many routes is taken, a larger one refused at once

Cause: a command was limited to 512 KiB and holds the document twice, as received and as sections; the log's refusal looked like a log without a leader and was retried until the operator's time was over.

Ruled out: the limits of decoders, frames and proposals, which are above 1 MiB.

Change: commands of 1 MiB, documents as received of 512 KiB; what exceeds them is refused with 413 and the limit, without a retry.

--- a/cmd/fireflytray-control/main.go
+++ b/cmd/fireflytray-control/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"os"
@@ -100,7 +101,11 @@
 
 // Publish implements platform.OperatorBackend.
 func (o operators) Publish(ctx context.Context, by string, doc *platform.Document) (string, error) {
-	return o.Host.Publish(ctx, by, doc.Version, doc.Sections, doc.Source)
+	refused, err := o.Host.Publish(ctx, by, doc.Version, doc.Sections, doc.Source)
+	if errors.As(err, new(*controld.TooLargeError)) {
+		err = fmt.Errorf("%w: %w", platform.ErrDocumentTooLarge, err)
+	}
+	return refused, err
 }
 
 // Evacuate implements platform.OperatorBackend.
--- a/control/command.go
+++ b/control/command.go
@@ -61,11 +61,15 @@
 	By      Operator `msg:"w"`
 	// Sections are the document's services and routes.
 	Sections []wire.ConfigSection `msg:"s"`
-	// Source is the document as received, returned to readers unchanged. The
-	// limit is that of a command, raft.DefaultMaxCommand.
+	// Source is the document as received, returned to readers unchanged. The limit is
+	// MaxSource.
 	Source []byte `msg:"d,limit=524288"`
 }
 
+// MaxSource bounds Publish.Source, in bytes. It leaves half of the largest command,
+// raft.DefaultMaxCommand, for the sections.
+const MaxSource = 512 << 10
+
 // Rollback creates a new version with the content of version To if the version in
 // force is Base. Orders for failure domains stay in force.
 type Rollback struct {
--- a/controld/admin.go
+++ b/controld/admin.go
@@ -164,11 +164,14 @@
 func problemOf(err error) *adminapi.Problem {
 	var p *adminapi.Problem
 	var refused *refusedError
+	var tooLarge *TooLargeError
 	switch {
 	case errors.As(err, &p):
 		return p
 	case errors.As(err, &refused):
 		return &adminapi.Problem{Type: adminapi.TypeRefused, Title: "Refused", Status: fasthttp.StatusConflict, Detail: err.Error()}
+	case errors.As(err, &tooLarge):
+		return &adminapi.Problem{Type: adminapi.TypeRefused, Title: "Too large", Status: fasthttp.StatusRequestEntityTooLarge, Detail: err.Error()}
 	case errors.Is(err, ErrUnknownOutcome):
 		return &adminapi.Problem{Type: adminapi.TypeUnknown, Title: "Outcome unknown", Status: fasthttp.StatusGatewayTimeout, Detail: err.Error()}
 	}
--- a/controld/propose.go
+++ b/controld/propose.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fireflytray/fireflytray/control"
+	"github.com/fireflytray/fireflytray/raft"
 	"github.com/fireflytray/fireflytray/wire"
 )
 
@@ -31,6 +32,15 @@
 // Error implements error.
 func (e *refusedError) Error() string { return e.detail }
 
+// TooLargeError means that a change exceeds what the replicated log takes. It was not
+// proposed, and would be refused at any time.
+type TooLargeError struct{ Bytes, Limit int }
+
+// Error implements error.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("the change has %d bytes, at most %d are allowed", e.Bytes, e.Limit)
+}
+
 // startRequest runs a request in its own goroutine so that it does not block the
 // session. If maxRequests are already running, it calls reject instead.
 func (h *Host) startRequest(run, reject func()) {
@@ -57,6 +67,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(body) > raft.DefaultMaxCommand {
+		return nil, &TooLargeError{len(body), raft.DefaultMaxCommand}
+	}
 	reply, err := h.proposeWithRetry(ctx, c.Note == nil, &wire.Propose{Command: body})
 	if err != nil {
 		return nil, err
--- a/controld/publish.go
+++ b/controld/publish.go
@@ -13,8 +13,14 @@
 const PlatformOperator = "platform"
 
 // Publish proposes a document that carries its own version number. refused is the
-// reason if the document is refused; an error means that the outcome is unknown.
+// reason if the document is refused; an error means that the outcome is unknown, but
+// for a TooLargeError.
 func (h *Host) Publish(ctx context.Context, addr string, version uint64, sections []wire.ConfigSection, source []byte) (refused string, err error) {
+	if len(source) > control.MaxSource {
+		err := &TooLargeError{len(source), control.MaxSource}
+		h.log.Warn("document refused", "version", version, "by", addr, "err", err)
+		return "", fmt.Errorf("controld: publish version %d: %w", version, err)
+	}
 	cmd := &control.Command{Publish: &control.Publish{
 		Version: version, By: control.Operator{Name: PlatformOperator, Addr: addr}, Sections: sections, Source: source,
 	}}
--- a/controld/publish_test.go
+++ b/controld/publish_test.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
+	"github.com/fireflytray/fireflytray/control"
 	"github.com/fireflytray/fireflytray/wire"
 )
 
@@ -37,3 +39,55 @@
 		require.Empty(t, refused)
 	}
 }
+
+// fullRoutes returns a document with n routes that set every key, as the platform's do.
+func fullRoutes(n int) []wire.ConfigSection {
+	list := routesDocument(n)
+	for i := range list[1:] {
+		list[i+1].Keys = append(list[i+1].Keys, wire.ConfigPair{Key: "target-latency", Value: "60ms"}, wire.ConfigPair{Key: "latency-factor", Value: "1.6"},
+			wire.ConfigPair{Key: "priority", Value: "3"}, wire.ConfigPair{Key: "max-attempts", Value: "3"}, wire.ConfigPair{Key: "idempotent", Value: "false"})
+	}
+	return list
+}
+
+// A valid document of 1,400 routes more was answered with "unavailable" for ever: the log
+// holds it twice, as received and as sections, and a command was limited to 512 KiB. The
+// replicas that get it from the leader, and one that restarts, take it, too.
+func TestDocumentOfManyRoutesIsAccepted(t *testing.T) {
+	c := startCluster(t, 3)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	const routes = 1600
+	refused, err := c.hosts[c.leader()].Publish(ctx, "op", 7, fullRoutes(routes), bytes.Repeat([]byte("x"), 210*routes))
+	require.NoError(t, err)
+	require.Empty(t, refused)
+	for _, h := range c.hosts {
+		eventually(t, "the document is in force", func() bool { return h.machine.Published().Version == 7 })
+	}
+}
+
+// A document that the log can't take is refused at once, with the limit, and isn't retried
+// until the caller's time is over.
+func TestTooLargeDocumentIsRefusedAtOnce(t *testing.T) {
+	h := startHost(t, newAuthority(t), "control-1", "127.0.0.1:0")
+	eventually(t, "the host is fresh", func() bool { return h.fresh.Load() })
+	// The context never ends, so that a retry would not either.
+	ctx := context.Background()
+	for name, publish := range map[string]func() (string, error){
+		"source": func() (string, error) {
+			return h.Publish(ctx, "op", 7, routesDocument(1), make([]byte, control.MaxSource+1))
+		},
+		"sections": func() (string, error) { return h.Publish(ctx, "op", 7, fullRoutes(9000), nil) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := publish()
+			var tooLarge *TooLargeError
+			require.ErrorAs(t, err, &tooLarge)
+			require.Greater(t, tooLarge.Bytes, tooLarge.Limit)
+			require.Equal(t, fasthttp.StatusRequestEntityTooLarge, problemOf(err).Status)
+		})
+	}
+	refused, err := h.Publish(ctx, "op", 7, routesDocument(1), make([]byte, control.MaxSource))
+	require.NoError(t, err)
+	require.Empty(t, refused)
+}
--- a/raft/node.go
+++ b/raft/node.go
@@ -48,7 +48,7 @@
 	DefaultKeepEntries       = 1024
 	DefaultKeepBytes         = 4 << 20
 	DefaultChunkBytes        = 256 << 10
-	DefaultMaxCommand        = 512 << 10
+	DefaultMaxCommand        = 1 << 20
 )
 
 // Errors of proposals, reads, membership changes and leadership transfers.
