agent: what is held for all entries is bounded in bytes

Change: 128 MiB of payloads and answers in all. From half of that on no entry gets credit, above it tasks are refused as not run.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -22,6 +22,7 @@
 	running  []*record
 	lastRun  RunID
 	locks    locks
+	room     room
 
 	cancellations cancellations
 
--- a/agent/config.go
+++ b/agent/config.go
@@ -57,6 +57,10 @@
 	// either limit on, the entry gets no credit.
 	MaxUnacked      int
 	MaxUnackedBytes int
+	// MaxHeldBytes bounds the payloads of tasks that have not ended and the bodies of
+	// unacknowledged outcomes of all entries. From half of it on, no entry gets credit;
+	// above it, tasks are refused as not run.
+	MaxHeldBytes int
 	// MaxReportBytes bounds the total size of the bodies in one report. A
 	// single larger body is still sent, alone.
 	MaxReportBytes int
@@ -96,6 +100,7 @@
 		EntryTTL:           10 * time.Minute,
 		MaxUnacked:         4096,
 		MaxUnackedBytes:    64 << 20,
+		MaxHeldBytes:       128 << 20,
 		MaxReportBytes:     1 << 20,
 		MaxFinishedIDs:     1 << 16,
 		SuspendAfter:       5,
@@ -126,6 +131,7 @@
 	setDefault(&c.EntryTTL, d.EntryTTL)
 	setDefault(&c.MaxUnacked, d.MaxUnacked)
 	setDefault(&c.MaxUnackedBytes, d.MaxUnackedBytes)
+	setDefault(&c.MaxHeldBytes, d.MaxHeldBytes)
 	setDefault(&c.MaxReportBytes, d.MaxReportBytes)
 	setDefault(&c.MaxFinishedIDs, d.MaxFinishedIDs)
 	setDefault(&c.SuspendAfter, d.SuspendAfter)
--- a/agent/record.go
+++ b/agent/record.go
@@ -29,6 +29,8 @@
 	apartFor time.Duration
 	alone    bool
 	payload  []byte
+	// bytes is what the agent holds for the task, as counted by State.hold.
+	bytes int
 	// declared is the run time that the caller expects.
 	declared time.Duration
 	arrived  time.Duration
--- a/agent/report.go
+++ b/agent/report.go
@@ -93,7 +93,7 @@
 // creditFor returns how many more tasks e may send, according to the policy and
 // the limits on unacknowledged outcomes.
 func (s *State) creditFor(e *entry) int {
-	if len(e.unacked) >= s.cfg.MaxUnacked/2 || e.unackedBytes >= s.cfg.MaxUnackedBytes/2 {
+	if len(e.unacked) >= s.cfg.MaxUnacked/2 || e.unackedBytes >= s.cfg.MaxUnackedBytes/2 || s.isNearlyFull() {
 		return 0
 	}
 	spare := s.spareCapacity()
--- a/agent/run.go
+++ b/agent/run.go
@@ -51,6 +51,7 @@
 		s.refuse(r, reason)
 		return
 	}
+	s.hold(r, len(r.payload))
 	s.enqueue(r)
 }
 
@@ -99,7 +100,7 @@
 		return task.ReasonSuspended
 	case !r.need.Fits(s.up.largest):
 		return task.ReasonNeverFits
-	case !r.need.Fits(s.up.Offered):
+	case !r.need.Fits(s.up.Offered), !s.fits(r):
 		s.stats.Busy++
 		return task.ReasonBusy
 	}
@@ -360,6 +361,7 @@
 	r.result = wire.Result{ID: r.id, Outcome: out, WaitTime: waited}
 	r.entry.held--
 	r.entry.unackedBytes += len(out.Body)
+	s.hold(r, len(out.Body))
 	if r.entry.forgotten {
 		s.release(r)
 		return
--- a/agent/session.go
+++ b/agent/session.go
@@ -291,6 +291,7 @@
 // does not start again.
 func (s *State) release(r *record) {
 	delete(s.tasks, r.id)
+	s.hold(r, 0)
 	r.entry.unackedBytes -= len(r.result.Outcome.Body)
 	s.finished.add(r.id)
 }
--- a/agentd/agentd.go
+++ b/agentd/agentd.go
@@ -256,6 +256,9 @@
 		d.logDecision(eff)
 	case agent.Paused:
 		d.opts.Log.Warn("agent was paused, time-outs restarted", "for", eff.For)
+	case agent.BoundReached:
+		d.meter.recordBound(eff)
+		d.opts.Log.Warn("a bound in bytes was reached", "bytes", eff.Bytes, "limit", eff.Limit, "refused", eff.Refused)
 	case agent.Evacuation:
 		d.runner.setEvacuated(eff.Active)
 		d.meter.recordEvacuation(eff)
--- a/agentd/meter.go
+++ b/agentd/meter.go
@@ -33,6 +33,10 @@
 	crashes map[wire.CrashState]tally.Counter
 	// evacuated is 1 while the agent's failure domain is evacuated.
 	evacuated tally.Gauge
+	// boundReached counts the times at which what the agent holds was found to have
+	// reached its bound, heldBytes is that size.
+	boundReached tally.Counter
+	heldBytes    tally.Gauge
 }
 
 type outcomeKind struct {
@@ -59,6 +63,9 @@
 		stops:     make(map[task.Reason]tally.Counter),
 		crashes:   crashCounters(scope),
 		evacuated: scope.Gauge("evacuated"),
+
+		boundReached: scope.Counter("bound_reached"),
+		heldBytes:    scope.Gauge("held_bytes_at_bound"),
 	}
 }
 
@@ -90,6 +97,12 @@
 	m.evacuated.Update(active)
 }
 
+// recordBound counts a time at which what the agent holds has reached its bound.
+func (m *meter) recordBound(b agent.BoundReached) {
+	m.boundReached.Inc(1)
+	m.heldBytes.Update(float64(b.Bytes))
+}
+
 func (m *meter) recordConnections(open, idle int) {
 	m.open.Update(float64(open))
 	m.idle.Update(float64(idle))
