controld, raft: changes in progress and entries on their way are bounded in bytes

Change: 16 MiB of changes in progress at a host, 4 MiB on their way to a follower, one of any size always.

--- a/controld/controld.go
+++ b/controld/controld.go
@@ -95,6 +95,7 @@
 	seq           atomic.Uint64
 	clock         func() time.Time
 	metrics       *hostMetrics
+	changes       changesInProgress
 	sizes         *sizeReporter
 	// loggedFormat is the state format that the last log line named.
 	loggedFormat  uint32
@@ -230,7 +231,7 @@
 			h.log.Info("quorum changed", "fresh", fresh, "leader", status.LeaderAddr, "term", status.Term)
 		}
 		h.metrics.setGauges(h.machine, h.sessions.count(), fresh)
-		h.sizes.report(h.machine.Usage(), status, time.Now())
+		h.sizes.report(append(h.machine.Usage(), h.changes.usage()), status, time.Now())
 		h.manageMembers(ctx, status)
 		h.upgradeFormat(ctx, status)
 		select {
--- a/controld/propose.go
+++ b/controld/propose.go
@@ -70,6 +70,11 @@
 	if len(body) > raft.DefaultMaxCommand {
 		return nil, &TooLargeError{len(body), raft.DefaultMaxCommand}
 	}
+	end, err := h.changes.begin(len(body))
+	if err != nil {
+		return nil, err
+	}
+	defer end()
 	reply, err := h.proposeWithRetry(ctx, c.Note == nil, &wire.Propose{Command: body})
 	if err != nil {
 		return nil, err
@@ -161,6 +166,11 @@
 // proposeForPeer submits the proposal of another control host to the log of this
 // host. It does not forward the proposal, which prevents forwarding loops.
 func (h *Host) proposeForPeer(ctx context.Context, m *wire.Propose) *wire.Proposed {
+	end, err := h.changes.begin(len(m.Command))
+	if err != nil {
+		return proposalRejected(m.Request, err.Error())
+	}
+	defer end()
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	reply, _ := h.proposeLocally(ctx, m)
--- a/controld/sizes.go
+++ b/controld/sizes.go
@@ -43,8 +43,17 @@
 	}
 }
 
-// partMessages is the queue of messages from other replicas.
-const partMessages = "messages"
+// The bounded parts of a control host that are not replicated state: the queue of messages
+// from other replicas, and the changes that wait for the log.
+const (
+	partMessages = "messages"
+	partChanges  = "changes"
+)
+
+// usage returns the size of the changes in progress.
+func (c *changesInProgress) usage() control.Usage {
+	return control.Usage{Part: partChanges, Bytes: int(c.bytes.Load()), Limit: maxChangeBytes, Reached: c.rejected.Load()}
+}
 
 // report updates the metrics, and logs for each bound that it was reached, at most once
 // in boundLogInterval.
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -151,7 +151,7 @@
 }
 
 // replicateTo sends a follower the entries or the snapshot chunk that it lacks,
-// up to the limit of unacknowledged messages. For a heartbeat it sends at least
+// up to the limits of unacknowledged messages. For a heartbeat it sends at least
 // one message.
 func (n *Node) replicateTo(id uint64, p *progress, heartbeat bool) {
 	if _, ok := n.log.term(p.next - 1); !ok && p.state != snapshotting {
@@ -179,11 +179,11 @@
 // streamEntries sends batches of entries until MaxInflight messages are
 // unacknowledged.
 func (n *Node) streamEntries(id uint64, p *progress) (sent bool) {
-	for p.next <= n.log.lastIndex() && len(p.inflight) < n.cfg.MaxInflight {
+	for p.next <= n.log.lastIndex() && len(p.inflight) < n.cfg.MaxInflight && p.inflightBytes < n.cfg.MaxInflightBytes {
 		ents := n.log.batch(p.next, n.cfg.MaxBatchBytes)
 		n.sendAppend(id, p.next, ents)
 		p.next += uint64(len(ents))
-		p.inflight = append(p.inflight, p.next-1)
+		p.addInflight(p.next-1, ents)
 		sent = true
 	}
 	return sent
--- a/raft/node.go
+++ b/raft/node.go
@@ -44,6 +44,7 @@
 	DefaultHeartbeatInterval = 200 * time.Millisecond
 	DefaultMaxBatchBytes     = 64 << 10
 	DefaultMaxInflight       = 32
+	DefaultMaxInflightBytes  = 4 << 20
 	DefaultMaxUncommitted    = 8 << 20
 	DefaultKeepEntries       = 1024
 	DefaultKeepBytes         = 4 << 20
@@ -84,9 +85,12 @@
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
 	MaxBatchBytes     int
-	MaxInflight       int
-	MaxUncommitted    int
-	MaxCommand        int
+	// MaxInflight and MaxInflightBytes bound the unacknowledged messages with entries
+	// to one follower. One message is sent whatever its size.
+	MaxInflight      int
+	MaxInflightBytes int
+	MaxUncommitted   int
+	MaxCommand       int
 	// KeepEntries and KeepBytes bound the entries before a snapshot that are
 	// kept in memory, so that a follower that lags slightly needs no snapshot.
 	KeepEntries uint64
@@ -100,6 +104,7 @@
 	c.HeartbeatInterval = orDefault(c.HeartbeatInterval, DefaultHeartbeatInterval)
 	c.MaxBatchBytes = orDefault(c.MaxBatchBytes, DefaultMaxBatchBytes)
 	c.MaxInflight = orDefault(c.MaxInflight, DefaultMaxInflight)
+	c.MaxInflightBytes = orDefault(c.MaxInflightBytes, DefaultMaxInflightBytes)
 	c.MaxUncommitted = orDefault(c.MaxUncommitted, DefaultMaxUncommitted)
 	c.KeepEntries = orDefault(c.KeepEntries, DefaultKeepEntries)
 	c.KeepBytes = orDefault(c.KeepBytes, DefaultKeepBytes)
--- a/raft/node_test.go
+++ b/raft/node_test.go
@@ -199,6 +199,30 @@
 	require.Equal(t, raft.Follower, n.Status(baseTime).Role)
 }
 
+// Commands may be far larger than a batch, so that MaxInflight alone let a leader send
+// tens of megabytes to a follower that doesn't answer. Acknowledgements free their bytes.
+func TestUnacknowledgedMessagesAreBoundedInBytes(t *testing.T) {
+	n := electedNode(t, true)
+	n.Step(baseTime, ack(2, 2, 2, 0))
+	drainReady(n)
+	const size = 900 << 10
+	propose := func() (sent int) {
+		_, _, err := n.Propose(make([]byte, size))
+		require.NoError(t, err)
+		for _, m := range n.Ready().Messages {
+			if m.To == 2 && len(m.Entries) > 0 {
+				sent++
+			}
+		}
+		return sent
+	}
+	sent := 0
+	for range 8 {
+		sent += propose()
+	}
+	require.Equal(t, raft.DefaultMaxInflightBytes/size+1, sent)
+}
+
 // MaxInflight bounds the unacknowledged messages to one follower. MaxCommand and
 // MaxUncommitted bound the commands that a caller can queue.
 func TestFlowControl(t *testing.T) {
--- a/raft/progress.go
+++ b/raft/progress.go
@@ -24,8 +24,9 @@
 	// paused stops sending, except for heartbeats, until a response shows
 	// progress.
 	paused bool
-	// inflight holds the last index of each unacknowledged message.
-	inflight []uint64
+	// inflight holds the unacknowledged messages with entries, inflightBytes their size.
+	inflight      []inflightMessage
+	inflightBytes int
 	// ackedAt is the time, on the leader's clock, at which the latest answered
 	// message was sent.
 	ackedAt    time.Duration
@@ -39,7 +40,7 @@
 	p.state = probing
 	p.next = next
 	p.paused = false
-	p.inflight = p.inflight[:0]
+	p.clearInflight()
 	p.snap = nil
 }
 
@@ -56,13 +57,34 @@
 	p.snap = s
 	p.snapOffset = 0
 	p.paused = false
+	p.clearInflight()
+}
+
+// inflightMessage is an unacknowledged message with the entries up to last.
+type inflightMessage struct {
+	last  uint64
+	bytes int
+}
+
+func (p *progress) addInflight(last uint64, ents []Entry) {
+	m := inflightMessage{last: last}
+	for i := range ents {
+		m.bytes += entrySize(&ents[i])
+	}
+	p.inflight = append(p.inflight, m)
+	p.inflightBytes += m.bytes
+}
+
+func (p *progress) clearInflight() {
 	p.inflight = p.inflight[:0]
+	p.inflightBytes = 0
 }
 
 // freeUpTo removes the messages acknowledged by index from inflight.
 func (p *progress) freeUpTo(index uint64) {
 	n := 0
-	for n < len(p.inflight) && p.inflight[n] <= index {
+	for n < len(p.inflight) && p.inflight[n].last <= index {
+		p.inflightBytes -= p.inflight[n].bytes
 		n++
 	}
 	p.inflight = append(p.inflight[:0], p.inflight[n:]...)
