--- a/entry/cancellation_test.go
+++ b/entry/cancellation_test.go
@@ -146,3 +146,22 @@
 	r.Cancelled = []wire.LockRef{{Ref: testRef, Submission: task.NewSubmissionID(1, 9)}}
 	require.Equal(t, locksAt(9, "a1"), releases(f.reply("a1", r)))
 }
+
+// An entry that had been frozen requested a lock as if its submission had just arrived, and
+// started a job that had been cancelled meanwhile.
+func TestTimeInTheSocketCountsAsAgeOfASubmission(t *testing.T) {
+	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3")
+	sub := job(1)
+	sub.Ref, sub.Service, sub.Team = testRef, "svc", teamName(0)
+	const unread = 3500 * time.Millisecond
+	var ages []time.Duration
+	for _, s := range sends(f.step(Submit{ID: task.NewSubmissionID(1, 1), Sub: sub, Unread: unread})) {
+		for _, r := range s.Update.Acquire {
+			ages = append(ages, r.Age)
+		}
+	}
+	require.NotEmpty(t, ages)
+	for _, age := range ages {
+		require.GreaterOrEqual(t, age, unread)
+	}
+}
--- a/entry/event.go
+++ b/entry/event.go
@@ -15,6 +15,9 @@
 type Submit struct {
 	ID  task.SubmissionID
 	Sub task.Submission
+	// Unread is how long the request lay in the socket, or was held, before this event.
+	// A cancellation of the job meanwhile came later than the submission.
+	Unread time.Duration
 }
 
 // Cancel requests the end of submissions. Each submission still gets exactly
--- a/entry/lockgrant.go
+++ b/entry/lockgrant.go
@@ -100,7 +100,7 @@
 	a.toAcquire = append(a.toAcquire, wire.LockRequest{
 		Ref:        s.sub.Ref,
 		Submission: s.id,
-		Age:        e.now - s.arrived,
+		Age:        e.now - s.arrived + s.unread,
 		Within:     max(s.deadline-e.now, 0) + e.runsEndWithin,
 	})
 	a.locks++
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -30,14 +30,16 @@
 
 // submission is the state of a submission from admission to answer.
 type submission struct {
-	id         task.SubmissionID
-	sub        task.Submission // as received from the caller; without its tasks once answered
-	svc        *service
-	job        queue.Job
-	tasks      []taskRecord
-	ready      []uint32 // indices of waiting tasks; the last one is next
-	remaining  int      // number of tasks that are not done
-	arrived    time.Duration
+	id        task.SubmissionID
+	sub       task.Submission // as received from the caller; without its tasks once answered
+	svc       *service
+	job       queue.Job
+	tasks     []taskRecord
+	ready     []uint32 // indices of waiting tasks; the last one is next
+	remaining int      // number of tasks that are not done
+	arrived   time.Duration
+	// unread is Submit.Unread.
+	unread     time.Duration
 	deadline   time.Duration
 	mayHaveRun bool // an attempt ended with an outcome other than not run
 	inFlight   int  // number of tasks sent and not ended
@@ -78,6 +80,7 @@
 		ready:     make([]uint32, n),
 		remaining: n,
 		arrived:   e.now,
+		unread:    ev.Unread,
 		deadline:  e.now + deadline,
 	}
 	for i := range s.ready {
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -320,7 +320,7 @@
 // refuses the submission, and computes the RetryAfter of the answer.
 func (d *Daemon) Submit(s task.Submission, done func(task.Answer)) task.SubmissionID {
 	id := d.newSubmissionID()
-	d.submit(id, s, done)
+	d.submit(entry.Submit{ID: id, Sub: s}, done)
 	return id
 }
 
@@ -329,7 +329,8 @@
 }
 
 // submit is Submit with an id of newSubmissionID.
-func (d *Daemon) submit(id task.SubmissionID, s task.Submission, done func(task.Answer)) {
+func (d *Daemon) submit(ev entry.Submit, done func(task.Answer)) {
+	id := ev.ID
 	start := d.loop.Now()
 	d.mu.Lock()
 	d.callbacks[id] = func(a task.Answer) {
@@ -337,7 +338,7 @@
 		done(a)
 	}
 	d.mu.Unlock()
-	if !d.loop.Post(entry.Submit{ID: id, Sub: s}) {
+	if !d.loop.Post(ev) {
 		d.answer(task.Answer{ID: id, State: task.NotRun, Reason: task.ReasonDraining, Detail: "this entry has shut down"})
 	}
 }
--- a/entryd/jobs.go
+++ b/entryd/jobs.go
@@ -210,7 +210,7 @@
 	r, isNew := d.jobs.open(now, &sub, d.newSubmissionID(), c)
 	switch {
 	case isNew:
-		d.submitJob(r, sub)
+		d.submitJob(r, sub, unread)
 	case r != nil:
 		d.recordResend(now, r)
 	case c.late:
@@ -221,13 +221,14 @@
 	}
 }
 
-// submitJob submits a new job after the cancellation of its abandoned submission.
-func (d *Daemon) submitJob(r *jobRecord, sub task.Submission) {
+// submitJob submits a new job after the cancellation of its abandoned submission. unread
+// is that of entry.Submit.
+func (d *Daemon) submitJob(r *jobRecord, sub task.Submission, unread time.Duration) {
 	if r.previous != nil {
 		<-r.previous
 	}
 	defer close(r.submitted)
-	d.submit(r.id, sub, func(a task.Answer) { d.jobs.close(d.loop.Now(), r, a) })
+	d.submit(entry.Submit{ID: r.id, Sub: sub, Unread: unread}, func(a task.Answer) { d.jobs.close(d.loop.Now(), r, a) })
 }
 
 // callerGone is the answer for a caller that has left. Its job may run for others.
