--- a/agent/cancellation.go
+++ b/agent/cancellation.go
@@ -11,10 +11,10 @@
 const (
 	// maxCancellations bounds the cancelled jobs that an agent remembers, and the
 	// withdrawals that it has not answered.
-	maxCancellations = 1 << 13
-	// cancellationRetention is how long a cancelled job is remembered. It is longer than
-	// a submission that arrived before the cancellation takes to request its lock.
-	cancellationRetention = 10 * time.Second
+	maxCancellations = 1 << 15
+	// cancellationRetention is how long a cancelled job is remembered. Copies of its
+	// request arrive up to seconds after its end.
+	cancellationRetention = 30 * time.Second
 	// cancellationSweepInterval is the time between two searches for cancellations that
 	// need not be remembered.
 	cancellationSweepInterval = time.Second
@@ -22,13 +22,15 @@
 
 // cancellation is the last cancellation of a job that entries have passed on. It ends the
 // submissions that arrived at their entries before, also those whose requests for the lock
-// arrive later.
+// arrive later. If there was one, the job has ended, and so do later submissions of it.
 type cancellation struct {
 	ref string
 	// at is when the cancellation was sent.
 	at    time.Duration
 	until time.Duration
-	found bool
+	// found is set if there is a submission that the unanswered withdrawals end. ended is
+	// set once there was one: the job is over for good.
+	found, ended bool
 	// asked are the withdrawals without an answer.
 	asked []withdrawal
 }
@@ -81,7 +83,7 @@
 // tellCancelled tells the entries of the submissions that c ends, once on each session.
 func (s *State) tellCancelled(c *cancellation) {
 	s.eachCancelled(c, func(claim *lockClaim, e *entry) {
-		c.found = true
+		c.found, c.ended = true, true
 		if claim.toldSeq == 0 && e.session != 0 {
 			claim.toldSeq = e.reportSeq + 1
 			e.cancelled = append(e.cancelled, wire.LockRef{Ref: c.ref, Submission: claim.submission})
@@ -98,7 +100,7 @@
 		return
 	}
 	for _, claim := range []*lockClaim{&l.holder, l.waiter} {
-		if claim == nil || claim.arrivedAt > c.at || s.now >= claim.until {
+		if claim == nil || claim.arrivedAt > c.at && !c.ended || s.now >= claim.until {
 			continue
 		}
 		if e := s.entries[claim.entry]; e != nil {
--- a/entryd/jobs.go
+++ b/entryd/jobs.go
@@ -280,12 +280,16 @@
 // CancelJob cancels a job that this entry or another one holds.
 func (d *Daemon) CancelJob(ref string) task.Cancellation {
 	r := d.jobs.inFlight(ref)
-	if r == nil {
-		return d.cancellations.passOn(ref, d.loop.Post, d.log)
+	if r != nil {
+		<-r.submitted
+		d.Cancel([]task.SubmissionID{r.id}, task.ReasonCancelled)
+	}
+	// The agents that keep the lock end the copies of the request at other entries.
+	outcome := d.cancellations.passOn(ref, d.loop.Post, d.log)
+	if r != nil {
+		return task.Cancelled
 	}
-	<-r.submitted
-	d.Cancel([]task.SubmissionID{r.id}, task.ReasonCancelled)
-	return task.Cancelled
+	return outcome
 }
 
 // InFlight reports whether a job is in flight.
--- a/entryd/jobs_test.go
+++ b/entryd/jobs_test.go
@@ -48,6 +48,22 @@
 	})
 }
 
+// The entry that holds a job ended it by itself, so that nobody else knew and a copy of the
+// request at another entry ran the job. The agents that keep the lock learn of it first.
+func TestCancellationAtTheHolderIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Options{Log: log.New(io.Discard)})
+		r, _ := d.jobs.open(0, &task.Submission{Ref: testRef}, d.newSubmissionID(), &jobCaller{done: func(task.Answer) {}})
+		close(r.submitted)
+		acknowledged := make(chan task.Cancellation, 1)
+		go func() { acknowledged <- d.CancelJob(testRef) }()
+		synctest.Wait()
+		require.Empty(t, acknowledged, "the agents have not answered")
+		d.cancellations.answer(entry.JobCancelled{Request: 1, Outcome: task.NoSuchJob})
+		require.Equal(t, task.Cancelled, <-acknowledged, "this entry has cancelled it, whatever they say")
+	})
+}
+
 func newTestCaller() (c *jobCaller, answers chan task.Answer) {
 	answers = make(chan task.Answer, 2)
 	return &jobCaller{done: func(a task.Answer) { answers <- a }, stopWatch: func() {}}, answers
