--- a/entry/cancellation.go
+++ b/entry/cancellation.go
@@ -25,7 +25,9 @@
 	// majority is the number of members that must say that no entry holds the job, absent
 	// the number of those that have.
 	majority, absent int
-	decided          bool
+	// incomplete is set if there may be members that the entry doesn't know.
+	incomplete bool
+	decided    bool
 }
 
 type askedMember struct {
@@ -35,15 +37,20 @@
 }
 
 // cancelJob asks the members for the lock of a job that are in reach. It asks all of them:
-// a submission under way may have reached only one.
+// a submission under way may have reached only one. While some agents may be unknown, so
+// may be members; it then asks all agents that keep locks, of which one that knows the job
+// ends it, but none can say that there is no such job.
 func (e *Entry) cancelJob(ev CancelJob) {
 	members := e.lockAgentsOf(ev.Ref)
+	if !e.lockAgentsKnown() {
+		members = e.lockAgents
+	}
 	if len(members) == 0 && e.anyConnected() && !e.anyKeepsLocks() {
 		// Nobody knows of other entries' jobs.
 		e.emit(JobCancelled{Request: ev.Request, Outcome: task.NoSuchJob})
 		return
 	}
-	c := &cancellation{request: ev.Request, ref: ev.Ref, since: e.now, majority: len(members)/2 + 1}
+	c := &cancellation{request: ev.Request, ref: ev.Ref, since: e.now, majority: len(members)/2 + 1, incomplete: !e.lockAgentsKnown()}
 	if len(e.cancellations) < maxCancellations {
 		for _, a := range members {
 			if a.link != linkOpen {
@@ -74,7 +81,7 @@
 			e.decideCancellation(c, task.Cancelled)
 			continue
 		}
-		if e.knowsLocks(a) {
+		if e.knowsLocks(a) && !c.incomplete {
 			c.absent++
 		}
 		switch {
@@ -126,7 +133,7 @@
 	}
 	e.emit(Decision{Ref: c.ref, Message: "cancellation passed on", At: e.now, Inputs: []any{
 		"request", c.request, "outcome", outcome, "asked", len(c.asked), "answered", answered, "absent", c.absent,
-		"majority", c.majority, "after", e.now - c.since,
+		"majority", c.majority, "incomplete", c.incomplete, "after", e.now - c.since,
 	}})
 }
 
--- a/entry/cancellation_test.go
+++ b/entry/cancellation_test.go
@@ -147,6 +147,37 @@
 	require.Equal(t, locksAt(9, "a1"), releases(f.reply("a1", r)))
 }
 
+// An entry that had just started knew a part of the agents, chose the wrong ones as members
+// of the job's lock, and answered "no such job" for one in progress. While its list may lack
+// agents it asks all that it knows, and never says so.
+func TestPartialListNeverSaysThatThereIsNoJob(t *testing.T) {
+	f := newLockFixture(t, testRunsEndWithin, "a1", "a2", "a3", "a4", "a5")
+	f.e.listComplete, f.e.listedSince = false, f.now
+	out := f.cancelJob(5)
+	require.Len(t, withdrawals(out), 5)
+	for n, id := range []string{"a1", "a2", "a3", "a4"} {
+		require.Empty(t, f.answerWithdrawal(id, 5, false), "answer %d", n)
+	}
+	require.Equal(t, []string{"5:unknown"}, f.answerWithdrawal("a5", 5, false))
+	f.cancelJob(6)
+	require.Equal(t, []string{"6:cancelled"}, f.answerWithdrawal("a4", 6, true), "whoever knows the job ends it")
+
+	f.now += agentsListedWithin
+	f.requireNoSuchJob(7, "all agents in reach have come back")
+	f.e.listedSince = f.now
+	f.step(DirectoryChanged{Directory: wire.Directory{Complete: true}})
+	f.requireNoSuchJob(8, "a control host knows all agents")
+}
+
+// requireNoSuchJob requires that two of the three members can say that there is no job.
+func (f *fixture) requireNoSuchJob(request uint64, why string) {
+	f.t.Helper()
+	members := f.members()
+	f.cancelJob(request)
+	f.answerWithdrawal(members[0], request, false)
+	require.Equal(f.t, []string{fmt.Sprintf("%d:no_such_job", request)}, f.answerWithdrawal(members[1], request, false), why)
+}
+
 // An entry that had been frozen requested a lock as if its submission had just arrived, and
 // started a job that had been cancelled meanwhile.
 func TestTimeInTheSocketCountsAsAgeOfASubmission(t *testing.T) {
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -23,6 +23,9 @@
 		}
 	}
 	e.listComplete = e.listComplete || d.Complete
+	if !e.listed {
+		e.listed, e.listedSince = true, e.now
+	}
 	if d.Full && d.Complete {
 		e.unlistMissing(listed)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -123,6 +123,9 @@
 	// listComplete is set once a list from the directory held all live agents;
 	// unidentified holds the incarnations of listed agents that have named no service yet.
 	listComplete bool
+	// listed is set once there was a list, at listedSince.
+	listed       bool
+	listedSince  time.Duration
 	unidentified map[string]uint64
 	subs         map[task.SubmissionID]*submission
 	// bytes is the total of submission.bytes of subs.
--- a/entry/lockmembers.go
+++ b/entry/lockmembers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -98,6 +99,17 @@
 	return len(members) < lockMembers || !distinct && isNew
 }
 
+// agentsListedWithin is how long after the first list all agents in reach are listed, also
+// if the control hosts have restarted just before: the longest delay between two attempts of
+// an agent to connect to a control host.
+const agentsListedWithin = 3 * time.Second
+
+// lockAgentsKnown reports whether the entry knows all agents that may keep a lock, so that
+// it finds the same members for a job as other entries.
+func (e *Entry) lockAgentsKnown() bool {
+	return e.listComplete || e.listed && e.now >= e.listedSince+agentsListedWithin
+}
+
 // lockAgentsOf returns the members for the lock of a job: the agents with the
 // highest scores, in different failure domains as far as possible.
 func (e *Entry) lockAgentsOf(ref string) []*agent { return e.lockAgentsOfHash(xxhash.Sum64String(ref)) }
