--- a/entry/cancellation.go
+++ b/entry/cancellation.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fireflytray/fireflytray/task"
@@ -11,6 +13,8 @@
 	// cancellationTimeout bounds the time in which the agents that keep the lock of a job
 	// answer for it.
 	cancellationTimeout = time.Second
+	// membersTimeout bounds the same while the entry may not know all of these agents.
+	membersTimeout = 1500 * time.Millisecond
 	// maxCancellations bounds the cancellations that wait for answers.
 	maxCancellations = 1 << 10
 )
@@ -21,7 +25,9 @@
 	request uint64
 	ref     string
 	since   time.Duration
-	asked   []askedMember
+	// until is when it is decided at the latest.
+	until time.Duration
+	asked []askedMember
 	// majority is the number of members that must say that no entry holds the job, absent
 	// the number of those that have.
 	majority, absent int
@@ -39,7 +45,7 @@
 // cancelJob asks the members for the lock of a job that are in reach. It asks all of them:
 // a submission under way may have reached only one. While some agents may be unknown, so
 // may be members; it then asks all agents that keep locks, of which one that knows the job
-// ends it, but none can say that there is no such job.
+// ends it, but none can say that there is no such job. Once all are known, it asks again.
 func (e *Entry) cancelJob(ev CancelJob) {
 	members := e.lockAgentsOf(ev.Ref)
 	if !e.lockAgentsKnown() {
@@ -50,23 +56,55 @@
 		e.emit(JobCancelled{Request: ev.Request, Outcome: task.NoSuchJob})
 		return
 	}
-	c := &cancellation{request: ev.Request, ref: ev.Ref, since: e.now, majority: len(members)/2 + 1, incomplete: !e.lockAgentsKnown()}
-	if len(e.cancellations) < maxCancellations {
-		for _, a := range members {
-			if a.link != linkOpen {
-				continue
-			}
-			c.asked = append(c.asked, askedMember{agent: a, session: a.session})
-			a.toWithdraw = append(a.toWithdraw, wire.Withdrawal{Request: c.request, Ref: c.ref})
-			e.markDirty(a)
-		}
+	c := &cancellation{request: ev.Request, ref: ev.Ref, since: e.now, until: e.now + cancellationTimeout}
+	if !e.lockAgentsKnown() {
+		c.until = e.now + membersTimeout
 	}
-	if len(c.asked) == 0 {
+	if len(e.cancellations) >= maxCancellations || e.ask(c, members) == 0 && !c.incomplete {
 		e.decideCancellation(c, task.CancellationUnknown)
 		return
 	}
 	e.cancellations[c.request] = c
-	e.arm(timer{at: e.now + cancellationTimeout, kind: timerCancellation, cancellation: c})
+	e.arm(timer{at: c.until, kind: timerCancellation, cancellation: c})
+	if c.incomplete {
+		e.arm(timer{at: e.listedSince + agentsListedWithin, kind: timerCancellation, cancellation: c})
+	}
+}
+
+// ask asks the members that are in reach and returns their number.
+func (e *Entry) ask(c *cancellation, members []*agent) int {
+	c.asked, c.absent, c.majority, c.incomplete = nil, 0, len(members)/2+1, !e.lockAgentsKnown()
+	for _, a := range members {
+		if a.link != linkOpen {
+			continue
+		}
+		c.asked = append(c.asked, askedMember{agent: a, session: a.session})
+		a.toWithdraw = append(a.toWithdraw, wire.Withdrawal{Request: c.request, Ref: c.ref})
+		e.markDirty(a)
+	}
+	return len(c.asked)
+}
+
+// cancellationDue decides a cancellation whose time is over, or asks the members for it
+// once they are known.
+func (e *Entry) cancellationDue(c *cancellation) {
+	switch {
+	case c.decided:
+	case e.now >= c.until:
+		e.decideCancellation(c, task.CancellationUnknown)
+	case c.incomplete && e.lockAgentsKnown():
+		if e.ask(c, e.lockAgentsOf(c.ref)) == 0 {
+			e.decideCancellation(c, task.CancellationUnknown)
+		}
+	}
+}
+
+// askMembersAgain asks the members for the cancellations that began before all agents were
+// known.
+func (e *Entry) askMembersAgain() {
+	for _, request := range slices.Sorted(maps.Keys(e.cancellations)) {
+		e.cancellationDue(e.cancellations[request])
+	}
 }
 
 // handleWithdrawn handles an agent's answers to cancellations. An agent that may not know
@@ -87,7 +125,7 @@
 		switch {
 		case c.absent >= c.majority:
 			e.decideCancellation(c, task.NoSuchJob)
-		case c.answeredByAll():
+		case c.answeredByAll() && !c.incomplete:
 			e.decideCancellation(c, task.CancellationUnknown)
 		}
 	}
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -36,6 +36,7 @@
 		e.refuseNeverFitting()
 	}
 	e.configureTeams()
+	e.askMembersAgain()
 }
 
 // unlistMissing treats agents that are missing from a full list as removed from
--- a/entry/timers.go
+++ b/entry/timers.go
@@ -3,8 +3,6 @@
 import (
 	"container/heap"
 	"time"
-
-	"github.com/fireflytray/fireflytray/task"
 )
 
 // timerKind is the purpose of a timer.
@@ -110,7 +108,7 @@
 		case timerHold:
 			e.holdDue(t.svc)
 		case timerCancellation:
-			e.decideCancellation(t.cancellation, task.CancellationUnknown)
+			e.cancellationDue(t.cancellation)
 		case timerDemand:
 			e.demandDue(t.svc)
 		}
