--- a/cmd/fireflytray-control/main.go
+++ b/cmd/fireflytray-control/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"slices"
 	"sync/atomic"
 
@@ -36,6 +37,8 @@
 	if s.Data == "" {
 		return redirect(ctx, rt, s)
 	}
+	debug.SetMemoryLimit(int64(s.MemoryTarget))
+	rt.Logs.For(logging.PartControl).Info("memory target set", "bytes", s.MemoryTarget)
 	initial := controls(s)
 	return node.RunControl(ctx, node.ControlOptions{
 		Common:     common(rt, s),
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -363,8 +363,11 @@
 }
 
 // logShare bounds the work for snapshots of a large state: the log before the next one
-// grows to this fraction of the last one.
-const logShare = 2
+// grows to this fraction of the last one, but not beyond maxLogShare bytes.
+const (
+	logShare    = 2
+	maxLogShare = 8 << 20
+)
 
 // snapshotDue reports whether enough was applied since the last snapshot, or the state
 // has shrunk.
@@ -374,7 +377,7 @@
 	}
 	c, ok := l.opt.StateMachine.(Compacter)
 	shrunk := ok && c.SnapshotDue()
-	bytes := max(l.opt.SnapshotBytes, l.snapshotBytes/logShare)
+	bytes := max(l.opt.SnapshotBytes, min(l.snapshotBytes/logShare, maxLogShare))
 	return shrunk || l.applied >= l.lastSnapshotIndex+l.opt.SnapshotEntries || l.appliedBytes >= bytes
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,6 +38,9 @@
 	Peers string
 	// Admin is the HTTPS host:port for operators.
 	Admin string
+	// MemoryTarget is the memory from which the process collects garbage as soon as there
+	// is some, in bytes.
+	MemoryTarget int
 	// Data is the folder of the replicated log, locked by one process at a time.
 	// It is empty for a process without a replica.
 	Data string
@@ -223,6 +226,8 @@
 	maxSlots             = 1 << 12
 	maxCores             = 1 << 12
 	maxMemoryMB          = 1 << 26
+	minMemoryTarget      = 32 << 20 // bytes
+	maxMemoryTarget      = 1 << 40  // bytes
 	maxAccelerators      = 1 << 10
 	minLease             = 200 * time.Millisecond
 	maxLease             = time.Minute
@@ -289,6 +294,7 @@
 	return append(c.Process.keys(base),
 		hostPort(&c.Peers, "listen", "peers", "UDP address for other processes of the fleet.").asRequired(),
 		hostPort(&c.Admin, "listen", "admin", "HTTPS address for operators.").asRequired(),
+		size(&c.MemoryTarget, "process", "memory-target", "Memory from which the process collects garbage as soon as there is some. The bounds of what it keeps leave room below the default; a host with less memory needs less.", minMemoryTarget, maxMemoryTarget).withDefault("192MiB"),
 		optionalFile(&c.Data, base, "data", "folder", "Folder of the replicated log, used by one process at a time. If it is empty, the process keeps no replica and redirects the platform's operators to the hosts in initial.").withDefault("data"),
 		hostPorts(&c.Initial, "cluster", "initial", "Peer addresses of the initial control hosts, including this one unless it joins; reloaded on SIGHUP, as addresses to dial only.").asRequired(),
 		boolean(&c.Join, "cluster", "join", "Whether an empty data folder joins a running cluster as a learner.").withDefault("false"),
