--- a/control/audit.go
+++ b/control/audit.go
@@ -109,11 +109,7 @@
 
 // trim drops the oldest entries over the bound in bytes, but not the last one.
 func (t *auditLog) trim() {
-	n, size := 0, t.bytes
-	for size > t.bounds.audit && n < len(t.entries)-1 {
-		size -= auditSize(&t.entries[n])
-		n++
-	}
+	n := excess(t.entries, t.bytes, t.bounds.audit, auditSize)
 	t.dropped += uint64(n)
 	t.drop(n)
 }
--- a/control/bounds.go
+++ b/control/bounds.go
@@ -32,6 +32,17 @@
 	}
 }
 
+// excess returns how many of the oldest items have to go until the rest is within a bound.
+// total is the size of all; the last one always stays.
+func excess[T any](items []T, total, bound int, size func(*T) int) int {
+	n := 0
+	for total > bound && n < len(items)-1 {
+		total -= size(&items[n])
+		n++
+	}
+	return n
+}
+
 // Overheads of a record and of a string in it, in bytes.
 const (
 	recordOverhead = 192
--- a/control/config.go
+++ b/control/config.go
@@ -225,11 +225,7 @@
 }
 
 func (c *configs) trimOps() {
-	n, size := 0, c.opBytes
-	for size > c.bounds.operations && n < len(c.ops)-1 {
-		size -= operationSize(&c.ops[n])
-		n++
-	}
+	n := excess(c.ops, c.opBytes, c.bounds.operations, operationSize)
 	c.opsDropped += uint64(n)
 	c.dropOps(n)
 }
--- a/control/history.go
+++ b/control/history.go
@@ -146,11 +146,7 @@
 
 // trim drops the oldest versions over maxBytes, but not the one in force.
 func (h *history) trim(maxBytes int) {
-	n, size := 0, h.bytes
-	for size > maxBytes && n < len(h.versions)-1 {
-		size -= h.versions[n].Size
-		n++
-	}
+	n := excess(h.versions, h.bytes, maxBytes, func(s *StoredVersion) int { return s.Size })
 	h.dropped += uint64(n)
 	h.drop(n)
 }
