--- a/control/bounds.go
+++ b/control/bounds.go
@@ -18,9 +18,8 @@
 	backup int
 }
 
-// boundsOf returns the bounds of a state format. Those of format 2 keep two snapshots
-// and the log within a disk of 128 MB, and a replica with a snapshot in transit within
-// a process of 284 MB.
+// boundsOf returns the bounds of a state format. Those of format 2 add up to 42 MiB, so
+// that two snapshots and the log fit on a disk of 128 MB.
 func boundsOf(format uint32) bounds {
 	if format < formatBounded {
 		const none = math.MaxInt
--- a/control/history.go
+++ b/control/history.go
@@ -43,8 +43,8 @@
 	Size int `msg:"z"`
 }
 
-// maxPackedVersion bounds the encoding of one Version, in bytes. A command is smaller,
-// and a version undoes one document of a command by another.
+// maxPackedVersion bounds the encoding of one Version, in bytes, against a damaged one
+// that expands without end. An intact one is about as large as a command.
 const maxPackedVersion = 64 << 20
 
 // errPackedTooLarge rejects a stored version that exceeds maxPackedVersion.
--- a/control/restore.go
+++ b/control/restore.go
@@ -11,7 +11,7 @@
 	// restoredVersionGap is added to the version of a restored configuration, so
 	// that it is above every version accepted after the backup was made.
 	restoredVersionGap = 1 << 20
-	// maxBackupSize bounds the size of a backup, in bytes.
+	// maxBackupSize bounds the size of a backup in format 1, in bytes.
 	maxBackupSize = 256 << 20
 )
 
