httpserve: connections and bodies are admitted by a gate before anything is held for them

What callers saw: an entry under 600 to 5,000 connections of clients that don't behave took 377 to 769 MB of its host's 284 and its last descriptor; then it was killed, or accepted nobody. A control host took 417 MB, an agent 216 of 152. A request with 16,384 bytes of headers, inside the manifest's limits, was not answered.

Cause: the HTTP library allocates a body when it is announced, for as many connections as come; each idled for up to an hour, and its headers had to fit 4 KiB. max-connections had no effect. The kernel held up to some 90 KB unread for each connection.

Change: every server of package httpserve has a Gate, which the servers of one process may share. It bounds the open connections and the sum of the bodies that are read or handled, before one is accepted or allocated; small bodies, up to 8 KiB, need no room, so that ordinary requests are read beside stalled ones. At a bound the connection that has waited longest without a request makes room, or a request that has stalled for 500 ms; one in progress never does. What finds no room is refused at once with 503 and Retry-After; it has not run. The buffers of sockets and the queue of the listener are bounded, answers have a time-out, and forms are not parsed. Entries and agents get a memory target, as control hosts have. http_bound_reached and a log line tell.

Ruled out: the HTTP library's own Concurrency refuses the newest connection, so that idle ones lock out everybody; its body limit bounds one request only.

New tests in internal/httpserve. The wait for a connection whose first request was under way ended in vain and let 20 connections a second in; found by TestConnectionsAboveTheSetting, guarded by TestRequestUnderWayMakesNoRoom.

--- a/cmd/fireflytray-agent/main.go
+++ b/cmd/fireflytray-agent/main.go
@@ -9,6 +9,7 @@
 	"github.com/fireflytray/fireflytray/agent"
 	"github.com/fireflytray/fireflytray/agentd"
 	"github.com/fireflytray/fireflytray/daemon"
+	"github.com/fireflytray/fireflytray/internal/httpserve"
 	"github.com/fireflytray/fireflytray/lease"
 	"github.com/fireflytray/fireflytray/logging"
 	"github.com/fireflytray/fireflytray/node"
@@ -38,6 +39,7 @@
 	if !ok {
 		return fmt.Errorf("unknown credit policy %q", s.Credit)
 	}
+	rt.SetMemoryTarget(logging.PartAgent, s.MemoryTarget)
 	return node.RunAgent(ctx, node.AgentOptions{
 		Common:   common(rt, s),
 		Peers:    s.Peers,
@@ -63,7 +65,8 @@
 		Executor: platform.NewRunClient(),
 		Config:   lease.Config{Lease: s.Lease},
 		Serve: func(ctx context.Context, to *agentd.LeasedRunner) error {
-			return platform.ServeUpstreams(ctx, s.Heartbeats, to, rt.Logs.For(logging.PartAgent))
+			return platform.ServeUpstreams(ctx, s.Heartbeats, to, rt.Logs.For(logging.PartAgent),
+				httpserve.WithGate(httpserve.NewGate("heartbeats", httpserve.Limits{}, rt.Metrics.Scope(), rt.Logs.For(logging.PartAgent))))
 		},
 	}
 }
--- a/cmd/fireflytray-control/main.go
+++ b/cmd/fireflytray-control/main.go
@@ -7,13 +7,13 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"runtime/debug"
 	"slices"
 	"sync/atomic"
 
 	"github.com/fireflytray/fireflytray/control"
 	"github.com/fireflytray/fireflytray/controld"
 	"github.com/fireflytray/fireflytray/daemon"
+	"github.com/fireflytray/fireflytray/internal/httpserve"
 	"github.com/fireflytray/fireflytray/logging"
 	"github.com/fireflytray/fireflytray/membership"
 	"github.com/fireflytray/fireflytray/node"
@@ -37,8 +37,7 @@
 	if s.Data == "" {
 		return redirect(ctx, rt, s)
 	}
-	debug.SetMemoryLimit(int64(s.MemoryTarget))
-	rt.Logs.For(logging.PartControl).Info("memory target set", "bytes", s.MemoryTarget)
+	rt.SetMemoryTarget(logging.PartControl, s.MemoryTarget)
 	initial := controls(s)
 	return node.RunControl(ctx, node.ControlOptions{
 		Common:     common(rt, s),
@@ -76,7 +75,12 @@
 			}
 		}
 	}()
-	return platform.ServeRedirect(ctx, s.Operators, func() []string { return *hosts.Load() }, logger)
+	return platform.ServeRedirect(ctx, s.Operators, func() []string { return *hosts.Load() }, logger, operatorsGate(rt))
+}
+
+// operatorsGate bounds what the interface for the platform's operators holds.
+func operatorsGate(rt daemon.Runtime) httpserve.Option {
+	return httpserve.WithGate(httpserve.NewGate("operators", httpserve.Limits{}, rt.Metrics.Scope(), rt.Logs.For(logging.PartControl)))
 }
 
 func membershipConfig(s *settings.Control) *membership.Config {
@@ -94,7 +98,7 @@
 	}
 	return []func(context.Context, *controld.Host) error{
 		func(ctx context.Context, h *controld.Host) error {
-			return platform.ServeOperators(ctx, s.Operators, operators{h}, rt.Logs.For(logging.PartControl))
+			return platform.ServeOperators(ctx, s.Operators, operators{h}, rt.Logs.For(logging.PartControl), operatorsGate(rt))
 		},
 	}
 }
--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -11,6 +11,7 @@
 	"github.com/fireflytray/fireflytray/entry/queue"
 	"github.com/fireflytray/fireflytray/entryd"
 	"github.com/fireflytray/fireflytray/httpapi"
+	"github.com/fireflytray/fireflytray/internal/httpserve"
 	"github.com/fireflytray/fireflytray/logging"
 	"github.com/fireflytray/fireflytray/node"
 	"github.com/fireflytray/fireflytray/platform"
@@ -38,10 +39,13 @@
 	if err != nil {
 		return err
 	}
+	rt.SetMemoryTarget(logging.PartEntry, s.MemoryTarget)
+	gate := httpserve.NewGate("clients", httpserve.Limits{Connections: int(s.MaxConnections), BodyBytes: s.MaxReading},
+		rt.Metrics.Scope(), rt.Logs.For(logging.PartEntry))
 	return node.RunEntry(ctx, node.EntryOptions{
 		Common:    common(rt, s),
 		Callers:   s.Callers,
-		HTTP:      httpapi.Config{MaxBody: s.MaxBody},
+		HTTP:      httpapi.Config{MaxBody: s.MaxBody, Gate: gate},
 		Policy:    policy,
 		Order:     order,
 		Speeds:    s.Speeds,
@@ -51,7 +55,7 @@
 		MaxBytes:       s.MaxBytes,
 
 		Quarantine: quarantine.Config{Share: s.QuarantineShare, Onset: s.CrashOnset},
-		Serve:      platformInterfaces(rt, s),
+		Serve:      platformInterfaces(rt, s, gate),
 
 		Trace:             s.LogJobs,
 		DemandFanout:      int(s.DemandFanout),
@@ -63,23 +67,28 @@
 }
 
 // platformInterfaces returns the servers of the platform interfaces that the
-// settings enable.
-func platformInterfaces(rt daemon.Runtime, s *settings.Entry) []func(context.Context, *entryd.Daemon) error {
+// settings enable. The gate is that of all interfaces for callers.
+func platformInterfaces(rt daemon.Runtime, s *settings.Entry, gate *httpserve.Gate) []func(context.Context, *entryd.Daemon) error {
 	var list []func(context.Context, *entryd.Daemon) error
 	logger := rt.Logs.For(logging.PartEntry)
 	if s.Clients != "" {
 		list = append(list, func(ctx context.Context, d *entryd.Daemon) error {
-			return platform.NewClientServer(d).Serve(ctx, s.Clients, s.DrainTimeout, logger)
+			return platform.NewClientServer(d).Serve(ctx, s.Clients, s.DrainTimeout, logger, httpserve.WithGate(gate))
 		})
 	}
 	if s.Readiness != "" {
 		list = append(list, func(ctx context.Context, d *entryd.Daemon) error {
-			return platform.ServeReadiness(ctx, s.Readiness, d, logger)
+			return platform.ServeReadiness(ctx, s.Readiness, d, logger, gateOf(rt, "readiness"))
 		})
 	}
 	return list
 }
 
+// gateOf returns the option for a server with a gate of its own.
+func gateOf(rt daemon.Runtime, name string) httpserve.Option {
+	return httpserve.WithGate(httpserve.NewGate(name, httpserve.Limits{}, rt.Metrics.Scope(), rt.Logs.For(logging.PartEntry)))
+}
+
 // controls returns the peer addresses of the control hosts that the settings name.
 func controls(s *settings.Entry) []string { return settings.ReplacePort(s.Control, s.PeerPort) }
 
--- a/crowd/fleet_test.go
+++ b/crowd/fleet_test.go
@@ -56,6 +56,8 @@
 	stopTimeout  = 15 * time.Second
 	// pollInterval is the time between two checks of a condition.
 	pollInterval = 50 * time.Millisecond
+	// maxLoggedOutput bounds the output of a process in the log of a failed test, in bytes.
+	maxLoggedOutput = 4000
 	// hostDescriptors is the number of descriptors of a host, of which filesReserve are
 	// for files outside its disk folder.
 	hostDescriptors = 4_100
@@ -203,7 +205,7 @@
 	}
 	if f.t.Failed() {
 		text := p.output.Bytes()
-		f.t.Logf("last output of %s:\n%s", p.name, text[max(0, len(text)-4000):])
+		f.t.Logf("last output of %s:\n%s", p.name, text[max(0, len(text)-maxLoggedOutput):])
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -49,6 +50,13 @@
 	ControlsChanged <-chan []string
 }
 
+// SetMemoryTarget makes the process collect garbage as soon as there is some from a
+// number of bytes on.
+func (rt Runtime) SetMemoryTarget(part logging.Part, bytes int) {
+	debug.SetMemoryLimit(int64(bytes))
+	rt.Logs.For(part).Info("memory target set", "bytes", bytes)
+}
+
 // Program describes one daemon.
 type Program[S any] struct {
 	// Name is the name of the executable.
--- a/httpapi/backend.go
+++ b/httpapi/backend.go
@@ -8,6 +8,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/fireflytray/fireflytray/internal/httpserve"
 	"github.com/fireflytray/fireflytray/task"
 )
 
@@ -53,7 +54,9 @@
 	IdleTimeout time.Duration
 	// ReadTimeout bounds the time to receive one complete request.
 	ReadTimeout time.Duration
-	Log         *log.Logger
+	// Gate bounds the connections and bodies, possibly with those of other servers.
+	Gate *httpserve.Gate
+	Log  *log.Logger
 }
 
 // Defaults of the Config fields.
@@ -82,6 +85,9 @@
 	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&c.ReadTimeout, DefaultReadTimeout)
 	setDefault(&c.Log, log.Default())
+	if c.Gate == nil {
+		c.Gate = httpserve.NewGate("callers", httpserve.Limits{}, nil, c.Log)
+	}
 	return c
 }
 
--- a/httpapi/server.go
+++ b/httpapi/server.go
@@ -15,6 +15,9 @@
 	"github.com/fireflytray/fireflytray/task"
 )
 
+// noRoomRetryAfter is the retry delay for a request whose body found no room.
+const noRoomRetryAfter = time.Second
+
 // drainPollInterval is how often a drain checks whether it is complete.
 const drainPollInterval = 20 * time.Millisecond
 
@@ -48,7 +51,7 @@
 		NoDefaultContentType:          true,
 		DisableHeaderNamesNormalizing: false,
 		Logger:                        discardLogger{},
-	}, ln, nil, cfg.Log)
+	}, ln, nil, cfg.Log, httpserve.WithGate(cfg.Gate))
 	return s
 }
 
@@ -213,7 +216,11 @@
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		tooLarge(fmt.Sprintf("the body is larger than %d bytes", s.cfg.MaxBody)).write(ctx)
 		respondWithUnreadBody(ctx)
-	case errors.As(err, &small):
+	case errors.Is(err, httpserve.ErrNoRoom):
+		p := newProblem(task.NotRun, task.ReasonOverload, "the entry has no room for the body of the request")
+		p.RetryAfterMS = noRoomRetryAfter.Milliseconds()
+		p.write(ctx)
+	case errors.As(err, &small), errors.Is(err, httpserve.ErrHeadersTooLarge):
 		p := tooLarge("the headers are too large")
 		p.Status = fasthttp.StatusRequestHeaderFieldsTooLarge
 		p.write(ctx)
--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -17,21 +18,51 @@
 // maxDiscardBytes bounds what is read and discarded when a connection is closed.
 const maxDiscardBytes = 64 << 10
 
-// listener wraps the TCP connections that it accepts.
+// listener wraps the TCP connections that it accepts and that its gate admits.
 type listener struct {
 	net.Listener
+	gate    *Gate
 	watcher *watcher
 	// closesLate is that of the connections.
 	closesLate bool
+	// plain is set if the connections don't use TLS.
+	plain bool
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if tcp, ok := c.(tcpConn); ok {
-		return &conn{tcpConn: tcp, watcher: l.watcher, closesLate: l.closesLate}, nil
+	for {
+		c, err := l.Listener.Accept()
+		tcp, ok := c.(tcpConn)
+		if err != nil || !ok {
+			return c, err
+		}
+		if l.gate.admit() {
+			return &conn{tcpConn: tcp, gate: l.gate, watcher: l.watcher, closesLate: l.closesLate}, nil
+		}
+		refuse(tcp, l.plain)
+	}
+}
+
+// limitSocket bounds what the kernel holds for a listener: the connections that wait to be
+// accepted, and the buffers of each connection, which inherits them from the listener.
+func limitSocket(ln net.Listener, l Limits) error {
+	sc, ok := ln.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
 	}
-	return c, err
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		setErr = errors.Join(
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, l.SocketBytes),
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, l.SocketBytes),
+			unix.Listen(int(fd), max(l.Connections/backlogShare, minBacklog)))
+	})
+	return errors.Join(err, setErr)
 }
 
 // tcpConn is the part of net.TCPConn that servers use.
@@ -64,12 +95,19 @@
 // is therefore answered. Closing the connection with unread bytes would reset it.
 type conn struct {
 	tcpConn
+	gate    *Gate
 	watcher *watcher
 	// closesLate is set if a request that doesn't arrive in time ends the
 	// connection without an answer.
 	closesLate bool
 	// closing is set while the server closes the connection if it is idle.
 	closing atomic.Bool
+	// aborted is set when the gate closes the connection to make room. It may be in the
+	// middle of a request or an answer.
+	aborted atomic.Bool
+	// muted is set when nothing must be written any more.
+	muted  atomic.Bool
+	closed sync.Once
 	// arrival is when bytes were last read, in nanoseconds since epoch.
 	arrival atomic.Int64
 }
@@ -79,8 +117,14 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.aborted.Load() {
+		return 0, errAborted
+	}
 	n, err := c.tcpConn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if c.aborted.Load() {
+			return 0, errAborted
+		}
 		n = c.readArrived(p)
 		switch {
 		case n > 0:
@@ -99,9 +143,29 @@
 	return n, err
 }
 
+// errAborted is the error on a connection that the gate closes. The HTTP server does not
+// answer after it.
+var errAborted = fmt.Errorf("closed to make room for others: %w", net.ErrClosed)
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.muted.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.tcpConn.Write(p)
+}
+
+// mute ends the writes to a connection.
+func mute(c net.Conn) {
+	if s := socket(c); s != nil {
+		s.muted.Store(true)
+	}
+}
+
 // Close implements net.Conn. It discards what has arrived: closing a connection
 // with unread bytes resets it, and the client would lose the end of an answer.
 func (c *conn) Close() error {
+	defer c.closed.Do(c.gate.leave)
 	var buf [4096]byte
 	for read := 0; read < maxDiscardBytes; {
 		n := c.readArrived(buf[:])
@@ -143,11 +207,10 @@
 	return epoch
 }
 
-// setClosing marks a connection as one to close if it is idle.
-func setClosing(c net.Conn, closing bool) {
-	if c := socket(c); c != nil {
-		c.closing.Store(closing)
-	}
+// setClosing marks a connection as one to close if it is idle, and returns whether it was.
+func setClosing(c net.Conn, closing bool) (was bool) {
+	s := socket(c)
+	return s != nil && s.closing.Swap(closing)
 }
 
 // socket returns the connection below TLS, nil if it was not accepted by listener.
--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -5,15 +5,20 @@
 // to be accepted. A connection with a request in progress is closed after its
 // answer, and one without a request only if no byte of one has arrived. Clients
 // may use their connections until then.
+//
+// A Gate bounds the connections and the bodies that the servers of a process hold.
 package httpserve
 
 import (
+	"cmp"
+	"container/list"
 	"context"
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
-	"sync"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -35,8 +40,29 @@
 	// requestReadTime is how long a stopping server waits for the rest of a
 	// request.
 	requestReadTime = 250 * time.Millisecond
+	// defaultWriteTimeout bounds the time to write an answer.
+	defaultWriteTimeout = 10 * time.Second
+	// readBufferBytes is the size of the buffer of a connection that holds the headers
+	// of a request: DefaultHeaderBytes and the end of what is read with them.
+	readBufferBytes = DefaultHeaderBytes + 2<<10
 )
 
+// DefaultHeaderBytes bounds the headers of a request, with the request line.
+const DefaultHeaderBytes = 16 << 10
+
+// RequestLimits bound one request. Zero fields leave the bounds as the server was made.
+type RequestLimits struct {
+	// HeaderBytes bounds the headers with the request line, in bytes. More than
+	// DefaultHeaderBytes has no effect.
+	HeaderBytes int
+	// BodyBytes bounds the body, in bytes. It can only lower the bound.
+	BodyBytes int
+	// HeaderTimeout bounds the time from the first byte to the end of the headers.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection may wait for the first byte of a request.
+	IdleTimeout time.Duration
+}
+
 // longPast is a deadline that ends a read at once.
 var longPast = time.Unix(1, 0)
 
@@ -49,6 +75,14 @@
 	socket net.Listener
 	ln     net.Listener
 	log    *log.Logger
+	gate   *Gate
+	// onError answers a request that was not read completely; nil for the default.
+	onError func(*fasthttp.RequestCtx, error)
+	// maxBody, readTimeout and idleTimeout are those that the server was made with.
+	maxBody                  int
+	readTimeout, idleTimeout time.Duration
+	// limits returns the limits of the requests that are read now.
+	limits func() RequestLimits
 
 	// quiet is quietTime, except in tests.
 	quiet    time.Duration
@@ -56,7 +90,7 @@
 	// answered counts the requests answered since the server began to stop.
 	answered atomic.Int64
 
-	mu    sync.Mutex
+	// The fields below are guarded by the gate's lock.
 	begun bool
 	// served is closed when Serve returns.
 	served chan struct{}
@@ -67,44 +101,132 @@
 
 // connState is the state of an open connection.
 type connState struct {
+	conn  net.Conn
+	gate  *Gate
 	state fasthttp.ConnState
-	// since is the time of the last change of state.
+	// since is the time of the last change of state, or of the end of the handler.
 	since time.Time
 	// handling is set while the handler runs for a request.
 	handling bool
+	// body is what the body of the request takes, in bytes.
+	body int
+	// queue is the queue of the gate that holds element, if any.
+	queue   queue
+	element *list.Element
+}
+
+// Option changes a Server.
+type Option func(*Server)
+
+// WithGate makes a server share a gate with others. Otherwise it has its own, with the
+// default limits.
+func WithGate(g *Gate) Option { return func(s *Server) { s.gate = g } }
+
+// WithRequestLimits makes a server apply the limits that the function returns, which is
+// called from any goroutine and must not block.
+func WithRequestLimits(limits func() RequestLimits) Option {
+	return func(s *Server) { s.limits = limits }
 }
 
 // New returns a server that is not serving yet. The name identifies it in log
-// lines and errors. It takes over the Handler and the ConnState hook of s. With a
-// TLS configuration, connections from ln use TLS. Temporary errors of ln don't end
+// lines and errors. It takes over the Handler, the time-outs and the ConnState hook of s.
+// With a TLS configuration, connections from ln use TLS. Temporary errors of ln don't end
 // the server. Unless s has an ErrorHandler, a request that does not arrive within
 // its ReadTimeout ends the connection without an answer; a connection on which
 // nothing has arrived always ends so.
-func New(name string, s *fasthttp.Server, ln net.Listener, conf *tls.Config, l *log.Logger) *Server {
-	raw := &listener{netlisten.Wrap(ln, l), &watcher{}, s.ErrorHandler == nil}
+func New(name string, s *fasthttp.Server, ln net.Listener, conf *tls.Config, l *log.Logger, options ...Option) *Server {
 	out := &Server{
-		name: name, addr: ln.Addr(), http: s, socket: ln, ln: raw, log: l, quiet: quietTime,
+		name: name, addr: ln.Addr(), http: s, socket: ln, log: l, quiet: quietTime,
+		limits:  func() RequestLimits { return RequestLimits{} },
+		onError: s.ErrorHandler, maxBody: s.MaxRequestBodySize, readTimeout: s.ReadTimeout, idleTimeout: s.IdleTimeout,
 		served: make(chan struct{}),
 		conns:  make(map[net.Conn]*connState),
 	}
+	for _, o := range options {
+		o(out)
+	}
+	if out.gate == nil {
+		out.gate = NewGate(name, Limits{}, nil, l)
+	}
+	if out.maxBody <= 0 {
+		out.maxBody = fasthttp.DefaultMaxRequestBodySize
+	}
+	if out.idleTimeout == 0 {
+		out.idleTimeout = out.readTimeout
+	}
+	if err := limitSocket(ln, out.gate.limits); err != nil {
+		l.Warn("queue and buffers of the listener not bounded", "server", name, "addr", ln.Addr(), "err", err)
+	}
+	raw := &listener{Listener: netlisten.Wrap(ln, l), gate: out.gate, watcher: &watcher{}, closesLate: s.ErrorHandler == nil, plain: conf == nil}
+	out.ln = raw
 	if conf != nil {
 		out.ln = tls.NewListener(raw, conf)
 	}
-	handler := s.Handler
-	s.Handler = func(ctx *fasthttp.RequestCtx) {
-		out.setHandling(ctx.Conn(), true)
-		out.handle(ctx, handler)
-		out.setHandling(ctx.Conn(), false)
-		if out.stopping.Load() {
-			ctx.SetConnectionClose()
-			out.answered.Add(1)
-		}
-	}
-	s.ConnState = out.setState
+	out.configure(s)
+	return out
+}
+
+// configure makes the HTTP server read through the gate.
+func (s *Server) configure(h *fasthttp.Server) {
+	handler := h.Handler
+	h.Handler = func(ctx *fasthttp.RequestCtx) { s.serveRequest(ctx, handler) }
+	h.ConnState = s.setState
 	// Listeners of package net enable keep-alive; here, a failure to do so on one
 	// connection would end the server.
-	s.TCPKeepalive = false
-	return out
+	h.TCPKeepalive = false
+	// The server reads bodies itself, once there is room for them. A form would be
+	// parsed before that.
+	h.StreamRequestBody, h.DisablePreParseMultipartForm = true, true
+	if h.ReadBufferSize == 0 {
+		h.ReadBufferSize = readBufferBytes
+	}
+	// setState sets the other deadlines.
+	h.ReadTimeout, h.IdleTimeout = 0, 0
+	h.HeaderReceived = func(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+		return fasthttp.RequestConfig{ReadTimeout: s.readTimeout}
+	}
+	if h.WriteTimeout == 0 {
+		h.WriteTimeout = defaultWriteTimeout
+	}
+}
+
+// bodyLimit returns the largest size of a body.
+func (s *Server) bodyLimit() int {
+	if n := s.limits().BodyBytes; n > 0 {
+		return min(n, s.maxBody)
+	}
+	return s.maxBody
+}
+
+// headersFit reports whether the headers of a request are within the limit.
+func (s *Server) headersFit(h *fasthttp.RequestHeader) bool {
+	limit := s.limits().HeaderBytes
+	if limit <= 0 {
+		return true
+	}
+	const separators = len("  HTTP/1.1\r\n")
+	return len(h.Method())+len(h.RequestURI())+separators+len(h.RawHeaders()) <= limit
+}
+
+// serveRequest reads the body of a request and runs the handler.
+func (s *Server) serveRequest(ctx *fasthttp.RequestCtx, handler fasthttp.RequestHandler) {
+	var reserved int
+	err := ErrHeadersTooLarge
+	if s.headersFit(&ctx.Request.Header) {
+		reserved, err = s.readBody(ctx)
+	}
+	defer s.releaseBody(ctx, reserved)
+	if err != nil {
+		s.rejectRequest(ctx, err)
+		return
+	}
+	s.setHandling(ctx.Conn(), true)
+	s.handle(ctx, handler)
+	s.setHandling(ctx.Conn(), false)
+	if s.stopping.Load() {
+		ctx.SetConnectionClose()
+		s.answered.Add(1)
+	}
 }
 
 // handle runs the handler. A panic ends its request, not the process: the answer is
@@ -123,49 +245,74 @@
 }
 
 func (s *Server) setState(c net.Conn, state fasthttp.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch state {
-	case fasthttp.StateClosed, fasthttp.StateHijacked:
-		delete(s.conns, c)
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	info := s.conns[c]
+	switch {
+	case state == fasthttp.StateClosed || state == fasthttp.StateHijacked:
+		if info != nil {
+			s.gate.move(info, queueNone)
+			delete(s.conns, c)
+		}
 		return
+	case info == nil:
+		info = &connState{conn: c, gate: s.gate, queue: queueNone}
+		s.conns[c] = info
 	}
-	s.conns[c] = &connState{state: state, since: time.Now()}
-	if state == fasthttp.StateActive && s.stopping.Load() {
-		s.renewReadDeadline(c)
-	}
+	info.state, info.since, info.handling = state, time.Now(), false
+	s.expectRequest(info)
 }
 
-func (s *Server) setHandling(c net.Conn, handling bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if info := s.conns[c]; info != nil {
-		info.handling = handling
+// expectRequest sets the deadline of the next part of a request and puts a connection into
+// the queue of its state. The lock is held.
+func (s *Server) expectRequest(c *connState) {
+	limits := s.limits()
+	timeout, to := s.readTimeout, queueActive
+	switch {
+	case c.state == fasthttp.StateNew:
+		timeout, to = cmp.Or(limits.IdleTimeout, s.readTimeout), queueNew
+	case c.state == fasthttp.StateIdle:
+		timeout, to = cmp.Or(limits.IdleTimeout, s.idleTimeout), queueIdle
+		s.gate.signal()
+	default:
+		// The first byte may have been read just after the connection was given up as
+		// idle. Whoever waits for its end needs another one.
+		if setClosing(c.conn, false) {
+			s.gate.signal()
+		}
+		if limits.HeaderTimeout > 0 && limits.HeaderTimeout < timeout {
+			timeout = limits.HeaderTimeout
+		}
 	}
-}
-
-// renewReadDeadline replaces the deadline in the past that closeIdle may have set
-// just before the first byte of a request was read.
-func (s *Server) renewReadDeadline(c net.Conn) {
+	s.gate.move(c, to)
 	var at time.Time
-	if s.http.ReadTimeout > 0 {
-		at = time.Now().Add(s.http.ReadTimeout)
+	if timeout > 0 {
+		at = c.since.Add(timeout)
 	}
-	setClosing(c, false)
-	s.setReadDeadline(c, at)
+	c.setReadDeadline(at)
 }
 
-func (s *Server) setReadDeadline(c net.Conn, at time.Time) {
-	if err := c.SetReadDeadline(at); err != nil {
-		s.log.Debug("read deadline not set", "server", s.name, "peer", c.RemoteAddr(), "err", err)
+func (s *Server) setHandling(c net.Conn, handling bool) {
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	info := s.conns[c]
+	if info == nil {
+		return
+	}
+	info.handling = handling
+	if handling {
+		s.gate.move(info, queueNone)
+		return
 	}
+	info.since = time.Now()
+	s.gate.move(info, queueActive)
 }
 
 // begin records that Serve is about to accept connections, so that a shutdown waits for
 // those in the backlog.
 func (s *Server) begin() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
 	s.begun = true
 }
 
@@ -206,9 +353,9 @@
 // remaining connections and returns an error with the number of requests cut off.
 func (s *Server) Shutdown(ctx context.Context) error {
 	open, inProgress := s.count()
-	s.mu.Lock()
+	s.gate.mu.Lock()
 	s.stopBegan = time.Now()
-	s.mu.Unlock()
+	s.gate.mu.Unlock()
 	s.stopping.Store(true)
 	s.log.Info("server is stopping", "server", s.name, "open", open, "in_progress", inProgress)
 	if err := s.closeListener(ctx); err != nil {
@@ -251,8 +398,8 @@
 
 // serving reports whether Serve was called and has not returned.
 func (s *Server) serving() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
 	select {
 	case <-s.served:
 		return false
@@ -262,8 +409,8 @@
 }
 
 func (s *Server) count() (open, inProgress int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
 	for _, c := range s.conns {
 		if c.handling {
 			inProgress++
@@ -276,27 +423,27 @@
 // the rest of a request after requestReadTime. The HTTP server then closes the
 // connection, unless bytes have arrived (see conn.Read).
 func (s *Server) closeIdle() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
 	now := time.Now()
 	for c, info := range s.conns {
 		switch {
 		case info.handling:
 		case info.state == fasthttp.StateActive:
 			if now.Sub(info.since) >= requestReadTime && now.Sub(s.stopBegan) >= requestReadTime {
-				s.setReadDeadline(c, longPast)
+				info.setReadDeadline(longPast)
 			}
 		case now.Sub(info.since) >= s.quiet && now.Sub(lastArrival(c)) >= s.quiet:
-			setClosing(c, true)
-			s.setReadDeadline(c, longPast)
+			info.closeIfIdle()
 		}
 	}
 }
 
 func (s *Server) closeAll() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
+	s.gate.mu.Lock()
+	open := slices.Collect(maps.Keys(s.conns))
+	s.gate.mu.Unlock()
+	for _, c := range open {
 		_ = c.Close() // Shutdown reports the connection
 	}
 }
--- a/internal/httpserve/server_test.go
+++ b/internal/httpserve/server_test.go
@@ -100,7 +100,7 @@
 	peer, err := net.Dial("tcp", ln.Addr().String())
 	require.NoError(t, err)
 	defer peer.Close()
-	c, err := (&listener{Listener: ln}).Accept()
+	c, err := (&listener{Listener: ln, gate: NewGate("test", Limits{}, nil, nil)}).Accept()
 	require.NoError(t, err)
 	defer c.Close()
 	require.NoError(t, c.SetReadDeadline(time.Unix(1, 0)))
@@ -238,8 +238,8 @@
 
 // reading returns the number of requests that have arrived in part.
 func (s *Server) reading() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
 	n := 0
 	for _, c := range s.conns {
 		if c.state == fasthttp.StateActive && !c.handling {
@@ -304,7 +304,7 @@
 	peer, err := net.Dial("tcp", ln.Addr().String())
 	require.NoError(t, err)
 	defer peer.Close()
-	c, err := (&listener{Listener: ln}).Accept()
+	c, err := (&listener{Listener: ln, gate: NewGate("test", Limits{}, nil, nil)}).Accept()
 	require.NoError(t, err)
 	defer c.Close()
 	setClosing(c, true)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -74,8 +74,12 @@
 	Control []string
 	// MaxBody bounds the body of a caller's request, in bytes.
 	MaxBody int
-	// MaxConnections bounds the open connections of callers.
+	// MaxConnections bounds the open connections of callers and clients.
 	MaxConnections uint32
+	// MaxReading bounds the bodies of the requests that are read or answered, in bytes.
+	MaxReading int
+	// MemoryTarget is that of Control.
+	MemoryTarget int
 	// MaxSubmissions bounds the submissions in flight.
 	MaxSubmissions uint32
 	// MaxBytes bounds the size of the submissions in flight.
@@ -126,6 +130,8 @@
 	Peers string
 	// Upstream is the loopback HTTP host:port for announcements.
 	Upstream string
+	// MemoryTarget is that of Control.
+	MemoryTarget int
 	// Control lists the peer addresses of control hosts.
 	Control []string
 	// Rack names the worker's rack.
@@ -221,6 +227,7 @@
 	maxDrainTimeout      = 10 * time.Minute
 	maxBodyLimit         = 7 << 20 // bytes
 	maxBytesLimit        = 1 << 40 // bytes
+	minReading           = 8 << 20 // bytes, above the largest body
 	maxConnections       = 1 << 20
 	maxSubmissions       = 1 << 24
 	maxSlots             = 1 << 12
@@ -251,6 +258,10 @@
 	maxSeed              = 1<<32 - 1
 )
 
+func memoryTarget(dst *int, fallback string) key {
+	return size(dst, "process", "memory-target", "Memory from which the process collects garbage as soon as there is some. The bounds of what it keeps leave room below the default; a host with less memory needs less.", minMemoryTarget, maxMemoryTarget).withDefault(fallback)
+}
+
 func peerPort(dst *uint32) key {
 	return count(dst, "control", "peer-port", "Port that replaces the ports in addresses; 0 keeps them.", 0, maxPort).withDefault("0")
 }
@@ -294,7 +305,7 @@
 	return append(c.Process.keys(base),
 		hostPort(&c.Peers, "listen", "peers", "UDP address for other processes of the fleet.").asRequired(),
 		hostPort(&c.Admin, "listen", "admin", "HTTPS address for operators.").asRequired(),
-		size(&c.MemoryTarget, "process", "memory-target", "Memory from which the process collects garbage as soon as there is some. The bounds of what it keeps leave room below the default; a host with less memory needs less.", minMemoryTarget, maxMemoryTarget).withDefault("192MiB"),
+		memoryTarget(&c.MemoryTarget, "192MiB"),
 		optionalFile(&c.Data, base, "data", "folder", "Folder of the replicated log, used by one process at a time. If it is empty, the process keeps no replica and redirects the platform's operators to the hosts in initial.").withDefault("data"),
 		hostPorts(&c.Initial, "cluster", "initial", "Peer addresses of the initial control hosts, including this one unless it joins; reloaded on SIGHUP, as addresses to dial only.").asRequired(),
 		boolean(&c.Join, "cluster", "join", "Whether an empty data folder joins a running cluster as a learner.").withDefault("false"),
@@ -312,7 +323,9 @@
 		hostPort(&e.Callers, "listen", "callers", "HTTP address for callers.").asRequired(),
 		hostPorts(&e.Control, "control", "addresses", "Peer addresses of control hosts; reloaded on SIGHUP.").asRequired(),
 		size(&e.MaxBody, "limits", "max-body", "Largest body of a caller's request.", 1, maxBodyLimit).withDefault("4MiB"),
-		count(&e.MaxConnections, "limits", "max-connections", "Maximum number of open connections of callers.", 1, maxConnections).withDefault("10000"),
+		count(&e.MaxConnections, "limits", "max-connections", "Maximum number of open connections of callers and of the platform's clients. At the bound, the one that has waited longest for a request is closed for a new one. Each takes up to 40 KB, and a descriptor.", 1, maxConnections).withDefault("2000"),
+		size(&e.MaxReading, "limits", "max-reading", "Largest size of the bodies of requests that are read or answered, not counting those up to 8 KiB. At the bound, a request that has stalled is closed for another, or else the other is refused as not run.", minReading, maxBytesLimit).withDefault("32MiB"),
+		memoryTarget(&e.MemoryTarget, "192MiB"),
 		size(&e.MaxBytes, "limits", "max-bytes", "Largest size of the requests and jobs in flight: payloads, answers that wait for the rest of their job, and 512 bytes a task. Further ones are refused.", 1, maxBytesLimit).withDefault("256MiB"),
 		count(&e.MaxSubmissions, "limits", "max-submissions", "Maximum number of requests and jobs in flight.", 1, maxSubmissions).withDefault("100000"),
 		oneOf(&e.Placement, "placement", "policy", "How tasks are placed on agents.",
@@ -337,6 +350,7 @@
 
 func (a *Agent) keys(base string) []key {
 	return append(a.Process.keys(base),
+		memoryTarget(&a.MemoryTarget, "96MiB"),
 		hostPort(&a.Peers, "listen", "peers", "UDP address for entries.").asRequired(),
 		loopbackHostPort(&a.Upstream, "listen", "upstream", "HTTP address at which the upstream announces itself.").asRequired(),
 		hostPorts(&a.Control, "control", "addresses", "Peer addresses of control hosts; reloaded on SIGHUP.").asRequired(),
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -46,8 +46,9 @@
 			Keys: filepath.Join(filepath.Dir(path), "keys"), PeerTimeout: 2 * time.Second,
 		},
 		Peers: "127.0.0.1:7101", Upstream: "127.0.0.1:7201",
-		Control: []string{"127.0.0.1:7001", "127.0.0.1:7002"},
-		Rack:    "rack-1", Processors: 32, MemoryMB: 128000,
+		MemoryTarget: 96 << 20,
+		Control:      []string{"127.0.0.1:7001", "127.0.0.1:7002"},
+		Rack:         "rack-1", Processors: 32, MemoryMB: 128000,
 		Credit: "lend", QueueShare: 0.5, Lease: time.Second, LogTasks: true,
 	}, got)
 }
