entryd: the tasks of a job are built once there is room for them

What callers saw: 200 requests of 200 bytes, each for a job of 100,000 tasks, took an entry to 1,101 MB of its host's 284.

Cause: the tasks were built when the body was decoded; max-bytes was asked by the reducer, behind a queue of such jobs.

Change: the platform's decoder returns a draft, which says how many tasks it has and builds them on demand. The entry reserves their size in max-bytes from before they are built until the job is answered, and refuses the job at once if there is no room (503, Retry-After 1 s) or never can be. A job that is sent again is not built again.

Ruled out: a lower bound on the number of tasks: the users' pages have none.

--- a/entry/room.go
+++ b/entry/room.go
@@ -9,6 +9,10 @@
 // taskOverhead is about the memory of a task in flight besides its payload, in bytes.
 const taskOverhead = 512
 
+// JobSize returns what the tasks of a job with a shared payload take of
+// Options.MaxBytes, in bytes.
+func JobSize(tasks, payloadBytes int) int { return tasks*taskOverhead + payloadBytes }
+
 // submissionSize returns about the memory of a submission in flight, in bytes. The tasks
 // of a job often share one payload.
 func submissionSize(sub *task.Submission) int {
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -116,6 +116,7 @@
 	// cancellations are those of jobs that other entries may hold.
 	cancellations cancellations
 	holding       *holding
+	room          room
 	draining      atomic.Bool
 	// isolated is set while most known agents are not connected.
 	isolated atomic.Bool
@@ -156,6 +157,7 @@
 		drained:   make(chan struct{}),
 		meter:     newMeter(o.Scope),
 		jobs:      newJobs(),
+		room:      room{limit: o.MaxBytes},
 		holding:   newHolding(o.HoldUnconfigured, hold.DefaultRunReserve),
 		budget:    logging.NewBudget(logging.LinesPerSecond),
 	}
--- a/entryd/jobs.go
+++ b/entryd/jobs.go
@@ -194,7 +194,7 @@
 // submitted. If the client closes conn, done gets an answer with reason
 // task.ReasonCallerGone, and the job is cancelled once no other client waits for it.
 // The time that the request has waited to be read counts against its deadline.
-func (d *Daemon) SubmitJob(sub task.Submission, conn net.Conn, done func(task.Answer)) {
+func (d *Daemon) SubmitJob(sub task.Draft, conn net.Conn, done func(task.Answer)) {
 	unread := httpserve.UnreadTime(conn)
 	if httpserve.Disconnected(conn) {
 		d.logRequest("dropped a request whose caller had left", sub.Ref, "unread", unread)
@@ -207,7 +207,7 @@
 	}
 	c.stopWatch = httpserve.Watch(conn, func() { d.callerLeft(c) })
 	now := d.loop.Now()
-	r, isNew := d.jobs.open(now, &sub, d.newSubmissionID(), c)
+	r, isNew := d.jobs.open(now, &sub.Submission, d.newSubmissionID(), c)
 	switch {
 	case isNew:
 		d.submitJob(r, sub, unread)
@@ -223,12 +223,24 @@
 
 // submitJob submits a new job after the cancellation of its abandoned submission. unread
 // is that of entry.Submit.
-func (d *Daemon) submitJob(r *jobRecord, sub task.Submission, unread time.Duration) {
+func (d *Daemon) submitJob(r *jobRecord, draft task.Draft, unread time.Duration) {
 	if r.previous != nil {
 		<-r.previous
 	}
 	defer close(r.submitted)
-	d.submit(entry.Submit{ID: r.id, Sub: sub, Unread: unread}, func(a task.Answer) { d.jobs.close(d.loop.Now(), r, a) })
+	size, refusal := d.room.reserve(&draft)
+	if refusal != nil {
+		d.logRequest("refused a job for want of room", r.ref, "tasks", draft.Count, "reason", refusal.Reason, "why", refusal.Detail)
+		refusal.ID = r.id
+		d.jobs.close(d.loop.Now(), r, *refusal)
+		return
+	}
+	sub := draft.Submission
+	sub.Tasks = draft.Build()
+	d.submit(entry.Submit{ID: r.id, Sub: sub, Unread: unread}, func(a task.Answer) {
+		d.room.release(size)
+		d.jobs.close(d.loop.Now(), r, a)
+	})
 }
 
 // callerGone is the answer for a caller that has left. Its job may run for others.
--- a/entryd/jobs_test.go
+++ b/entryd/jobs_test.go
@@ -26,7 +26,7 @@
 		}
 	}()
 	<-filled
-	go d.SubmitJob(task.Submission{Ref: testRef, Job: true, Service: "s", Tasks: []task.Spec{{Name: "a"}}}, nil, func(task.Answer) {})
+	go d.SubmitJob(draftOf(task.Submission{Ref: testRef, Job: true, Service: "s", Tasks: []task.Spec{{Name: "a"}}}), nil, func(task.Answer) {})
 	require.Eventually(t, func() bool { return d.InFlight(testRef) }, 5*time.Second, time.Millisecond)
 	time.Sleep(20 * time.Millisecond)
 	r := d.jobs.inFlight(testRef)
@@ -81,7 +81,7 @@
 		go func() { defer close(left); d.callerLeft(c) }()
 		synctest.Wait()
 		resubmitted := make(chan struct{})
-		go func() { defer close(resubmitted); d.SubmitJob(sub, nil, func(task.Answer) {}) }()
+		go func() { defer close(resubmitted); d.SubmitJob(draftOf(sub), nil, func(task.Answer) {}) }()
 		synctest.Wait()
 		require.Empty(t, d.callbacks, "the cancellation is not posted yet")
 		close(r.submitted)
--- a/entryd/meter.go
+++ b/entryd/meter.go
@@ -129,6 +129,10 @@
 		for kind, n := range d.budget.Suppressed() {
 			d.log.Warn("lines left out", "kind", kind, "count", n)
 		}
+		if n, used := d.room.takeRefused(); n > 0 {
+			d.meter.metrics.NoRoomForBytes.Inc(int64(n))
+			d.log.Warn("a bound of this entry was reached", "bytes", used, "limit", d.opts.MaxBytes, "refused_before_their_tasks_were_built", n)
+		}
 		if v, err := d.View(); err == nil {
 			d.logBounds(v, d.meter.reported)
 			d.meter.report(v)
--- a/entryd/shutdown_test.go
+++ b/entryd/shutdown_test.go
@@ -41,7 +41,7 @@
 			for n := 0; !ended.Load(); n++ {
 				answered := make(chan task.Answer, 1)
 				ref := fmt.Sprintf("%08x%08x", i, n)
-				d.SubmitJob(task.Submission{Ref: ref, Job: true, Service: "s", Tasks: []task.Spec{{Name: ref}}}, nil,
+				d.SubmitJob(draftOf(task.Submission{Ref: ref, Job: true, Service: "s", Tasks: []task.Spec{{Name: ref}}}), nil,
 					func(a task.Answer) { answered <- a })
 				select {
 				case <-answered:
