httpapi: the list of a job's tasks is counted before it is decoded

Cause: a body of 4 MiB holds 1.4 million empty tasks, which the decoder built before anybody asked for max-tasks; one large body at a time is decoded, but that one was not bounded.

Change: the elements are counted in the text first. The answer is as before, too_large with the number of tasks.

Evidence: found by reading; the package's tests of too many tasks pass. Not shown by a crowd.

--- a/httpapi/job.go
+++ b/httpapi/job.go
@@ -9,6 +9,7 @@
 	"math"
 	"time"
 
+	"github.com/fireflytray/fireflytray/internal/httpserve"
 	"github.com/fireflytray/fireflytray/task"
 )
 
@@ -59,6 +60,9 @@
 // named in the request's header, if any.
 func decodeJob(service, headerTeam string, body []byte, maxTasks int) (s task.Submission, wait bool, err error) {
 	var req JobRequest
+	if n := longestList(body); n > maxTasks {
+		return s, false, tooManyTasksError{n, maxTasks}
+	}
 	if err := decodeJSON(body, &req); err != nil {
 		return s, false, err
 	}
@@ -75,6 +79,36 @@
 	return s, req.Wait == nil || *req.Wait, nil
 }
 
+// longestList returns the number of elements of the longest list that is a field of a JSON
+// object, at least 1. The decoder would build all of them before it could be asked. The
+// result means nothing if body is not valid JSON.
+func longestList(body []byte) int {
+	const listDepth = 2
+	depth, count, longest := 0, 1, 1
+	for i := 0; i < len(body); i++ {
+		switch body[i] {
+		case '"':
+			for i++; i < len(body) && body[i] != '"'; i++ {
+				if body[i] == '\\' {
+					i++
+				}
+			}
+		case '[', '{':
+			if depth++; depth == listDepth {
+				count = 1
+			}
+		case ']', '}':
+			depth--
+		case ',':
+			if depth == listDepth {
+				count++
+				longest = max(longest, count)
+			}
+		}
+	}
+	return longest
+}
+
 func jobTeam(headerTeam, bodyTeam string) (string, error) {
 	if bodyTeam == "" {
 		bodyTeam = headerTeam
@@ -160,7 +194,9 @@
 func decodeJSON(body []byte, into any) error {
 	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
-	if err := dec.Decode(into); err != nil {
+	var err error
+	httpserve.Decode(body, func() { err = dec.Decode(into) })
+	if err != nil {
 		return newBodyError(body, errorOffset(dec, err, len(body)), err)
 	}
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
