entryd, platform: the limits of the manifest are in force

What callers saw: a body or headers over the limits that the operator announces were taken, up to bounds in the code (1 MiB, 4 KiB of headers); connections idled for an hour and headers might take 5 s, where the manifest says 15 s and 3 s.

Cause: nothing read the manifest's limits.

Change: a control host adds the limits of the published document to each push of the configuration, and entries apply them to the connections of the platform's clients from then on: 431, 413, and time-outs without an answer. They are a field of the push and no section: replicas and processes of an earlier build refuse sections that they don't know, which would part the log and hold back whole versions during a rolling upgrade; unknown fields they skip. Limits that can't be read set none, as such documents have always been accepted. A control host of an earlier build sends none. More headers than 16 KiB are not taken, and a log line says so.

Evidence: TestLimitsOfTheManifest (crowd) with real processes, TestRequestLimits, TestDocumentLimitsAreTranslated, TestOddDocumentLimitsSetNone, TestLimitsAreParsedOneByOne. The encoder was generated.

--- a/cmd/fireflytray-control/main.go
+++ b/cmd/fireflytray-control/main.go
@@ -47,6 +47,7 @@
 		Initial:    initial,
 		Join:       s.Join || s.JoinUnlisted && !slices.Contains(initial, s.Peers),
 		Membership: membershipConfig(s),
+		LimitsOf:   platform.DocumentLimits,
 		Serve:      platformInterfaces(rt, s),
 
 		ElectionTimeout: s.ElectionTimeout,
--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -73,7 +73,8 @@
 	logger := rt.Logs.For(logging.PartEntry)
 	if s.Clients != "" {
 		list = append(list, func(ctx context.Context, d *entryd.Daemon) error {
-			return platform.NewClientServer(d).Serve(ctx, s.Clients, s.DrainTimeout, logger, httpserve.WithGate(gate))
+			return platform.NewClientServer(d).Serve(ctx, s.Clients, s.DrainTimeout, logger,
+				httpserve.WithGate(gate), httpserve.WithRequestLimits(d.RequestLimits))
 		})
 	}
 	if s.Readiness != "" {
--- a/control/machine.go
+++ b/control/machine.go
@@ -25,6 +25,7 @@
 	published      Published
 	domainOrders   domainOrders
 	pushes         pushCache
+	limitsOf       func(source []byte) []wire.ConfigPair
 	onConfigChange func(index uint64)
 	// reached and snapshotDue are not part of the replicated state.
 	reached     reached
@@ -43,6 +44,10 @@
 	return m
 }
 
+// SetLimitsOf sets the function that returns the limits of requests in the source of a
+// published document, which are part of each push. It is called before the first push.
+func (m *Machine) SetLimitsOf(limitsOf func(source []byte) []wire.ConfigPair) { m.limitsOf = limitsOf }
+
 // clear sets the state of a new cluster.
 func (m *Machine) clear() {
 	m.now, m.index = 0, 0
@@ -191,7 +196,11 @@
 	if have != 0 {
 		from = m.configs.at(have)
 	}
-	return *m.configs.doc.Push(m.configs.current().Index, from, have)
+	push := m.configs.doc.Push(m.configs.current().Index, from, have)
+	if m.limitsOf != nil && m.published.Version != 0 {
+		push.Limits = m.limitsOf(m.published.Source)
+	}
+	return *push
 }
 
 // History returns up to limit versions, newest first; limit 0 means all. It ends at a
--- a/controlclient/config.go
+++ b/controlclient/config.go
@@ -107,6 +107,9 @@
 	s.currentStamp.Store(&wire.Stamp{Index: s.index, Digest: next.Digest()})
 	conf := next.Effective(s.site)
 	conf.Index = s.index
+	if conf.Limits, err = fleet.ParseLimits(m.Limits); err != nil {
+		s.log.Warn("limits of requests not all in force", "index", m.Index, "control", m.control, "err", err)
+	}
 	s.onConfig(conf)
 	return nil
 }
--- a/controld/controld.go
+++ b/controld/controld.go
@@ -68,6 +68,8 @@
 	// promotes and removes control hosts; if nil, only operators change them.
 	Membership *membership.Config
 	Transport  transport.Options
+	// LimitsOf is that of control.Machine.SetLimitsOf; nil if documents have no limits.
+	LimitsOf func(source []byte) []wire.ConfigPair
 	// Serve lists functions that serve additional interfaces until their context
 	// ends.
 	Serve []func(context.Context, *Host) error
@@ -127,6 +129,7 @@
 	}
 	h.sizes = newSizeReporter(o.Transport.Scope, h.log)
 	h.machine = control.NewMachine(func(uint64) { signal(h.configChanged) })
+	h.machine.SetLimitsOf(o.LimitsOf)
 	h.loop = loop.New[directory.Event, directory.Effect](directory.NewReducer(0), directory.Event{}, h.effect)
 	if err := h.open(); err != nil {
 		return nil, err
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -328,6 +328,21 @@
 	f.requireBounds()
 }
 
+// TestLimitsOfTheManifest guards against limits that operators announce and nobody applies.
+func TestLimitsOfTheManifest(t *testing.T) {
+	f := startFleet(t, options{})
+	large := job{id: newID(), body: jobBody(1, maxBodyBytes+1)}
+	require.Contains(t, f.request(large), "413 ")
+	long := newJob()
+	long.header = map[string]string{"X-Padding": strings.Repeat("x", maxHeaderBytes)}
+	require.Contains(t, f.request(long), "431 ")
+	for _, refused := range []job{large, long} {
+		require.Zero(t, f.ledger.Started(refused.id), "a refused job has started")
+	}
+	f.requireOrdinaryAnswer("after the refusals")
+	f.requireBounds()
+}
+
 // TestChunkedRequestIsServed guards the same for a body in chunks.
 func TestChunkedRequestIsServed(t *testing.T) {
 	f := startFleet(t, options{})
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -312,9 +312,10 @@
 // OnConfig puts a configuration into force.
 func (d *Daemon) OnConfig(cfg *fleet.Config) {
 	d.loop.Post(entry.ConfigChanged{Config: cfg})
-	d.config.Store(cfg)
+	before := d.config.Swap(cfg)
 	d.configured.Store(true)
 	d.log.Info("configuration in force", "index", cfg.Index)
+	d.logLimits(before, cfg)
 	d.holdConfigured(cfg)
 }
 
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -21,6 +21,8 @@
 	// Routes maps callers' requests to services; see Route.
 	Routes *Routes
 	Retry  Retry
+	// Limits are those of the published document.
+	Limits RequestLimits
 	// Domains holds the failure domains for which operators have given an order.
 	Domains map[string]Domain
 }
--- a/node/control.go
+++ b/node/control.go
@@ -34,6 +34,8 @@
 	// Membership lets the leader change the set of control hosts automatically;
 	// nil leaves that to operators.
 	Membership *membership.Config
+	// LimitsOf is that of controld.Options.
+	LimitsOf func(source []byte) []wire.ConfigPair
 	// Serve lists functions that serve further interfaces.
 	Serve []func(context.Context, *controld.Host) error
 }
@@ -56,6 +58,7 @@
 		}),
 		Membership: o.Membership,
 		Peers:      o.Controls,
+		LimitsOf:   o.LimitsOf,
 		Serve:      o.Serve,
 		Transport:  o.transport(),
 		Log:        o.Logs.For(logging.PartControl),
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -436,6 +436,9 @@
 	// Fresh reports, to a process without a configuration, whether the push includes
 	// every change that was accepted before the process asked.
 	Fresh bool `msg:"f"`
+	// Limits are those of callers' requests, in the keys of fleet.ParseLimits. They are
+	// whole in each push; control hosts of earlier builds send none.
+	Limits []ConfigPair `msg:"l,omitempty"`
 }
 
 // ConfigSection is one section of the configuration of a site; the empty site is
--- a/wire/wire_gen.go
+++ b/wire/wire_gen.go
@@ -839,35 +839,62 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ConfigPush) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "i"
-	o = append(o, 0x86, 0xa1, 0x69)
-	o = msgp.AppendUint64(o, z.Index)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendUint64(o, z.Digest)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendUint64(o, z.Base)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Sections)))
-	for za0001 := range z.Sections {
-		o, err = z.Sections[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Sections", za0001)
-			return
-		}
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Limits == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
 	}
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
-	for za0002 := range z.Removed {
-		o = msgp.AppendString(o, z.Removed[za0002])
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendUint64(o, z.Index)
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		o = msgp.AppendUint64(o, z.Digest)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendUint64(o, z.Base)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Sections)))
+		for za0001 := range z.Sections {
+			o, err = z.Sections[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Sections", za0001)
+				return
+			}
+		}
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
+		for za0002 := range z.Removed {
+			o = msgp.AppendString(o, z.Removed[za0002])
+		}
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendBool(o, z.Fresh)
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "l"
+			o = append(o, 0xa1, 0x6c)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
+			for za0003 := range z.Limits {
+				// map header, size 2
+				// string "k"
+				o = append(o, 0x82, 0xa1, 0x6b)
+				o = msgp.AppendString(o, z.Limits[za0003].Key)
+				// string "v"
+				o = append(o, 0xa1, 0x76)
+				o = msgp.AppendString(o, z.Limits[za0003].Value)
+			}
+		}
 	}
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendBool(o, z.Fresh)
 	return
 }
 
@@ -963,6 +990,62 @@
 				err = msgp.WrapError(err, "Fresh")
 				return
 			}
+		case "l":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limits")
+				return
+			}
+			if zb0004 > z5817a858limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Limits) >= int(zb0004) {
+				z.Limits = (z.Limits)[:zb0004]
+			} else {
+				z.Limits = make([]ConfigPair, zb0004)
+			}
+			for za0003 := range z.Limits {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0003)
+					return
+				}
+				if zb0005 > z5817a858limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Limits", za0003)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "k":
+						z.Limits[za0003].Key, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Limits", za0003, "Key")
+							return
+						}
+					case "v":
+						z.Limits[za0003].Value, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Limits", za0003, "Value")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Limits", za0003)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -985,7 +1068,10 @@
 	for za0002 := range z.Removed {
 		s += msgp.StringPrefixSize + len(z.Removed[za0002])
 	}
-	s += 2 + msgp.BoolSize
+	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Limits {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Limits[za0003].Key) + 2 + msgp.StringPrefixSize + len(z.Limits[za0003].Value)
+	}
 	return
 }
 
