metrics: the page takes 32 connections

Cause: the page was the one HTTP server without bounds: connections idled and answers were written for as long as their peers liked.

Change: a listener that closes connections above a number, time-outs for requests, answers and idle connections, and 16 KiB of headers. A counter and one log line tell.

Evidence: TestLimitClosesFurtherConnections; found by reading.

--- a/internal/netlisten/netlisten.go
+++ b/internal/netlisten/netlisten.go
@@ -48,6 +48,47 @@
 	return &listener{Listener: ln, log: l, closed: make(chan struct{})}
 }
 
+// Limit returns a listener that closes each connection that it accepts while limit of them
+// are open, and calls refused then.
+func Limit(ln net.Listener, limit int, refused func()) net.Listener {
+	return &limited{Listener: ln, open: make(chan struct{}, limit), refused: refused}
+}
+
+type limited struct {
+	net.Listener
+	// open has an element for each open connection.
+	open    chan struct{}
+	refused func()
+}
+
+// Accept implements net.Listener.
+func (l *limited) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case l.open <- struct{}{}:
+			return &limitedConn{Conn: c, leave: sync.OnceFunc(func() { <-l.open })}, nil
+		default:
+			_ = c.Close() // nothing was read or written
+			l.refused()
+		}
+	}
+}
+
+type limitedConn struct {
+	net.Conn
+	leave func()
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	defer c.leave()
+	return c.Conn.Close()
+}
+
 type listener struct {
 	net.Listener
 	log    *log.Logger
--- a/internal/netlisten/netlisten_test.go
+++ b/internal/netlisten/netlisten_test.go
@@ -105,3 +105,46 @@
 	require.ErrorIs(t, err, syscall.EBADF)
 	require.Equal(t, int64(1), failing.accepts.Load())
 }
+
+// A page without a limit of its connections takes all descriptors of the process.
+func TestLimitClosesFurtherConnections(t *testing.T) {
+	const limit = 2
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	refused := make(chan struct{}, 1)
+	ln := Limit(inner, limit, func() { refused <- struct{}{} })
+	defer ln.Close()
+	accepted := make(chan net.Conn, limit+1)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	for range limit {
+		dial()
+	}
+	first := <-accepted
+	<-accepted
+	further := dial()
+	<-refused
+	_ = further.SetReadDeadline(time.Now().Add(waitTimeout)) // an open connection takes deadlines
+	_, err = further.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.NoError(t, first.Close())
+	dial()
+	select {
+	case <-accepted:
+	case <-time.After(waitTimeout):
+		t.Fatal("a closed connection makes room")
+	}
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -9,12 +9,16 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/fireflytray/fireflytray/internal/netlisten"
 )
 
 const (
@@ -22,6 +26,12 @@
 	reportInterval    = time.Second
 	readHeaderTimeout = 5 * time.Second
 	shutdownTimeout   = time.Second
+	// writeTimeout bounds one answer, idleTimeout the wait for a further request.
+	writeTimeout = 10 * time.Second
+	idleTimeout  = time.Minute
+	// maxConnections bounds the open connections, maxHeaderBytes the headers of a request.
+	maxConnections = 32
+	maxHeaderBytes = 16 << 10
 	// Path is the HTTP path at which Serve exports the metrics.
 	Path = "/metrics"
 )
@@ -94,9 +104,17 @@
 	if err != nil {
 		return fmt.Errorf("metrics: listen %s: %w", addr, err)
 	}
+	refused := r.scope.Counter("metrics_connections_refused")
+	warn := sync.OnceFunc(func() {
+		log.Warn("a bound of the metrics page was reached, further refusals are only counted", "addr", addr, "connections_limit", maxConnections)
+	})
+	ln = netlisten.Limit(ln, maxConnections, func() { refused.Inc(1); warn() })
 	mux := http.NewServeMux()
 	mux.Handle(Path, r.handler)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{
+		Handler: mux, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readHeaderTimeout,
+		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	shutdown := make(chan error, 1)
 	stop := context.AfterFunc(ctx, func() {
 		end, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
