controld, upstream: gates with room for their largest bodies

Cause: the default gate holds 8 MiB of bodies, and operators restore backups of up to 64 MiB; before the gate up to 64 of these were read at once, 4 GiB.

Change: the admin interface has room for one such backup at a time, the stand-in upstream for eight payloads and four times the announced connections, the callers' interface of a process without settings for 2,000 connections and 32 MiB.

Evidence: e2e, command, upstream and agentd pass; no run with a backup of 64 MiB.

--- a/controld/admin.go
+++ b/controld/admin.go
@@ -30,6 +30,9 @@
 	barrierTimeout = time.Second
 )
 
+// adminLimits leave room for one backup at a time.
+var adminLimits = httpserve.Limits{Connections: adminConcurrency, BodyBytes: adminapi.MaxBody, SocketBytes: 256 << 10}
+
 // adminCall is one request of an operator.
 type adminCall struct {
 	*fasthttp.RequestCtx
@@ -59,7 +62,8 @@
 		Logger:             h.log,
 	}
 	conf := h.opts.Identity.ServerTLS(wire.RoleOperator)
-	if err := httpserve.New("admin interface", server, ln, conf, h.log).Run(ctx, adminStopTimeout); err != nil {
+	gate := httpserve.NewGate("admin", adminLimits, h.opts.Transport.Scope, h.log)
+	if err := httpserve.New("admin interface", server, ln, conf, h.log, httpserve.WithGate(gate)).Run(ctx, adminStopTimeout); err != nil {
 		return fmt.Errorf("controld: %w", err)
 	}
 	return nil
--- a/httpapi/backend.go
+++ b/httpapi/backend.go
@@ -71,6 +71,9 @@
 	DefaultCollectGrace    = 5 * time.Second
 	DefaultIdleTimeout     = 2 * time.Minute
 	DefaultReadTimeout     = 30 * time.Second
+	// DefaultConnections and DefaultBodyBytes are the limits of the default Gate.
+	DefaultConnections = 2000
+	DefaultBodyBytes   = 32 << 20
 )
 
 func (c Config) withDefaults() Config {
@@ -86,7 +89,7 @@
 	setDefault(&c.ReadTimeout, DefaultReadTimeout)
 	setDefault(&c.Log, log.Default())
 	if c.Gate == nil {
-		c.Gate = httpserve.NewGate("callers", httpserve.Limits{}, nil, c.Log)
+		c.Gate = httpserve.NewGate("callers", httpserve.Limits{Connections: DefaultConnections, BodyBytes: DefaultBodyBytes}, nil, c.Log)
 	}
 	return c
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -23,6 +23,10 @@
 	// renewalsPerLease is the number of announcements per lease duration.
 	renewalsPerLease = 3
 	maxPayloadBytes  = 8 << 20
+	// The server takes gateConnections times the announced connections, as those of an
+	// agent that has ended may still be open, and gateBodies of the largest payloads.
+	gateConnections = 4
+	gateBodies      = 8
 )
 
 // The kinds of work of a task.
@@ -120,7 +124,9 @@
 		Name:                  "upstream",
 		MaxRequestBodySize:    maxPayloadBytes,
 		NoDefaultServerHeader: true,
-	}, s.ln, nil, o.Log)
+	}, s.ln, nil, o.Log, httpserve.WithGate(httpserve.NewGate("tasks", httpserve.Limits{
+		Connections: gateConnections * int(o.Connections), BodyBytes: gateBodies * maxPayloadBytes,
+	}, nil, o.Log)))
 	return s, nil
 }
 
