--- a/httpapi/list_test.go
+++ b/httpapi/list_test.go
@@ -14,9 +14,9 @@
 		`{}`: 1, `{"tasks":[]}`: 1, `{"tasks":[{}]}`: 1, `{"tasks":[{},{},{}]}`: 3,
 		`{"team":"a,b","tasks":[{"payload":[1,2,3,4]},{"need":{"cpu":1,"memory_mb":2}}]}`: 2,
 		`{"team":"\",[,,,\\","tasks":[1,2],"deadline_ms":5,"wait":true}`:                  2,
-		`{"tasks":[{},{}],"x":[1,2,3]}`:                                                    3,
-		`{"tasks":[{},{}`:                                                                  2,
-		`{"tasks":["`:                                                                      1,
+		`{"tasks":[{},{}],"x":[1,2,3]}`:                                                   3,
+		`{"tasks":[{},{}`:                                                                 2,
+		`{"tasks":["`:                                                                     1,
 	} {
 		require.Equal(t, want, longestList([]byte(text)), text)
 	}
