httpserve: states and limits in files of their own; crowd: no skip

Declarations are moved, none is changed. The crowd's tests run with -short too, as nothing else would tell that they were left out.

--- a/crowd/fleet_test.go
+++ b/crowd/fleet_test.go
@@ -144,9 +144,6 @@
 // startFleet starts the processes, publishes a manifest and waits for the answer to an
 // ordinary request. The processes end with the test.
 func startFleet(t *testing.T, o options) *fleet {
-	if testing.Short() {
-		t.Skip("runs the real programs")
-	}
 	bin, err := buildOnce()
 	require.NoError(t, err)
 	f := &fleet{t: t, ledger: standin.NewLedger()}
--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -10,8 +10,6 @@
 package httpserve
 
 import (
-	"cmp"
-	"container/list"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -47,22 +45,6 @@
 	readBufferBytes = DefaultHeaderBytes + 2<<10
 )
 
-// DefaultHeaderBytes bounds the headers of a request, with the request line.
-const DefaultHeaderBytes = 16 << 10
-
-// RequestLimits bound one request. Zero fields leave the bounds as the server was made.
-type RequestLimits struct {
-	// HeaderBytes bounds the headers with the request line, in bytes. More than
-	// DefaultHeaderBytes has no effect.
-	HeaderBytes int
-	// BodyBytes bounds the body, in bytes. It can only lower the bound.
-	BodyBytes int
-	// HeaderTimeout bounds the time from the first byte to the end of the headers.
-	HeaderTimeout time.Duration
-	// IdleTimeout is how long a connection may wait for the first byte of a request.
-	IdleTimeout time.Duration
-}
-
 // longPast is a deadline that ends a read at once.
 var longPast = time.Unix(1, 0)
 
@@ -99,22 +81,6 @@
 	stopBegan time.Time
 }
 
-// connState is the state of an open connection.
-type connState struct {
-	conn  net.Conn
-	gate  *Gate
-	state fasthttp.ConnState
-	// since is the time of the last change of state, or of the end of the handler.
-	since time.Time
-	// handling is set while the handler runs for a request.
-	handling bool
-	// body is what the body of the request takes, in bytes.
-	body int
-	// queue is the queue of the gate that holds element, if any.
-	queue   queue
-	element *list.Element
-}
-
 // Option changes a Server.
 type Option func(*Server)
 
@@ -190,24 +156,6 @@
 	}
 }
 
-// bodyLimit returns the largest size of a body.
-func (s *Server) bodyLimit() int {
-	if n := s.limits().BodyBytes; n > 0 {
-		return min(n, s.maxBody)
-	}
-	return s.maxBody
-}
-
-// headersFit reports whether the headers of a request are within the limit.
-func (s *Server) headersFit(h *fasthttp.RequestHeader) bool {
-	limit := s.limits().HeaderBytes
-	if limit <= 0 {
-		return true
-	}
-	const separators = len("  HTTP/1.1\r\n")
-	return len(h.Method())+len(h.RequestURI())+separators+len(h.RawHeaders()) <= limit
-}
-
 // serveRequest reads the body of a request and runs the handler.
 func (s *Server) serveRequest(ctx *fasthttp.RequestCtx, handler fasthttp.RequestHandler) {
 	var reserved int
@@ -247,79 +195,6 @@
 	handler(ctx)
 }
 
-func (s *Server) setState(c net.Conn, state fasthttp.ConnState) {
-	s.gate.mu.Lock()
-	defer s.gate.mu.Unlock()
-	info := s.conns[c]
-	switch {
-	case state == fasthttp.StateClosed || state == fasthttp.StateHijacked:
-		if info != nil {
-			s.gate.move(info, queueNone)
-			delete(s.conns, c)
-		}
-		return
-	case info == nil:
-		info = &connState{conn: c, gate: s.gate, queue: queueNone}
-		s.conns[c] = info
-	}
-	info.state, info.since, info.handling = state, time.Now(), false
-	s.expectRequest(info)
-}
-
-// expectRequest sets the deadline of the next part of a request and puts a connection into
-// the queue of its state. The lock is held.
-func (s *Server) expectRequest(c *connState) {
-	limits := s.limits()
-	timeout, to := s.readTimeout, queueActive
-	switch {
-	case c.state == fasthttp.StateNew:
-		timeout, to = cmp.Or(limits.IdleTimeout, s.readTimeout), queueNew
-	case c.state == fasthttp.StateIdle:
-		timeout, to = cmp.Or(limits.IdleTimeout, s.idleTimeout), queueIdle
-		s.gate.signal()
-	default:
-		// The first byte may have been read just after the connection was given up as
-		// idle. Whoever waits for its end needs another one.
-		if setClosing(c.conn, false) {
-			s.gate.signal()
-		}
-		if limits.HeaderTimeout > 0 && limits.HeaderTimeout < timeout {
-			timeout = limits.HeaderTimeout
-		}
-	}
-	s.gate.move(c, to)
-	var at time.Time
-	if timeout > 0 {
-		at = c.since.Add(timeout)
-	}
-	c.setReadDeadline(at)
-}
-
-// beginHandling keeps a connection open until its request is handled. It returns false if
-// the gate has closed the connection: the request must not run, as nobody would get its
-// answer.
-func (s *Server) beginHandling(c net.Conn) bool {
-	s.gate.mu.Lock()
-	defer s.gate.mu.Unlock()
-	if raw := socket(c); raw != nil && raw.aborted.Load() {
-		return false
-	}
-	if info := s.conns[c]; info != nil {
-		info.handling = true
-		s.gate.move(info, queueNone)
-	}
-	return true
-}
-
-func (s *Server) endHandling(c net.Conn) {
-	s.gate.mu.Lock()
-	defer s.gate.mu.Unlock()
-	if info := s.conns[c]; info != nil {
-		info.handling, info.since = false, time.Now()
-		s.gate.move(info, queueActive)
-	}
-}
-
 // begin records that Serve is about to accept connections, so that a shutdown waits for
 // those in the backlog.
 func (s *Server) begin() {
