httpserve: a gate takes no more connections than there are descriptors

Cause: with max-connections above the descriptors of a process the gate would never reach its bound: accepting fails, no idle connection makes room, and nobody new is served.

Change: the limit is lowered at the start, with a log line. A body that exceeds all the room of a gate is counted and logged like others that find none.

Evidence: TestConnectionsStayWithinDescriptors. Found by reading.

--- a/internal/httpserve/gate.go
+++ b/internal/httpserve/gate.go
@@ -9,6 +9,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sys/unix"
 )
 
 // Limits bound what the servers that share a Gate hold for their clients. Zero fields
@@ -43,6 +44,9 @@
 	// Up to a backlogShare'th of Limits.Connections wait to be accepted, and minBacklog
 	// at least.
 	backlogShare, minBacklog = 2, 128
+	// descriptorReserve is the number of descriptors for all else than the connections
+	// of one gate.
+	descriptorReserve = 512
 	// boundLogInterval is the time between two log lines on the same bound.
 	boundLogInterval = 10 * time.Second
 )
@@ -61,9 +65,10 @@
 }
 
 // Gate admits connections and bodies to the servers that share it, before anything is
-// read or allocated for them. When a bound is reached it makes room: it closes the
-// connection that has waited longest for a request, on which none has ever arrived if
-// there is one, or else one whose request has stalled. It is safe for concurrent use.
+// read or allocated for them. When a bound is reached it makes room: it closes a
+// connection on which no request has arrived for stalledAfter, or else the one that has
+// waited longest for a request, or else one whose request has stalled. It is safe for
+// concurrent use.
 type Gate struct {
 	name        string
 	limits      Limits
@@ -120,9 +125,14 @@
 	if l == nil {
 		l = log.Default()
 	}
+	limits = limits.withDefaults()
+	if n := withinDescriptors(limits.Connections, descriptors()); n < limits.Connections {
+		l.Warn("fewer connections than the limit, for want of descriptors", "gate", name, "connections", n, "connections_limit", limits.Connections)
+		limits.Connections = n
+	}
 	scope = scope.SubScope("http").Tagged(map[string]string{"gate": name})
 	g := &Gate{
-		name: name, limits: limits.withDefaults(), log: l, released: make(chan struct{}), bounds: map[string]*bound{},
+		name: name, limits: limits, log: l, released: make(chan struct{}), bounds: map[string]*bound{},
 		connections: scope.Gauge("connections"), bodyBytes: scope.Gauge("body_bytes"),
 	}
 	for _, name := range []string{boundConnections, boundBodies} {
@@ -134,6 +144,24 @@
 	return g
 }
 
+// descriptors returns how many descriptors the process may open, zero if unknown.
+func descriptors() uint64 {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
+	}
+	return limit.Cur
+}
+
+// withinDescriptors lowers a number of connections so that descriptorReserve others can be
+// open beside them: a process without a free one accepts nobody, and makes no room.
+func withinDescriptors(connections int, descriptors uint64) int {
+	if descriptors == 0 || uint64(connections)+descriptorReserve <= descriptors {
+		return connections
+	}
+	return max(int(descriptors)-descriptorReserve, min(connections, int(descriptors)/2))
+}
+
 // admit makes room for one more connection. It returns false if there is none because a
 // request is in progress on each.
 func (g *Gate) admit() bool {
@@ -164,7 +192,13 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if n > g.limits.BodyBytes || !g.awaitRoom(boundBodies, func() bool { return g.held+n <= g.limits.BodyBytes }) {
+	if n > g.limits.BodyBytes {
+		b := g.bounds[boundBodies]
+		b.refused++
+		g.report(b)
+		return false
+	}
+	if !g.awaitRoom(boundBodies, func() bool { return g.held+n <= g.limits.BodyBytes }) {
 		return false
 	}
 	g.held += n
--- a/internal/httpserve/gate_test.go
+++ b/internal/httpserve/gate_test.go
@@ -172,6 +172,21 @@
 	_ = err // the end may be a reset
 }
 
+// A limit above the descriptors of the process is never reached, so that idle connections
+// would not make room.
+func TestConnectionsStayWithinDescriptors(t *testing.T) {
+	for _, c := range []struct {
+		connections int
+		descriptors uint64
+		want        int
+	}{
+		{2000, 0, 2000}, {2000, 4100, 2000}, {10_000, 4100, 4100 - descriptorReserve}, {2000, 2000 + descriptorReserve, 2000},
+		{2000, 800, 400}, {10, 800, 10}, {10, 100, 10}, {256, 256, 128},
+	} {
+		require.Equal(t, c.want, withinDescriptors(c.connections, c.descriptors), "%+v", c)
+	}
+}
+
 // The limits of a request may change while the server runs.
 func TestRequestLimits(t *testing.T) {
 	const headers, body = 1000, 20_000
