httpserve: a body that can't be read is answered 400

Cause: the bodies that this package reads since ended their connection without an answer on any error, also on a malformed chunk, which was answered before.

Change: only a body whose rest has not arrived ends so.

Evidence: TestMalformedChunkIsAnswered.

--- a/internal/httpserve/body.go
+++ b/internal/httpserve/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 
 	"github.com/valyala/fasthttp"
 )
@@ -117,11 +118,14 @@
 		ctx.Error("the body is too large", fasthttp.StatusRequestEntityTooLarge)
 	case errors.Is(err, ErrHeadersTooLarge):
 		ctx.Error("the headers are too large", fasthttp.StatusRequestHeaderFieldsTooLarge)
-	default:
+	case errors.Is(err, net.ErrClosed), errors.Is(err, io.ErrUnexpectedEOF):
 		// The rest of the request has not arrived. An answer could be taken for that
 		// to the next one.
 		mute(ctx.Conn())
 		ctx.SetConnectionClose()
+	default:
+		ctx.Error("the body can't be read", fasthttp.StatusBadRequest)
+		ctx.SetConnectionClose()
 	}
 }
 
--- a/internal/httpserve/gate_test.go
+++ b/internal/httpserve/gate_test.go
@@ -187,6 +187,23 @@
 	}
 }
 
+// A body that can't be read is answered; one that ends with its connection is not.
+func TestMalformedChunkIsAnswered(t *testing.T) {
+	s := newGatedServer(t, Limits{}, func(*fasthttp.RequestCtx) {})
+	const head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	c := dial(t, s)
+	require.NoError(t, c.send(head+"nonsense\r\n"))
+	resp, err := c.receive()
+	require.NoError(t, err)
+	require.Equal(t, fasthttp.StatusBadRequest, resp.StatusCode)
+	c = dial(t, s)
+	require.NoError(t, c.send(head+"9\r\nhi"))
+	require.NoError(t, c.Conn.(*net.TCPConn).CloseWrite())
+	text, err := io.ReadAll(c)
+	require.NoError(t, err)
+	require.Empty(t, text)
+}
+
 // The limits of a request may change while the server runs.
 func TestRequestLimits(t *testing.T) {
 	const headers, body = 1000, 20_000
