--- a/cmd/fireflytray-agent/main.go
+++ b/cmd/fireflytray-agent/main.go
@@ -66,7 +66,7 @@
 		Config:   lease.Config{Lease: s.Lease},
 		Serve: func(ctx context.Context, to *agentd.LeasedRunner) error {
 			return platform.ServeUpstreams(ctx, s.Heartbeats, to, rt.Logs.For(logging.PartAgent),
-				httpserve.WithGate(httpserve.NewGate("heartbeats", httpserve.Limits{}, rt.Metrics.Scope(), rt.Logs.For(logging.PartAgent))))
+				httpserve.WithGate(rt.Gate(logging.PartAgent, "heartbeats", httpserve.Limits{})))
 		},
 	}
 }
--- a/cmd/fireflytray-control/main.go
+++ b/cmd/fireflytray-control/main.go
@@ -81,7 +81,7 @@
 
 // operatorsGate bounds what the interface for the platform's operators holds.
 func operatorsGate(rt daemon.Runtime) httpserve.Option {
-	return httpserve.WithGate(httpserve.NewGate("operators", httpserve.Limits{}, rt.Metrics.Scope(), rt.Logs.For(logging.PartControl)))
+	return httpserve.WithGate(rt.Gate(logging.PartControl, "operators", httpserve.Limits{}))
 }
 
 func membershipConfig(s *settings.Control) *membership.Config {
--- a/cmd/fireflytray-entry/main.go
+++ b/cmd/fireflytray-entry/main.go
@@ -40,8 +40,7 @@
 		return err
 	}
 	rt.SetMemoryTarget(logging.PartEntry, s.MemoryTarget)
-	gate := httpserve.NewGate("clients", httpserve.Limits{Connections: int(s.MaxConnections), BodyBytes: s.MaxReading},
-		rt.Metrics.Scope(), rt.Logs.For(logging.PartEntry))
+	gate := rt.Gate(logging.PartEntry, "clients", httpserve.Limits{Connections: int(s.MaxConnections), BodyBytes: s.MaxReading})
 	return node.RunEntry(ctx, node.EntryOptions{
 		Common:    common(rt, s),
 		Callers:   s.Callers,
@@ -79,17 +78,13 @@
 	}
 	if s.Readiness != "" {
 		list = append(list, func(ctx context.Context, d *entryd.Daemon) error {
-			return platform.ServeReadiness(ctx, s.Readiness, d, logger, gateOf(rt, "readiness"))
+			return platform.ServeReadiness(ctx, s.Readiness, d, logger,
+				httpserve.WithGate(rt.Gate(logging.PartEntry, "readiness", httpserve.Limits{})))
 		})
 	}
 	return list
 }
 
-// gateOf returns the option for a server with a gate of its own.
-func gateOf(rt daemon.Runtime, name string) httpserve.Option {
-	return httpserve.WithGate(httpserve.NewGate(name, httpserve.Limits{}, rt.Metrics.Scope(), rt.Logs.For(logging.PartEntry)))
-}
-
 // controls returns the peer addresses of the control hosts that the settings name.
 func controls(s *settings.Entry) []string { return settings.ReplacePort(s.Control, s.PeerPort) }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/fireflytray/fireflytray/internal/httpserve"
 	"github.com/fireflytray/fireflytray/keys"
 	"github.com/fireflytray/fireflytray/logging"
 	"github.com/fireflytray/fireflytray/metrics"
@@ -57,6 +58,11 @@
 	rt.Logs.For(part).Info("memory target set", "bytes", bytes)
 }
 
+// Gate returns a gate that reports to the metrics of the process and the log of a part.
+func (rt Runtime) Gate(part logging.Part, name string, limits httpserve.Limits) *httpserve.Gate {
+	return httpserve.NewGate(name, limits, rt.Metrics.Scope(), rt.Logs.For(part))
+}
+
 // Program describes one daemon.
 type Program[S any] struct {
 	// Name is the name of the executable.
