httpserve: a client whose body is too large can read the answer

What callers saw: a client of the platform that sends a body over the manifest's limit got a reset in place of 413, if it was still sending.

Cause: the connection was closed with unread bytes, which resets it. The callers' interface had a way to answer such requests, the platform's had not.

Change: that function moves from httpapi to httpserve and serves every listener; its writes have a time-out as well.

--- a/httpapi/server.go
+++ b/httpapi/server.go
@@ -215,7 +215,7 @@
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		tooLarge(fmt.Sprintf("the body is larger than %d bytes", s.cfg.MaxBody)).write(ctx)
-		respondWithUnreadBody(ctx)
+		httpserve.AnswerUnreadBody(ctx)
 	case errors.Is(err, httpserve.ErrNoRoom):
 		p := newProblem(task.NotRun, task.ReasonOverload, "the entry has no room for the body of the request")
 		p.RetryAfterMS = noRoomRetryAfter.Milliseconds()
--- a/internal/httpserve/body.go
+++ b/internal/httpserve/body.go
@@ -1,10 +1,12 @@
 package httpserve
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -16,6 +18,13 @@
 // ErrHeadersTooLarge is the error for a request whose headers exceed RequestLimits.
 var ErrHeadersTooLarge = errors.New("httpserve: the headers are too large")
 
+// maxUnreadBytes and maxUnreadTime bound how much of an oversized body is read and discarded
+// so that its sender can read the answer.
+const (
+	maxUnreadBytes = 64 << 20
+	maxUnreadTime  = 2 * time.Second
+)
+
 // bodyGrowth is the factor by which the buffer of a body of unknown size grows.
 const bodyGrowth = 4
 
@@ -116,6 +125,7 @@
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		ctx.Error("the body is too large", fasthttp.StatusRequestEntityTooLarge)
+		AnswerUnreadBody(ctx)
 	case errors.Is(err, ErrHeadersTooLarge):
 		ctx.Error("the headers are too large", fasthttp.StatusRequestHeaderFieldsTooLarge)
 	case errors.Is(err, net.ErrClosed), errors.Is(err, io.ErrUnexpectedEOF):
@@ -129,6 +139,30 @@
 	}
 }
 
+// AnswerUnreadBody writes the answer to a request whose body has not been read, closes the
+// write side, and discards input within limits. Closing a connection with unread input
+// resets it, and the caller would lose the answer. The HTTP library's own later write fails
+// because the write side is closed.
+func AnswerUnreadBody(ctx *fasthttp.RequestCtx) {
+	conn, ok := ctx.Conn().(interface {
+		net.Conn
+		CloseWrite() error
+	})
+	if !ok {
+		return
+	}
+	ctx.SetConnectionClose()
+	if conn.SetDeadline(time.Now().Add(maxUnreadTime)) != nil {
+		return
+	}
+	out := bufio.NewWriter(conn)
+	if ctx.Response.Write(out) != nil || out.Flush() != nil || conn.CloseWrite() != nil {
+		return
+	}
+	// The result is ignored: the connection is closed in any case.
+	_, _ = io.CopyN(io.Discard, conn, maxUnreadBytes)
+}
+
 // releaseBody releases what readBody reserved.
 func (s *Server) releaseBody(ctx *fasthttp.RequestCtx, reserved int) {
 	if reserved <= smallBodyBytes {
