--- a/review/stage3/fleet.go
+++ b/review/stage3/fleet.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,6 +21,9 @@
 	portExecutor  = 8080
 )
 
+// The second octets of the loopback addresses.
+const firstSlot, slots = 64, 150
+
 // machine is one host with a loopback address of its own.
 type machine struct {
 	name, zone, ip string
@@ -66,6 +71,19 @@
 	return f
 }
 
+// freeSlot returns the second octet of loopback addresses at which nothing listens.
+func freeSlot() (int, error) {
+	first := os.Getpid() % slots
+	for n := range slots {
+		slot := firstSlot + (first+n)%slots
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.1.1:%d", slot, portClients))
+		if err == nil {
+			return slot, ln.Close()
+		}
+	}
+	return 0, errors.New("no free loopback addresses")
+}
+
 // start starts all processes, with the settings that deploy/ gives them.
 func (f *fleet) start() error {
 	for i, m := range f.fronts {
--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -22,9 +22,9 @@
 	exitNotRun = 2
 )
 
-func main() { os.Exit(run1()) }
+func main() { os.Exit(playCase()) }
 
-func run1() int {
+func playCase() int {
 	name := flag.String("case", "", "name of the case")
 	out := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	root := flag.String("root", ".", "root of the repository")
@@ -55,9 +55,14 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
+	slot, err := freeSlot()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "stage3:", err)
+		return exitNotRun
+	}
 	s := &stage{
 		record: rec, trouble: os.Getenv("TROUBLE") != "0",
-		fleet: newFleet(abs, dir, 64+os.Getpid()%150, 5, 6, rec),
+		fleet: newFleet(abs, dir, slot, 5, 6, rec),
 		rng:   rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 7)),
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 115*time.Second)
