--- a/review/stage3/cases.go
+++ b/review/stage3/cases.go
@@ -12,9 +12,15 @@
 var cases = map[string]func(context.Context, *stage){
 	"core-killed":  coreKilled,
 	"frozen-agent": frozenAgent,
+	"first-start":  firstStart,
+	"capitals":     capitals,
+	"damaged-byte": damagedByte,
 }
 
-// playTime is how long each case is played after it has been set up.
+// bare names the cases that start the processes themselves.
+var bare = map[string]bool{"first-start": true}
+
+// playTime is how long a case is played after it has been set up.
 const playTime = 70 * time.Second
 
 // short returns a job that is done long before its client's time is over.
@@ -30,11 +36,11 @@
 // coreKilled kills the processes of all core machines at the same moment, which are back
 // within a second, and freezes one machine of an executor soon after.
 func coreKilled(ctx context.Context, s *stage) {
-	playing, stop := context.WithTimeout(ctx, playTime)
+	playing, stop := context.WithTimeout(ctx, 90*time.Second)
 	defer stop()
 	s.traffic(playing, 10, 3, short)
 	s.traffic(playing, 6, 3, func(rng *rand.Rand) *job { return long(rng, 3500*time.Millisecond) })
-	for n := 0; wait(playing, 3500*time.Millisecond); n++ {
+	for n := 0; wait(playing, 2200*time.Millisecond); n++ {
 		if !s.trouble {
 			continue
 		}
@@ -42,7 +48,7 @@
 		time.Sleep(600 * time.Millisecond)
 		s.fleet.freeze(s.fleet.of(s.fleet.sides[n%len(s.fleet.sides)], "agent"), 900*time.Millisecond)
 		back.Wait()
-		wait(playing, 2*time.Second)
+		wait(playing, 1600*time.Millisecond)
 	}
 }
 
@@ -54,7 +60,7 @@
 		if s.fleet.of(p.machine, "control") == nil {
 			continue
 		}
-		down := 200*time.Millisecond + time.Duration(s.rng.Int64N(int64(400*time.Millisecond)))
+		down := 400*time.Millisecond + time.Duration(s.rng.Int64N(int64(400*time.Millisecond)))
 		s.record.note("%s of %s is killed, down for %s", p.role, p.machine.name, down.Round(time.Millisecond))
 		p.signal(syscall.SIGKILL)
 		back.Go(func() {
--- a/review/stage3/client.go
+++ b/review/stage3/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -21,8 +22,8 @@
 	headerLimit = "X-Fireflytray-Deadline-Ms"
 )
 
-// manifest returns a manifest with one queue.
-func manifest(version int) []byte {
+// manifest returns a manifest with one queue at a host.
+func manifest(version int, host string) []byte {
 	body, err := json.Marshal(map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{
@@ -39,11 +40,11 @@
 }
 
 // publish sends a manifest until a control host acknowledges it.
-func (f *fleet) publish(ctx context.Context, version int) error {
+func (f *fleet) publish(ctx context.Context, version int, body []byte) error {
 	client := &http.Client{Timeout: time.Second}
 	for i := 0; ctx.Err() == nil; i++ {
 		m := f.fronts[i%3]
-		if put(ctx, client, "http://"+m.at(portOperators)+"/config", manifest(version)) {
+		if put(ctx, client, "http://"+m.at(portOperators)+"/config", body) {
 			f.record.note("manifest %d acknowledged by %s", version, m.name)
 			return nil
 		}
@@ -52,6 +53,24 @@
 	return fmt.Errorf("manifest %d was not acknowledged", version)
 }
 
+// readManifest reads the manifest at a control host.
+func (f *fleet) readManifest(m *machine) (status int, text []byte) {
+	client := &http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + m.at(portOperators) + "/config")
+	if err != nil {
+		f.record.note("GET /config at %s: %v", m.name, err)
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	text, err = io.ReadAll(resp.Body)
+	if err != nil {
+		f.record.note("GET /config at %s: %v", m.name, err)
+		return 0, nil
+	}
+	f.record.note("GET /config at %s: %d %q", m.name, resp.StatusCode, text)
+	return resp.StatusCode, text
+}
+
 // job is a job of a client.
 type job struct {
 	id       string
@@ -60,6 +79,7 @@
 	takes    time.Duration
 	estimate time.Duration
 	budget   time.Duration // how long the client waits for an answer
+	host     string        // host of the queue, empty for the usual one
 }
 
 func newJobID(rng *rand.Rand) string { return fmt.Sprintf("%016x", rng.Uint64()) }
@@ -89,7 +109,7 @@
 		f.record.note("client can't send %s: %v", j.id, err)
 		return 0
 	}
-	req.Host = host
+	req.Host = cmp.Or(j.host, host)
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(headerLimit, strconv.FormatInt(j.budget.Milliseconds(), 10))
 	f.record.note("client sends %s to %s", j.id, m.name)
--- a/review/stage3/fleet.go
+++ b/review/stage3/fleet.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -110,7 +111,7 @@
 	if err != nil {
 		return err
 	}
-	if err := os.WriteFile(p.settings, []byte(f.render(string(template), m)), 0o600); err != nil {
+	if err := p.writeSettings(f.render(string(template), m, true)); err != nil {
 		return err
 	}
 	if p.log, err = os.Create(filepath.Join(f.dir, m.name+"-"+role+".log")); err != nil {
@@ -120,8 +121,13 @@
 	return f.launch(p)
 }
 
-// render fills in a template of deploy/ for the first start.
-func (f *fleet) render(text string, m *machine) string {
+func (p *process) writeSettings(text string) error {
+	return os.WriteFile(p.settings, []byte(text), 0o600)
+}
+
+// render fills in a template of deploy/. bootstrap is true when the whole system starts for
+// the first time.
+func (f *fleet) render(text string, m *machine, bootstrap bool) string {
 	control := m.at(portOperators)
 	return strings.NewReplacer(
 		"{{node}}", m.name, "{{zone}}", m.zone, "{{region}}", "region", "{{ip}}", m.ip,
@@ -129,7 +135,7 @@
 		"{{listen.front}}", m.at(portClients), "{{listen.ready}}", m.at(portReady),
 		"{{bounds.holdMaxMs}}", "1000", "{{dataDir}}", filepath.Join(f.dir, "data-"+m.name),
 		"{{faultTolerance.machines}}", "1",
-		"{{#bootstrap}}false{{/bootstrap}}{{^bootstrap}}true{{/bootstrap}}", "false",
+		"{{#bootstrap}}false{{/bootstrap}}{{^bootstrap}}true{{/bootstrap}}", strconv.FormatBool(!bootstrap),
 	).Replace(text)
 }
 
--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -43,7 +43,7 @@
 			fmt.Fprintln(os.Stderr, err)
 			return exitNotRun
 		}
-		defer os.RemoveAll(tmp)
+		defer func() { _ = os.RemoveAll(tmp) }()
 		dir = tmp
 	}
 	abs, err := filepath.Abs(*root)
@@ -68,7 +68,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 115*time.Second)
 	defer cancel()
-	if err := s.setUp(ctx); err != nil {
+	setUp := s.setUp
+	if bare[*name] {
+		setUp = func(context.Context) error { return nil }
+	}
+	if err := setUp(ctx); err != nil {
 		s.fleet.stop()
 		rec.note("the case can't run: %v", err)
 		fmt.Fprintln(os.Stderr, "stage3:", err)
@@ -78,6 +82,10 @@
 	s.clients.Wait()
 	cancel()
 	s.fleet.stop()
+	if s.failure != nil {
+		fmt.Fprintln(os.Stderr, "stage3:", s.failure)
+		return exitNotRun
+	}
 	rec.note("%d starts, rule broken %d times", rec.starts, rec.violations())
 	fmt.Printf("%d starts, rule broken %d times\n", rec.starts, rec.violations())
 	if rec.violations() > 0 {
@@ -92,6 +100,8 @@
 	executors []*executor
 	record    *record
 	rng       *rand.Rand
+	// failure is set if the case could not be played.
+	failure error
 	// trouble is false if the case is played without its disruption.
 	trouble bool
 	clients sync.WaitGroup
@@ -113,7 +123,7 @@
 	}
 	setUpCtx, cancel := context.WithTimeout(ctx, 20*time.Second)
 	defer cancel()
-	if err := s.fleet.publish(setUpCtx, 1); err != nil {
+	if err := s.fleet.publish(setUpCtx, 1, manifest(1, host)); err != nil {
 		return err
 	}
 	for _, m := range s.fleet.fronts {
--- a/review/stage3/record.go
+++ b/review/stage3/record.go
@@ -45,7 +45,13 @@
 	r.line(format, args...)
 }
 
-// violationLocked records that the rule is broken. The lock is held.
+// violation records that the rule is broken.
+func (r *record) violation(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.violationLocked(format, args...)
+}
+
 func (r *record) violationLocked(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
 	r.broken = append(r.broken, text)
