httpserve: ticks that the kernel counts late don't shorten the time that a request waited

A job starts that much after its deadline.

Cause: TCP_INFO counts the time since the last bytes in ticks, and UnreadTime added one tick, as if ticks came on time. On a busy or virtual machine a tick comes late, and the count is short by as much.

Ruled out: rounding to milliseconds, as a tick here is 4 ms; the other end of the interval, as a late tick at the arrival only makes the time longer.

Change: the lag of the coarse clock, read around TCP_INFO, is added to the tick. Times are up to some milliseconds longer than before; none can be short.

Evidence: TestLateTicksAreCounted plays late ticks with clocks of its own; it fails without the lag.

--- a/internal/httpserve/unreadtime_test.go
+++ b/internal/httpserve/unreadtime_test.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 )
 
 // The kernel counts the time since the last bytes arrived in its ticks. A job started up to
@@ -42,3 +43,22 @@
 	require.NoError(t, s.Shutdown(t.Context()))
 	require.NoError(t, <-served)
 }
+
+// A tick of the kernel that came late was not counted. A job started that much after its
+// deadline.
+func TestLateTicksAreCounted(t *testing.T) {
+	ticked, now := time.Hour, time.Hour
+	gettime := func(clock int32, at *unix.Timespec) error {
+		*at = unix.NsecToTimespec(now.Nanoseconds())
+		if clock == unix.CLOCK_MONOTONIC_COARSE {
+			*at = unix.NsecToTimespec(ticked.Nanoseconds())
+		}
+		return nil
+	}
+	now += 7 * time.Millisecond
+	require.Equal(t, 7*time.Millisecond, tickLag(gettime, func() {}), "late before the read")
+	lag := tickLag(gettime, func() { now, ticked = now+time.Millisecond, now+time.Millisecond })
+	require.Equal(t, 8*time.Millisecond, lag, "tick between the read and its clocks")
+	failing := func(int32, *unix.Timespec) error { return unix.EINVAL }
+	require.Equal(t, kernelTick(), tickLag(failing, func() {}), "no clock")
+}
--- a/internal/httpserve/watch.go
+++ b/internal/httpserve/watch.go
@@ -44,19 +44,35 @@
 })
 
 // UnreadTime returns how long ago the last bytes arrived from the peer of a
-// connection that a Server accepted, up to a tick of the kernel too long and never too
-// short. For a handler, bytes that follow its request count too. It returns zero if the
-// time is unknown.
+// connection that a Server accepted, never too short, and too long by up to a tick of the
+// kernel and the time since the last one. For a handler, bytes that follow its request count
+// too. It returns zero if the time is unknown.
 func UnreadTime(c net.Conn) time.Duration {
 	var info *unix.TCPInfo
 	var infoErr error
+	var lag time.Duration
 	ok, err := control(c, func(fd int32) {
-		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		lag = tickLag(unix.ClockGettime, func() {
+			info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		})
 	})
 	if !ok || err != nil || infoErr != nil {
 		return 0
 	}
-	return time.Duration(info.Last_data_recv)*time.Millisecond + kernelTick()
+	return time.Duration(info.Last_data_recv)*time.Millisecond + kernelTick() + lag
+}
+
+// tickLag calls read and returns how far the kernel's coarse clock, which only its ticks
+// move, was behind when read was called. On a busy or virtual machine ticks come late, and
+// times counted in ticks are short by as much. It returns a tick if a clock can't be read.
+func tickLag(gettime func(clock int32, at *unix.Timespec) error, read func()) time.Duration {
+	var ticked, now unix.Timespec
+	tickedErr := gettime(unix.CLOCK_MONOTONIC_COARSE, &ticked)
+	read()
+	if err := gettime(unix.CLOCK_MONOTONIC, &now); err != nil || tickedErr != nil {
+		return kernelTick()
+	}
+	return max(0, time.Duration(now.Nano()-ticked.Nano()))
 }
 
 // control calls f with the descriptor of a connection that a Server accepted. It
