--- a/adminapi/client.go
+++ b/adminapi/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/fireflytray/fireflytray/internal/strictjson"
 	"github.com/fireflytray/fireflytray/keys"
 	"github.com/fireflytray/fireflytray/wire"
 )
@@ -130,7 +131,7 @@
 func decode(resp *fasthttp.Response, out any) error {
 	if resp.StatusCode() >= fasthttp.StatusBadRequest && string(resp.Header.ContentType()) == ProblemType {
 		p := new(Problem)
-		if err := json.Unmarshal(resp.Body(), p); err != nil {
+		if err := strictjson.Unmarshal(resp.Body(), p); err != nil {
 			return fmt.Errorf("decode problem: %w", err)
 		}
 		return p
@@ -139,7 +140,7 @@
 		*raw = append([]byte(nil), resp.Body()...)
 		return nil
 	}
-	if err := json.Unmarshal(resp.Body(), out); err != nil {
+	if err := strictjson.Unmarshal(resp.Body(), out); err != nil {
 		return fmt.Errorf("decode answer %d: %w", resp.StatusCode(), err)
 	}
 	return nil
--- a/agentd/announce.go
+++ b/agentd/announce.go
@@ -1,17 +1,15 @@
 package agentd
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/netip"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/fireflytray/fireflytray/agent"
+	"github.com/fireflytray/fireflytray/internal/strictjson"
 	"github.com/fireflytray/fireflytray/task"
 	"github.com/fireflytray/fireflytray/upstream"
 )
@@ -85,7 +83,7 @@
 
 func decodeAnnouncement(body []byte) (agent.Upstream, error) {
 	var a upstream.Announcement
-	if err := decodeJSON(body, &a); err != nil {
+	if err := strictjson.UnmarshalKnown(body, &a); err != nil {
 		return agent.Upstream{}, fmt.Errorf("agent: announcement: %w", err)
 	}
 	lease := time.Duration(a.LeaseMS) * time.Millisecond
@@ -127,7 +125,7 @@
 
 func decodeLeave(body []byte) (agent.Event, error) {
 	var l upstream.Departure
-	if err := decodeJSON(body, &l); err != nil {
+	if err := strictjson.UnmarshalKnown(body, &l); err != nil {
 		return nil, fmt.Errorf("agent: leave: %w", err)
 	}
 	if l.Instance == "" {
@@ -138,7 +136,7 @@
 
 func decodeUsage(body []byte) (agent.Event, error) {
 	var u usage
-	if err := decodeJSON(body, &u); err != nil {
+	if err := strictjson.UnmarshalKnown(body, &u); err != nil {
 		return nil, fmt.Errorf("agent: usage: %w", err)
 	}
 	age := time.Duration(u.AgeMS) * time.Millisecond
@@ -147,16 +145,3 @@
 	}
 	return agent.Usage{InUse: resources(u.InUse), Age: age}, nil
 }
-
-// decodeJSON decodes exactly one JSON value and rejects unknown fields.
-func decodeJSON(body []byte, dst any) error {
-	dec := json.NewDecoder(bytes.NewReader(body))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(dst); err != nil {
-		return err
-	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("more than one JSON value")
-	}
-	return nil
-}
--- a/agentd/announce_test.go
+++ b/agentd/announce_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -51,6 +52,17 @@
 	require.Equal(t, 3*time.Second, up.Lease)
 }
 
+// An announcement that package json repairs announced another upstream.
+func TestAnnouncementThatWouldBeRepairedIsRefused(t *testing.T) {
+	const text = `{"instance":"i-1","service":"s","address":"127.0.0.1:1","slots":8,"connections":8,"lease_ms":1000}`
+	_, err := decodeAnnouncement([]byte(text))
+	require.NoError(t, err)
+	for _, instance := range []string{"i-\xff", `i-\ud83d`, `i-2","instance":"i-1`, `i-1","Instance":"i-2`} {
+		_, err := decodeAnnouncement([]byte(strings.Replace(text, "i-1", instance, 1)))
+		require.Error(t, err, instance)
+	}
+}
+
 // FuzzDecode checks that every event decoded from an arbitrary body is within the
 // limits.
 func FuzzDecode(f *testing.F) {
--- a/command/caller.go
+++ b/command/caller.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"encoding/json"
 	"fmt"
 	"math"
 	"time"
@@ -9,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fireflytray/fireflytray/httpapi"
+	"github.com/fireflytray/fireflytray/internal/strictjson"
 	"github.com/fireflytray/fireflytray/task"
 )
 
@@ -36,7 +36,7 @@
 		return nil
 	}
 	var p httpapi.Problem
-	if err := json.Unmarshal(resp.Body(), &p); err != nil || p.State == "" {
+	if err := strictjson.Unmarshal(resp.Body(), &p); err != nil || p.State == "" {
 		return Exit(ExitUnavailable, "call %s: status %d without problem details", req.URI(), resp.StatusCode())
 	}
 	return problemError(&p)
--- a/command/cancel.go
+++ b/command/cancel.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fireflytray/fireflytray/httpapi"
+	"github.com/fireflytray/fireflytray/internal/strictjson"
 )
 
 var _ = register("cancel", "Cancel jobs",
@@ -36,7 +37,7 @@
 		return err
 	}
 	var answer httpapi.CancelAnswer
-	if err := json.Unmarshal(resp.Body(), &answer); err != nil {
+	if err := strictjson.Unmarshal(resp.Body(), &answer); err != nil {
 		return Exit(ExitUnknown, "cancel: decode answer of %s: %w", c.Entry, err)
 	}
 	if err := c.env.Print(answer, func() Table { return cancelTable(answer) }); err != nil {
--- a/command/entries.go
+++ b/command/entries.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"encoding/json"
 	"fmt"
 	"strconv"
 	"time"
@@ -9,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fireflytray/fireflytray/httpapi"
+	"github.com/fireflytray/fireflytray/internal/strictjson"
 )
 
 var _ = register("entries", "Show the state of entries",
@@ -62,7 +62,7 @@
 		return nil, err
 	}
 	var s httpapi.Status
-	if err := json.Unmarshal(resp.Body(), &s); err != nil {
+	if err := strictjson.Unmarshal(resp.Body(), &s); err != nil {
 		return nil, fmt.Errorf("decode status of %s: %w", url, err)
 	}
 	return &s, nil
--- a/controld/admin.go
+++ b/controld/admin.go
@@ -15,6 +15,7 @@
 	"github.com/fireflytray/fireflytray/control"
 	"github.com/fireflytray/fireflytray/fleet"
 	"github.com/fireflytray/fireflytray/internal/httpserve"
+	"github.com/fireflytray/fireflytray/internal/strictjson"
 	"github.com/fireflytray/fireflytray/wire"
 )
 
@@ -154,7 +155,7 @@
 
 // decode decodes the JSON body of the request into v.
 func (c *adminCall) decode(v any) error {
-	if err := json.Unmarshal(c.PostBody(), v); err != nil {
+	if err := strictjson.Unmarshal(c.PostBody(), v); err != nil {
 		return badRequest(fmt.Errorf("decode request: %w", err))
 	}
 	return nil
--- a/httpapi/job.go
+++ b/httpapi/job.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/fireflytray/fireflytray/internal/httpserve"
+	"github.com/fireflytray/fireflytray/internal/strictjson"
 	"github.com/fireflytray/fireflytray/task"
 )
 
@@ -202,6 +203,10 @@
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
 		return newBodyError(body, dec.InputOffset(), errors.New("want the end of the body"))
 	}
+	var refused *strictjson.Error
+	if errors.As(strictjson.Check(body, into), &refused) {
+		return newBodyError(body, int64(refused.Offset), errors.New(refused.Reason))
+	}
 	return nil
 }
 
