--- a/control/publish_test.go
+++ b/control/publish_test.go
@@ -1,8 +1,10 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/fireflytray/fireflytray/wire"
@@ -86,3 +88,32 @@
 		require.NoError(t, err)
 	}
 }
+
+// Replicas of several builds apply one log, so a document of any host gets the reply and
+// leaves the state that it got and left at c595fa4, which knew no rule for hosts.
+func TestPublishedHostsAreAppliedAsByEarlierBuilds(t *testing.T) {
+	route := func(name, host, prefix string) wire.ConfigSection {
+		return wire.ConfigSection{Name: "route " + name, Keys: []wire.ConfigPair{
+			{Key: "host", Value: host}, {Key: "prefix", Value: prefix}, {Key: "service", Value: "s"}, {Key: "timeout", Value: "1s"},
+		}}
+	}
+	m := NewMachine(nil)
+	for i, want := range []struct {
+		routes []wire.ConfigSection
+		reply  string
+		state  uint64
+	}{
+		{[]wire.ConfigSection{route("a", "A.example", "/x/")}, "{Accepted:true Detail: Newest:1 Index:1}", 0xeee545ea28bd08f7},
+		{[]wire.ConfigSection{route("a", "A.example", "/x/"), route("b", "a.example", "/x/")}, "{Accepted:true Detail: Newest:2 Index:2}", 0xa99e264f5f388b01},
+		{[]wire.ConfigSection{route("a", "a@b", "/x/"), route("b", "a b", "/x//../y/")}, "{Accepted:true Detail: Newest:3 Index:3}", 0x3aa3b6705f6f1c11},
+		{[]wire.ConfigSection{route("a", "A.example", "/x/"), route("b", "A.example", "/x/")}, "{Accepted:false Detail:base: [route b] prefix: route a has the same host and prefix; valid: each host and prefix once Newest:3 Index:3}", 0xae0b9f58d7b95fa4},
+		{[]wire.ConfigSection{route("a", "\xff", "/x/")}, "{Accepted:true Detail: Newest:5 Index:5}", 0x4bb45160c47c9f36},
+	} {
+		p := &Publish{Version: uint64(i + 1), Source: []byte("source"), Sections: append([]wire.ConfigSection{{Name: "service s"}}, want.routes...)}
+		reply := applyPublish(t, m, uint64(i+1), p)
+		snapshot, err := m.Snapshot()
+		require.NoError(t, err)
+		require.Equal(t, want.reply, fmt.Sprintf("%+v", *reply), "document %d", i)
+		require.Equal(t, want.state, xxhash.Sum64(snapshot), "document %d", i)
+	}
+}
--- a/controld/publish.go
+++ b/controld/publish.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/fireflytray/fireflytray/control"
+	"github.com/fireflytray/fireflytray/fleet"
+	"github.com/fireflytray/fireflytray/internal/httpserve"
 	"github.com/fireflytray/fireflytray/wire"
 )
 
@@ -21,6 +23,12 @@
 		h.log.Warn("document refused", "version", version, "by", addr, "err", err)
 		return "", fmt.Errorf("controld: publish version %d: %w", version, err)
 	}
+	var unreachable error
+	httpserve.Decode(source, func() { unreachable = fleet.CheckRequests(sections) })
+	if unreachable != nil {
+		h.log.Warn("document refused", "version", version, "by", addr, "err", unreachable)
+		return unreachable.Error(), nil
+	}
 	cmd := &control.Command{Publish: &control.Publish{
 		Version: version, By: control.Operator{Name: PlatformOperator, Addr: addr}, Sections: sections, Source: source,
 	}}
--- a/controld/publish_test.go
+++ b/controld/publish_test.go
@@ -91,3 +91,28 @@
 	require.NoError(t, err)
 	require.Empty(t, refused)
 }
+
+// Such documents are refused where they arrive, and nothing of them is in the log: replicas
+// of earlier builds accept them.
+func TestDocumentWithUnreachableRoutesIsNotProposed(t *testing.T) {
+	c := startCluster(t, 1)
+	host := c.hosts[c.leader()]
+	publish := func(version uint64, hosts ...string) string {
+		t.Helper()
+		sections := []wire.ConfigSection{{Name: "service s"}}
+		for i, name := range hosts {
+			sections = append(sections, wire.ConfigSection{Name: fmt.Sprintf("route r%d", i), Keys: []wire.ConfigPair{
+				{Key: "host", Value: name}, {Key: "prefix", Value: "/p/"}, {Key: "service", Value: "s"}, {Key: "timeout", Value: "1s"},
+			}})
+		}
+		refused, err := host.Publish(t.Context(), "op", version, sections, []byte("source"))
+		require.NoError(t, err)
+		return refused
+	}
+	require.Contains(t, publish(1, "a.example", "A.example"), "hosts have no case")
+	require.Contains(t, publish(1, "a@b"), "is not a host")
+	require.Zero(t, host.machine.Published().Version)
+	require.Empty(t, host.machine.Audit(control.AuditFilter{}))
+	require.Empty(t, publish(1, "A.example", "b.example"))
+	require.Equal(t, uint64(1), host.machine.Published().Version)
+}
--- a/fleet/document.go
+++ b/fleet/document.go
@@ -135,11 +135,7 @@
 			conf.applySection(s, routes)
 		}
 	}
-	conf.Routes = &Routes{byHost: map[string][]*Route{}}
-	for _, name := range sortedKeys(routes) {
-		conf.Routes.add(routes[name])
-	}
-	conf.Routes.sort()
+	conf.Routes = newRoutes(routes)
 	return conf
 }
 
--- a/fleet/parse.go
+++ b/fleet/parse.go
@@ -75,7 +75,15 @@
 	for _, src := range sources {
 		c.parse(src)
 	}
-	return c.finish()
+	doc, err := c.finish()
+	if err != nil {
+		return nil, err
+	}
+	c.checkReachable(doc)
+	if len(c.problems) > 0 {
+		return nil, &CheckError{c.problems}
+	}
+	return doc, nil
 }
 
 // FromSections validates sections that were not read from files and returns
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -37,31 +37,59 @@
 
 // Routes finds the route of a request.
 type Routes struct {
-	// byHost holds the routes of each host, longest prefix first.
+	// byHost holds the routes of each host as it is written, longest prefix first.
 	byHost map[string][]*Route
+	// byName holds the routes of each host in its comparable form, in the order in which
+	// Find takes them.
+	byName map[string][]*Route
 }
 
-// add stores a route. After the last add, sort must be called before Find.
-func (r *Routes) add(route Route) {
-	r.byHost[route.Host] = append(r.byHost[route.Host], &route)
-}
-
-// sort orders the routes of each host by prefix, longest first.
-func (r *Routes) sort() {
+// newRoutes returns the table of some routes.
+func newRoutes(routes map[string]Route) *Routes {
+	r := &Routes{byHost: map[string][]*Route{}, byName: map[string][]*Route{}}
+	for _, name := range sortedKeys(routes) {
+		route := routes[name]
+		host := comparableHost(route.Host)
+		r.byHost[route.Host] = append(r.byHost[route.Host], &route)
+		r.byName[host] = append(r.byName[host], &route)
+	}
 	for _, routes := range r.byHost {
 		slices.SortFunc(routes, func(a, b *Route) int {
 			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), strings.Compare(a.Prefix, b.Prefix))
 		})
 	}
+	for _, routes := range r.byName {
+		slices.SortFunc(routes, compareForFind)
+	}
+	return r
+}
+
+// compareForFind orders routes of one host. Of routes that differ by the case of their host
+// only, which earlier builds have accepted, the one that these served comes first.
+func compareForFind(a, b *Route) int {
+	return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), strings.Compare(a.Prefix, b.Prefix),
+		strings.Compare(b.Host, a.Host), strings.Compare(a.Name, b.Name))
 }
 
 // Find returns the route of a request and the part of its path after the prefix,
-// or nil if no route matches.
+// or nil if no route matches. A host has no case. If no route names it with its port, those
+// that name it without one apply.
 func (r *Routes) Find(host, path string) (route *Route, rest string) {
 	if r == nil {
 		return nil, ""
 	}
-	for _, route := range r.byHost[host] {
+	host = comparableHost(host)
+	if route, rest := find(r.byName[host], path); route != nil {
+		return route, rest
+	}
+	if name, ok := withoutPort(host); ok {
+		return find(r.byName[name], path)
+	}
+	return nil, ""
+}
+
+func find(routes []*Route, path string) (route *Route, rest string) {
+	for _, route := range routes {
 		if rest, ok := strings.CutPrefix(path, route.Prefix); ok {
 			return route, rest
 		}
@@ -69,6 +97,17 @@
 	return nil, ""
 }
 
+// list returns all routes, ordered by host, prefix and name.
+func (r *Routes) list() []Route {
+	var out []Route
+	for _, name := range sortedKeys(r.byName) {
+		for _, route := range r.byName[name] {
+			out = append(out, *route)
+		}
+	}
+	return out
+}
+
 // Len returns the number of routes.
 func (r *Routes) Len() int {
 	n := 0
