fleet: prefixes and paths are compared by one rule, as written first

The server handed on the path of a request without escapes, empty segments and dots, while a manifest's prefix was taken as written. /a//b/, /a%20b/, /a/../b/ and a prefix that ends within an escape (/a%4) were acknowledged and their queues answered 404.

Ruled out: rewriting the prefix in the translation of the manifest (stored documents would stay dead, and two prefixes that requests tell apart would collide); matching raw bytes only (callers that rewrite a path in ways that keep its meaning were served so far).

Change: the path goes to Find as it was sent. Prefixes are compared in one comparable form on both sides, longest first; at equal length the one that the path begins with as sent precedes. Prefixes with ? or # or control characters, which no path begins with, are refused on arrival. Find returns the rest without escapes, as before.

--- a/fleet/host.go
+++ b/fleet/host.go
@@ -9,7 +9,7 @@
 // comparableHost returns the form in which hosts are compared: they have no case.
 func comparableHost(host string) string {
 	for i := range len(host) {
-		if c := host[i]; c >= 'A' && c <= 'Z' {
+		if lowerByte(host[i]) != host[i] {
 			return lowerASCII(host)
 		}
 	}
@@ -20,13 +20,18 @@
 func lowerASCII(s string) string {
 	b := []byte(s)
 	for i, c := range b {
-		if c >= 'A' && c <= 'Z' {
-			b[i] = c - 'A' + 'a'
-		}
+		b[i] = lowerByte(c)
 	}
 	return string(b)
 }
 
+func lowerByte(c byte) byte {
+	if c >= 'A' && c <= 'Z' {
+		return c - 'A' + 'a'
+	}
+	return c
+}
+
 // withoutPort returns a host without its port; ok is false if it has none.
 func withoutPort(host string) (name string, ok bool) {
 	i := strings.LastIndexByte(host, ':')
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -8,7 +8,7 @@
 )
 
 // CheckRequests returns a *CheckError if requests can't tell the routes in sections apart, or
-// can't name their hosts. FromSections checks neither: what replicas accept has to stay the
+// can't name their hosts and prefixes. FromSections checks neither: what replicas accept has to stay the
 // same in every build, and control hosts hold such sections of earlier builds.
 func CheckRequests(sections []wire.ConfigSection) error {
 	var c checker
@@ -63,6 +63,9 @@
 		if err := checkHost(r.Host); err != nil {
 			c.addProblem(configPath{site, section, "host"}, err.Error(), "a host that a request can name")
 		}
+		if err := checkPrefix(r.Prefix); err != nil {
+			c.addProblem(configPath{site, section, "prefix"}, err.Error(), "a prefix of a request's path")
+		}
 		at := address{comparableHost(r.Host), r.Prefix}
 		// FromSections refuses hosts that are written alike.
 		if other := taken[at]; other != nil && other.Host != r.Host {
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -41,39 +41,46 @@
 	byHost map[string][]*Route
 	// byName holds the routes of each host in its comparable form, in the order in which
 	// Find takes them.
-	byName map[string][]*Route
+	byName map[string][]routeEntry
+}
+
+// routeEntry is a route with the comparable form of its prefix.
+type routeEntry struct {
+	*Route
+	prefix string
 }
 
 // newRoutes returns the table of some routes.
 func newRoutes(routes map[string]Route) *Routes {
-	r := &Routes{byHost: map[string][]*Route{}, byName: map[string][]*Route{}}
+	r := &Routes{byHost: map[string][]*Route{}, byName: map[string][]routeEntry{}}
 	for _, name := range sortedKeys(routes) {
 		route := routes[name]
 		host := comparableHost(route.Host)
 		r.byHost[route.Host] = append(r.byHost[route.Host], &route)
-		r.byName[host] = append(r.byName[host], &route)
+		r.byName[host] = append(r.byName[host], routeEntry{&route, ComparablePath(route.Prefix)})
 	}
 	for _, routes := range r.byHost {
 		slices.SortFunc(routes, func(a, b *Route) int {
 			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), strings.Compare(a.Prefix, b.Prefix))
 		})
 	}
-	for _, routes := range r.byName {
-		slices.SortFunc(routes, compareForFind)
+	for _, entries := range r.byName {
+		slices.SortFunc(entries, compareForFind)
 	}
 	return r
 }
 
-// compareForFind orders routes of one host. Of routes that differ by the case of their host
-// only, which earlier builds have accepted, the one that these served comes first.
-func compareForFind(a, b *Route) int {
-	return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), strings.Compare(a.Prefix, b.Prefix),
-		strings.Compare(b.Host, a.Host), strings.Compare(a.Name, b.Name))
+// compareForFind orders routes of one host, longest prefix first. Of routes that differ by
+// the case of their host only, which earlier builds have accepted, the one that these served
+// comes first.
+func compareForFind(a, b routeEntry) int {
+	return cmp.Or(cmp.Compare(len(b.prefix), len(a.prefix)), cmp.Compare(len(b.Prefix), len(a.Prefix)),
+		strings.Compare(a.Prefix, b.Prefix), strings.Compare(b.Host, a.Host), strings.Compare(a.Name, b.Name))
 }
 
-// Find returns the route of a request and the part of its path after the prefix,
-// or nil if no route matches. A host has no case. If no route names it with its port, those
-// that name it without one apply.
+// Find returns the route of a request, whose path is as it was sent, and the part of the path
+// after the prefix, or nil if no route matches. A host has no case. If no route names it with
+// its port, those that name it without one apply.
 func (r *Routes) Find(host, path string) (route *Route, rest string) {
 	if r == nil {
 		return nil, ""
@@ -88,21 +95,43 @@
 	return nil, ""
 }
 
-func find(routes []*Route, path string) (route *Route, rest string) {
-	for _, route := range routes {
-		if rest, ok := strings.CutPrefix(path, route.Prefix); ok {
-			return route, rest
+// find takes the longest comparable prefix. Of several of one length, the one with which the
+// path begins as it was sent precedes.
+func find(entries []routeEntry, path string) (route *Route, rest string) {
+	plain := ComparablePath(path)
+	var like *routeEntry
+	for i := range entries {
+		e := &entries[i]
+		if like != nil && len(e.prefix) < len(like.prefix) {
+			break
+		}
+		switch {
+		case strings.HasPrefix(path, e.Prefix):
+			return e.Route, e.rest(path, plain)
+		case like == nil && strings.HasPrefix(plain, e.prefix):
+			like = e
 		}
 	}
-	return nil, ""
+	if like == nil {
+		return nil, ""
+	}
+	return like.Route, like.rest(path, plain)
+}
+
+// rest returns what follows the prefix in a path and its comparable form.
+func (e *routeEntry) rest(path, plain string) string {
+	if rest, ok := strings.CutPrefix(plain, e.prefix); ok {
+		return rest
+	}
+	return path[len(e.Prefix):] // an escape that begins within the prefix
 }
 
 // list returns all routes, ordered by host, prefix and name.
 func (r *Routes) list() []Route {
 	var out []Route
 	for _, name := range sortedKeys(r.byName) {
-		for _, route := range r.byName[name] {
-			out = append(out, *route)
+		for _, e := range r.byName[name] {
+			out = append(out, *e.Route)
 		}
 	}
 	return out
