--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -28,9 +28,10 @@
 	LimitIdleTimeout   = "idle-timeout"
 )
 
+// The highest values of RequestLimits.
 const (
-	maxRequestBytes   = 1 << 30
-	maxRequestTimeout = time.Hour
+	MaxRequestBytes   = 1 << 30
+	MaxRequestTimeout = time.Hour
 )
 
 // ParseLimits returns the limits in pairs. It leaves out unknown keys, which later builds
@@ -40,13 +41,13 @@
 		next, failed := l, error(nil)
 		switch p.Key {
 		case LimitHeaderBytes:
-			failed = setUint(&next.HeaderBytes, p.Value, 1, maxRequestBytes)
+			failed = setUint(&next.HeaderBytes, p.Value, 1, MaxRequestBytes)
 		case LimitBodyBytes:
-			failed = setUint(&next.BodyBytes, p.Value, 1, maxRequestBytes)
+			failed = setUint(&next.BodyBytes, p.Value, 1, MaxRequestBytes)
 		case LimitHeaderTimeout:
-			failed = setDuration(&next.HeaderTimeout, p.Value, time.Millisecond, maxRequestTimeout)
+			failed = setDuration(&next.HeaderTimeout, p.Value, time.Millisecond, MaxRequestTimeout)
 		case LimitIdleTimeout:
-			failed = setDuration(&next.IdleTimeout, p.Value, time.Millisecond, maxRequestTimeout)
+			failed = setDuration(&next.IdleTimeout, p.Value, time.Millisecond, MaxRequestTimeout)
 		}
 		if failed != nil {
 			err = fmt.Errorf("fleet: limit %s: %w", p.Key, failed)
