command: text that is not UTF-8 is refused where it would be sent as JSON

A configuration file in Latin-1 was checked with one host and applied with another; the JSON output of an answer that is not UTF-8 showed other bytes.

Settings files are read as before: their values may be file names.

--- a/adminapi/client.go
+++ b/adminapi/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -56,7 +55,7 @@
 // Post sends in as JSON and decodes the answer into out. The request may be
 // executed more than once, so it must be idempotent.
 func (c *Client) Post(ctx context.Context, path string, in, out any) error {
-	body, err := json.Marshal(in)
+	body, err := strictjson.Marshal(in)
 	if err != nil {
 		return fmt.Errorf("adminapi: encode request: %w", err)
 	}
--- a/command/admin.go
+++ b/command/admin.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -11,6 +12,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/fireflytray/fireflytray/adminapi"
 	"github.com/fireflytray/fireflytray/keys"
@@ -147,11 +149,26 @@
 		if name := filepath.Base(file); name != baseFile {
 			site = strings.TrimSuffix(name, iniSuffix)
 		}
+		if line := lineNotUTF8(text); line > 0 {
+			return nil, Exit(ExitUsage, "%s:%d: the line is not UTF-8", file, line)
+		}
 		sources = append(sources, adminapi.Source{Site: site, File: file, Text: string(text)})
 	}
 	return sources, nil
 }
 
+// lineNotUTF8 returns the first line that is not UTF-8, from 1 on, or 0.
+func lineNotUTF8(text []byte) int {
+	n := 0
+	for line := range bytes.Lines(text) {
+		n++
+		if !utf8.Valid(line) {
+			return n
+		}
+	}
+	return 0
+}
+
 func yesNo(b bool) string {
 	if b {
 		return "yes"
--- a/command/cancel.go
+++ b/command/cancel.go
@@ -1,9 +1,6 @@
 package command
 
 import (
-	"encoding/json"
-	"fmt"
-
 	"github.com/valyala/fasthttp"
 
 	"github.com/fireflytray/fireflytray/httpapi"
@@ -24,9 +21,9 @@
 
 // Execute cancels the jobs.
 func (c *cancelCommand) Execute([]string) error {
-	body, err := json.Marshal(httpapi.CancelRequest{IDs: c.Args.IDs})
+	body, err := strictjson.Marshal(httpapi.CancelRequest{IDs: c.Args.IDs})
 	if err != nil {
-		return fmt.Errorf("cancel: %w", err)
+		return Exit(ExitUsage, "cancel: %w", err)
 	}
 	req := c.request(fasthttp.MethodPost, "/v1/cancel")
 	defer fasthttp.ReleaseRequest(req)
--- a/command/control_test.go
+++ b/command/control_test.go
@@ -162,6 +162,17 @@
 	require.Equal(t, 3, strings.Count(errs.String(), ".ini:"))
 }
 
+// A file that is not UTF-8 was applied with other text than it has.
+func TestConfigurationThatIsNotUTF8IsRefused(t *testing.T) {
+	const text = "[service s]\n[route r]\nhost = gr\xf6\xdfe.example\nprefix = /x/\nservice = s\ntimeout = 1s\n"
+	bad := writeConfig(t, map[string]string{"base.ini": text})
+	for _, command := range []string{"check", "diff", "apply"} {
+		var out, errs bytes.Buffer
+		require.Equal(t, ExitUsage, Main([]string{"config", command, bad}, &out, &errs), command)
+		require.Contains(t, errs.String(), "base.ini:3: the line is not UTF-8", command)
+	}
+}
+
 // The certificate of a process is rejected as an operator's, and an unreachable
 // host gives another exit code than a rejected change.
 func TestAdminAccess(t *testing.T) {
--- a/command/submit.go
+++ b/command/submit.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/valyala/fasthttp"
 
@@ -86,11 +87,16 @@
 		_, err := fmt.Fprintf(c.env.Stdout, "%s\n", resp.Body())
 		return err
 	}
-	return c.env.printJSON(requestAnswer{
+	answer := requestAnswer{
 		ID:    string(resp.Header.Peek(httpapi.HeaderSubmission)),
 		State: string(resp.Header.Peek(httpapi.HeaderState)),
-		Body:  bodyText(resp.Body()),
-	})
+	}
+	if utf8.Valid(resp.Body()) {
+		answer.Body = bodyText(resp.Body())
+	} else {
+		answer.Binary = resp.Body()
+	}
+	return c.env.printJSON(answer)
 }
 
 // requestAnswer is the answer to a request in JSON output.
@@ -98,6 +104,8 @@
 	ID    string          `json:"id"`
 	State string          `json:"state"`
 	Body  json.RawMessage `json:"body"`
+	// Binary is a body that is not UTF-8.
+	Binary []byte `json:"body_base64,omitempty"`
 }
 
 // bodyText returns body unchanged if it is valid JSON, else as a JSON string.
