controld: documents of earlier builds stay in force, over restarts, on each replica

It proposes what a host of an earlier build proposes (two hosts that differ by case, one that no request can name, a source that is not UTF-8) on three replicas, restarts them all, and compares sources, digests and the route that is found.

--- a/controld/publish_test.go
+++ b/controld/publish_test.go
@@ -116,3 +116,46 @@
 	require.Empty(t, publish(1, "A.example", "b.example"))
 	require.Equal(t, uint64(1), host.machine.Published().Version)
 }
+
+// Control hosts of earlier builds propose, and keep on their disks, documents that this build
+// refuses from operators. A stricter rule in the replicated machine would take such a document
+// out of force on restart, or keep it out on the replicas of one build only.
+func TestDocumentsOfEarlierBuildsStayInForce(t *testing.T) {
+	c := startCluster(t, 3)
+	route := func(name, host string) wire.ConfigSection {
+		return wire.ConfigSection{Name: "route " + name, Keys: []wire.ConfigPair{
+			{Key: "host", Value: host}, {Key: "prefix", Value: "/p/"}, {Key: "service", Value: "s"}, {Key: "timeout", Value: "1s"},
+		}}
+	}
+	earlier := &control.Publish{
+		Version: 7, Source: []byte("{\"version\":7,\"note\":\"\xff\"}"),
+		Sections: []wire.ConfigSection{{Name: "service s"}, route("a", "Queue.example"), route("b", "queue.example"), route("c", "a@b"), route("d", "\ufffd")},
+	}
+	reply, err := c.hosts[c.leader()].propose(t.Context(), &control.Command{Publish: earlier})
+	require.NoError(t, err)
+	require.True(t, reply.Publish.Accepted, reply.Publish.Detail)
+	check := func() {
+		t.Helper()
+		digests := map[uint64]bool{}
+		for _, h := range c.hosts {
+			eventually(t, "the document is in force", func() bool { return h.machine.Published().Version == earlier.Version })
+			require.Equal(t, earlier.Source, h.machine.Published().Source)
+			_, doc := h.machine.Current()
+			digests[doc.Digest()] = true
+			found, _ := doc.Effective("").Routes.Find("QUEUE.example", "/p/")
+			require.Equal(t, "b", found.Name, "the route that earlier builds served")
+		}
+		require.Len(t, digests, 1)
+	}
+	check()
+	for _, h := range c.hosts {
+		h.shutDown()
+	}
+	for i := range c.hosts {
+		c.start(i, false)
+	}
+	check()
+	refused, err := c.hosts[c.leader()].Publish(t.Context(), "op", 8, routesDocument(3), []byte("source"))
+	require.NoError(t, err)
+	require.Empty(t, refused, "a later document replaces it")
+}
