fleet: dots that leave a prefix are no request for its queue

A path that begins with a prefix as sent has to be below it in the comparable form, too, unless the prefix ends within an escape. TestDotsLeaveAPrefix failed before (a route of /a/ for /a/../b/1), passes now.

--- a/fleet/path_test.go
+++ b/fleet/path_test.go
@@ -44,6 +44,7 @@
 	for path, want := range map[string][2]string{
 		"/a/1": {"/a/", "1"}, "/a//1": {"/a//", "1"}, "/a///1": {"/a//", "1"}, "/a//b/1": {"/a//b/", "1"}, "/a/b/1": {"/a//b/", "1"},
 		"/a/b/c/1": {"/a/b/c/", "1"}, "/a%2Fb/c/1": {"/a%2Fb/c/", "1"}, "/a//b/c/1": {"/a%2Fb/c/", "1"}, "/a/b/c1": {"/a/b/c", "1"}, "/./a/1": {"/a//", "1"},
+		"/a//b/../1": {"/a//", "1"}, "/a/../a/b/1": {"/a//b/", "1"}, "/a/b/c/../1": {"/a//b/", "1"}, "/a%2F1": {"/a//", "1"},
 	} {
 		route, rest := routes.Find("h", path)
 		require.NotNil(t, route, path)
@@ -51,6 +52,20 @@
 	}
 }
 
+// A path that leaves a prefix by dots is not a request for its queue.
+func TestDotsLeaveAPrefix(t *testing.T) {
+	routes := newRoutes(map[string]Route{"a": {Name: "a", Host: "h", Prefix: "/a/"}, "b": {Name: "b", Host: "h", Prefix: "/b/"}})
+	for path, want := range map[string]string{"/a/../b/1": "b", "/b/../a/1": "a", "/a/%2e%2e/b/1": "b", "/a/x/../1": "a"} {
+		route, rest := routes.Find("h", path)
+		require.NotNil(t, route, path)
+		require.Equal(t, [2]string{want, "1"}, [2]string{route.Name, rest}, path)
+	}
+	for _, path := range []string{"/a/../c/1", "/a/../1", "/c/1"} {
+		route, _ := routes.Find("h", path)
+		require.Nil(t, route, path)
+	}
+}
+
 func TestPrefixesThatNoPathBeginsWithAreRefused(t *testing.T) {
 	for _, prefix := range []string{"/a?b/", "/a#b/", "/a\nb/", "/\x00", "/\x7f/"} {
 		err := CheckRequests([]wire.ConfigSection{routeSection("r", "a.example", prefix)})
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -99,31 +99,34 @@
 // path begins as it was sent precedes.
 func find(entries []routeEntry, path string) (route *Route, rest string) {
 	plain := ComparablePath(path)
-	var like *routeEntry
+	shortest := 0
 	for i := range entries {
 		e := &entries[i]
-		if like != nil && len(e.prefix) < len(like.prefix) {
+		if len(e.prefix) < shortest {
 			break
 		}
-		switch {
-		case strings.HasPrefix(path, e.Prefix):
-			return e.Route, e.rest(path, plain)
-		case like == nil && strings.HasPrefix(plain, e.prefix):
-			like = e
+		if rest, ok := e.restAsSent(path, plain); ok {
+			return e.Route, rest
+		}
+		if after, ok := strings.CutPrefix(plain, e.prefix); ok && route == nil {
+			route, rest, shortest = e.Route, after, len(e.prefix)
 		}
 	}
-	if like == nil {
-		return nil, ""
-	}
-	return like.Route, like.rest(path, plain)
+	return route, rest
 }
 
-// rest returns what follows the prefix in a path and its comparable form.
-func (e *routeEntry) rest(path, plain string) string {
+// restAsSent returns what follows the prefix in a path that begins with it as it was sent,
+// without escapes. Dots after the prefix may not leave it.
+func (e *routeEntry) restAsSent(path, plain string) (rest string, ok bool) {
+	sent, ok := strings.CutPrefix(path, e.Prefix)
+	if !ok {
+		return "", false
+	}
 	if rest, ok := strings.CutPrefix(plain, e.prefix); ok {
-		return rest
+		return rest, true
 	}
-	return path[len(e.Prefix):] // an escape that begins within the prefix
+	// The prefix ends within an escape of the path.
+	return sent, !strings.Contains(sent, "/")
 }
 
 // list returns all routes, ordered by host, prefix and name.
