--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -8,8 +8,8 @@
 )
 
 // CheckRequests returns a *CheckError if requests can't tell the routes in sections apart, or
-// can't name their hosts and prefixes. FromSections checks neither: what replicas accept has to stay the
-// same in every build, and control hosts hold such sections of earlier builds.
+// can't name their hosts and prefixes. FromSections checks neither: what replicas accept has
+// to stay the same in every build, and control hosts hold such sections of earlier builds.
 func CheckRequests(sections []wire.ConfigSection) error {
 	var c checker
 	routes := make([]Route, 0, len(sections))
